--- /dev/null
+++ b/src/ctl.c
@@ -0,0 +1,587 @@
+/* Command line for operators. */
+#include "cfg.h"
+#include "hcl.h"
+#include "jsn.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 3000
+#define PLAN_PATH "system/plan"
+
+/** typedef Exit - exit codes of the program */
+typedef enum
+{
+  EXIT_OK = 0,
+  EXIT_FAILED = 1,
+  EXIT_USAGE = 2,
+  EXIT_CONFLICT = 3,
+  EXIT_REFUSED = 4,
+  EXIT_UNAVAILABLE = 5,
+} Exit;
+
+/** struct Ctl - options and connections of one run */
+typedef struct
+{
+  uv_loop_t *loop;
+  HclCtx http;
+  NetAddr store;
+  char *store_text;
+  char *output;
+  char *file;
+  char *team;
+  char *at;
+  char *target;
+  gint64 if_version;
+  gboolean wait;
+} Ctl;
+
+typedef Exit (*CommandFn) (Ctl *ctl, char **args, int count);
+
+/** struct Command - one subcommand; @min and @max bound its arguments */
+typedef struct
+{
+  const char *name;
+  int min;
+  int max;
+  CommandFn run;
+  const char *usage;
+  const char *help;
+} Command;
+
+/* ---- Platform calls ---- */
+
+static Exit
+store_call (Ctl *ctl, const char *method, const char *path, const char *body, char **answer)
+{
+  int status;
+  HclOutcome outcome = hcl_fetch_wait (&ctl->http, ctl->store, method, path, body, CALL_TIMEOUT_MS,
+                                       &status, answer);
+
+  if (outcome == HCL_DONE && status == 200)
+    return EXIT_OK;
+  if (outcome == HCL_DONE && status == 404)
+    {
+      fprintf (stderr, "not found\n");
+      return EXIT_FAILED;
+    }
+  if (outcome == HCL_DONE && status == 409)
+    {
+      fprintf (stderr, "conflict: the object has another version now: %s\n", *answer);
+      return EXIT_CONFLICT;
+    }
+  if (outcome == HCL_DONE && status == 400)
+    {
+      fprintf (stderr, "the platform refused the object\n");
+      return EXIT_REFUSED;
+    }
+  fprintf (stderr, "the platform gave no answer; the change may have taken effect\n");
+  return EXIT_UNAVAILABLE;
+}
+
+static Exit
+load_objects (Ctl *ctl, ObjTable *table)
+{
+  char *answer;
+  Exit code = store_call (ctl, "GET", "/v1/list?prefix=" CFG_PREFIXES, NULL, &answer);
+
+  obj_init (table);
+  if (code == EXIT_OK)
+    {
+      JsonNode *root = jsn_parse (answer, strlen (answer));
+      JsonArray *list = root != NULL ? jsn_array (jsn_object (root), "objects") : NULL;
+      for (uint32_t i = 0; list != NULL && i < json_array_get_length (list); i++)
+        {
+          JsonObject *item = json_array_get_object_element (list, i);
+          char *value = json_to_string (jsn_member (item, "value"), FALSE);
+          obj_apply (table, jsn_text (item, "path", ""), jsn_uint (item, "version", 0), false,
+                     value);
+          g_free (value);
+        }
+      if (root != NULL)
+        obj_advance (table, jsn_uint (jsn_object (root), "revision", 0));
+      g_clear_pointer (&root, json_node_unref);
+    }
+  g_free (answer);
+  return code;
+}
+
+static char *
+read_value (Ctl *ctl)
+{
+  char *text = NULL;
+  gsize size;
+
+  if (ctl->file == NULL)
+    fprintf (stderr, "--file is not given; accepted: a file with a JSON object, or '-'\n");
+  else if (strcmp (ctl->file, "-") == 0)
+    {
+      GIOChannel *in = g_io_channel_unix_new (0);
+      g_io_channel_read_to_end (in, &text, &size, NULL);
+      g_io_channel_unref (in);
+    }
+  else if (!g_file_get_contents (ctl->file, &text, NULL, NULL))
+    fprintf (stderr, "cannot read file '%s'\n", ctl->file);
+  return text;
+}
+
+static bool
+team_owns (const Ctl *ctl, const char *path)
+{
+  char *prefix;
+  bool owns;
+
+  if (ctl->team == NULL)
+    return true;
+  prefix = g_strdup_printf ("teams/%s/", ctl->team);
+  owns = g_str_has_prefix (path, prefix) && strstr (path, "..") == NULL;
+  if (!owns)
+    fprintf (stderr, "team '%s' may change paths under %s only\n", ctl->team, prefix);
+  g_free (prefix);
+  return owns;
+}
+
+static Exit
+put_object (Ctl *ctl, const char *path, const char *value, int64_t if_version)
+{
+  ObjTable table;
+  Err err = { 0 };
+  char *answer = NULL;
+  char *url;
+  Exit code = load_objects (ctl, &table);
+
+  if (code == EXIT_OK && !cfg_check_change (&table, path, value, &err))
+    {
+      fprintf (stderr, "refused: %s\n", err.text);
+      code = EXIT_REFUSED;
+    }
+  if (code == EXIT_OK)
+    {
+      const Obj *obj = obj_get (&table, path);
+      if (if_version < 0)
+        if_version = obj != NULL ? (int64_t)obj->revision : 0;
+      url = g_strdup_printf ("/v1/objects/%s?if=%" PRId64, path, if_version);
+      code = store_call (ctl, value != NULL ? "PUT" : "DELETE", url, value, &answer);
+      g_free (url);
+    }
+  if (code == EXIT_OK)
+    printf ("%s\n", answer);
+  g_free (answer);
+  obj_clear (&table);
+  return code;
+}
+
+/* ---- Commands on objects ---- */
+
+static Exit
+run_get (Ctl *ctl, char **args, int count)
+{
+  char *url = g_strdup_printf ("/v1/objects/%s", args[0]);
+  char *answer;
+  Exit code = store_call (ctl, "GET", url, NULL, &answer);
+  (void)count;
+
+  if (code == EXIT_OK)
+    printf ("%s\n", answer);
+  g_free (answer);
+  g_free (url);
+  return code;
+}
+
+static Exit
+run_set (Ctl *ctl, char **args, int count)
+{
+  char *value = team_owns (ctl, args[0]) ? read_value (ctl) : NULL;
+  Exit code = value != NULL ? put_object (ctl, args[0], value, ctl->if_version) : EXIT_USAGE;
+  (void)count;
+
+  g_free (value);
+  return code;
+}
+
+static Exit
+run_delete (Ctl *ctl, char **args, int count)
+{
+  (void)count;
+  return team_owns (ctl, args[0]) ? put_object (ctl, args[0], NULL, ctl->if_version) : EXIT_USAGE;
+}
+
+static Exit
+run_apply (Ctl *ctl, char **args, int count)
+{
+  if (ctl->if_version < 0)
+    {
+      fprintf (stderr, "--if-version is not given; take it from 'get'\n");
+      return EXIT_USAGE;
+    }
+  return run_set (ctl, args, count);
+}
+
+static Exit
+run_diff (Ctl *ctl, char **args, int count)
+{
+  ObjTable table;
+  Err err = { 0 };
+  char *value = read_value (ctl);
+  Exit code = value != NULL ? load_objects (ctl, &table) : EXIT_USAGE;
+  (void)count;
+
+  if (code == EXIT_OK)
+    {
+      const Obj *obj = obj_get (&table, args[0]);
+      JsonNode *node = jsn_parse (value, strlen (value));
+      char *wanted = node != NULL ? json_to_string (node, FALSE) : g_strdup ("(not JSON)");
+      bool ok = cfg_check_change (&table, args[0], value, &err);
+      printf ("path %s\nnow  %s\nnew  %s\n%s%s\n", args[0], obj != NULL ? obj->value : "(none)",
+              wanted, ok ? "accepted" : "refused: ", err.text);
+      code = ok ? EXIT_OK : EXIT_REFUSED;
+      g_clear_pointer (&node, json_node_unref);
+      g_free (wanted);
+      obj_clear (&table);
+    }
+  g_free (value);
+  return code;
+}
+
+static Exit
+run_list (Ctl *ctl, char **args, int count)
+{
+  char *url = g_strdup_printf ("/v1/list?prefix=%s", count > 0 ? args[0] : CFG_PREFIXES);
+  char *answer;
+  Exit code = store_call (ctl, "GET", url, NULL, &answer);
+  JsonNode *root = code == EXIT_OK ? jsn_parse (answer, strlen (answer)) : NULL;
+  JsonArray *list = root != NULL ? jsn_array (jsn_object (root), "objects") : NULL;
+
+  for (uint32_t i = 0; list != NULL && i < json_array_get_length (list); i++)
+    {
+      JsonObject *item = json_array_get_object_element (list, i);
+      printf ("%" G_GUINT64_FORMAT " %s\n", jsn_uint (item, "version", 0),
+              jsn_text (item, "path", ""));
+    }
+  g_clear_pointer (&root, json_node_unref);
+  g_free (answer);
+  g_free (url);
+  return code;
+}
+
+/* ---- Drains ---- */
+
+static char *
+drain_path (const Ctl *ctl, const char *kind, const char *name)
+{
+  if (ctl->team != NULL)
+    return g_strdup_printf ("teams/%s/drains/%s-%s", ctl->team, kind, name);
+  return g_strdup_printf ("platform/drains/%s-%s", kind, name);
+}
+
+static Exit
+run_drain (Ctl *ctl, char **args, int count)
+{
+  char *path = drain_path (ctl, args[0], args[1]);
+  char *value
+      = g_strdup_printf ("{\"schema\":1,\"kind\":\"%s\",\"target\":\"%s\"}", args[0], args[1]);
+  Exit code = put_object (ctl, path, value, -1);
+  (void)count;
+
+  g_free (value);
+  g_free (path);
+  return code;
+}
+
+static Exit
+run_undrain (Ctl *ctl, char **args, int count)
+{
+  char *path = drain_path (ctl, args[0], args[1]);
+  Exit code = put_object (ctl, path, NULL, -1);
+  (void)count;
+
+  g_free (path);
+  return code;
+}
+
+/* ---- What is in force ---- */
+
+static char *
+dump_of (Ctl *ctl, NetAddr addr)
+{
+  char *answer;
+  int status;
+
+  hcl_fetch_wait (&ctl->http, addr, "GET", "/dump", NULL, CALL_TIMEOUT_MS, &status, &answer);
+  if (status == 200)
+    return answer;
+  g_free (answer);
+  return NULL;
+}
+
+static void
+print_effective (const CfgVm *vm, const char *dump, bool json)
+{
+  JsonNode *root = dump != NULL ? jsn_parse (dump, strlen (dump)) : NULL;
+  JsonObject *object = root != NULL ? jsn_object (root) : NULL;
+  const char *format = json ? "{\"vm\":\"%s\",\"state\":\"%s\",\"config_revision\":%" PRIu64
+                              ",\"in_force_for_ms\":%" PRIu64 ",\"plan_epoch\":%" PRIu64 "}\n"
+                            : "%s state=%s config_revision=%" PRIu64 " in_force_for_ms=%" PRIu64
+                              " plan_epoch=%" PRIu64 "\n";
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+  printf (format, vm->name, jsn_text (object, "state", "no_answer"),
+          jsn_uint (object, "config_revision", 0), jsn_uint (object, "config_age_ms", 0),
+          jsn_uint (object, "plan_epoch", 0));
+#pragma GCC diagnostic pop
+  g_clear_pointer (&root, json_node_unref);
+}
+
+/* Asks every entry; the exit code tells whether all have the newest configuration. */
+static Exit
+run_effective (Ctl *ctl, char **args, int count)
+{
+  ObjTable table;
+  Exit code = load_objects (ctl, &table);
+  bool json = strcmp (ctl->output, "json") == 0;
+  Cfg *cfg;
+  (void)args;
+  (void)count;
+
+  if (code != EXIT_OK)
+    return code;
+  cfg = cfg_build (&table);
+  for (uint32_t i = 0; i < cfg->vms->len; i++)
+    {
+      const CfgVm *vm = &g_array_index (cfg->vms, CfgVm, i);
+      char *dump = dump_of (ctl, vm->entry_http);
+      print_effective (vm, dump, json);
+      if (dump == NULL)
+        code = EXIT_FAILED;
+      g_free (dump);
+    }
+  for (uint32_t i = 0; i < cfg->errors->len; i++)
+    printf ("refused %s\n", (char *)cfg->errors->pdata[i]);
+  cfg_free (cfg);
+  obj_clear (&table);
+  return code;
+}
+
+static JsonNode *
+load_plan (Ctl *ctl, Exit *code)
+{
+  char *answer;
+  JsonNode *root = NULL;
+
+  *code = store_call (ctl, "GET", "/v1/objects/" PLAN_PATH, NULL, &answer);
+  if (*code == EXIT_OK)
+    root = jsn_parse (answer, strlen (answer));
+  g_free (answer);
+  return root;
+}
+
+static void
+print_shares (JsonObject *service)
+{
+  JsonObject *groups = jsn_child (service, "groups");
+  GList *names = groups != NULL ? json_object_get_members (groups) : NULL;
+
+  for (GList *item = names; item != NULL; item = item->next)
+    {
+      JsonNode *shares = jsn_member (jsn_child (groups, item->data), "shares");
+      char *text = shares != NULL ? json_to_string (shares, FALSE) : g_strdup ("{}");
+      printf ("callers near %s go to %s\n", (char *)item->data, text);
+      g_free (text);
+    }
+  g_list_free (names);
+}
+
+static Exit
+run_explain (Ctl *ctl, char **args, int count)
+{
+  Exit code;
+  JsonNode *root = load_plan (ctl, &code);
+  JsonObject *plan = root != NULL ? jsn_child (jsn_object (root), "value") : NULL;
+  JsonObject *service = jsn_child (jsn_child (plan, "services"), args[0]);
+  JsonArray *decisions = jsn_array (plan, "decisions");
+  char *needle = g_strdup_printf ("service=%s ", args[0]);
+  (void)count;
+
+  if (code == EXIT_OK && service == NULL)
+    {
+      fprintf (stderr, "the plan has no service '%s'\n", args[0]);
+      code = EXIT_FAILED;
+    }
+  if (service != NULL)
+    {
+      printf ("plan epoch %" G_GUINT64_FORMAT " by %s\n", jsn_uint (plan, "epoch", 0),
+              jsn_text (plan, "planner", "?"));
+      print_shares (service);
+      for (uint32_t i = 0; decisions != NULL && i < json_array_get_length (decisions); i++)
+        if (strstr (json_array_get_string_element (decisions, i), needle) != NULL)
+          printf ("%s\n", json_array_get_string_element (decisions, i));
+    }
+  g_free (needle);
+  g_clear_pointer (&root, json_node_unref);
+  return code;
+}
+
+static Exit
+run_status (Ctl *ctl, char **args, int count)
+{
+  Exit code;
+  JsonNode *root = load_plan (ctl, &code);
+  JsonObject *plan = root != NULL ? jsn_child (jsn_object (root), "value") : NULL;
+
+  if (plan != NULL)
+    printf ("plan epoch %" G_GUINT64_FORMAT " by %s\n", jsn_uint (plan, "epoch", 0),
+            jsn_text (plan, "planner", "?"));
+  g_clear_pointer (&root, json_node_unref);
+  Exit effective = run_effective (ctl, args, count);
+  return code != EXIT_OK ? code : effective;
+}
+
+static Exit
+run_history (Ctl *ctl, char **args, int count)
+{
+  Exit code;
+  JsonNode *root = load_plan (ctl, &code);
+  JsonArray *decisions
+      = root != NULL ? jsn_array (jsn_child (jsn_object (root), "value"), "decisions") : NULL;
+  (void)args;
+  (void)count;
+
+  for (uint32_t i = 0; decisions != NULL && i < json_array_get_length (decisions); i++)
+    printf ("%s\n", json_array_get_string_element (decisions, i));
+  g_clear_pointer (&root, json_node_unref);
+  return code;
+}
+
+static Exit
+run_dump (Ctl *ctl, char **args, int count)
+{
+  NetAddr addr;
+  char *dump;
+  (void)count;
+
+  if (!net_addr_parse (args[0], &addr))
+    {
+      fprintf (stderr, "'%s' is not an address; accepted: a.b.c.d:port\n", args[0]);
+      return EXIT_USAGE;
+    }
+  dump = dump_of (ctl, addr);
+  if (dump == NULL)
+    {
+      fprintf (stderr, "no answer from %s\n", args[0]);
+      return EXIT_UNAVAILABLE;
+    }
+  printf ("%s\n", dump);
+  g_free (dump);
+  return EXIT_OK;
+}
+
+/* ---- Start ---- */
+
+static const Command commands[] = {
+  { "get", 1, 1, run_get, "get PATH", "print an object with its version" },
+  { "list", 0, 1, run_list, "list [PREFIX]", "print versions and paths" },
+  { "set", 1, 1, run_set, "set PATH --file=FILE", "check and write an object" },
+  { "apply", 1, 1, run_apply, "apply PATH --file=FILE --if-version=N",
+    "write an object if it still has version N" },
+  { "delete", 1, 1, run_delete, "delete PATH", "remove an object" },
+  { "diff", 1, 1, run_diff, "diff PATH --file=FILE", "show what a change would do" },
+  { "drain", 2, 2, run_drain, "drain vm|zone|region NAME", "move traffic away under the caps" },
+  { "undrain", 2, 2, run_undrain, "undrain vm|zone|region NAME", "abort or undo a drain" },
+  { "effective", 0, 0, run_effective, "effective", "ask every entry what is in force" },
+  { "explain", 1, 1, run_explain, "explain SERVICE", "why traffic goes where it goes" },
+  { "history", 0, 0, run_history, "history", "latest steering decisions" },
+  { "status", 0, 0, run_status, "status", "plan, entries and refused objects" },
+  { "dump", 1, 1, run_dump, "dump ADDRESS", "state of one process" },
+};
+
+static char *
+summary_text (void)
+{
+  GString *text = g_string_new ("Commands:\n");
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    g_string_append_printf (text, "  %-40s %s\n", commands[i].usage, commands[i].help);
+  g_string_append (text, "\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 version conflict, "
+                         "4 refused by the checks, 5 no answer");
+  return g_string_free (text, FALSE);
+}
+
+static Exit
+run_command (Ctl *ctl, char **argv, int argc)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      if (strcmp (commands[i].name, argv[1]) != 0)
+        continue;
+      if (argc - 2 >= commands[i].min && argc - 2 <= commands[i].max)
+        return commands[i].run (ctl, argv + 2, argc - 2);
+      fprintf (stderr, "usage: cardamomctl %s\n", commands[i].usage);
+      return EXIT_USAGE;
+    }
+  fprintf (stderr, "unknown command '%s'; see cardamomctl --help\n", argv[1]);
+  return EXIT_USAGE;
+}
+
+static bool
+check_options (Ctl *ctl)
+{
+  const char *store = ctl->store_text != NULL ? ctl->store_text : g_getenv ("CARDAMOM_STORE");
+
+  if (ctl->output == NULL)
+    ctl->output = g_strdup ("text");
+  if (strcmp (ctl->output, "text") != 0 && strcmp (ctl->output, "json") != 0)
+    {
+      fprintf (stderr, "--output is '%s'; accepted: text|json\n", ctl->output);
+      return false;
+    }
+  if (store == NULL || !net_addr_parse (store, &ctl->store))
+    {
+      fprintf (stderr, "--store (CARDAMOM_STORE) is '%s'; accepted: a.b.c.d:port\n",
+               store != NULL ? store : "not given");
+      return false;
+    }
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  Ctl ctl = { .if_version = -1 };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new ("COMMAND [ARGUMENT...]");
+  char *summary = summary_text ();
+  const GOptionEntry options[] = {
+    { "store", 's', 0, G_OPTION_ARG_STRING, &ctl.store_text, "address of the platform", "ADDR" },
+    { "output", 'o', 0, G_OPTION_ARG_STRING, &ctl.output, "text or json", "FORM" },
+    { "file", 'f', 0, G_OPTION_ARG_STRING, &ctl.file, "JSON object to write, '-' for input",
+      "FILE" },
+    { "team", 't', 0, G_OPTION_ARG_STRING, &ctl.team, "change this team's subtree only", "TEAM" },
+    { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl.if_version, "version that must be in place",
+      "N" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+
+  g_option_context_set_summary (context, summary);
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "%s\n", error->message);
+      return EXIT_USAGE;
+    }
+  if (argc < 2)
+    {
+      fprintf (stderr, "%s\n", summary);
+      return EXIT_USAGE;
+    }
+  if (!check_options (&ctl))
+    return EXIT_USAGE;
+  ctl.loop = uv_default_loop ();
+  hcl_ctx_init (&ctl.http, ctl.loop);
+  Exit code = run_command (&ctl, argv, argc);
+  g_free (summary);
+  g_option_context_free (context);
+  return (int)code;
+}
--- /dev/null
+++ b/src/edm.c
@@ -0,0 +1,154 @@
+/* State dump and metrics of an entry. */
+#include "entry.h"
+#include "jsn.h"
+
+#include <string.h>
+
+/* ---- Dump ---- */
+
+static JsonObject *
+zones_object (const Entry *entry, const uint32_t *values)
+{
+  JsonObject *object = json_object_new ();
+
+  for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+    if (values[z] > 0)
+      json_object_set_int_member (object, cfg_zone (entry->cfg, z)->name, values[z]);
+  return object;
+}
+
+static JsonObject *
+hold_object (const BudHold *hold)
+{
+  JsonObject *object = json_object_new ();
+
+  json_object_set_int_member (object, "plan", hold->plan);
+  json_object_set_int_member (object, "borrowed", hold->borrowed);
+  json_object_set_int_member (object, "lent", hold->lent);
+  json_object_set_int_member (object, "in_flight", hold->in_flight);
+  return object;
+}
+
+static JsonArray *
+upstreams_array (const EntryService *service)
+{
+  JsonArray *array = json_array_new ();
+
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      const EntryUpstream *upstream = service->upstreams->pdata[i];
+      JsonObject *object = json_object_new ();
+      json_object_set_string_member (object, "id", upstream->id);
+      json_object_set_string_member (object, "state", hlt_state_name (upstream->health.state));
+      json_object_set_boolean_member (object, "leaving", upstream->leaving_listed);
+      json_object_set_int_member (object, "in_flight", upstream->in_flight);
+      json_object_set_int_member (object, "load_permille", upstream->health.load_permille);
+      json_array_add_object_element (array, object);
+    }
+  return array;
+}
+
+static JsonObject *
+service_object (const Entry *entry, const EntryService *service)
+{
+  JsonObject *object = json_object_new ();
+  JsonObject *shares = json_object_new ();
+  JsonObject *budgets = json_object_new ();
+
+  for (uint32_t g = 0; g < entry->cfg->zones->len; g++)
+    if (service->groups[g].present)
+      json_object_set_object_member (shares, cfg_zone (entry->cfg, g)->name,
+                                     zones_object (entry, service->groups[g].state.shares_ppm));
+  for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+    json_object_set_object_member (budgets, cfg_zone (entry->cfg, z)->name,
+                                   hold_object (&service->holds[z]));
+  json_object_set_object_member (object, "shares", shares);
+  json_object_set_object_member (object, "budgets", budgets);
+  json_object_set_array_member (object, "upstreams", upstreams_array (service));
+  json_object_set_int_member (object, "waiting", service->waiting_count);
+  return object;
+}
+
+char *
+edm_dump (const Entry *entry)
+{
+  static const char *const states[] = { "joining", "serving", "draining", "stopped" };
+  JsonObject *root = json_object_new ();
+  JsonObject *services = json_object_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  json_object_set_string_member (root, "process", "entry");
+  json_object_set_string_member (root, "vm", entry->vm);
+  json_object_set_int_member (root, "incarnation", (gint64)entry->incarnation);
+  json_object_set_string_member (root, "state", states[entry->state]);
+  json_object_set_int_member (root, "config_revision", (gint64)entry->objects.revision);
+  json_object_set_int_member (root, "config_age_ms",
+                              (gint64)(entry_now_ms (entry) - entry->cfg_since_ms));
+  json_object_set_int_member (root, "plan_epoch", (gint64)entry->plan_epoch);
+  json_object_set_int_member (root, "open_requests", entry->open_requests);
+  g_hash_table_iter_init (&iter, entry->services);
+  while (entry->cfg != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+    json_object_set_object_member (services, ((EntryService *)value)->name,
+                                   service_object (entry, value));
+  json_object_set_object_member (root, "services", services);
+  return jsn_take (root, true);
+}
+
+/* ---- Metrics ---- */
+
+static uint64_t
+impossible_events (const Entry *entry)
+{
+  return entry->entry_chart.impossible_events + entry->request_chart.impossible_events
+         + entry->upstream_chart.impossible_events;
+}
+
+char *
+edm_metrics (const Entry *entry)
+{
+  GString *out = g_string_new (NULL);
+  const EntryCounters *c = &entry->counters;
+  const struct
+  {
+    const char *name;
+    uint64_t value;
+  } rows[] = {
+    { "cardamom_entry_lookups_total", c->lookups },
+    { "cardamom_entry_requests_total", c->requests },
+    { "cardamom_entry_answered_total", c->answered },
+    { "cardamom_entry_refused_not_run_total", c->refused_not_run },
+    { "cardamom_entry_may_have_run_total", c->may_have_run },
+    { "cardamom_entry_replayed_total", c->replayed },
+    { "cardamom_entry_retries_total", c->retries },
+    { "cardamom_entry_sheds_total", c->sheds },
+    { "cardamom_entry_resumed_downloads_total", c->resumed_downloads },
+    { "cardamom_entry_cut_answers_total", c->cut_answers },
+    { "cardamom_entry_callers_gone_total", c->callers_gone },
+    { "cardamom_entry_poison_refused_total", c->poison_refused },
+    { "cardamom_entry_crashes_seen_total", c->crashes_seen },
+    { "cardamom_entry_ejections_total", c->ejections },
+    { "cardamom_entry_claims_won_total", c->claims_won },
+    { "cardamom_entry_claims_lost_total", c->claims_lost },
+    { "cardamom_entry_claims_unavailable_total", c->claims_unavailable },
+    { "cardamom_entry_claims_read_back_total", c->claims_read_back },
+    { "cardamom_entry_loans_granted_total", c->loans_granted },
+    { "cardamom_entry_loans_received_total", c->loans_received },
+    { "cardamom_entry_queued_total", c->queued },
+    { "cardamom_entry_queue_timeouts_total", c->queue_timeouts },
+    { "cardamom_entry_store_calls_total", entry->store.calls },
+    { "cardamom_entry_store_failures_total", entry->store.failures },
+    { "cardamom_entry_control_bytes_total",
+      onc_bytes (entry->client) + onc_server_bytes (entry->rpc_server) },
+    { "cardamom_entry_open_requests", entry->open_requests },
+    { "cardamom_entry_config_revision", entry->objects.revision },
+    { "cardamom_entry_plan_epoch", entry->plan_epoch },
+    { "cardamom_entry_impossible_events_total", impossible_events (entry) },
+  };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    met_write_value (out, rows[i].name, NULL, rows[i].value);
+  met_write_histogram (out, "cardamom_entry_request_seconds", &entry->latency);
+  met_write_histogram (out, "cardamom_entry_claim_seconds", &entry->claim_latency);
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,238 @@
+/* Entry process: answers look-ups and carries requests between callers and upstreams. */
+#include "entry.h"
+
+#include "set.h"
+
+#include <signal.h>
+#include <string.h>
+#include <time.h>
+
+#define DRAIN_POLL_MS 50
+#define DRAIN_MARGIN_MS 500
+
+static const SetSpec settings_specs[] = {
+  { "vm", SET_TEXT, NULL, NULL, "name of this VM" },
+  { "entry-listen", SET_ADDRESS, NULL, NULL, "address for callers (HTTP)" },
+  { "entry-rpc-listen", SET_ADDRESS, NULL, NULL, "address for other entries (ONC RPC)" },
+  { "steer", SET_ADDRESS, NULL, NULL, "address of this VM's steer" },
+  { "store", SET_ADDRESS, NULL, NULL, "address of the platform's object service" },
+  { "charts", SET_TEXT, "charts", NULL, "folder of the state charts" },
+  { "policy", SET_CHOICE, "two-choices", "two-choices|random|least-reported|round-robin",
+    "choice of upstream" },
+  { "claims", SET_CHOICE, "on", "on|off", "claims for non-idempotent requests" },
+  { "budgets", SET_CHOICE, "on", "on|off", "budgets of requests in flight" },
+  { "log-level", SET_CHOICE, "info", "debug|info|warn|error", "least level logged" },
+  { NULL, SET_TEXT, NULL, NULL, NULL },
+};
+
+static const char *const entry_states[] = { "joining", "serving", "draining", "stopped", NULL };
+static const char *const entry_events[] = { "joined", "stop", "quiet", NULL };
+static const char *const request_states[]
+    = { "admitted", "claiming", "waiting", "running", "answering", "answered", "abandoned", NULL };
+static const char *const request_events[]
+    = { "claim_needed", "claim_not_needed",  "claim_won",   "replayed",    "dispatched",
+        "not_run",      "failed_idempotent", "head",        "interrupted", "finished",
+        "cut",          "refused",           "caller_gone", NULL };
+
+enum
+{
+  EVENT_JOINED,
+  EVENT_STOP,
+  EVENT_QUIET,
+};
+
+/* ---- HTTP ---- */
+
+static void
+answer_page (h2o_req_t *req, const char *type, char *text)
+{
+  hsv_reply (req, 200, type, text);
+  g_free (text);
+}
+
+static void
+on_http (void *user, h2o_req_t *req)
+{
+  Entry *entry = user;
+  char *path = hsv_path (req);
+
+  if (entry->state == ENTRY_DRAINING)
+    req->http1_is_persistent = 0;
+  if (g_str_has_prefix (path, "/svc/"))
+    req_start (entry, req, path);
+  else if (strcmp (path, "/lookup") == 0)
+    lkp_answer (entry, req);
+  else if (strcmp (path, "/dump") == 0)
+    answer_page (req, "application/json", edm_dump (entry));
+  else if (strcmp (path, "/metrics") == 0)
+    answer_page (req, "text/plain", edm_metrics (entry));
+  else
+    hsv_reply (req, 404, "text/plain", "known paths: /lookup /svc/NAME/... /dump /metrics\n");
+  g_free (path);
+}
+
+/* ---- Planned stop ---- */
+
+/* Cached look-up answers name this entry until their time to live is over. */
+static void
+on_drain_tick (uv_timer_t *timer)
+{
+  Entry *entry = timer->data;
+  uint64_t since_ms = entry_now_ms (entry) - entry->draining_since_ms;
+
+  if (since_ms < LOOKUP_TTL_MS + DRAIN_MARGIN_MS || entry->open_requests > 0)
+    return;
+  chart_step (&entry->entry_chart, &entry->state, EVENT_QUIET);
+  log_event (&entry->log, LOG_INFO, "stopped", "drain_ms=%lu", (unsigned long)since_ms);
+  uv_stop (entry->loop);
+}
+
+static void
+start_drain (Entry *entry)
+{
+  uv_timer_t *timer;
+
+  if (entry->state == ENTRY_DRAINING)
+    return;
+  chart_step (&entry->entry_chart, &entry->state, EVENT_STOP);
+  if (entry->state == ENTRY_STOPPED)
+    {
+      uv_stop (entry->loop);
+      return;
+    }
+  entry->draining_since_ms = entry_now_ms (entry);
+  log_event (&entry->log, LOG_INFO, "draining", "open_requests=%u", entry->open_requests);
+  syn_now (entry);
+  timer = g_new0 (uv_timer_t, 1);
+  uv_timer_init (entry->loop, timer);
+  timer->data = entry;
+  uv_timer_start (timer, on_drain_tick, DRAIN_POLL_MS, DRAIN_POLL_MS);
+}
+
+static void
+on_signal (uv_signal_t *handle, int number)
+{
+  Entry *entry = handle->data;
+
+  if (number != SIGUSR1)
+    {
+      start_drain (entry);
+      return;
+    }
+  char *text = edm_dump (entry);
+  fprintf (stderr, "%s\n", text);
+  g_free (text);
+}
+
+/* ---- Start ---- */
+
+static bool
+load_charts (Entry *entry, const char *dir, Err *err)
+{
+  if (!chart_load_named (&entry->entry_chart, dir, "entry", entry_states, entry_events, err)
+      || !chart_load_named (&entry->request_chart, dir, "request", request_states, request_events,
+                            err)
+      || !hlt_chart_load (&entry->upstream_chart, dir, err))
+    return false;
+  entry->state = entry->entry_chart.initial;
+  return true;
+}
+
+static void
+init_tables (Entry *entry, const Settings *settings)
+{
+  MemMember self = { 0 };
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  g_strlcpy (entry->vm, set_text (settings, "vm"), sizeof entry->vm);
+  entry->log = (Log){ .out = stderr,
+                      .level = (LogLevel)log_level_parse (set_text (settings, "log-level")),
+                      .process = "entry",
+                      .vm = entry->vm };
+  entry->incarnation = (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+  entry->random = g_rand_new ();
+  pck_policy_parse (set_text (settings, "policy"), &entry->policy);
+  entry->claims_enabled = strcmp (set_text (settings, "claims"), "on") == 0;
+  entry->baseline = strcmp (set_text (settings, "budgets"), "off") == 0;
+  obj_init (&entry->objects);
+  obs_init (&entry->observations);
+  poi_init (&entry->poison);
+  lon_init (&entry->loan_book);
+  g_strlcpy (self.vm, "(none)", sizeof self.vm);
+  self.state = MEM_DEAD;
+  mem_init (&entry->members, &self);
+  entry->news = g_array_new (FALSE, TRUE, sizeof (wire_item));
+  entry->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  entry->claimed_locally = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static bool
+open_sockets (Entry *entry, const Settings *settings, Err *err)
+{
+  NetAddr addr;
+
+  entry->loop = uv_default_loop ();
+  hcl_ctx_init (&entry->http, entry->loop);
+  net_addr_parse (set_text (settings, "store"), &addr);
+  sto_init (&entry->store, &entry->http, addr);
+  net_addr_parse (set_text (settings, "steer"), &entry->steer);
+  entry->client = onc_client_new (entry->loop);
+  net_addr_parse (set_text (settings, "entry-rpc-listen"), &addr);
+  entry->rpc_server = onc_serve (entry->loop, addr, lot_procs, entry, err);
+  if (entry->rpc_server == NULL)
+    return false;
+  net_addr_parse (set_text (settings, "entry-listen"), &addr);
+  entry->server = hsv_start (entry->loop, addr, on_http, entry, err);
+  return entry->server != NULL;
+}
+
+static int
+run (Entry *entry)
+{
+  uv_signal_t signals[3];
+  const int numbers[] = { SIGTERM, SIGINT, SIGUSR1 };
+
+  signal (SIGPIPE, SIG_IGN);
+  log_event (&entry->log, LOG_INFO, "listening", "http_port=%u rpc_port=%u",
+             hsv_port (entry->server), onc_port (entry->rpc_server));
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      uv_signal_init (entry->loop, &signals[i]);
+      signals[i].data = entry;
+      uv_signal_start (&signals[i], on_signal, numbers[i]);
+    }
+  syn_start (entry);
+  lot_start (entry);
+  uv_run (entry->loop, UV_RUN_DEFAULT);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  Entry *entry = g_new0 (Entry, 1);
+  bool check_only;
+  Err err = { 0 };
+  Settings *settings
+      = set_load (settings_specs, "Answers look-ups and carries requests to upstreams.", argc, argv,
+                  &check_only, &err);
+
+  if (settings == NULL)
+    {
+      fprintf (stderr, "%s", err.text);
+      return 2;
+    }
+  if (check_only)
+    return 0;
+  init_tables (entry, settings);
+  if (!load_charts (entry, set_text (settings, "charts"), &err)
+      || !open_sockets (entry, settings, &err))
+    {
+      fprintf (stderr, "%s\n", err.text);
+      return 1;
+    }
+  int code = run (entry);
+  set_free (settings);
+  return code;
+}
--- /dev/null
+++ b/src/esv.c
@@ -0,0 +1,382 @@
+/* Services of an entry: shares in force, budgets, upstreams and their health. */
+#include "entry.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+uint64_t
+entry_now_ms (const Entry *entry)
+{
+  return uv_now (entry->loop);
+}
+
+/* ---- Upstreams ---- */
+
+EntryUpstream *
+esv_find (const EntryService *service, const char *id)
+{
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    if (strcmp (((EntryUpstream *)service->upstreams->pdata[i])->id, id) == 0)
+      return service->upstreams->pdata[i];
+  return NULL;
+}
+
+static EntryUpstream *
+add_upstream (Entry *entry, EntryService *service, const CfgUpstream *declared)
+{
+  EntryUpstream *upstream = g_new0 (EntryUpstream, 1);
+  struct sockaddr_in sin = net_addr_sockaddr (declared->addr);
+
+  g_strlcpy (upstream->id, declared->id, sizeof upstream->id);
+  upstream->addr = declared->addr;
+  hlt_init (&upstream->health, &entry->upstream_chart);
+  h2o_socketpool_init_by_address (&upstream->pool, (struct sockaddr *)&sin, sizeof sin, 0,
+                                  POOL_MAX_PER_UPSTREAM);
+  h2o_socketpool_set_timeout (&upstream->pool, entry->loop, POOL_IDLE_MS);
+  g_ptr_array_add (service->upstreams, upstream);
+  return upstream;
+}
+
+/* An upstream whose address changed is a new one; the old one stays until its requests end. */
+static void
+update_upstream (Entry *entry, EntryService *service, const CfgUpstream *declared)
+{
+  EntryUpstream *upstream = esv_find (service, declared->id);
+
+  if (upstream != NULL
+      && (upstream->addr.ip != declared->addr.ip || upstream->addr.port != declared->addr.port))
+    {
+      g_strlcat (upstream->id, "#replaced", sizeof upstream->id);
+      upstream = NULL;
+    }
+  if (upstream == NULL)
+    upstream = add_upstream (entry, service, declared);
+  upstream->zone = declared->zone;
+  upstream->slots = declared->slots;
+  upstream->listed = true;
+  upstream->leaving_listed = declared->leaving;
+}
+
+static bool
+can_serve (const EntryUpstream *upstream)
+{
+  return upstream->listed && !upstream->leaving_listed && hlt_can_serve (&upstream->health);
+}
+
+static uint32_t
+usable_slots (const EntryUpstream *upstream, uint64_t now_ms)
+{
+  uint32_t slots = upstream->slots * hlt_ramp_permille (&upstream->health, now_ms) / 1000;
+
+  return MAX (slots, 1);
+}
+
+static bool
+was_tried (const GPtrArray *tried, const EntryUpstream *upstream)
+{
+  for (uint32_t i = 0; tried != NULL && i < tried->len; i++)
+    if (tried->pdata[i] == upstream)
+      return true;
+  return false;
+}
+
+EntryUpstream *
+esv_pick (Entry *entry, EntryService *service, uint32_t zone, const GPtrArray *tried, bool suspect)
+{
+  PckUpstream *candidates = g_newa (PckUpstream, service->upstreams->len + 1);
+  uint64_t now_ms = entry_now_ms (entry);
+
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      const EntryUpstream *upstream = service->upstreams->pdata[i];
+      candidates[i] = (PckUpstream){
+        .eligible = upstream->zone == zone && can_serve (upstream) && !was_tried (tried, upstream)
+                    && upstream->suspects == 0 && (!suspect || upstream->in_flight == 0),
+        .slots = upstream->slots,
+        .usable_slots = usable_slots (upstream, now_ms),
+        .in_flight = upstream->in_flight,
+        .load_permille = hlt_load_permille (&upstream->health, now_ms),
+      };
+    }
+  uint32_t chosen = pck_upstream (candidates, service->upstreams->len, entry->policy, entry->random,
+                                  &service->cursor);
+  return chosen == PCK_NONE ? NULL : service->upstreams->pdata[chosen];
+}
+
+void
+esv_upstream_failed (Entry *entry, EntryService *service, EntryUpstream *upstream)
+{
+  uint32_t ejected = 0;
+
+  if (!hlt_request (&upstream->health, false))
+    return;
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    ejected += ((EntryUpstream *)service->upstreams->pdata[i])->health.state == HLT_EJECTED;
+  if (!hlt_eject (&upstream->health, &entry->upstream_chart, ejected, service->upstreams->len,
+                  entry_now_ms (entry)))
+    return;
+  entry->counters.ejections++;
+  log_event (&entry->log, LOG_WARN, "upstream_ejected", "service=%s upstream=%s reason=errors",
+             service->name, upstream->id);
+}
+
+void
+esv_saw_leaving (Entry *entry, EntryUpstream *upstream)
+{
+  wire_item item = { .kind = WIRE_ITEM_UPSTREAM };
+  char region[NAME_MAX_BYTES];
+
+  if (upstream->health.state == HLT_LEAVING)
+    return;
+  hlt_set_leaving (&upstream->health, &entry->upstream_chart, true, entry_now_ms (entry));
+  g_snprintf (region, sizeof region, OBS_SEEN_PREFIX "%.50s", entry->vm);
+  obs_learn (&entry->observations, upstream->id, region, OBS_LEAVING, 1000, entry_now_ms (entry));
+  item.wire_item_u.upstream = (wire_upstream){ .id = g_strdup (upstream->id),
+                                               .region = g_strdup (region),
+                                               .state = OBS_LEAVING,
+                                               .load_permille = 1000 };
+  g_array_append_val (entry->news, item);
+  log_event (&entry->log, LOG_INFO, "upstream_state", "upstream=%s to=leaving source=answer",
+             upstream->id);
+  syn_now (entry);
+}
+
+/* ---- Services ---- */
+
+EntryService *
+esv_get (Entry *entry, const char *name)
+{
+  return g_hash_table_lookup (entry->services, name);
+}
+
+static EntryService *
+add_service (Entry *entry, const char *name)
+{
+  EntryService *service = g_new0 (EntryService, 1);
+
+  g_strlcpy (service->name, name, sizeof service->name);
+  service->upstreams = g_ptr_array_new ();
+  service->loans = g_ptr_array_new_with_free_func (g_free);
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    g_queue_init (&service->waiting[z]);
+  g_hash_table_insert (entry->services, g_strdup (name), service);
+  return service;
+}
+
+void
+esv_config_changed (Entry *entry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      EntryService *service = value;
+      service->cfg = NULL;
+      for (uint32_t i = 0; i < service->upstreams->len; i++)
+        ((EntryUpstream *)service->upstreams->pdata[i])->listed = false;
+    }
+  for (uint32_t s = 0; s < entry->cfg->services->len; s++)
+    {
+      const CfgService *declared = entry->cfg->services->pdata[s];
+      EntryService *service = esv_get (entry, declared->name);
+      if (service == NULL)
+        service = add_service (entry, declared->name);
+      service->cfg = declared;
+      for (uint32_t i = 0; i < declared->upstreams->len; i++)
+        update_upstream (entry, service, &g_array_index (declared->upstreams, CfgUpstream, i));
+    }
+}
+
+static void
+take_service_plan (Entry *entry, EntryService *service, const PlnService *planned)
+{
+  const BudRow *row = bud_row (&planned->budgets, entry->vm, entry->incarnation);
+
+  for (uint32_t g = 0; g < ZONES_MAX; g++)
+    if (planned->groups[g].present)
+      memcpy (service->plan_shares[g], planned->groups[g].state.shares_ppm,
+              sizeof service->plan_shares[g]);
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    service->holds[z].plan = row != NULL ? row->now[z] : 0;
+}
+
+void
+esv_plan_changed (Entry *entry, const Plan *plan)
+{
+  for (uint32_t i = 0; i < plan->services->len; i++)
+    {
+      const PlnService *planned = plan->services->pdata[i];
+      EntryService *service = esv_get (entry, planned->name);
+      if (service != NULL)
+        take_service_plan (entry, service, planned);
+    }
+}
+
+/* ---- Shares in force ---- */
+
+static bool
+zone_has_failed (const EntryService *service, uint32_t zone)
+{
+  bool any = false;
+
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      const EntryUpstream *upstream = service->upstreams->pdata[i];
+      if (upstream->zone != zone || !upstream->listed)
+        continue;
+      if (upstream->health.state != HLT_DOWN)
+        return false;
+      any = true;
+    }
+  return any;
+}
+
+/* Where the share of failed zones goes: to the nearest zones in which budget is held. */
+static void
+fallback_shares (const Entry *entry, const EntryService *service, uint32_t group,
+                 const bool *failed, uint32_t *target)
+{
+  uint32_t lost = 0;
+  uint32_t best = ZONE_NONE;
+
+  for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+    {
+      if (failed[z])
+        {
+          lost += target[z];
+          target[z] = 0;
+          continue;
+        }
+      if (service->holds[z].plan == 0 || cfg_zone (entry->cfg, z)->drained)
+        continue;
+      if (best == ZONE_NONE
+          || entry->cfg->latency_ms[group][z] < entry->cfg->latency_ms[group][best])
+        best = z;
+    }
+  if (lost == 0)
+    return;
+  uint32_t rest = SHARE_ONE_PPM - lost;
+  if (rest == 0 && best != ZONE_NONE)
+    target[best] = SHARE_ONE_PPM;
+  else if (rest == 0)
+    memcpy (target, service->groups[group].state.shares_ppm, sizeof (uint32_t) * ZONES_MAX);
+  else
+    {
+      uint32_t given = 0;
+      uint32_t largest = ZONE_NONE;
+      for (uint32_t z = 0; z < ZONES_MAX; z++)
+        {
+          target[z] = (uint32_t)((uint64_t)target[z] * SHARE_ONE_PPM / rest);
+          given += target[z];
+          if (target[z] > 0 && (largest == ZONE_NONE || target[z] > target[largest]))
+            largest = z;
+        }
+      target[largest] += SHARE_ONE_PPM - given;
+    }
+}
+
+static void
+advance_group (Entry *entry, EntryService *service, uint32_t group, const bool *failed,
+               const uint8_t *region_of)
+{
+  uint32_t target[ZONES_MAX];
+  uint64_t sum = 0;
+
+  memcpy (target, service->plan_shares[group], sizeof target);
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    sum += target[z];
+  if (sum != SHARE_ONE_PPM)
+    return;
+  fallback_shares (entry, service, group, failed, target);
+  ShfMove move = shf_advance (&service->groups[group].state, target, failed, region_of,
+                              &service->cfg->caps, entry_now_ms (entry));
+  service->groups[group].present = true;
+  if (move.moved_ppm + move.evacuated_ppm > 0)
+    log_event (&entry->log, LOG_INFO, "shares_moved",
+               "service=%s group=%s moved_ppm=%u evacuated_ppm=%u left_ppm=%u bound=%s",
+               service->name, cfg_zone (entry->cfg, group)->name, move.moved_ppm,
+               move.evacuated_ppm, move.left_ppm, shf_bound_name (move.bound));
+}
+
+static void
+tick_health (Entry *entry, EntryService *service)
+{
+  uint64_t now_ms = entry_now_ms (entry);
+
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      EntryUpstream *upstream = service->upstreams->pdata[i];
+      const CfgVm *own = cfg_vm (entry->cfg, entry->vm);
+      uint32_t region = own != NULL ? cfg_zone (entry->cfg, own->zone)->region : 0;
+      const Obs *obs
+          = obs_get (&entry->observations, upstream->id, cfg_region (entry->cfg, region)->name);
+      int32_t before = upstream->health.state;
+      if (obs != NULL)
+        {
+          hlt_set_leaving (&upstream->health, &entry->upstream_chart,
+                           obs_any_leaving (&entry->observations, upstream->id, now_ms), now_ms);
+          hlt_probe (&upstream->health, &entry->upstream_chart, obs->state != OBS_DOWN, now_ms);
+          upstream->health.load_permille = obs->load_permille;
+          upstream->health.load_at_ms = obs->at_ms;
+        }
+      hlt_tick (&upstream->health, &entry->upstream_chart, now_ms);
+      if (before != upstream->health.state)
+        log_event (&entry->log, LOG_INFO, "upstream_state", "upstream=%s from=%s to=%s",
+                   upstream->id, hlt_state_name (before), hlt_state_name (upstream->health.state));
+    }
+}
+
+void
+esv_tick (Entry *entry)
+{
+  uint8_t region_of[ZONES_MAX];
+  GHashTableIter iter;
+  gpointer value;
+
+  if (entry->cfg == NULL || entry->cfg->zones->len == 0)
+    return;
+  cfg_region_map (entry->cfg, region_of);
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      EntryService *service = value;
+      bool failed[ZONES_MAX] = { false };
+      if (service->cfg == NULL)
+        continue;
+      tick_health (entry, service);
+      for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+        failed[z] = zone_has_failed (service, z);
+      for (uint32_t g = 0; g < entry->cfg->zones->len; g++)
+        advance_group (entry, service, g, failed, region_of);
+      for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+        req_wake (entry, service, z);
+    }
+}
+
+/* ---- Budgets and usage ---- */
+
+bool
+esv_settled (Entry *entry)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (uint32_t z = 0; z < ZONES_MAX; z++)
+      if (!bud_is_settled (&((EntryService *)value)->holds[z]))
+        return false;
+  return true;
+}
+
+void
+esv_count (Entry *entry, EntryUsage *usage, int32_t change)
+{
+  uint64_t now_ms = entry_now_ms (entry);
+
+  usage->busy_ms += usage->in_flight * (now_ms - usage->counted_at_ms);
+  usage->counted_at_ms = now_ms;
+  usage->in_flight = (uint32_t)((int32_t)usage->in_flight + change);
+}
--- /dev/null
+++ b/src/flw.c
@@ -0,0 +1,147 @@
+/* Follower: keeps the object table up to date from the platform. */
+#include "steer.h"
+
+#include <inttypes.h>
+
+struct _Flw
+{
+  uv_timer_t timer;
+  bool busy;
+  bool listed;
+  uint32_t backoff_ms;
+};
+
+static void next_call (uv_timer_t *timer);
+
+uint64_t
+steer_now_ms (const Steer *steer)
+{
+  return uv_now (steer->loop);
+}
+
+bool
+flw_is_watcher (const Steer *steer)
+{
+  return mem_rank (&steer->members, steer->vm, "watch") < WATCHERS_PER_REGION;
+}
+
+bool
+flw_store_answered (const Steer *steer)
+{
+  return steer->follow->listed;
+}
+
+static void
+schedule (Steer *steer, uint32_t delay_ms)
+{
+  uv_timer_start (&steer->follow->timer, next_call, delay_ms, 0);
+}
+
+/* Exponential back-off with jitter between half and all of it. */
+static void
+schedule_backoff (Steer *steer)
+{
+  Flw *flw = steer->follow;
+
+  flw->backoff_ms = MIN (MAX (flw->backoff_ms * 2, BACKOFF_FIRST_MS), BACKOFF_MAX_MS);
+  schedule (steer, (uint32_t)g_rand_int_range (steer->random, (gint32)flw->backoff_ms / 2,
+                                               (gint32)flw->backoff_ms));
+}
+
+static bool
+apply_changes (Steer *steer, const StoChanges *changes)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < changes->objects->len; i++)
+    {
+      const Obj *obj = changes->objects->pdata[i];
+      changed = obj_apply (&steer->objects, obj->path, obj->revision, obj->deleted, obj->value)
+                || changed;
+    }
+  return changed;
+}
+
+static void
+on_list (void *user, StoResult result, const StoChanges *changes)
+{
+  Steer *steer = user;
+  Flw *flw = steer->follow;
+
+  flw->busy = false;
+  if (result != STO_OK)
+    {
+      log_event (&steer->log, LOG_WARN, "store_list_failed", "result=%s", sto_result_name (result));
+      schedule_backoff (steer);
+      return;
+    }
+  flw->backoff_ms = 0;
+  flw->listed = true;
+  if (changes->revision >= steer->objects.revision)
+    {
+      GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+      for (uint32_t i = 0; i < changes->objects->len; i++)
+        g_hash_table_add (listed, ((Obj *)changes->objects->pdata[i])->path);
+      apply_changes (steer, changes);
+      obj_reconcile (&steer->objects, listed, changes->revision);
+      g_hash_table_unref (listed);
+      obj_advance (&steer->objects, changes->revision);
+      steer_objects_changed (steer, "store_list");
+    }
+  schedule (steer, 0);
+}
+
+static void
+on_watch (void *user, StoResult result, const StoChanges *changes)
+{
+  Steer *steer = user;
+
+  steer->follow->busy = false;
+  if (result != STO_OK)
+    {
+      log_event (&steer->log, LOG_WARN, "store_watch_failed", "result=%s",
+                 sto_result_name (result));
+      schedule_backoff (steer);
+      return;
+    }
+  steer->follow->backoff_ms = 0;
+  if (changes->revision >= steer->objects.revision)
+    {
+      bool changed = apply_changes (steer, changes);
+      obj_advance (&steer->objects, changes->revision);
+      if (changed)
+        steer_objects_changed (steer, "store_watch");
+    }
+  schedule (steer, 0);
+}
+
+static void
+next_call (uv_timer_t *timer)
+{
+  Steer *steer = timer->data;
+  Flw *flw = steer->follow;
+
+  if (flw->busy)
+    return;
+  if (!flw->listed)
+    {
+      flw->busy = true;
+      sto_list (&steer->store, CFG_PREFIXES, on_list, steer);
+    }
+  else if (flw_is_watcher (steer))
+    {
+      flw->busy = true;
+      sto_watch (&steer->store, CFG_PREFIXES, steer->objects.revision, on_watch, steer);
+    }
+  else
+    schedule (steer, GOSSIP_PERIOD_MS);
+}
+
+void
+flw_start (Steer *steer)
+{
+  steer->follow = g_new0 (Flw, 1);
+  uv_timer_init (steer->loop, &steer->follow->timer);
+  steer->follow->timer.data = steer;
+  schedule (steer, 0);
+}
--- /dev/null
+++ b/src/gsp.c
@@ -0,0 +1,325 @@
+/* Gossip: membership, upstream observations and poison news between steers. */
+#include "steer.h"
+
+#include <string.h>
+
+#define PEER_MAX 1024
+#define POISON_SENDS 8
+
+struct _Gsp
+{
+  uv_timer_t timer;
+  uint32_t next_peer;
+  bool fetching;
+  bool peer_answered;
+};
+
+typedef struct
+{
+  Steer *steer;
+  char vm[NAME_MAX_BYTES];
+  NetAddr addr;
+} Exchange;
+
+/* ---- News ---- */
+
+static void
+add_member_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+{
+  for (uint32_t i = 0; i < steer->members.members->len && *count < max; i++)
+    {
+      MemMember *member = steer->members.members->pdata[i];
+      if (member->incarnation == 0 || (!all && member->sends_left == 0))
+        continue;
+      if (!all)
+        member->sends_left--;
+      items[*count].kind = WIRE_ITEM_MEMBER;
+      mem_to_wire (member, &items[*count].wire_item_u.member);
+      (*count)++;
+    }
+}
+
+static void
+add_upstream_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, steer->observations.by_key);
+  while (*count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Obs *obs = value;
+      if (!all && obs->sends_left == 0)
+        continue;
+      if (!all)
+        obs->sends_left--;
+      items[*count].kind = WIRE_ITEM_UPSTREAM;
+      items[*count].wire_item_u.upstream
+          = (wire_upstream){ .id = g_strdup (obs->id),
+                             .region = g_strdup (obs->region),
+                             .state = obs->state,
+                             .load_permille = obs->load_permille,
+                             .age_ms = (u_int)(steer_now_ms (steer) - obs->at_ms) };
+      (*count)++;
+    }
+}
+
+static void
+add_poison_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, steer->poison.by_fingerprint);
+  while (*count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PoiSuspect *suspect = value;
+      guint sends
+          = GPOINTER_TO_UINT (g_hash_table_lookup (steer->poison_sends, &suspect->fingerprint));
+      if (!all && sends == 0)
+        continue;
+      if (!all)
+        g_hash_table_insert (steer->poison_sends, g_memdup2 (&suspect->fingerprint, 8),
+                             GUINT_TO_POINTER (sends - 1));
+      items[*count].kind = WIRE_ITEM_POISON;
+      items[*count].wire_item_u.poison
+          = (wire_poison){ .fingerprint = suspect->fingerprint,
+                           .crashes = suspect->crashes,
+                           .age_ms = (u_int)(steer_now_ms (steer) - suspect->at_ms) };
+      (*count)++;
+    }
+}
+
+wire_item *
+gsp_fill_items (Steer *steer, uint32_t max, bool all, u_int *count)
+{
+  wire_item *items = g_new0 (wire_item, max);
+
+  *count = 0;
+  add_poison_items (steer, items, max, all, count);
+  add_member_items (steer, items, max, all, count);
+  add_upstream_items (steer, items, max, all, count);
+  return items;
+}
+
+void
+gsp_free_items (wire_item *items, u_int count)
+{
+  for (u_int i = 0; i < count; i++)
+    xdr_free ((xdrproc_t)xdr_wire_item, &items[i]);
+  g_free (items);
+}
+
+static bool
+take_poison (Steer *steer, const wire_poison *poison)
+{
+  uint64_t at_ms = steer_now_ms (steer) - MIN (poison->age_ms, steer_now_ms (steer));
+
+  if (!poi_learn (&steer->poison, poison->fingerprint, poison->crashes, at_ms))
+    return false;
+  g_hash_table_insert (steer->poison_sends, g_memdup2 (&poison->fingerprint, 8),
+                       GUINT_TO_POINTER (POISON_SENDS));
+  log_event (&steer->log, LOG_WARN, "poison_suspect", "fingerprint=%016llx crashes=%u",
+             (unsigned long long)poison->fingerprint, poison->crashes);
+  return true;
+}
+
+static bool
+take_upstream (Steer *steer, const wire_upstream *news)
+{
+  uint64_t now_ms = steer_now_ms (steer);
+  const Obs *known = obs_get (&steer->observations, news->id, news->region);
+  uint32_t before = known != NULL ? known->state : OBS_UP;
+
+  if (!obs_learn (&steer->observations, news->id, news->region, news->state, news->load_permille,
+                  now_ms - MIN (news->age_ms, now_ms - 1)))
+    return false;
+  return news->state != before;
+}
+
+void
+gsp_take_items (Steer *steer, const wire_item *items, uint32_t count)
+{
+  bool urgent = false;
+
+  for (uint32_t i = 0; i < count; i++)
+    switch (items[i].kind)
+      {
+      case WIRE_ITEM_MEMBER:
+        mem_learn (&steer->members, &items[i].wire_item_u.member, steer_now_ms (steer));
+        break;
+      case WIRE_ITEM_UPSTREAM:
+        urgent = take_upstream (steer, &items[i].wire_item_u.upstream) || urgent;
+        break;
+      case WIRE_ITEM_POISON:
+        urgent = take_poison (steer, &items[i].wire_item_u.poison) || urgent;
+        break;
+      }
+  if (urgent)
+    gsp_push (steer);
+}
+
+/* ---- Fetching objects ---- */
+
+static void
+on_fetched (void *user, const void *result)
+{
+  Steer *steer = user;
+  const wire_fetch_reply *reply = result;
+  bool changed = false;
+
+  steer->gossip->fetching = false;
+  if (reply == NULL || reply->revision < steer->objects.revision)
+    return;
+  steer->counters.fetches++;
+  for (u_int i = 0; i < reply->objects.objects_len; i++)
+    {
+      const wire_object *object = &reply->objects.objects_val[i];
+      changed = obj_apply (&steer->objects, object->path, object->revision, object->deleted,
+                           object->value)
+                || changed;
+    }
+  obj_advance (&steer->objects, reply->revision);
+  if (changed)
+    steer_objects_changed (steer, "peer");
+}
+
+void
+gsp_fetch (Steer *steer, NetAddr peer)
+{
+  wire_fetch_args args = { .since = steer->objects.revision };
+
+  if (steer->gossip->fetching)
+    return;
+  steer->gossip->fetching = true;
+  onc_call (steer->client, peer, WIRE_FETCH, (xdrproc_t)xdr_wire_fetch_args, &args,
+            (xdrproc_t)xdr_wire_fetch_reply, sizeof (wire_fetch_reply), STORE_CALL_TIMEOUT_MS,
+            on_fetched, steer);
+}
+
+/* ---- Exchanges ---- */
+
+static void
+on_exchanged (void *user, const void *result)
+{
+  Exchange *exchange = user;
+  Steer *steer = exchange->steer;
+  const wire_gossip *reply = result;
+
+  if (reply == NULL)
+    {
+      if (exchange->vm[0] != '\0')
+        mem_suspect (&steer->members, exchange->vm, steer_now_ms (steer));
+    }
+  else
+    {
+      steer->gossip->peer_answered = true;
+      mem_learn (&steer->members, &reply->from, steer_now_ms (steer));
+      mem_heard (&steer->members, reply->from.vm, steer_now_ms (steer));
+      gsp_take_items (steer, reply->items.items_val, reply->items.items_len);
+      if (reply->revision > steer->objects.revision)
+        gsp_fetch (steer, exchange->addr);
+    }
+  g_free (exchange);
+}
+
+/* A suspected peer is told so, that it can refute it. */
+static void
+add_suspicion (Steer *steer, const char *vm, wire_item *items, u_int *count)
+{
+  const MemMember *member = mem_get (&steer->members, vm);
+
+  if (member == NULL || member->state < MEM_SUSPECT || *count >= GOSSIP_ITEMS_MAX)
+    return;
+  items[*count].kind = WIRE_ITEM_MEMBER;
+  mem_to_wire (member, &items[*count].wire_item_u.member);
+  (*count)++;
+}
+
+static void
+exchange_with (Steer *steer, const char *vm, NetAddr addr)
+{
+  wire_gossip args = { .revision = steer->objects.revision };
+  Exchange *exchange = g_new0 (Exchange, 1);
+
+  exchange->steer = steer;
+  exchange->addr = addr;
+  g_strlcpy (exchange->vm, vm, sizeof exchange->vm);
+  mem_to_wire (mem_self (&steer->members), &args.from);
+  args.items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, false, &args.items.items_len);
+  add_suspicion (steer, vm, args.items.items_val, &args.items.items_len);
+  steer->counters.gossip_sent++;
+  onc_call (steer->client, addr, WIRE_GOSSIP, (xdrproc_t)xdr_wire_gossip, &args,
+            (xdrproc_t)xdr_wire_gossip, sizeof (wire_gossip), GOSSIP_TIMEOUT_MS, on_exchanged,
+            exchange);
+  gsp_free_items (args.items.items_val, args.items.items_len);
+  mem_wire_free (&args.from);
+}
+
+static uint32_t
+list_peers (const Steer *steer, bool with_dead, MemMember **peers)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < steer->members.members->len && count < PEER_MAX; i++)
+    {
+      MemMember *member = steer->members.members->pdata[i];
+      if (strcmp (member->vm, steer->vm) != 0 && (with_dead || mem_is_usable (member)))
+        peers[count++] = member;
+    }
+  return count;
+}
+
+void
+gsp_push (Steer *steer)
+{
+  MemMember *peers[PEER_MAX];
+  uint32_t count = list_peers (steer, false, peers);
+
+  for (uint32_t sent = 0; sent < GOSSIP_FANOUT && count > 0; sent++)
+    {
+      uint32_t at = (uint32_t)g_rand_int_range (steer->random, 0, (gint32)count);
+      exchange_with (steer, peers[at]->vm, peers[at]->steer);
+      peers[at] = peers[--count];
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  Steer *steer = timer->data;
+  Gsp *gsp = steer->gossip;
+  MemMember *peers[PEER_MAX];
+  uint32_t count = list_peers (steer, gsp->next_peer % 8 == 7, peers);
+
+  gsp->next_peer++;
+  mem_tick (&steer->members, steer_now_ms (steer));
+  poi_expire (&steer->poison, steer_now_ms (steer));
+  if (count > 0)
+    {
+      MemMember *peer = peers[gsp->next_peer % count];
+      exchange_with (steer, peer->vm, peer->steer);
+    }
+  if (steer->seeds->len > 0 && (!gsp->peer_answered || count == 0))
+    {
+      uint32_t at = gsp->next_peer % steer->seeds->len;
+      exchange_with (steer, "", g_array_index (steer->seeds, NetAddr, at));
+    }
+}
+
+bool
+gsp_peer_answered (const Steer *steer)
+{
+  return steer->gossip->peer_answered;
+}
+
+void
+gsp_start (Steer *steer)
+{
+  steer->gossip = g_new0 (Gsp, 1);
+  steer->gossip->next_peer = g_rand_int (steer->random) % 64;
+  uv_timer_init (steer->loop, &steer->gossip->timer);
+  steer->gossip->timer.data = steer;
+  uv_timer_start (&steer->gossip->timer, on_tick,
+                  (uint64_t)g_rand_int_range (steer->random, 10, 200), GOSSIP_PERIOD_MS);
+}
--- /dev/null
+++ b/src/hcl.c
@@ -0,0 +1,397 @@
+/* HTTP/1.1 client calls on the event loop, over h2o's client. */
+#include "hcl.h"
+
+#include "lim.h"
+
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define IO_TIMEOUT_MS 3600000
+
+typedef struct
+{
+  HclFetchFn fn;
+  void *user;
+  GString *body;
+  int status;
+} Fetch;
+
+struct _HclCall
+{
+  HclCtx *ctx;
+  const HclOps *ops;
+  void *user;
+  NetAddr addr;
+  h2o_socketpool_t *pool;
+  h2o_http1client_t *client;
+  uv_timer_t *timer;
+  uint32_t connect_timeout_ms;
+  uint32_t head_timeout_ms;
+  uint32_t progress_timeout_ms;
+  char *head;
+  char *body;
+  h2o_iovec_t bufs[2];
+  h2o_socket_cb paused_read;
+  bool method_is_head;
+  bool sent;
+  bool got_head;
+  bool in_callback;
+  bool cancelled;
+  bool until_close;
+  Fetch *fetch;
+};
+
+/* ---- Life of a call ---- */
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static void
+call_free (HclCall *call)
+{
+  if (call->fetch != NULL)
+    {
+      g_string_free (call->fetch->body, TRUE);
+      g_free (call->fetch);
+    }
+  uv_close ((uv_handle_t *)call->timer, on_timer_closed);
+  g_free (call->head);
+  g_free (call->body);
+  g_free (call);
+}
+
+static void
+call_end (HclCall *call, HclOutcome outcome)
+{
+  call->client = NULL;
+  if (!call->cancelled)
+    call->ops->on_end (call->user, call, outcome);
+  call_free (call);
+}
+
+static HclOutcome
+failure_of (const HclCall *call)
+{
+  if (!call->sent)
+    return HCL_NOT_SENT;
+  return call->got_head ? HCL_TRUNCATED : HCL_LOST;
+}
+
+static void
+on_timeout (uv_timer_t *timer)
+{
+  HclCall *call = timer->data;
+  h2o_http1client_t *client = call->client;
+
+  call->client = NULL;
+  h2o_http1client_cancel (client);
+  if (!call->sent)
+    call_end (call, HCL_NOT_SENT);
+  else
+    call_end (call, call->got_head ? HCL_STALLED : HCL_TIMEOUT);
+}
+
+/* ---- Callbacks of h2o's client ---- */
+
+static int
+on_body (h2o_http1client_t *client, const char *errstr)
+{
+  HclCall *call = client->data;
+  h2o_buffer_t **input = &client->sock->input;
+  bool ended = errstr != NULL;
+  bool whole = errstr == h2o_http1client_error_is_eos && !call->until_close;
+
+  call->in_callback = true;
+  if (!call->cancelled && (*input)->size > 0)
+    call->ops->on_body (call->user, call, (*input)->bytes, (*input)->size);
+  h2o_buffer_consume (input, (*input)->size);
+  call->in_callback = false;
+  if (ended || call->cancelled)
+    {
+      call_end (call, whole ? HCL_DONE : HCL_TRUNCATED);
+      return -1;
+    }
+  if (call->paused_read == NULL)
+    uv_timer_start (call->timer, on_timeout, call->progress_timeout_ms, 0);
+  return 0;
+}
+
+static void
+fill_head (HclHead *out, int status, h2o_header_t *headers, size_t count, bool *until_close)
+{
+  bool chunked = false;
+
+  *out = (HclHead){ .status = status, .headers = headers, .header_count = count };
+  for (size_t i = 0; i < count; i++)
+    {
+      if (h2o_memis (headers[i].name->base, headers[i].name->len, H2O_STRLIT ("content-length")))
+        {
+          out->has_length = true;
+          out->content_length = h2o_strtosize (headers[i].value.base, headers[i].value.len);
+        }
+      if (h2o_memis (headers[i].name->base, headers[i].name->len, H2O_STRLIT ("transfer-encoding")))
+        chunked = true;
+    }
+  *until_close = !chunked && !out->has_length && status != 204 && status != 304;
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *errstr, int minor_version, int status,
+         h2o_iovec_t msg, h2o_header_t *headers, size_t header_count, int rlen)
+{
+  HclCall *call = client->data;
+  HclHead head;
+  (void)minor_version;
+  (void)msg;
+  (void)rlen;
+
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      call_end (call, failure_of (call));
+      return NULL;
+    }
+  call->got_head = true;
+  fill_head (&head, status, headers, header_count, &call->until_close);
+  call->in_callback = true;
+  call->ops->on_head (call->user, call, &head);
+  call->in_callback = false;
+  if (errstr != NULL || call->cancelled)
+    {
+      call_end (call, call->until_close && !call->method_is_head ? HCL_TRUNCATED : HCL_DONE);
+      return NULL;
+    }
+  uv_timer_start (call->timer, on_timeout, call->progress_timeout_ms, 0);
+  return on_body;
+}
+
+static void
+set_socket_options (h2o_socket_t *sock)
+{
+  unsigned int timeout_ms = USER_TIMEOUT_MS;
+  int one = 1;
+  int fd = h2o_socket_get_fd (sock);
+
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *errstr, h2o_iovec_t **reqbufs, size_t *reqbufcnt,
+            int *method_is_head)
+{
+  HclCall *call = client->data;
+
+  if (errstr != NULL)
+    {
+      call_end (call, HCL_NOT_SENT);
+      return NULL;
+    }
+  set_socket_options (client->sock);
+  call->sent = true;
+  *reqbufs = call->bufs;
+  *reqbufcnt = call->bufs[1].len > 0 ? 2 : 1;
+  *method_is_head = call->method_is_head;
+  uv_timer_start (call->timer, on_timeout, call->head_timeout_ms, 0);
+  return on_head;
+}
+
+/* ---- Public calls ---- */
+
+void
+hcl_ctx_init (HclCtx *ctx, uv_loop_t *loop)
+{
+  memset (ctx, 0, sizeof *ctx);
+  ctx->loop = loop;
+  h2o_timeout_init (loop, &ctx->io_timeout, IO_TIMEOUT_MS);
+  ctx->h2o.loop = loop;
+  ctx->h2o.io_timeout = &ctx->io_timeout;
+}
+
+static HclCall *
+call_new (HclCtx *ctx, const HclSpec *spec, const HclOps *ops, void *user)
+{
+  HclCall *call = g_new0 (HclCall, 1);
+
+  call->ctx = ctx;
+  call->ops = ops;
+  call->user = user;
+  call->addr = spec->addr;
+  call->pool = spec->pool;
+  call->connect_timeout_ms = spec->connect_timeout_ms;
+  call->head_timeout_ms = spec->head_timeout_ms;
+  call->progress_timeout_ms = spec->progress_timeout_ms;
+  call->method_is_head = spec->method_is_head;
+  call->head = g_strdup (spec->head);
+  call->body = spec->body_size > 0 ? g_memdup2 (spec->body, spec->body_size) : NULL;
+  call->bufs[0] = h2o_iovec_init (call->head, strlen (call->head));
+  call->bufs[1] = h2o_iovec_init (call->body, spec->body_size);
+  call->timer = g_new0 (uv_timer_t, 1);
+  uv_timer_init (ctx->loop, call->timer);
+  call->timer->data = call;
+  return call;
+}
+
+/* Connecting starts from the loop, so that no callback comes before hcl_start() returns. */
+static void
+on_start (uv_timer_t *timer)
+{
+  HclCall *call = timer->data;
+  HclCtx *ctx = call->ctx;
+  char text[32];
+
+  uv_timer_start (timer, on_timeout, call->connect_timeout_ms, 0);
+  if (call->pool != NULL)
+    {
+      h2o_http1client_connect_with_pool (&call->client, call, &ctx->h2o, call->pool, on_connect);
+      return;
+    }
+  net_addr_text (call->addr, text);
+  *strrchr (text, ':') = '\0';
+  h2o_http1client_connect (&call->client, call, &ctx->h2o, h2o_iovec_init (text, strlen (text)),
+                           call->addr.port, 0, on_connect);
+}
+
+HclCall *
+hcl_start (HclCtx *ctx, const HclSpec *spec, const HclOps *ops, void *user)
+{
+  HclCall *call = call_new (ctx, spec, ops, user);
+
+  uv_timer_start (call->timer, on_start, 0, 0);
+  return call;
+}
+
+void
+hcl_cancel (HclCall *call)
+{
+  h2o_http1client_t *client = call->client;
+
+  call->cancelled = true;
+  if (call->in_callback)
+    return;
+  call->client = NULL;
+  if (client != NULL)
+    h2o_http1client_cancel (client);
+  call_free (call);
+}
+
+void
+hcl_pause (HclCall *call)
+{
+  if (call->paused_read != NULL || call->client == NULL || call->client->sock == NULL)
+    return;
+  call->paused_read = call->client->sock->_cb.read;
+  if (call->paused_read == NULL)
+    return;
+  h2o_socket_read_stop (call->client->sock);
+  uv_timer_stop (call->timer);
+}
+
+void
+hcl_resume (HclCall *call)
+{
+  h2o_socket_cb read = call->paused_read;
+
+  if (read == NULL || call->client == NULL)
+    return;
+  call->paused_read = NULL;
+  h2o_socket_read_start (call->client->sock, read);
+  uv_timer_start (call->timer, on_timeout, call->progress_timeout_ms, 0);
+}
+
+char *
+hcl_header (const HclHead *head, const char *name)
+{
+  for (size_t i = 0; i < head->header_count; i++)
+    if (h2o_memis (head->headers[i].name->base, head->headers[i].name->len, name, strlen (name)))
+      return g_strndup (head->headers[i].value.base, head->headers[i].value.len);
+  return NULL;
+}
+
+/* ---- Collected answers ---- */
+
+static void
+fetch_on_head (void *user, HclCall *call, const HclHead *head)
+{
+  (void)user;
+  call->fetch->status = head->status;
+}
+
+static void
+fetch_on_body (void *user, HclCall *call, const char *data, size_t size)
+{
+  (void)user;
+  g_string_append_len (call->fetch->body, data, (gssize)size);
+}
+
+static void
+fetch_on_end (void *user, HclCall *call, HclOutcome outcome)
+{
+  Fetch *fetch = call->fetch;
+
+  fetch->fn (user, outcome, outcome == HCL_DONE ? fetch->status : 0, fetch->body->str,
+             fetch->body->len);
+}
+
+static const HclOps fetch_ops
+    = { .on_head = fetch_on_head, .on_body = fetch_on_body, .on_end = fetch_on_end };
+
+HclCall *
+hcl_fetch (HclCtx *ctx, NetAddr addr, const char *method, const char *path, const char *body,
+           uint32_t timeout_ms, HclFetchFn fn, void *user)
+{
+  char text[32];
+  size_t size = body != NULL ? strlen (body) : 0;
+  char *head = g_strdup_printf ("%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n"
+                                "content-length: %zu\r\n\r\n",
+                                method, path, net_addr_text (addr, text), size);
+  HclSpec spec = { .addr = addr,
+                   .head = head,
+                   .body = body,
+                   .body_size = size,
+                   .connect_timeout_ms = timeout_ms,
+                   .head_timeout_ms = timeout_ms,
+                   .progress_timeout_ms = timeout_ms };
+  HclCall *call = hcl_start (ctx, &spec, &fetch_ops, user);
+
+  call->fetch = g_new0 (Fetch, 1);
+  call->fetch->fn = fn;
+  call->fetch->body = g_string_new (NULL);
+  g_free (head);
+  return call;
+}
+
+typedef struct
+{
+  bool ended;
+  HclOutcome outcome;
+  int status;
+  char *answer;
+} FetchWait;
+
+static void
+on_fetch_wait (void *user, HclOutcome outcome, int status, const char *body, size_t size)
+{
+  FetchWait *wait = user;
+
+  wait->ended = true;
+  wait->outcome = outcome;
+  wait->status = status;
+  wait->answer = g_strndup (body, size);
+}
+
+HclOutcome
+hcl_fetch_wait (HclCtx *ctx, NetAddr addr, const char *method, const char *path, const char *body,
+                uint32_t timeout_ms, int *status, char **answer)
+{
+  FetchWait wait = { 0 };
+
+  hcl_fetch (ctx, addr, method, path, body, timeout_ms, on_fetch_wait, &wait);
+  while (!wait.ended)
+    uv_run (ctx->loop, UV_RUN_ONCE);
+  *status = wait.status;
+  *answer = wait.answer;
+  return wait.outcome;
+}
--- /dev/null
+++ b/src/hlt.c
@@ -0,0 +1,119 @@
+/* Health of one upstream: chart, hysteresis, ejection, ramp and reported load. */
+#include "hlt.h"
+
+#include <string.h>
+
+#define RAMP_FIRST_PERMILLE 250
+
+static const char *const states[] = { "unknown", "up", "down", "ejected", "leaving", NULL };
+static const char *const events[]
+    = { "answered", "failed", "eject", "eject_over", "leave", "return", NULL };
+
+bool
+hlt_chart_load (Chart *chart, const char *dir, Err *err)
+{
+  return chart_load_named (chart, dir, "upstream", states, events, err);
+}
+
+void
+hlt_init (Hlt *hlt, const Chart *chart)
+{
+  memset (hlt, 0, sizeof *hlt);
+  hlt->state = chart->initial;
+}
+
+static void
+step (Hlt *hlt, Chart *chart, HltEvent event, uint64_t now_ms)
+{
+  int32_t before = hlt->state;
+
+  chart_step (chart, &hlt->state, (int32_t)event);
+  if (hlt->state == HLT_UP && before != HLT_UP && before != HLT_UNKNOWN)
+    hlt->up_since_ms = now_ms;
+}
+
+void
+hlt_probe (Hlt *hlt, Chart *chart, bool ok, uint64_t now_ms)
+{
+  hlt->oks = ok ? hlt->oks + 1 : 0;
+  hlt->fails = ok ? 0 : hlt->fails + 1;
+  if (ok && (hlt->state == HLT_UNKNOWN || hlt->oks >= HEALTH_OKS_TO_UP))
+    step (hlt, chart, HLT_ANSWERED, now_ms);
+  if (!ok && hlt->fails >= HEALTH_FAILS_TO_DOWN)
+    step (hlt, chart, HLT_FAILED, now_ms);
+}
+
+void
+hlt_set_leaving (Hlt *hlt, Chart *chart, bool leaving, uint64_t now_ms)
+{
+  if (leaving && hlt->state != HLT_LEAVING)
+    step (hlt, chart, HLT_LEAVE, now_ms);
+  if (!leaving && hlt->state == HLT_LEAVING)
+    step (hlt, chart, HLT_RETURN, now_ms);
+}
+
+bool
+hlt_request (Hlt *hlt, bool ok)
+{
+  hlt->errors = ok ? 0 : hlt->errors + 1;
+  return hlt->state == HLT_UP && hlt->errors >= EJECT_ERRORS;
+}
+
+bool
+hlt_eject (Hlt *hlt, Chart *chart, uint32_t ejected, uint32_t total, uint64_t now_ms)
+{
+  if ((ejected + 1) * 100 > total * EJECT_MAX_PCT || hlt->state != HLT_UP)
+    return false;
+  step (hlt, chart, HLT_EJECT, now_ms);
+  hlt->ejected_at_ms = now_ms;
+  hlt->errors = 0;
+  return true;
+}
+
+void
+hlt_tick (Hlt *hlt, Chart *chart, uint64_t now_ms)
+{
+  if (hlt->state == HLT_EJECTED && now_ms - hlt->ejected_at_ms >= EJECT_MS)
+    step (hlt, chart, HLT_EJECT_OVER, now_ms);
+}
+
+void
+hlt_shed (Hlt *hlt, uint64_t now_ms)
+{
+  hlt->contradicted_at_ms = now_ms;
+}
+
+uint32_t
+hlt_load_permille (const Hlt *hlt, uint64_t now_ms)
+{
+  uint64_t age_ms = now_ms - hlt->load_at_ms;
+
+  if (hlt->contradicted_at_ms != 0 && now_ms - hlt->contradicted_at_ms < LOAD_REPORT_MAX_AGE_MS)
+    return (uint32_t)(1000 - (now_ms - hlt->contradicted_at_ms) * 1000 / LOAD_REPORT_MAX_AGE_MS);
+  if (hlt->load_at_ms == 0 || age_ms >= LOAD_REPORT_MAX_AGE_MS)
+    return 500;
+  return (uint32_t)((hlt->load_permille * (LOAD_REPORT_MAX_AGE_MS - age_ms) + 500 * age_ms)
+                    / LOAD_REPORT_MAX_AGE_MS);
+}
+
+uint32_t
+hlt_ramp_permille (const Hlt *hlt, uint64_t now_ms)
+{
+  uint64_t age_ms = now_ms - hlt->up_since_ms;
+
+  if (hlt->up_since_ms == 0 || age_ms >= RAMP_MS)
+    return 1000;
+  return (uint32_t)(RAMP_FIRST_PERMILLE + (1000 - RAMP_FIRST_PERMILLE) * age_ms / RAMP_MS);
+}
+
+bool
+hlt_can_serve (const Hlt *hlt)
+{
+  return hlt->state == HLT_UP || hlt->state == HLT_UNKNOWN;
+}
+
+const char *
+hlt_state_name (int32_t state)
+{
+  return states[state];
+}
--- /dev/null
+++ b/src/hsv.c
@@ -0,0 +1,207 @@
+/* HTTP server on the event loop, over h2o. */
+#include "hsv.h"
+
+#include "lim.h"
+
+#include <h2o/http1.h>
+#include <string.h>
+
+#define LISTEN_BACKLOG 1024
+#define REQUEST_TIMEOUT_MS 30000
+
+struct _HsvServer
+{
+  h2o_globalconf_t config;
+  h2o_context_t ctx;
+  h2o_accept_ctx_t accept_ctx;
+  uv_tcp_t listener;
+  uint16_t port;
+  bool listening;
+  HsvHandler handler;
+  void *user;
+};
+
+typedef struct
+{
+  h2o_handler_t super;
+  HsvServer *server;
+} Handler;
+
+/* ---- Accepting ---- */
+
+static int
+on_request (h2o_handler_t *self, h2o_req_t *req)
+{
+  HsvServer *server = ((Handler *)self)->server;
+
+  server->handler (server->user, req);
+  return 0;
+}
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  HsvServer *server = listener->data;
+  uv_tcp_t *conn;
+
+  if (status != 0)
+    return;
+  conn = h2o_mem_alloc (sizeof *conn);
+  uv_tcp_init (listener->loop, conn);
+  if (uv_accept (listener, (uv_stream_t *)conn) != 0)
+    {
+      uv_close ((uv_handle_t *)conn, (uv_close_cb)free);
+      return;
+    }
+  uv_tcp_nodelay (conn, 1);
+  h2o_accept (&server->accept_ctx, h2o_uv_socket_create ((uv_stream_t *)conn, (uv_close_cb)free));
+}
+
+static bool
+listen_on (HsvServer *server, uv_loop_t *loop, NetAddr addr, Err *err)
+{
+  struct sockaddr_in sin = net_addr_sockaddr (addr);
+  struct sockaddr_in bound;
+  int size = sizeof bound;
+  char text[32];
+  int rc;
+
+  uv_tcp_init (loop, &server->listener);
+  server->listener.data = server;
+  rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&sin, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, on_accept);
+  if (rc != 0)
+    {
+      err_set (err, ERR_LAYER_HTTP, rc, "cannot listen on %s: %s", net_addr_text (addr, text),
+               uv_strerror (rc));
+      return false;
+    }
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&bound, &size);
+  server->port = ntohs (bound.sin_port);
+  return true;
+}
+
+HsvServer *
+hsv_start (uv_loop_t *loop, NetAddr addr, HsvHandler handler, void *user, Err *err)
+{
+  HsvServer *server = g_new0 (HsvServer, 1);
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+
+  server->handler = handler;
+  server->user = user;
+  h2o_config_init (&server->config);
+  server->config.max_request_entity_size = REQUEST_BODY_MAX_BYTES;
+  server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
+  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("cardamomcrank"));
+  host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")),
+                                   UINT16_MAX);
+  path = h2o_config_register_path (host, "/", 0);
+  Handler *h = (Handler *)h2o_create_handler (path, sizeof *h);
+  h->super.on_req = on_request;
+  h->server = server;
+  h2o_context_init (&server->ctx, loop, &server->config);
+  server->accept_ctx.ctx = &server->ctx;
+  server->accept_ctx.hosts = server->config.hosts;
+  if (!listen_on (server, loop, addr, err))
+    return NULL;
+  server->listening = true;
+  return server;
+}
+
+uint16_t
+hsv_port (const HsvServer *server)
+{
+  return server->port;
+}
+
+void
+hsv_stop_listening (HsvServer *server)
+{
+  if (!server->listening)
+    return;
+  server->listening = false;
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  h2o_context_request_shutdown (&server->ctx);
+}
+
+/* ---- Requests ---- */
+
+void
+hsv_reply (h2o_req_t *req, int status, const char *type, const char *body)
+{
+  static h2o_generator_t generator;
+  h2o_iovec_t buf = h2o_strdup (&req->pool, body, SIZE_MAX);
+
+  req->res.status = status;
+  req->res.reason = status < 300 ? "OK" : "Refused";
+  req->res.content_length = buf.len;
+  if (type != NULL)
+    h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type,
+                    strlen (type));
+  h2o_start_response (req, &generator);
+  h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
+}
+
+char *
+hsv_path (h2o_req_t *req)
+{
+  return g_strndup (req->path_normalized.base, req->path_normalized.len);
+}
+
+char *
+hsv_query (h2o_req_t *req, const char *name)
+{
+  char *value = NULL;
+
+  if (req->query_at == SIZE_MAX)
+    return NULL;
+  char *query = g_strndup (req->path.base + req->query_at + 1, req->path.len - req->query_at - 1);
+  GHashTable *params = g_uri_parse_params (query, -1, "&", G_URI_PARAMS_NONE, NULL);
+  if (params != NULL)
+    {
+      value = g_strdup (g_hash_table_lookup (params, name));
+      g_hash_table_unref (params);
+    }
+  g_free (query);
+  return value;
+}
+
+char *
+hsv_header (h2o_req_t *req, const char *name)
+{
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+      if (h2o_memis (header->name->base, header->name->len, name, strlen (name)))
+        return g_strndup (header->value.base, header->value.len);
+    }
+  return NULL;
+}
+
+void
+hsv_add_header (h2o_req_t *req, const char *name, const char *value)
+{
+  h2o_iovec_t copy = h2o_strdup (&req->pool, value, SIZE_MAX);
+  h2o_iovec_t key = h2o_strdup (&req->pool, name, SIZE_MAX);
+
+  h2o_add_header_by_str (&req->pool, &req->res.headers, key.base, key.len, 1, NULL, copy.base,
+                         copy.len);
+}
+
+bool
+hsv_method_is (h2o_req_t *req, const char *method)
+{
+  return h2o_memis (req->method.base, req->method.len, method, strlen (method));
+}
+
+uint32_t
+hsv_peer_ip (h2o_req_t *req)
+{
+  struct sockaddr_storage addr;
+
+  memset (&addr, 0, sizeof addr);
+  req->conn->callbacks->get_peername (req->conn, (struct sockaddr *)&addr);
+  return ntohl (((struct sockaddr_in *)&addr)->sin_addr.s_addr);
+}
--- /dev/null
+++ b/src/hsv.h
@@ -0,0 +1,43 @@
+/* HTTP server on the event loop, over h2o. */
+#pragma once
+
+#include "err.h"
+#include "net.h"
+
+#include <glib.h>
+#include <h2o.h>
+
+typedef struct _HsvServer HsvServer;
+
+/** typedef HsvHandler - handles a request whose body is whole; must answer it sooner or later */
+typedef void (*HsvHandler) (void *user, h2o_req_t *req);
+
+/** hsv_start() - listens on @addr; port 0 takes a free one. NULL with @err set on failure. */
+HsvServer *hsv_start (uv_loop_t *loop, NetAddr addr, HsvHandler handler, void *user, Err *err);
+
+/** hsv_port() - the port in use. */
+uint16_t hsv_port (const HsvServer *server);
+
+/** hsv_stop_listening() - closes the listener; open connections end after their requests. */
+void hsv_stop_listening (HsvServer *server);
+
+/** hsv_reply() - sends a whole answer; @type may be NULL. */
+void hsv_reply (h2o_req_t *req, int status, const char *type, const char *body);
+
+/** hsv_path() - the path without query, as a new string. */
+char *hsv_path (h2o_req_t *req);
+
+/** hsv_query() - a query parameter, as a new string or NULL. */
+char *hsv_query (h2o_req_t *req, const char *name);
+
+/** hsv_header() - a request header by lower-case name, as a new string or NULL. */
+char *hsv_header (h2o_req_t *req, const char *name);
+
+/** hsv_add_header() - adds an answer header; texts are copied. */
+void hsv_add_header (h2o_req_t *req, const char *name, const char *value);
+
+/** hsv_method_is() - compares the request's method. */
+bool hsv_method_is (h2o_req_t *req, const char *method);
+
+/** hsv_peer_ip() - the caller's IPv4 address in host byte order. */
+uint32_t hsv_peer_ip (h2o_req_t *req);
--- /dev/null
+++ b/src/lim.h
@@ -0,0 +1,102 @@
+/* Limits and tunables of all programs, each with its unit in its name. */
+#pragma once
+
+#include <stdint.h>
+
+#define SHARE_ONE_PPM 1000000u
+
+/* Names and sizes. */
+#define NAME_MAX_BYTES 64
+#define PATH_MAX_BYTES 256
+#define OBJECT_MAX_BYTES (1024u * 1024u)
+#define REQUEST_BODY_MAX_BYTES (4u * 1024u * 1024u)
+#define KEY_MAX_BYTES 200
+#define ZONES_MAX 16
+#define REGIONS_MAX 8
+#define ZONE_NONE UINT32_MAX
+
+/* Replication of objects between processes. */
+#define SYNC_PERIOD_MS 200
+#define SYNC_TIMEOUT_MS 1000
+#define GOSSIP_PERIOD_MS 1000
+#define GOSSIP_TIMEOUT_MS 1000
+#define GOSSIP_ITEMS_MAX 24
+#define GOSSIP_FANOUT 4
+#define RPC_RECORD_MAX_BYTES (16u * 1024u * 1024u)
+#define RPC_IDLE_MS 10000
+#define JOIN_WAIT_MS 3000
+
+/* Membership. */
+#define MEMBER_SUSPECT_MS 3000
+#define MEMBER_DEAD_MS 10000
+#define WATCHERS_PER_REGION 2
+#define PROBERS_PER_REGION 2
+
+/* Platform's service. */
+#define STORE_CALL_TIMEOUT_MS 2000
+#define WATCH_WAIT_MS 20000
+#define WATCH_TIMEOUT_MS 25000
+#define BACKOFF_FIRST_MS 100
+#define BACKOFF_MAX_MS 5000
+#define VM_CACHED_TTL_MS 2000
+
+/* Planner. */
+#define LEASE_TTL_MS 6000
+#define LEASE_RENEW_MS 2000
+#define PLAN_PERIOD_MS 1000
+#define REPORT_PERIOD_MS 1000
+#define REPORT_MAX_AGE_MS 30000
+#define PLAN_ACK_WAIT_MS 5000
+#define BUDGET_PERIOD_MS 3000
+#define REPORT_LIVE_MS 5000
+#define DECISION_REPEAT_MS 10000
+#define PLAN_DEADBAND_PPM 20000u
+#define PLAN_DECISIONS_MAX 64
+#define SHIFT_MOVES_MAX 64
+
+/* Upstream health. */
+#define PROBE_PERIOD_MS 1000
+#define PROBE_TIMEOUT_MS 800
+#define HEALTH_FAILS_TO_DOWN 3
+#define HEALTH_OKS_TO_UP 2
+#define EJECT_MS 5000
+#define EJECT_MAX_PCT 34
+#define EJECT_ERRORS 5
+#define RAMP_MS 10000
+#define LOAD_REPORT_MAX_AGE_MS 5000
+#define OBS_SEEN_TTL_MS 30000
+
+/* Request path. */
+#define CONNECT_TIMEOUT_MS 500
+#define HEAD_TIMEOUT_MS 10000
+#define PROGRESS_TIMEOUT_MS 5000
+#define PROBE_CONN_IDLE_MS 2000
+#define DEADLINE_DEFAULT_MS 15000
+#define DEADLINE_MAX_MS 600000
+#define QUEUE_MAX 256
+#define QUEUE_WAIT_MS 2000
+#define ATTEMPTS_MAX 3
+#define RETRY_AFTER_S 1
+#define LOOKUP_TTL_MS 2000
+#define STREAM_BUFFER_MAX_BYTES (256u * 1024u)
+#define POOL_IDLE_MS 5000
+#define POOL_MAX_PER_UPSTREAM 16
+#define USER_TIMEOUT_MS 5000
+
+/* At most once. */
+#define CLAIM_ANSWER_MAX_BYTES (16u * 1024u)
+#define CLAIM_READBACK_TRIES 4
+#define CLAIM_RELEASE_TRIES 20
+
+/* Poison requests. */
+#define POISON_CRASHES_MAX 2
+#define POISON_SPREAD_MS 800
+#define POISON_TTL_MS 60000
+#define POISON_ENTRIES_MAX 4096
+
+/* Budget loans between entries. */
+#define LOAN_PERIOD_MS 50
+#define LOAN_REPLY_MAX_MS 500
+#define LOAN_MAX_SLOTS 8
+#define LOAN_IDLE_MS 500
+#define LOAN_STATE_PERIOD_MS 500
--- /dev/null
+++ b/src/lot.c
@@ -0,0 +1,261 @@
+/* Loan task: entries with spare budget hand some to others that have requests waiting. */
+#include "entry.h"
+
+#include <string.h>
+
+typedef struct
+{
+  Entry *entry;
+  EntryService *service;
+  EntryLoan *loan;
+} Ask;
+
+/* ---- Lender's side ---- */
+
+static BudHold *
+hold_of (Entry *entry, const char *service_name, const char *zone_name)
+{
+  EntryService *service = esv_get (entry, service_name);
+  uint32_t zone = entry->cfg != NULL ? cfg_zone_index (entry->cfg, zone_name) : ZONE_NONE;
+
+  return service != NULL && zone != ZONE_NONE ? &service->holds[zone] : NULL;
+}
+
+static bool
+do_loan (void *user, const void *args, void *result)
+{
+  Entry *entry = user;
+  const wire_loan_args *in = args;
+  wire_loan_reply *out = result;
+  BudHold *hold = hold_of (entry, in->service, in->zone);
+  char place[2 * NAME_MAX_BYTES + 4];
+
+  if (hold == NULL || entry->state != ENTRY_SERVING)
+    return true;
+  g_snprintf (place, sizeof place, "%s/%s", in->service, in->zone);
+  out->lender_incarnation = entry->incarnation;
+  out->slots = lon_request (&entry->loan_book, in->borrower, in->incarnation, in->sequence, place,
+                            hold, MIN (in->slots, LOAN_MAX_SLOTS));
+  entry->counters.loans_granted += out->slots;
+  return true;
+}
+
+static bool
+do_held (void *user, const void *args, void *result)
+{
+  Entry *entry = user;
+  const wire_held_args *in = args;
+  BudHold *hold = hold_of (entry, in->service, in->zone);
+  char place[2 * NAME_MAX_BYTES + 4];
+  (void)result;
+
+  if (hold == NULL || in->lender_incarnation != entry->incarnation)
+    return true;
+  g_snprintf (place, sizeof place, "%s/%s", in->service, in->zone);
+  lon_statement (&entry->loan_book, in->borrower, in->incarnation, in->sequence, place, hold,
+                 in->slots);
+  return true;
+}
+
+const OncProc lot_procs[] = {
+  { WIRE_LOAN, (xdrproc_t)xdr_wire_loan_args, sizeof (wire_loan_args),
+    (xdrproc_t)xdr_wire_loan_reply, sizeof (wire_loan_reply), do_loan },
+  { WIRE_HELD, (xdrproc_t)xdr_wire_held_args, sizeof (wire_held_args), (xdrproc_t)xdr_wire_none,
+    sizeof (wire_none), do_held },
+  { 0, NULL, 0, NULL, 0, NULL },
+};
+
+/* ---- Borrower's side ---- */
+
+static EntryLoan *
+loan_from (EntryService *service, const char *lender, uint64_t incarnation, uint32_t zone)
+{
+  for (uint32_t i = 0; i < service->loans->len; i++)
+    {
+      EntryLoan *loan = service->loans->pdata[i];
+      if (loan->zone == zone && loan->incarnation == incarnation
+          && strcmp (loan->lender, lender) == 0)
+        return loan;
+    }
+  EntryLoan *loan = g_new0 (EntryLoan, 1);
+  g_strlcpy (loan->lender, lender, sizeof loan->lender);
+  loan->incarnation = incarnation;
+  loan->zone = zone;
+  g_ptr_array_add (service->loans, loan);
+  return loan;
+}
+
+static void
+on_loan (void *user, const void *result)
+{
+  Ask *ask = user;
+  const wire_loan_reply *reply = result;
+  EntryLoan *loan = ask->loan;
+
+  loan->asking = false;
+  if (reply != NULL && reply->slots > 0 && reply->lender_incarnation == loan->incarnation)
+    {
+      loan->slots += reply->slots;
+      loan->used_at_ms = entry_now_ms (ask->entry);
+      ask->service->holds[loan->zone].borrowed += reply->slots;
+      ask->entry->counters.loans_received += reply->slots;
+      req_wake (ask->entry, ask->service, loan->zone);
+    }
+  g_free (ask);
+}
+
+static void
+ask_one (Entry *entry, EntryService *service, const MemMember *lender, uint32_t zone,
+         uint32_t wanted)
+{
+  EntryLoan *loan = loan_from (service, lender->vm, lender->entry_incarnation, zone);
+  Ask *ask;
+  wire_loan_args args = { .borrower = entry->vm,
+                          .incarnation = entry->incarnation,
+                          .service = service->name,
+                          .zone = (char *)cfg_zone (entry->cfg, zone)->name,
+                          .slots = MIN (wanted, LOAN_MAX_SLOTS) };
+
+  if (loan->asking)
+    return;
+  loan->asking = true;
+  args.sequence = ++entry->loan_sequence;
+  ask = g_new0 (Ask, 1);
+  *ask = (Ask){ .entry = entry, .service = service, .loan = loan };
+  onc_call (entry->client, lender->entry_rpc, WIRE_LOAN, (xdrproc_t)xdr_wire_loan_args, &args,
+            (xdrproc_t)xdr_wire_loan_reply, sizeof (wire_loan_reply), LOAN_REPLY_MAX_MS, on_loan,
+            ask);
+}
+
+static void
+ask_for_zone (Entry *entry, EntryService *service, uint32_t zone)
+{
+  const GPtrArray *members = entry->members.members;
+
+  if (g_queue_is_empty (&service->waiting[zone]) || bud_spare (&service->holds[zone]) > 0)
+    return;
+  for (uint32_t i = 0; i < members->len; i++)
+    {
+      const MemMember *lender = members->pdata[service->next_lender++ % members->len];
+      if (lender->state != MEM_ALIVE || lender->entry_incarnation == 0
+          || strcmp (lender->vm, entry->vm) == 0)
+        continue;
+      ask_one (entry, service, lender, zone, g_queue_get_length (&service->waiting[zone]));
+      return;
+    }
+}
+
+static void
+on_stated (void *user, const void *result)
+{
+  (void)user;
+  (void)result;
+}
+
+static void
+state_held (Entry *entry, EntryService *service, EntryLoan *loan)
+{
+  const MemMember *lender = mem_get (&entry->members, loan->lender);
+  wire_held_args args = { .borrower = entry->vm,
+                          .incarnation = entry->incarnation,
+                          .lender_incarnation = loan->incarnation,
+                          .service = service->name,
+                          .zone = (char *)cfg_zone (entry->cfg, loan->zone)->name,
+                          .slots = loan->slots };
+
+  loan->stated_at_ms = entry_now_ms (entry);
+  if (lender == NULL)
+    return;
+  args.sequence = ++entry->loan_sequence;
+  onc_call (entry->client, lender->entry_rpc, WIRE_HELD, (xdrproc_t)xdr_wire_held_args, &args,
+            (xdrproc_t)xdr_wire_none, sizeof (wire_none), LOAN_REPLY_MAX_MS, on_stated, NULL);
+}
+
+static void
+return_idle (Entry *entry, EntryService *service, EntryLoan *loan)
+{
+  BudHold *hold = &service->holds[loan->zone];
+  uint64_t now_ms = entry_now_ms (entry);
+
+  if (bud_spare (hold) == 0)
+    loan->used_at_ms = now_ms;
+  if (now_ms - loan->used_at_ms >= LOAN_IDLE_MS)
+    loan->slots -= bud_give_back (hold, loan->slots);
+  if (!loan->asking && now_ms - loan->stated_at_ms >= LOAN_STATE_PERIOD_MS)
+    state_held (entry, service, loan);
+}
+
+static bool
+lender_is_gone (const Entry *entry, const EntryLoan *loan)
+{
+  const MemMember *member = mem_get (&entry->members, loan->lender);
+
+  return member == NULL || member->state == MEM_DEAD
+         || (member->entry_incarnation != 0 && member->entry_incarnation != loan->incarnation);
+}
+
+static void
+tick_service (Entry *entry, EntryService *service)
+{
+  if (service->cfg == NULL)
+    return;
+  for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+    ask_for_zone (entry, service, z);
+  for (uint32_t i = service->loans->len; i > 0; i--)
+    {
+      EntryLoan *loan = service->loans->pdata[i - 1];
+      return_idle (entry, service, loan);
+      if (loan->slots == 0 && !loan->asking && lender_is_gone (entry, loan))
+        g_ptr_array_remove_index (service->loans, i - 1);
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  Entry *entry = timer->data;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (entry->cfg == NULL || entry->baseline)
+    return;
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tick_service (entry, value);
+}
+
+void
+lot_fill_report (const Entry *entry, wire_report *report)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GArray *loans = g_array_new (FALSE, TRUE, sizeof (wire_loan));
+
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const EntryService *service = value;
+      for (uint32_t i = 0; i < service->loans->len; i++)
+        {
+          const EntryLoan *loan = service->loans->pdata[i];
+          wire_loan out = { .service = g_strdup (service->name),
+                            .zone = g_strdup (cfg_zone (entry->cfg, loan->zone)->name),
+                            .lender = g_strdup (loan->lender),
+                            .lender_incarnation = loan->incarnation,
+                            .slots = loan->slots };
+          g_array_append_val (loans, out);
+        }
+    }
+  report->loans.loans_len = loans->len;
+  report->loans.loans_val = (wire_loan *)(void *)g_array_free (loans, FALSE);
+}
+
+void
+lot_start (Entry *entry)
+{
+  uv_timer_t *timer = g_new0 (uv_timer_t, 1);
+
+  uv_timer_init (entry->loop, timer);
+  timer->data = entry;
+  uv_timer_start (timer, on_tick, LOAN_PERIOD_MS, LOAN_PERIOD_MS);
+}
--- /dev/null
+++ b/src/mem.c
@@ -0,0 +1,238 @@
+/* Membership of entry VMs: what is said of each carries its incarnation. */
+#include "mem.h"
+
+#include <string.h>
+
+#define SENDS_PER_NEWS 8
+
+static int
+compare_members (const void *a, const void *b)
+{
+  return strcmp ((*(MemMember *const *)a)->vm, (*(MemMember *const *)b)->vm);
+}
+
+static MemMember *
+add_member (MemTable *table, const MemMember *member)
+{
+  MemMember *added = g_memdup2 (member, sizeof *member);
+
+  g_ptr_array_add (table->members, added);
+  qsort (table->members->pdata, table->members->len, sizeof (gpointer), compare_members);
+  return added;
+}
+
+void
+mem_init (MemTable *table, const MemMember *self)
+{
+  table->members = g_ptr_array_new_with_free_func (g_free);
+  g_strlcpy (table->self, self->vm, sizeof table->self);
+  add_member (table, self)->sends_left = SENDS_PER_NEWS;
+}
+
+MemMember *
+mem_get (const MemTable *table, const char *vm)
+{
+  for (uint32_t i = 0; i < table->members->len; i++)
+    if (strcmp (((MemMember *)table->members->pdata[i])->vm, vm) == 0)
+      return table->members->pdata[i];
+  return NULL;
+}
+
+MemMember *
+mem_self (const MemTable *table)
+{
+  return mem_get (table, table->self);
+}
+
+void
+mem_set_self (MemTable *table, int32_t state, uint64_t entry_incarnation)
+{
+  MemMember *self = mem_self (table);
+
+  if (self->state == state && self->entry_incarnation == entry_incarnation)
+    return;
+  self->state = state;
+  self->entry_incarnation = entry_incarnation;
+  self->refutation++;
+  self->sends_left = SENDS_PER_NEWS;
+}
+
+static bool
+is_newer (const wire_member *news, const MemMember *known)
+{
+  if (news->incarnation != known->incarnation)
+    return news->incarnation > known->incarnation;
+  if (news->refutation != known->refutation)
+    return news->refutation > known->refutation;
+  return news->state > known->state;
+}
+
+static void
+take_news (MemMember *member, const wire_member *news, uint64_t now_ms)
+{
+  g_strlcpy (member->vm, news->vm, sizeof member->vm);
+  g_strlcpy (member->region, news->region, sizeof member->region);
+  g_strlcpy (member->zone, news->zone, sizeof member->zone);
+  net_addr_parse (news->steer_addr, &member->steer);
+  net_addr_parse (news->entry_http, &member->entry_http);
+  net_addr_parse (news->entry_rpc, &member->entry_rpc);
+  member->incarnation = news->incarnation;
+  member->refutation = news->refutation;
+  member->entry_incarnation = news->entry_incarnation;
+  member->state = news->state;
+  member->state_at_ms = now_ms;
+  member->sends_left = SENDS_PER_NEWS;
+}
+
+static bool
+refute (MemMember *self, const wire_member *news)
+{
+  if (news->incarnation != self->incarnation || news->refutation < self->refutation
+      || (news->state == self->state && news->refutation == self->refutation))
+    return false;
+  self->refutation = news->refutation + 1;
+  self->sends_left = SENDS_PER_NEWS;
+  return true;
+}
+
+bool
+mem_learn (MemTable *table, const wire_member *news, uint64_t now_ms)
+{
+  MemMember *known = mem_get (table, news->vm);
+  MemMember blank = { 0 };
+
+  if (strcmp (news->vm, table->self) == 0)
+    return refute (known, news);
+  if (known != NULL && !is_newer (news, known))
+    return false;
+  if (known == NULL)
+    {
+      g_strlcpy (blank.vm, news->vm, sizeof blank.vm);
+      known = add_member (table, &blank);
+    }
+  take_news (known, news, now_ms);
+  return true;
+}
+
+void
+mem_heard (MemTable *table, const char *vm, uint64_t now_ms)
+{
+  MemMember *member = mem_get (table, vm);
+
+  if (member != NULL)
+    member->heard_at_ms = now_ms;
+}
+
+void
+mem_suspect (MemTable *table, const char *vm, uint64_t now_ms)
+{
+  MemMember *member = mem_get (table, vm);
+
+  if (member == NULL || member->state >= MEM_SUSPECT
+      || now_ms - member->heard_at_ms < MEMBER_SUSPECT_MS)
+    return;
+  member->state = MEM_SUSPECT;
+  member->state_at_ms = now_ms;
+  member->sends_left = SENDS_PER_NEWS;
+}
+
+void
+mem_tick (MemTable *table, uint64_t now_ms)
+{
+  for (uint32_t i = 0; i < table->members->len; i++)
+    {
+      MemMember *member = table->members->pdata[i];
+      if (member->state == MEM_SUSPECT && now_ms - member->state_at_ms >= MEMBER_DEAD_MS)
+        {
+          member->state = MEM_DEAD;
+          member->state_at_ms = now_ms;
+          member->sends_left = SENDS_PER_NEWS;
+        }
+    }
+}
+
+void
+mem_remove_absent (MemTable *table, const Cfg *cfg)
+{
+  for (uint32_t i = table->members->len; i > 0; i--)
+    {
+      MemMember *member = table->members->pdata[i - 1];
+      if (member->state == MEM_DEAD && cfg_vm (cfg, member->vm) == NULL
+          && strcmp (member->vm, table->self) != 0)
+        g_ptr_array_remove_index (table->members, i - 1);
+    }
+}
+
+bool
+mem_is_usable (const MemMember *member)
+{
+  return member->state != MEM_DEAD;
+}
+
+void
+mem_to_wire (const MemMember *member, wire_member *out)
+{
+  char text[32];
+
+  *out = (wire_member){ .vm = g_strdup (member->vm),
+                        .region = g_strdup (member->region),
+                        .zone = g_strdup (member->zone),
+                        .steer_addr = g_strdup (net_addr_text (member->steer, text)),
+                        .incarnation = member->incarnation,
+                        .refutation = member->refutation,
+                        .entry_incarnation = member->entry_incarnation,
+                        .state = member->state };
+  out->entry_http = g_strdup (net_addr_text (member->entry_http, text));
+  out->entry_rpc = g_strdup (net_addr_text (member->entry_rpc, text));
+}
+
+void
+mem_wire_free (wire_member *wire)
+{
+  g_free (wire->vm);
+  g_free (wire->region);
+  g_free (wire->zone);
+  g_free (wire->steer_addr);
+  g_free (wire->entry_http);
+  g_free (wire->entry_rpc);
+}
+
+static uint32_t
+salted_hash (const char *salt, const char *vm)
+{
+  char *text = g_strconcat (salt, "/", vm, NULL);
+  uint32_t hash = g_str_hash (text) * 2654435761u;
+
+  g_free (text);
+  return hash ^ (hash >> 15);
+}
+
+uint32_t
+mem_rank (const MemTable *table, const char *vm, const char *salt)
+{
+  const MemMember *self = mem_get (table, vm);
+  uint32_t rank = 0;
+
+  if (self == NULL)
+    return UINT32_MAX;
+  uint32_t own = salted_hash (salt, vm);
+  for (uint32_t i = 0; i < table->members->len; i++)
+    {
+      const MemMember *other = table->members->pdata[i];
+      if (other == self || !mem_is_usable (other) || other->state == MEM_SUSPECT
+          || strcmp (other->region, self->region) != 0)
+        continue;
+      uint32_t hash = salted_hash (salt, other->vm);
+      if (hash < own || (hash == own && strcmp (other->vm, vm) < 0))
+        rank++;
+    }
+  return rank;
+}
+
+const char *
+mem_state_name (int32_t state)
+{
+  static const char *const names[] = { "alive", "leaving", "suspect", "dead" };
+
+  return names[state];
+}
--- /dev/null
+++ b/src/met.c
@@ -0,0 +1,65 @@
+/* Counters, gauges and latency histograms in the text exposition format. */
+#include "met.h"
+
+#include <math.h>
+
+static uint64_t
+bucket_upper_us (uint32_t index)
+{
+  return (uint64_t)(8.0 * pow (2.0, (double)(index + 1) / 4.0));
+}
+
+void
+met_observe (MetHistogram *histogram, uint64_t value_us)
+{
+  uint32_t index = 0;
+
+  while (index + 1 < MET_BUCKETS && bucket_upper_us (index) < value_us)
+    index++;
+  histogram->bucket[index]++;
+  histogram->count++;
+  histogram->sum_us += value_us;
+}
+
+uint64_t
+met_quantile_us (const MetHistogram *histogram, double q)
+{
+  uint64_t rank = (uint64_t)ceil (q * (double)histogram->count);
+  uint64_t seen = 0;
+
+  for (uint32_t i = 0; i < MET_BUCKETS; i++)
+    {
+      seen += histogram->bucket[i];
+      if (seen >= rank && seen > 0)
+        return bucket_upper_us (i);
+    }
+  return 0;
+}
+
+void
+met_write_value (GString *out, const char *name, const char *labels, uint64_t value)
+{
+  if (labels != NULL)
+    g_string_append_printf (out, "%s{%s} %" G_GUINT64_FORMAT "\n", name, labels, value);
+  else
+    g_string_append_printf (out, "%s %" G_GUINT64_FORMAT "\n", name, value);
+}
+
+void
+met_write_histogram (GString *out, const char *name, const MetHistogram *histogram)
+{
+  uint64_t seen = 0;
+
+  g_string_append_printf (out, "# TYPE %s histogram\n", name);
+  for (uint32_t i = 0; i < MET_BUCKETS; i++)
+    {
+      seen += histogram->bucket[i];
+      if (histogram->bucket[i] == 0)
+        continue;
+      g_string_append_printf (out, "%s_bucket{le=\"%.6f\"} %" G_GUINT64_FORMAT "\n", name,
+                              (double)bucket_upper_us (i) / 1e6, seen);
+    }
+  g_string_append_printf (out, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", name, seen);
+  g_string_append_printf (out, "%s_sum %.6f\n", name, (double)histogram->sum_us / 1e6);
+  g_string_append_printf (out, "%s_count %" G_GUINT64_FORMAT "\n", name, histogram->count);
+}
--- /dev/null
+++ b/src/net.h
@@ -0,0 +1,27 @@
+/* IPv4 addresses and ports. */
+#pragma once
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct NetAddr - an IPv4 address and port
+ * @ip: address in host byte order
+ */
+typedef struct
+{
+  uint32_t ip;
+  uint16_t port;
+} NetAddr;
+
+/** net_addr_parse() - reads "a.b.c.d:port". */
+bool net_addr_parse (const char *text, NetAddr *addr);
+
+/** net_ip_parse() - reads "a.b.c.d" into host byte order. */
+bool net_ip_parse (const char *text, uint32_t *ip);
+
+/** net_addr_text() - writes the address into @out, at least 32 bytes; returns @out. */
+const char *net_addr_text (NetAddr addr, char *out);
+
+struct sockaddr_in net_addr_sockaddr (NetAddr addr);
--- /dev/null
+++ b/src/obj.c
@@ -0,0 +1,122 @@
+/* Replicated table of the platform's objects, ordered by the store's revision. */
+#include "obj.h"
+
+#include <string.h>
+
+static void
+obj_free (gpointer data)
+{
+  Obj *obj = data;
+
+  g_free (obj->path);
+  g_free (obj->value);
+  g_free (obj);
+}
+
+void
+obj_init (ObjTable *table)
+{
+  table->by_path = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, obj_free);
+  table->revision = 0;
+}
+
+void
+obj_clear (ObjTable *table)
+{
+  g_hash_table_unref (table->by_path);
+  table->by_path = NULL;
+}
+
+bool
+obj_apply (ObjTable *table, const char *path, uint64_t revision, bool deleted, const char *value)
+{
+  Obj *obj = g_hash_table_lookup (table->by_path, path);
+
+  if (obj != NULL && obj->revision >= revision)
+    return false;
+  if (obj == NULL)
+    {
+      obj = g_new0 (Obj, 1);
+      obj->path = g_strdup (path);
+      g_hash_table_insert (table->by_path, obj->path, obj);
+    }
+  obj->revision = revision;
+  obj->deleted = deleted;
+  g_free (obj->value);
+  obj->value = deleted ? NULL : g_strdup (value);
+  return true;
+}
+
+bool
+obj_advance (ObjTable *table, uint64_t revision)
+{
+  if (revision <= table->revision)
+    return false;
+  table->revision = revision;
+  return true;
+}
+
+const Obj *
+obj_get (const ObjTable *table, const char *path)
+{
+  const Obj *obj = g_hash_table_lookup (table->by_path, path);
+
+  return obj != NULL && !obj->deleted ? obj : NULL;
+}
+
+static int
+compare_paths (const void *a, const void *b)
+{
+  return strcmp ((*(const Obj *const *)a)->path, (*(const Obj *const *)b)->path);
+}
+
+void
+obj_each (const ObjTable *table, const char *prefix, ObjFn fn, void *user)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->by_path);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Obj *obj = value;
+      if (!obj->deleted && g_str_has_prefix (obj->path, prefix))
+        g_ptr_array_add (found, obj);
+    }
+  if (found->len > 0)
+    qsort (found->pdata, found->len, sizeof (gpointer), compare_paths);
+  for (uint32_t i = 0; i < found->len; i++)
+    fn (user, found->pdata[i]);
+  g_ptr_array_free (found, TRUE);
+}
+
+void
+obj_since (const ObjTable *table, uint64_t revision, ObjFn fn, void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->by_path);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Obj *)value)->revision > revision)
+      fn (user, value);
+}
+
+void
+obj_reconcile (ObjTable *table, GHashTable *listed, uint64_t revision)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->by_path);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Obj *obj = value;
+      if (obj->deleted || obj->revision > revision || g_hash_table_contains (listed, obj->path))
+        continue;
+      obj->deleted = true;
+      obj->revision = revision;
+      g_clear_pointer (&obj->value, g_free);
+    }
+}
--- /dev/null
+++ b/src/poi.c
@@ -0,0 +1,97 @@
+/* Poison requests: crashes counted by request fingerprint, shared between entries. */
+#include "poi.h"
+
+#include <string.h>
+
+void
+poi_init (PoiTable *table)
+{
+  table->by_fingerprint = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+void
+poi_clear (PoiTable *table)
+{
+  g_hash_table_unref (table->by_fingerprint);
+}
+
+uint64_t
+poi_fingerprint (const char *method, const char *path, const void *body, size_t size)
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  guint8 digest[32];
+  gsize length = sizeof digest;
+  uint64_t fingerprint;
+
+  g_checksum_update (sum, (const guchar *)method, (gssize)strlen (method) + 1);
+  g_checksum_update (sum, (const guchar *)path, (gssize)strlen (path) + 1);
+  if (size > 0)
+    g_checksum_update (sum, body, (gssize)size);
+  g_checksum_get_digest (sum, digest, &length);
+  g_checksum_free (sum);
+  memcpy (&fingerprint, digest, sizeof fingerprint);
+  return fingerprint;
+}
+
+static PoiSuspect *
+suspect_of (PoiTable *table, uint64_t fingerprint)
+{
+  PoiSuspect *suspect = g_hash_table_lookup (table->by_fingerprint, &fingerprint);
+
+  if (suspect != NULL)
+    return suspect;
+  if (g_hash_table_size (table->by_fingerprint) >= POISON_ENTRIES_MAX)
+    g_hash_table_remove_all (table->by_fingerprint);
+  suspect = g_new0 (PoiSuspect, 1);
+  suspect->fingerprint = fingerprint;
+  g_hash_table_insert (table->by_fingerprint, &suspect->fingerprint, suspect);
+  return suspect;
+}
+
+const PoiSuspect *
+poi_crash (PoiTable *table, uint64_t fingerprint, uint64_t now_ms)
+{
+  PoiSuspect *suspect = suspect_of (table, fingerprint);
+
+  suspect->crashes++;
+  suspect->at_ms = now_ms;
+  return suspect;
+}
+
+bool
+poi_learn (PoiTable *table, uint64_t fingerprint, uint32_t crashes, uint64_t at_ms)
+{
+  PoiSuspect *suspect = suspect_of (table, fingerprint);
+
+  if (suspect->crashes >= crashes)
+    return false;
+  suspect->crashes = crashes;
+  suspect->at_ms = at_ms;
+  return true;
+}
+
+void
+poi_clear_suspect (PoiTable *table, uint64_t fingerprint)
+{
+  g_hash_table_remove (table->by_fingerprint, &fingerprint);
+}
+
+uint32_t
+poi_crashes (const PoiTable *table, uint64_t fingerprint, uint64_t now_ms)
+{
+  const PoiSuspect *suspect = g_hash_table_lookup (table->by_fingerprint, &fingerprint);
+
+  return suspect != NULL && now_ms < suspect->at_ms + POISON_TTL_MS ? suspect->crashes : 0;
+}
+
+void
+poi_expire (PoiTable *table, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->by_fingerprint);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms >= ((PoiSuspect *)value)->at_ms + POISON_TTL_MS)
+      g_hash_table_iter_remove (&iter);
+}
--- /dev/null
+++ b/src/syn.c
@@ -0,0 +1,277 @@
+/* Synchronisation of an entry with a steer: objects, news and reports. */
+#include "entry.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define FAILS_BEFORE_OTHER_STEER 3
+#define ITEMS_MAX 256
+
+typedef struct
+{
+  uv_timer_t timer;
+  Entry *entry;
+  bool busy;
+  bool again;
+  uint32_t fails;
+} Syn;
+
+static Syn *syn_of (Entry *entry);
+
+/* ---- What comes back ---- */
+
+static void
+plan_in_force (Entry *entry)
+{
+  const Obj *obj = obj_get (&entry->objects, "system/plan");
+  Err err = { 0 };
+
+  if (obj == NULL || entry->cfg == NULL)
+    return;
+  Plan *plan = pln_decode (obj->value, entry->cfg, entry_now_ms (entry), &err);
+  if (plan == NULL)
+    {
+      log_event (&entry->log, LOG_ERROR, "plan_refused", "error=\"%s\"", err.text);
+      return;
+    }
+  if (plan->epoch > entry->plan_epoch)
+    log_event (&entry->log, LOG_INFO, "plan_in_force", "epoch=%" PRIu64 " planner=%s", plan->epoch,
+               plan->planner);
+  if (plan->epoch >= entry->plan_epoch)
+    {
+      entry->plan_epoch = plan->epoch;
+      entry->plan_revision = obj->revision;
+      esv_plan_changed (entry, plan);
+    }
+  pln_free (plan);
+}
+
+static void
+config_in_force (Entry *entry)
+{
+  Cfg *cfg = cfg_build (&entry->objects);
+
+  cfg_free (entry->cfg);
+  entry->cfg = cfg;
+  entry->cfg_since_ms = entry_now_ms (entry);
+  esv_config_changed (entry);
+  log_event (&entry->log, LOG_INFO, "config_in_force", "revision=%" PRIu64 " errors=%u",
+             cfg->revision, cfg->errors->len);
+}
+
+static void
+take_objects (Entry *entry, const wire_sync_reply *reply)
+{
+  bool config_changed = false;
+  bool plan_changed = false;
+
+  if (reply->revision < entry->objects.revision)
+    return;
+  for (u_int i = 0; i < reply->objects.objects_len; i++)
+    {
+      const wire_object *object = &reply->objects.objects_val[i];
+      bool taken = obj_apply (&entry->objects, object->path, object->revision, object->deleted,
+                              object->value);
+      bool is_plan = g_str_has_prefix (object->path, "system/");
+      plan_changed = plan_changed || (taken && is_plan);
+      config_changed = config_changed || (taken && !is_plan);
+    }
+  obj_advance (&entry->objects, reply->revision);
+  if (config_changed)
+    config_in_force (entry);
+  if (config_changed || plan_changed)
+    plan_in_force (entry);
+}
+
+static void
+take_items (Entry *entry, const wire_sync_reply *reply)
+{
+  uint64_t now_ms = entry_now_ms (entry);
+
+  for (u_int i = 0; i < reply->items.items_len; i++)
+    {
+      const wire_item *item = &reply->items.items_val[i];
+      const wire_upstream *upstream = &item->wire_item_u.upstream;
+      const wire_poison *poison = &item->wire_item_u.poison;
+      switch (item->kind)
+        {
+        case WIRE_ITEM_MEMBER:
+          mem_learn (&entry->members, &item->wire_item_u.member, now_ms);
+          break;
+        case WIRE_ITEM_UPSTREAM:
+          obs_learn (&entry->observations, upstream->id, upstream->region, upstream->state,
+                     upstream->load_permille, now_ms - MIN (upstream->age_ms, now_ms - 1));
+          break;
+        case WIRE_ITEM_POISON:
+          poi_learn (&entry->poison, poison->fingerprint, poison->crashes,
+                     now_ms - MIN (poison->age_ms, now_ms));
+          break;
+        }
+    }
+}
+
+static void
+on_synced (void *user, const void *result)
+{
+  Syn *syn = user;
+  Entry *entry = syn->entry;
+  const wire_sync_reply *reply = result;
+
+  syn->busy = false;
+  if (reply == NULL)
+    {
+      syn->fails++;
+      return;
+    }
+  syn->fails = 0;
+  take_objects (entry, reply);
+  take_items (entry, reply);
+  if (entry->state == ENTRY_JOINING && reply->joined && entry->cfg != NULL)
+    {
+      chart_step (&entry->entry_chart, &entry->state, 0);
+      log_event (&entry->log, LOG_INFO, "serving", "revision=%" PRIu64, entry->objects.revision);
+    }
+  esv_tick (entry);
+  if (syn->again)
+    syn_now (entry);
+}
+
+/* ---- What is sent ---- */
+
+static u_int
+count_usage (const Entry *entry)
+{
+  return g_hash_table_size (entry->services) * ZONES_MAX * ZONES_MAX;
+}
+
+static void
+add_usage (Entry *entry, EntryService *service, wire_report *report)
+{
+  for (uint32_t g = 0; g < entry->cfg->zones->len; g++)
+    for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+      {
+        EntryUsage *usage = &service->usage[g][z];
+        if (usage->requests + usage->refused == 0)
+          continue;
+        esv_count (entry, usage, 0);
+        report->usage.usage_val[report->usage.usage_len++]
+            = (wire_usage){ .service = g_strdup (service->name),
+                            .group = g_strdup (cfg_zone (entry->cfg, g)->name),
+                            .zone = g_strdup (cfg_zone (entry->cfg, z)->name),
+                            .requests = usage->requests,
+                            .refused = usage->refused,
+                            .busy_ms = usage->busy_ms,
+                            .bytes = usage->bytes };
+      }
+}
+
+static void
+fill_report (Entry *entry, wire_report *report)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  report->vm = g_strdup (entry->vm);
+  report->incarnation = entry->incarnation;
+  report->plan_epoch = entry->plan_epoch;
+  report->settled_epoch = esv_settled (entry) ? entry->plan_epoch : 0;
+  if (entry->cfg == NULL)
+    return;
+  report->usage.usage_val = g_new0 (wire_usage, count_usage (entry) + 1);
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    add_usage (entry, value, report);
+  lot_fill_report (entry, report);
+}
+
+static void
+fill_news (Entry *entry, wire_sync_args *args)
+{
+  u_int count = MIN (entry->news->len, ITEMS_MAX);
+
+  args->items.items_val = g_new0 (wire_item, count + 1);
+  args->items.items_len = count;
+  memcpy (args->items.items_val, entry->news->data, count * sizeof (wire_item));
+  g_array_remove_range (entry->news, 0, count);
+}
+
+static NetAddr
+choose_steer (Entry *entry, uint32_t fails, bool *local)
+{
+  const GPtrArray *members = entry->members.members;
+
+  *local = fails < FAILS_BEFORE_OTHER_STEER || fails % 2 == 0 || members->len < 2;
+  if (*local)
+    return entry->steer;
+  const MemMember *member = members->pdata[g_rand_int (entry->random) % members->len];
+  *local = strcmp (member->vm, entry->vm) == 0;
+  return *local ? entry->steer : member->steer;
+}
+
+void
+syn_now (Entry *entry)
+{
+  Syn *syn = syn_of (entry);
+  wire_sync_args args = { 0 };
+  bool local;
+
+  if (syn->busy)
+    {
+      syn->again = true;
+      return;
+    }
+  syn->again = false;
+  syn->busy = true;
+  NetAddr steer = choose_steer (entry, syn->fails, &local);
+  args.vm = g_strdup (entry->vm);
+  args.entry_incarnation
+      = entry->state == ENTRY_JOINING || entry->state == ENTRY_STOPPED ? 0 : entry->incarnation;
+  args.leaving = entry->state == ENTRY_DRAINING;
+  args.local = local;
+  args.since = entry->objects.revision;
+  fill_report (entry, &args.report);
+  fill_news (entry, &args);
+  onc_call (entry->client, steer, WIRE_SYNC, (xdrproc_t)xdr_wire_sync_args, &args,
+            (xdrproc_t)xdr_wire_sync_reply, sizeof (wire_sync_reply), SYNC_TIMEOUT_MS, on_synced,
+            syn);
+  xdr_free ((xdrproc_t)xdr_wire_sync_args, &args);
+}
+
+void
+syn_add_poison (Entry *entry, uint64_t fingerprint, uint32_t crashes)
+{
+  wire_item item = { .kind = WIRE_ITEM_POISON };
+
+  item.wire_item_u.poison = (wire_poison){ .fingerprint = fingerprint, .crashes = crashes };
+  g_array_append_val (entry->news, item);
+  syn_now (entry);
+}
+
+/* ---- Timer ---- */
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  Syn *syn = (Syn *)timer;
+
+  esv_tick (syn->entry);
+  poi_expire (&syn->entry->poison, entry_now_ms (syn->entry));
+  syn_now (syn->entry);
+}
+
+static Syn *
+syn_of (Entry *entry)
+{
+  return entry->sync;
+}
+
+void
+syn_start (Entry *entry)
+{
+  Syn *syn = g_new0 (Syn, 1);
+
+  entry->sync = syn;
+  syn->entry = entry;
+  uv_timer_init (entry->loop, &syn->timer);
+  uv_timer_start (&syn->timer, on_tick, 0, SYNC_PERIOD_MS);
+}
