Drain by command moves shares under the cap before it stops new work

Cause: 'drain vm' marked the upstream as leaving at once, so the share that the shift cap still held in its zone had no upstream and was refused. Change: a drained upstream counts for nothing in the plan's lasting capacity but serves what is left of a zone that has no others; an upstream that leaves by itself still gets no new work, and its zone is evacuated under the evacuation cap.

--- a/src/cfg.c
+++ b/src/cfg.c
@@ -446,29 +446,35 @@
 
 /* ---- Drains ---- */
 
+/* Upstreams named @id, of one team or of all when @team is NULL. */
 static bool
-drain_upstream (CfgService *service, const char *id)
+mark_upstreams (Cfg *cfg, const char *team, const char *id, bool leaving)
 {
-  for (uint32_t i = 0; i < service->upstreams->len; i++)
+  bool found = false;
+
+  for (uint32_t s = 0; s < cfg->services->len; s++)
     {
-      CfgUpstream *upstream = &g_array_index (service->upstreams, CfgUpstream, i);
-      if (strcmp (upstream->id, id) == 0)
-        return upstream->leaving = true;
+      CfgService *service = cfg->services->pdata[s];
+      if (team != NULL && strcmp (service->team, team) != 0)
+        continue;
+      for (uint32_t i = 0; i < service->upstreams->len; i++)
+        {
+          CfgUpstream *upstream = &g_array_index (service->upstreams, CfgUpstream, i);
+          if (strcmp (upstream->id, id) != 0)
+            continue;
+          found = true;
+          upstream->leaving = upstream->leaving || leaving;
+          upstream->drained = upstream->drained || !leaving;
+        }
     }
-  return false;
+  return found;
 }
 
 static bool
 drain_vm (Cfg *cfg, const char *team, const char *target)
 {
-  bool found = false;
+  bool found = mark_upstreams (cfg, team, target, false);
 
-  for (uint32_t i = 0; i < cfg->services->len; i++)
-    {
-      CfgService *service = cfg->services->pdata[i];
-      if (team == NULL || strcmp (service->team, team) == 0)
-        found = drain_upstream (service, target) || found;
-    }
   for (uint32_t i = 0; team == NULL && i < cfg->vms->len; i++)
     {
       CfgVm *vm = &g_array_index (cfg->vms, CfgVm, i);
@@ -671,7 +677,7 @@
 
   if (root != NULL && strcmp (jsn_text (jsn_object (root), "role", ""), "upstream") == 0
       && strcmp (jsn_text (jsn_object (root), "state", ""), "leaving") == 0)
-    drain_vm (build->cfg, NULL, obj->path + strlen ("vms/"));
+    mark_upstreams (build->cfg, NULL, obj->path + strlen ("vms/"), true);
   g_clear_pointer (&root, json_node_unref);
 }
 
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -27,7 +27,8 @@
 
 /**
  * struct CfgUpstream - an upstream of one service
- * @leaving: the VM list or a drain says that it must get no new work
+ * @leaving: the VM list says that it leaves, so it gets no new work
+ * @drained: an operator drains it, so its share moves away under the shift cap first
  */
 typedef struct
 {
@@ -37,6 +38,7 @@
   uint32_t slots;
   uint32_t max_connections;
   bool leaving;
+  bool drained;
 } CfgUpstream;
 
 /**
--- a/src/entry.h
+++ b/src/entry.h
@@ -48,6 +48,7 @@
   uint32_t suspects;
   bool listed;
   bool leaving_listed;
+  bool drained;
   Hlt health;
   h2o_socketpool_t pool;
 } EntryUpstream;
--- a/src/esv.c
+++ b/src/esv.c
@@ -55,6 +55,7 @@
   upstream->slots = declared->slots;
   upstream->listed = true;
   upstream->leaving_listed = declared->leaving;
+  upstream->drained = declared->drained;
 }
 
 static bool
@@ -80,26 +81,46 @@
   return false;
 }
 
+/* Drained upstreams serve only what is left of a zone that has no others. */
+static bool
+zone_needs_drained (const EntryService *service, uint32_t zone)
+{
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      const EntryUpstream *upstream = service->upstreams->pdata[i];
+      if (upstream->zone == zone && !upstream->drained && can_serve (upstream))
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_eligible (const EntryUpstream *upstream, uint32_t zone, bool drained, bool suspect)
+{
+  return upstream->zone == zone && can_serve (upstream) && upstream->drained == drained
+         && upstream->suspects == 0 && (!suspect || upstream->in_flight == 0);
+}
+
 EntryUpstream *
 esv_pick (Entry *entry, EntryService *service, uint32_t zone, const GPtrArray *tried, bool suspect)
 {
   PckUpstream *candidates = g_newa (PckUpstream, service->upstreams->len + 1);
   uint64_t now_ms = entry_now_ms (entry);
+  bool drained = zone_needs_drained (service, zone);
 
   for (uint32_t i = 0; i < service->upstreams->len; i++)
     {
       const EntryUpstream *upstream = service->upstreams->pdata[i];
       candidates[i] = (PckUpstream){
-        .eligible = upstream->zone == zone && can_serve (upstream) && !was_tried (tried, upstream)
-                    && upstream->suspects == 0 && (!suspect || upstream->in_flight == 0),
+        .eligible = is_eligible (upstream, zone, drained, suspect) && !was_tried (tried, upstream),
         .slots = upstream->slots,
         .usable_slots = usable_slots (upstream, now_ms),
         .in_flight = upstream->in_flight,
         .load_permille = hlt_load_permille (&upstream->health, now_ms),
       };
     }
-  uint32_t chosen = pck_upstream (candidates, service->upstreams->len, entry->policy, entry->random,
-                                  &service->cursor);
+  uint32_t chosen = pck_upstream (candidates, service->upstreams->len, entry->policy,
+                                  entry->random, &service->cursor);
   return chosen == PCK_NONE ? NULL : service->upstreams->pdata[chosen];
 }
 
@@ -216,6 +237,7 @@
 
 /* ---- Shares in force ---- */
 
+/* Every upstream of the zone is down or leaves by itself. */
 static bool
 zone_has_failed (const EntryService *service, uint32_t zone)
 {
@@ -226,7 +248,8 @@
       const EntryUpstream *upstream = service->upstreams->pdata[i];
       if (upstream->zone != zone || !upstream->listed)
         continue;
-      if (upstream->health.state != HLT_DOWN)
+      if (upstream->health.state != HLT_DOWN && upstream->health.state != HLT_LEAVING
+          && !upstream->leaving_listed)
         return false;
       any = true;
     }
--- a/src/ldr.c
+++ b/src/ldr.c
@@ -241,14 +241,15 @@
          && !obs_any_leaving (&steer->observations, upstream->id, steer_now_ms (steer));
 }
 
+/* Slots in each zone; drained upstreams count only for what is still there. */
 static void
-slots_of (const Steer *steer, const CfgService *service, uint32_t *slots)
+slots_of (const Steer *steer, const CfgService *service, bool with_drained, uint32_t *slots)
 {
   memset (slots, 0, ZONES_MAX * sizeof *slots);
   for (uint32_t i = 0; i < service->upstreams->len; i++)
     {
       const CfgUpstream *upstream = &g_array_index (service->upstreams, CfgUpstream, i);
-      if (upstream_serves (steer, upstream))
+      if (upstream_serves (steer, upstream) && (with_drained || !upstream->drained))
         slots[upstream->zone] += upstream->slots;
     }
 }
@@ -261,7 +262,7 @@
   for (uint32_t s = 0; s < steer->cfg->services->len; s++)
     {
       const CfgService *service = steer->cfg->services->pdata[s];
-      slots_of (steer, service, slots);
+      slots_of (steer, service, true, slots);
       for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
         sums[cfg_zone (steer->cfg, z)->region]
             += (uint64_t)slots[z] * (100 - service->headroom_pct) / 100;
@@ -270,12 +271,12 @@
 
 /* Requests in flight that a service may have in each zone, within the limits of the regions. */
 static void
-zone_limits (const Steer *steer, const CfgService *service, uint32_t *limits)
+zone_limits (const Steer *steer, const CfgService *service, bool with_drained, uint32_t *limits)
 {
   uint64_t sums[REGIONS_MAX] = { 0 };
 
   region_slots (steer, sums);
-  slots_of (steer, service, limits);
+  slots_of (steer, service, with_drained, limits);
   for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
     {
       uint8_t r = cfg_zone (steer->cfg, z)->region;
@@ -416,7 +417,7 @@
           "evacuated_ppm=%u left_ppm=%u bound=%s demand_milli=%" PRIu64 " oldest_report_ms=%" PRIu64
           " config_revision=%" PRIu64,
           (long long)time (NULL), steer->lead->plan->epoch + 1, service, name,
-          moved ? "move" : "refuse", pln_reason_name (reason), move->moved_ppm, move->evacuated_ppm,
+          moved ? "move" : (reason == PLN_MOVE_FIRST ? "place" : "refuse"), pln_reason_name (reason), move->moved_ppm, move->evacuated_ppm,
           move->left_ppm, shf_bound_name (move->bound), input->demand_milli[group],
           oldest_report_ms (steer), steer->cfg->revision);
       pln_decide (steer->lead->plan, "%s", text);
@@ -437,9 +438,11 @@
       if (upstream->zone != zone)
         continue;
       any = true;
+      if (upstream->leaving)
+        continue;
       const Obs *obs = obs_get (&steer->observations, upstream->id,
                                 cfg_region (steer->cfg, cfg_zone (steer->cfg, zone)->region)->name);
-      if (obs == NULL || obs->state != OBS_DOWN)
+      if (obs == NULL || obs->state == OBS_UP)
         return false;
     }
   return any;
@@ -687,16 +690,18 @@
   uint32_t target[ZONES_MAX][ZONES_MAX];
   uint32_t current[ZONES_MAX][ZONES_MAX];
   uint32_t limits[ZONES_MAX];
+  uint32_t lasting[ZONES_MAX];
   PlnInput input;
   bool changed = settle_rows (steer, planned);
 
   join_rows (steer, planned);
   changed = drop_dead_rows (steer, planned) || changed;
   changed = changed || planned->budgets.rows->len != rows;
-  zone_limits (steer, service, limits);
+  zone_limits (steer, service, true, limits);
   if (move)
     {
-      fill_input (steer, service, limits, &input);
+      zone_limits (steer, service, false, lasting);
+      fill_input (steer, service, lasting, &input);
       for (uint32_t g = 0; g < ZONES_MAX; g++)
         memcpy (current[g], planned->groups[g].state.shares_ppm, sizeof current[g]);
       PlnReason reason = pln_targets (&input, current, target);
