Entries' acknowledgements reach the planner at once, and only share changes wait for them

Cause: a report travelled once a second and every epoch, budgets included, held the next move back, so a shift went at half the pace its cap allows. Change: a steer forwards a report when its epochs changed; the planner waits only for the last epoch that changed shares.

--- a/src/ldr.c
+++ b/src/ldr.c
@@ -28,6 +28,7 @@
   bool fence_needed;
   int64_t plan_version;
   uint64_t plan_written_at_ms;
+  uint64_t shares_epoch;
   uint64_t budgets_at_ms;
   Plan *plan;
   DemTable demand;
@@ -662,6 +663,7 @@
 
 /* ---- Planning ---- */
 
+/* An entry that reports has not yet put the last change of shares in force. */
 static bool
 laggards (const Steer *steer)
 {
@@ -676,7 +678,7 @@
     {
       const SteerReport *report = value;
       if (now_ms - report->received_at_ms <= REPORT_LIVE_MS
-          && report->report.plan_epoch < steer->lead->plan->epoch)
+          && report->report.plan_epoch < steer->lead->shares_epoch)
         return true;
     }
   return false;
@@ -705,7 +707,11 @@
       for (uint32_t g = 0; g < ZONES_MAX; g++)
         memcpy (current[g], planned->groups[g].state.shares_ppm, sizeof current[g]);
       PlnReason reason = pln_targets (&input, current, target);
-      changed = move_groups (steer, service, planned, &input, reason, target) || changed;
+      if (move_groups (steer, service, planned, &input, reason, target))
+        {
+          steer->lead->shares_epoch = steer->lead->plan->epoch + 1;
+          changed = true;
+        }
     }
   if (changed || budgets)
     changed = replan_budgets (steer, planned, limits) || changed;
--- a/src/steer.c
+++ b/src/steer.c
@@ -136,6 +136,30 @@
   return true;
 }
 
+static void
+forward_report (Steer *steer, SteerReport *kept, NetAddr planner)
+{
+  kept->report.age_ms = (u_int) (steer_now_ms (steer) - kept->received_at_ms);
+  onc_call (steer->client, planner, WIRE_REPORT, (xdrproc_t) xdr_wire_report, &kept->report,
+            (xdrproc_t) xdr_wire_none, sizeof (wire_none), REPORT_FORWARD_TIMEOUT_MS,
+            on_report_sent, NULL);
+}
+
+/* The planner waits for a new epoch to be in force, so that news does not wait for the timer. */
+static void
+forward_if_news (Steer *steer, const char *vm, uint64_t epoch_before, uint64_t settled_before)
+{
+  SteerReport *kept = g_hash_table_lookup (steer->reports, vm);
+  NetAddr planner;
+
+  if (kept == NULL
+      || (kept->report.plan_epoch == epoch_before
+          && kept->report.settled_epoch == settled_before))
+    return;
+  if (!ldr_is_planner (steer) && planner_addr (steer, &planner))
+    forward_report (steer, kept, planner);
+}
+
 static void
 on_report_tick (uv_timer_t *timer)
 {
@@ -151,12 +175,8 @@
     {
       SteerReport *kept = value;
       uint64_t age_ms = steer_now_ms (steer) - kept->received_at_ms;
-      if (!kept->direct || age_ms > REPORT_LIVE_MS)
-        continue;
-      kept->report.age_ms = (u_int)age_ms;
-      onc_call (steer->client, addr, WIRE_REPORT, (xdrproc_t)xdr_wire_report, &kept->report,
-                (xdrproc_t)xdr_wire_none, sizeof (wire_none), REPORT_FORWARD_TIMEOUT_MS,
-                on_report_sent, NULL);
+      if (kept->direct && age_ms <= REPORT_LIVE_MS)
+        forward_report (steer, kept, addr);
     }
 }
 
@@ -230,6 +250,9 @@
   Steer *steer = user;
   const wire_sync_args *in = args;
   wire_sync_reply *out = result;
+  const SteerReport *known;
+  uint64_t epoch = 0;
+  uint64_t settled = 0;
 
   steer->counters.syncs++;
   if (in->local && strcmp (in->vm, steer->vm) == 0)
@@ -237,7 +260,14 @@
       steer->local_sync_at_ms = steer_now_ms (steer);
       mem_set_self (&steer->members, in->leaving ? MEM_LEAVING : MEM_ALIVE, in->entry_incarnation);
     }
+  known = g_hash_table_lookup (steer->reports, in->report.vm);
+  if (known != NULL)
+    {
+      epoch = known->report.plan_epoch;
+      settled = known->report.settled_epoch;
+    }
   steer_take_report (steer, &in->report, true);
+  forward_if_news (steer, in->report.vm, epoch, settled);
   gsp_take_items (steer, in->items.items_val, in->items.items_len);
   out->revision = steer->objects.revision;
   out->joined = steer->joined;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,7 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${BUILD:-build}
-work=$(mktemp -d)
+work=${DEMO_DIR:-$(mktemp -d)}
+mkdir -p "$work"
 pids=()
 cleanup() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
@@ -12,7 +13,7 @@
     kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || true
   done
-  rm -rf "$work"
+  [ -n "${DEMO_DIR:-}" ] || rm -rf "$work"
 }
 trap cleanup EXIT
 start() { local name=$1; shift; "$@" 2>"$work/$name.log" & pids+=($!); last=$!; }
