--- a/src/edm.c
+++ b/src/edm.c
@@ -86,6 +86,8 @@
   json_object_set_int_member (root, "config_age_ms",
                               (gint64)(entry_now_ms (entry) - entry->cfg_since_ms));
   json_object_set_int_member (root, "plan_epoch", (gint64)entry->plan_epoch);
+  json_object_set_int_member (root, "config_errors",
+                              entry->cfg != NULL ? entry->cfg->errors->len : 0);
   json_object_set_int_member (root, "open_requests", entry->open_requests);
   g_hash_table_iter_init (&iter, entry->services);
   while (entry->cfg != NULL && g_hash_table_iter_next (&iter, NULL, &value))
--- a/src/steer.c
+++ b/src/steer.c
@@ -269,8 +269,8 @@
   steer_take_report (steer, &in->report, true);
   forward_if_news (steer, in->report.vm, epoch, settled);
   gsp_take_items (steer, in->items.items_val, in->items.items_len);
-  out->revision = steer->objects.revision;
   out->joined = steer->joined;
+  out->revision = steer->joined ? steer->objects.revision : 0;
   if (steer->joined)
     out->objects.objects_val = objects_since (steer, in->since, &out->objects.objects_len);
   out->items.items_val = gsp_fill_items (steer, 4096, true, &out->items.items_len);
--- a/src/syn.c
+++ b/src/syn.c
@@ -65,7 +65,7 @@
   bool config_changed = false;
   bool plan_changed = false;
 
-  if (reply->revision < entry->objects.revision)
+  if (!reply->joined || reply->revision < entry->objects.revision)
     return;
   for (u_int i = 0; i < reply->objects.objects_len; i++)
     {
--- /dev/null
+++ b/tests/test_bud.cc
@@ -0,0 +1,117 @@
+// Budgets: what entries may use together never exceeds the limit while plans are partly known.
+#include <glib.h>
+extern "C" {
+#include "bud.h"
+}
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+// An entry that takes a plan's row some plans late and reports settlement late.
+struct LateEntry {
+  std::string vm;
+  uint32_t plan = 0;
+  uint64_t epoch = 0;
+};
+
+TEST (Bud, GrowsOnlyAfterOthersSettled)
+{
+  BudTable table;
+  bud_init (&table);
+  bud_join (&table, "a", 1);
+  bud_join (&table, "b", 1);
+  uint64_t to_a[] = { 1, 0 };
+  uint64_t to_b[] = { 0, 1 };
+  EXPECT_TRUE (bud_replan (&table, 0, 10, to_a));
+  EXPECT_EQ (10u, bud_row (&table, "a", 1)->now[0]);
+  bud_replan (&table, 0, 10, to_b);
+  EXPECT_EQ (0u, bud_row (&table, "a", 1)->now[0]);
+  EXPECT_EQ (0u, bud_row (&table, "b", 1)->now[0]);
+  bud_settle (bud_row (&table, "a", 1));
+  bud_replan (&table, 0, 10, to_b);
+  EXPECT_EQ (10u, bud_row (&table, "b", 1)->now[0]);
+  bud_clear (&table);
+}
+
+TEST (Bud, NewProcessOfAVmStartsWithNothingWhileTheOldOneMayRun)
+{
+  BudTable table;
+  bud_init (&table);
+  bud_join (&table, "a", 1);
+  uint64_t one[] = { 1 };
+  bud_replan (&table, 0, 6, one);
+  bud_join (&table, "a", 2);
+  uint64_t two[] = { 1, 1 };
+  bud_replan (&table, 0, 6, two);
+  EXPECT_EQ (0u, bud_row (&table, "a", 2)->now[0]);
+  bud_remove (&table, "a", 1);
+  bud_replan (&table, 0, 6, one);
+  EXPECT_EQ (6u, bud_row (&table, "a", 2)->now[0]);
+  bud_clear (&table);
+}
+
+TEST (Bud, SumHoldsUnderLatePlansAndLateReports)
+{
+  for (uint32_t seed = 1; seed <= 3000; seed++) {
+    std::mt19937 random (seed);
+    BudTable table;
+    bud_init (&table);
+    std::vector<LateEntry> entries;
+    for (int i = 0; i < 2 + (int) (random () % 9); i++) {
+      entries.push_back ({ "e" + std::to_string (i), 0, 0 });
+      bud_join (&table, entries.back ().vm.c_str (), 1);
+    }
+    const uint32_t limit = 1 + random () % 60;
+    uint64_t epoch = 0;
+    std::vector<std::vector<uint32_t>> plans = { std::vector<uint32_t> (entries.size (), 0) };
+    for (int step = 0; step < 60; step++) {
+      std::vector<uint64_t> weights (entries.size ());
+      for (auto &weight : weights)
+        weight = random () % 5;
+      bud_replan (&table, 0, limit, weights.data ());
+      epoch++;
+      plans.emplace_back ();
+      for (auto &entry : entries)
+        plans.back ().push_back (bud_row (&table, entry.vm.c_str (), 1)->now[0]);
+      uint32_t sum = 0;
+      for (size_t i = 0; i < entries.size (); i++) {
+        if (random () % 3 == 0 && entries[i].epoch < epoch)
+          entries[i].epoch += 1 + random () % (epoch - entries[i].epoch);
+        entries[i].plan = plans[entries[i].epoch][i];
+        sum += entries[i].plan;
+        if (entries[i].epoch == epoch && random () % 2 == 0)
+          bud_settle (bud_row (&table, entries[i].vm.c_str (), 1));
+      }
+      ASSERT_LE (sum, limit) << "seed " << seed << " step " << step;
+      ASSERT_LE (bud_ceiling_sum (&table, 0), limit) << "seed " << seed;
+    }
+    bud_clear (&table);
+  }
+}
+
+TEST (Bud, UsesTheWholeLimitWhenAllSettle)
+{
+  BudTable table;
+  bud_init (&table);
+  for (int i = 0; i < 7; i++)
+    bud_join (&table, ("e" + std::to_string (i)).c_str (), 1);
+  uint64_t weights[] = { 3, 1, 4, 1, 5, 9, 2 };
+  bud_replan (&table, 2, 100, weights);
+  EXPECT_EQ (100u, bud_ceiling_sum (&table, 2));
+  bud_clear (&table);
+}
+
+TEST (Bud, EntrySideSpareAndSettlement)
+{
+  BudHold hold = { 4, 2, 1, 3 };
+  EXPECT_EQ (2u, bud_spare (&hold));
+  EXPECT_TRUE (bud_is_settled (&hold));
+  hold.plan = 1;
+  EXPECT_EQ (0u, bud_spare (&hold));
+  EXPECT_FALSE (bud_is_settled (&hold));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_cfg.cc
@@ -0,0 +1,125 @@
+// Configuration: each bad object is refused by name and leaves the rest in force.
+#include <glib.h>
+#include <rpc/rpc.h>
+extern "C" {
+#include "cfg.h"
+}
+#include <gtest/gtest.h>
+#include <string>
+
+namespace {
+
+const char kRegion[] = R"({"schema":1,"zones":["a1","a2"],"max_inflight":100,"headroom_pct":10})";
+const char kOther[] = R"({"schema":1,"zones":["b1"],"max_inflight":100})";
+const char kService[]
+    = R"({"schema":1,"upstreams":[{"id":"u1","addr":"127.0.0.1:1","zone":"a1","slots":6}]})";
+
+class CfgTest : public ::testing::Test {
+protected:
+  void SetUp () override
+  {
+    obj_init (&table_);
+    Put ("platform/regions/a", kRegion);
+    Put ("platform/regions/b", kOther);
+    Put ("teams/t1/services/desk", kService);
+  }
+  void TearDown () override { obj_clear (&table_); }
+  void Put (const std::string &path, const std::string &value)
+  {
+    obj_apply (&table_, path.c_str (), ++revision_, false, value.c_str ());
+    obj_advance (&table_, revision_);
+  }
+  std::string Check (const std::string &path, const std::string &value)
+  {
+    Err err = {};
+    return cfg_check_change (&table_, path.c_str (), value.c_str (), &err) ? "" : err.text;
+  }
+  void ExpectRefused (const std::string &path, const std::string &value, const std::string &why)
+  {
+    EXPECT_NE (std::string::npos, Check (path, value).find (why)) << Check (path, value);
+  }
+  ObjTable table_;
+  uint64_t revision_ = 0;
+};
+
+TEST_F (CfgTest, BuildsTheModel)
+{
+  Put ("platform/links/a~b", R"({"schema":1,"bytes_per_s":35000000})");
+  Put ("platform/blocks/x", R"({"schema":1,"zone":"b1","blocks":["10.2.0.0/16"]})");
+  Cfg *cfg = cfg_build (&table_);
+  EXPECT_EQ (0u, cfg->errors->len);
+  EXPECT_EQ (3u, cfg->zones->len);
+  EXPECT_EQ (35000000u, cfg->link_bytes_per_s[0][1]);
+  EXPECT_EQ (1u, cfg->latency_ms[0][1]);
+  EXPECT_EQ (35u, cfg->latency_ms[0][2]);
+  EXPECT_EQ (2u, cfg_group_of (cfg, 0x0a020005));
+  EXPECT_EQ (6u, g_array_index (cfg_service (cfg, "desk")->upstreams, CfgUpstream, 0).slots);
+  cfg_free (cfg);
+}
+
+TEST_F (CfgTest, BadObjectLeavesTheRestInForce)
+{
+  Put ("teams/t1/services/broken", R"({"schema":1,"upstreams":"none"})");
+  Cfg *cfg = cfg_build (&table_);
+  ASSERT_EQ (1u, cfg->errors->len);
+  EXPECT_STREQ ("teams/t1/services/broken: field 'upstreams' must be a list",
+                (char *) cfg->errors->pdata[0]);
+  EXPECT_NE (nullptr, cfg_service (cfg, "desk"));
+  cfg_free (cfg);
+}
+
+TEST_F (CfgTest, EachFaultIsNamed)
+{
+  ExpectRefused ("teams/t1/services/x", "nonsense", "not a JSON object");
+  ExpectRefused ("teams/t1/services/x", R"({"upstreams":[]})", "'schema' is missing");
+  ExpectRefused ("teams/t1/services/x", R"({"schema":2,"upstreams":[]})", "'schema' is 2");
+  ExpectRefused ("teams/t1/services/x", R"({"schema":1,"upstreams":[],"colour":1})",
+                 "unknown field 'colour'");
+  ExpectRefused ("teams/t1/services/x", R"({"schema":1,"upstreams":[],"shift_cap_pct":101})",
+                 "accepted: 1..100");
+  ExpectRefused ("teams/t1/services/x", R"({"schema":1,"upstreams":[],"store_down":"maybe"})",
+                 "accepted: refuse|allow");
+  ExpectRefused (
+      "teams/t1/services/x",
+      R"({"schema":1,"upstreams":[{"id":"u","addr":"127.0.0.1:1","zone":"zz","slots":1}]})",
+      "unknown zone 'zz'");
+  ExpectRefused ("platform/regions/c", R"({"schema":1,"zones":["a1"],"max_inflight":1})", "a1");
+  ExpectRefused ("platform/links/a-b", R"({"schema":1,"bytes_per_s":5000})", "A~B");
+  ExpectRefused ("platform/blocks/x", R"({"schema":1,"zone":"a1","blocks":["10.0.0.1/8"]})",
+                 "10.0.0.1/8");
+  ExpectRefused ("elsewhere/x", "{}", "not a configuration path");
+  ExpectRefused ("teams/t1/x", "{}", "teams/TEAM/services/NAME");
+}
+
+TEST_F (CfgTest, TeamsStayInTheirSubtree)
+{
+  ExpectRefused ("teams/t2/services/desk", kService, "declared by team 't1'");
+  ExpectRefused ("teams/t2/drains/x", R"({"schema":1,"kind":"vm","target":"u1"})",
+                 "in this team's services");
+  ExpectRefused ("teams/t1/drains/x", R"({"schema":1,"kind":"zone","target":"a1"})",
+                 "own services only");
+  EXPECT_EQ ("", Check ("teams/t1/drains/x", R"({"schema":1,"kind":"vm","target":"u1"})"));
+}
+
+TEST_F (CfgTest, RegionLimitIsRefusedWithTheSum)
+{
+  const char *big = R"({"schema":1,"upstreams":[],"guaranteed_inflight":{"a":60}})";
+  EXPECT_EQ ("", Check ("teams/t1/services/one", big));
+  Put ("teams/t1/services/one", big);
+  ExpectRefused ("teams/t2/services/two", big, "sums to 120");
+  ExpectRefused ("teams/t2/services/two", big, "= 90");
+}
+
+TEST_F (CfgTest, DrainAndVmListMarkUpstreams)
+{
+  Put ("platform/drains/d", R"({"schema":1,"kind":"region","target":"a"})");
+  Put ("vms/u1", R"({"schema":1,"role":"upstream","zone":"a1","state":"leaving"})");
+  Cfg *cfg = cfg_build (&table_);
+  EXPECT_TRUE (cfg_zone (cfg, 0)->drained);
+  EXPECT_TRUE (cfg_zone (cfg, 1)->drained);
+  EXPECT_FALSE (cfg_zone (cfg, 2)->drained);
+  EXPECT_TRUE (g_array_index (cfg_service (cfg, "desk")->upstreams, CfgUpstream, 0).leaving);
+  cfg_free (cfg);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_hlt.cc
@@ -0,0 +1,99 @@
+// Upstream health: hysteresis, bounded ejection, ramp, and distrust of load reports.
+#include <glib.h>
+extern "C" {
+#include "hlt.h"
+}
+#include <gtest/gtest.h>
+
+namespace {
+
+class HltTest : public ::testing::Test {
+protected:
+  void SetUp () override
+  {
+    Err err = {};
+    ASSERT_TRUE (hlt_chart_load (&chart_, "charts", &err)) << err.text;
+    hlt_init (&hlt_, &chart_);
+  }
+  Chart chart_;
+  Hlt hlt_;
+};
+
+TEST_F (HltTest, OneFailedProbeDoesNotTakeItDown)
+{
+  hlt_probe (&hlt_, &chart_, true, 1);
+  EXPECT_EQ (HLT_UP, hlt_.state);
+  for (int i = 1; i < HEALTH_FAILS_TO_DOWN; i++)
+    hlt_probe (&hlt_, &chart_, false, 2);
+  EXPECT_EQ (HLT_UP, hlt_.state);
+  hlt_probe (&hlt_, &chart_, false, 3);
+  EXPECT_EQ (HLT_DOWN, hlt_.state);
+  hlt_probe (&hlt_, &chart_, true, 4);
+  EXPECT_EQ (HLT_DOWN, hlt_.state);
+  hlt_probe (&hlt_, &chart_, true, 5);
+  EXPECT_EQ (HLT_UP, hlt_.state);
+}
+
+TEST_F (HltTest, ComingUpAgainStartsOnARamp)
+{
+  hlt_probe (&hlt_, &chart_, true, 1);
+  EXPECT_EQ (1000u, hlt_ramp_permille (&hlt_, 1));
+  for (int i = 0; i < HEALTH_FAILS_TO_DOWN; i++)
+    hlt_probe (&hlt_, &chart_, false, 2);
+  for (int i = 0; i < HEALTH_OKS_TO_UP; i++)
+    hlt_probe (&hlt_, &chart_, true, 100);
+  EXPECT_LT (hlt_ramp_permille (&hlt_, 100), 300u);
+  EXPECT_EQ (1000u, hlt_ramp_permille (&hlt_, 100 + RAMP_MS));
+}
+
+TEST_F (HltTest, EjectionIsBoundedAndEnds)
+{
+  hlt_probe (&hlt_, &chart_, true, 1);
+  EXPECT_FALSE (hlt_eject (&hlt_, &chart_, 1, 3, 10));
+  EXPECT_TRUE (hlt_eject (&hlt_, &chart_, 0, 3, 10));
+  EXPECT_FALSE (hlt_can_serve (&hlt_));
+  hlt_tick (&hlt_, &chart_, 10 + EJECT_MS - 1);
+  EXPECT_FALSE (hlt_can_serve (&hlt_));
+  hlt_tick (&hlt_, &chart_, 10 + EJECT_MS);
+  EXPECT_TRUE (hlt_can_serve (&hlt_));
+}
+
+TEST_F (HltTest, LeavingStopsNewWorkUntilItReturns)
+{
+  hlt_probe (&hlt_, &chart_, true, 1);
+  hlt_set_leaving (&hlt_, &chart_, true, 2);
+  EXPECT_FALSE (hlt_can_serve (&hlt_));
+  hlt_probe (&hlt_, &chart_, true, 3);
+  EXPECT_FALSE (hlt_can_serve (&hlt_));
+  hlt_set_leaving (&hlt_, &chart_, false, 4);
+  EXPECT_TRUE (hlt_can_serve (&hlt_));
+}
+
+TEST_F (HltTest, FalseIdleReportIsDistrustedAfterShedding)
+{
+  hlt_.load_permille = 0;
+  hlt_.load_at_ms = 1000;
+  EXPECT_EQ (0u, hlt_load_permille (&hlt_, 1000));
+  hlt_shed (&hlt_, 1000);
+  EXPECT_EQ (1000u, hlt_load_permille (&hlt_, 1000));
+  hlt_.load_at_ms = 2000;
+  EXPECT_GT (hlt_load_permille (&hlt_, 2000), 700u);
+}
+
+TEST_F (HltTest, OldReportCountsAsHalfLoad)
+{
+  hlt_.load_permille = 0;
+  hlt_.load_at_ms = 1000;
+  EXPECT_EQ (500u, hlt_load_permille (&hlt_, 1000 + LOAD_REPORT_MAX_AGE_MS));
+}
+
+TEST_F (HltTest, ErrorsInARowAskForEjection)
+{
+  hlt_probe (&hlt_, &chart_, true, 1);
+  for (int i = 1; i < EJECT_ERRORS; i++)
+    EXPECT_FALSE (hlt_request (&hlt_, false));
+  EXPECT_TRUE (hlt_request (&hlt_, false));
+  EXPECT_FALSE (hlt_request (&hlt_, true));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_obj.cc
@@ -0,0 +1,78 @@
+// Object table: revisions never go back, whatever order changes come in.
+#include <glib.h>
+extern "C" {
+#include "obj.h"
+}
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+class ObjTest : public ::testing::Test {
+protected:
+  void SetUp () override { obj_init (&table_); }
+  void TearDown () override { obj_clear (&table_); }
+  ObjTable table_;
+};
+
+TEST_F (ObjTest, OlderChangeIsIgnored)
+{
+  EXPECT_TRUE (obj_apply (&table_, "a", 5, false, "{}"));
+  EXPECT_FALSE (obj_apply (&table_, "a", 4, false, "{\"old\":1}"));
+  EXPECT_STREQ ("{}", obj_get (&table_, "a")->value);
+  EXPECT_TRUE (obj_advance (&table_, 5));
+  EXPECT_FALSE (obj_advance (&table_, 4));
+  EXPECT_EQ (5u, table_.revision);
+}
+
+TEST_F (ObjTest, DeletedObjectStaysDeletedAgainstAnOldList)
+{
+  obj_apply (&table_, "a", 5, false, "{}");
+  obj_apply (&table_, "a", 9, true, nullptr);
+  EXPECT_FALSE (obj_apply (&table_, "a", 5, false, "{}"));
+  EXPECT_EQ (nullptr, obj_get (&table_, "a"));
+}
+
+TEST_F (ObjTest, ReconcileDeletesOnlyWhatTheListCouldKnow)
+{
+  obj_apply (&table_, "gone", 5, false, "{}");
+  obj_apply (&table_, "new", 12, false, "{}");
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  obj_reconcile (&table_, listed, 10);
+  EXPECT_EQ (nullptr, obj_get (&table_, "gone"));
+  EXPECT_NE (nullptr, obj_get (&table_, "new"));
+  g_hash_table_unref (listed);
+}
+
+TEST_F (ObjTest, AnyOrderGivesTheSameTable)
+{
+  for (uint32_t seed = 1; seed <= 300; seed++) {
+    std::mt19937 random (seed);
+    ObjTable forward, shuffled;
+    obj_init (&forward);
+    obj_init (&shuffled);
+    struct Change { std::string path; uint64_t revision; bool deleted; };
+    std::vector<Change> changes;
+    for (uint64_t r = 1; r <= 30; r++)
+      changes.push_back ({ "p" + std::to_string (random () % 5), r, random () % 3 == 0 });
+    for (const Change &c : changes)
+      obj_apply (&forward, c.path.c_str (), c.revision, c.deleted, "{}");
+    std::shuffle (changes.begin (), changes.end (), random);
+    for (const Change &c : changes)
+      obj_apply (&shuffled, c.path.c_str (), c.revision, c.deleted, "{}");
+    for (int p = 0; p < 5; p++) {
+      std::string path = "p" + std::to_string (p);
+      const Obj *a = obj_get (&forward, path.c_str ());
+      const Obj *b = obj_get (&shuffled, path.c_str ());
+      ASSERT_EQ (a == nullptr, b == nullptr) << "seed " << seed;
+      if (a != nullptr)
+        ASSERT_EQ (a->revision, b->revision);
+    }
+    obj_clear (&forward);
+    obj_clear (&shuffled);
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_poi.cc
@@ -0,0 +1,53 @@
+// Poison requests: crashes counted by fingerprint.
+#include <glib.h>
+extern "C" {
+#include "poi.h"
+}
+#include <gtest/gtest.h>
+
+namespace {
+
+class PoiTest : public ::testing::Test {
+protected:
+  void SetUp () override { poi_init (&table_); }
+  void TearDown () override { poi_clear (&table_); }
+  PoiTable table_;
+};
+
+TEST_F (PoiTest, FingerprintIsTheSameForAResendOnly)
+{
+  uint64_t a = poi_fingerprint ("GET", "/a", "x", 1);
+  EXPECT_EQ (a, poi_fingerprint ("GET", "/a", "x", 1));
+  EXPECT_NE (a, poi_fingerprint ("GET", "/a", "y", 1));
+  EXPECT_NE (a, poi_fingerprint ("PUT", "/a", "x", 1));
+  EXPECT_NE (poi_fingerprint ("GET", "/ab", "", 0), poi_fingerprint ("GET", "/a", "b", 1));
+}
+
+TEST_F (PoiTest, CountsForgetsAndClears)
+{
+  poi_crash (&table_, 7, 100);
+  EXPECT_EQ (2u, poi_crash (&table_, 7, 200)->crashes);
+  EXPECT_EQ (2u, poi_crashes (&table_, 7, 200 + POISON_TTL_MS - 1));
+  EXPECT_EQ (0u, poi_crashes (&table_, 7, 200 + POISON_TTL_MS));
+  poi_expire (&table_, 200 + POISON_TTL_MS);
+  EXPECT_EQ (0u, g_hash_table_size (table_.by_fingerprint));
+  poi_crash (&table_, 8, 1);
+  poi_clear_suspect (&table_, 8);
+  EXPECT_EQ (0u, poi_crashes (&table_, 8, 1));
+}
+
+TEST_F (PoiTest, NewsFromOthersNeverLowersTheCount)
+{
+  EXPECT_TRUE (poi_learn (&table_, 9, 2, 50));
+  EXPECT_FALSE (poi_learn (&table_, 9, 1, 60));
+  EXPECT_EQ (2u, poi_crashes (&table_, 9, 60));
+}
+
+TEST_F (PoiTest, TableIsBounded)
+{
+  for (uint64_t i = 0; i < 3 * POISON_ENTRIES_MAX; i++)
+    poi_crash (&table_, i, 1);
+  EXPECT_LE (g_hash_table_size (table_.by_fingerprint), (guint) POISON_ENTRIES_MAX);
+}
+
+} // namespace
