Budgets settle by zone, a leaving entry lends all it has, and loans of ended processes come back

Cause: one unsettled loan kept all of an entry's zones unsettled, a draining entry refused to lend, and a lender never got back what a crashed borrower held. Change: reports carry use by zone; ceilings fall to the larger of use and allotment; members state the last entry incarnation known to have ended.

--- a/src/bud.c
+++ b/src/bud.c
@@ -52,10 +52,22 @@
   return row_at (table, table->rows->len - 1);
 }
 
+bool
+bud_settle (BudRow *row, uint32_t zone, uint32_t in_use)
+{
+  uint32_t ceiling = MAX (row->now[zone], in_use);
+
+  if (ceiling >= row->ceiling[zone])
+    return false;
+  row->ceiling[zone] = ceiling;
+  return true;
+}
+
 void
-bud_settle (BudRow *row)
+bud_end (BudRow *row, uint32_t zone, uint32_t lent)
 {
-  memcpy (row->ceiling, row->now, sizeof row->ceiling);
+  row->now[zone] = 0;
+  row->ceiling[zone] = MIN (row->ceiling[zone], lent);
 }
 
 void
@@ -173,16 +185,19 @@
   return held > used ? (uint32_t)(held - used) : 0;
 }
 
-bool
-bud_is_settled (const BudHold *hold)
+uint32_t
+bud_in_use (const BudHold *hold)
 {
-  return (uint64_t)hold->plan + hold->borrowed >= (uint64_t)hold->lent + hold->in_flight;
+  uint64_t used = (uint64_t) hold->lent + hold->in_flight;
+
+  return used > hold->borrowed ? (uint32_t) (used - hold->borrowed) : 0;
 }
 
 uint32_t
-bud_lend (BudHold *hold, uint32_t wanted)
+bud_lend (BudHold *hold, uint32_t wanted, bool all)
 {
-  uint32_t lent = MIN (wanted, (bud_spare (hold) + 1) / 2);
+  uint32_t spare = bud_spare (hold);
+  uint32_t lent = MIN (wanted, all ? spare : (spare + 1) / 2);
 
   hold->lent += lent;
   return lent;
--- a/src/bud.h
+++ b/src/bud.h
@@ -35,8 +35,15 @@
 /** bud_join() - adds a row without budget for a new process; rows of the VM's older ones die. */
 BudRow *bud_join (BudTable *table, const char *vm, uint64_t incarnation);
 
-/** bud_settle() - the entry uses no more than its allotment of the current plan. */
-void bud_settle (BudRow *row);
+/**
+ * bud_settle() - an entry that has the current plan in force states what it uses of a zone
+ *
+ * It cannot use more than the larger of that and its allotment. Return: true when that frees some.
+ */
+bool bud_settle (BudRow *row, uint32_t zone, uint32_t in_use);
+
+/** bud_end() - the entry's process has ended and leaves @lent in use by others. */
+void bud_end (BudRow *row, uint32_t zone, uint32_t lent);
 
 /** bud_remove() - releases a row whose process has ended and whose loans are known. */
 void bud_remove (BudTable *table, const char *vm, uint64_t incarnation);
@@ -72,11 +79,11 @@
 /** bud_spare() - requests that may start now; 0 when the budget is used or overdrawn. */
 uint32_t bud_spare (const BudHold *hold);
 
-/** bud_is_settled() - nothing beyond the plan's allotment is in use or lent. */
-bool bud_is_settled (const BudHold *hold);
+/** bud_in_use() - requests in flight and lent, less borrowed. */
+uint32_t bud_in_use (const BudHold *hold);
 
-/** bud_lend() - hands out up to @wanted, at most half of what is spare; returns the loan. */
-uint32_t bud_lend (BudHold *hold, uint32_t wanted);
+/** bud_lend() - hands out up to @wanted, at most half of what is spare unless @all may go. */
+uint32_t bud_lend (BudHold *hold, uint32_t wanted, bool all);
 
 /** bud_give_back() - takes unused borrowed budget out of use; returns the slots to send back. */
 uint32_t bud_give_back (BudHold *hold, uint32_t wanted);
--- a/src/entry.h
+++ b/src/entry.h
@@ -165,7 +165,6 @@
 void esv_config_changed (Entry *entry);
 void esv_plan_changed (Entry *entry, const Plan *plan);
 void esv_tick (Entry *entry);
-bool esv_settled (Entry *entry);
 void esv_count (Entry *entry, EntryUsage *usage, int32_t change);
 
 /** esv_pick() - an upstream of the zone that may take a request now, or NULL. */
--- a/src/esv.c
+++ b/src/esv.c
@@ -380,20 +380,6 @@
 
 /* ---- Budgets and usage ---- */
 
-bool
-esv_settled (Entry *entry)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, entry->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    for (uint32_t z = 0; z < ZONES_MAX; z++)
-      if (!bud_is_settled (&((EntryService *)value)->holds[z]))
-        return false;
-  return true;
-}
-
 void
 esv_count (Entry *entry, EntryUsage *usage, int32_t change)
 {
--- a/src/ldr.c
+++ b/src/ldr.c
@@ -589,6 +589,43 @@
   return sum;
 }
 
+static bool
+settle_row (const Steer *steer, const PlnService *planned, BudRow *row, const wire_report *report)
+{
+  bool changed = false;
+
+  for (u_int i = 0; i < report->holds.holds_len; i++)
+    {
+      const wire_hold *hold = &report->holds.holds_val[i];
+      uint32_t zone = cfg_zone_index (steer->cfg, hold->zone);
+      if (zone == ZONE_NONE || strcmp (hold->service, planned->name) != 0)
+        continue;
+      changed = bud_settle (row, zone, hold->in_use) || changed;
+    }
+  return changed;
+}
+
+/* An entry that ended by plan states what it lent; the rest of its allotment is free at once. */
+static bool
+end_row (const Steer *steer, const PlnService *planned, BudRow *row, const wire_report *report)
+{
+  uint32_t before = 0;
+  uint32_t after = 0;
+
+  for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
+    before += row->ceiling[z];
+  for (u_int i = 0; i < report->holds.holds_len; i++)
+    {
+      const wire_hold *hold = &report->holds.holds_val[i];
+      uint32_t zone = cfg_zone_index (steer->cfg, hold->zone);
+      if (zone != ZONE_NONE && strcmp (hold->service, planned->name) == 0)
+        bud_end (row, zone, hold->in_use);
+    }
+  for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
+    after += row->ceiling[z];
+  return after < before;
+}
+
 static bool
 settle_rows (Steer *steer, PlnService *planned)
 {
@@ -598,11 +635,12 @@
     {
       BudRow *row = &g_array_index (planned->budgets.rows, BudRow, i);
       const SteerReport *report = live_report (steer, row);
-      if (report == NULL || report->report.settled_epoch < steer->lead->plan->epoch
-          || memcmp (row->now, row->ceiling, sizeof row->now) == 0)
+      if (report == NULL)
         continue;
-      bud_settle (row);
-      changed = true;
+      if (report->report.ended)
+        changed = end_row (steer, planned, row, &report->report) || changed;
+      else if (report->report.plan_epoch >= steer->lead->plan->epoch)
+        changed = settle_row (steer, planned, row, &report->report) || changed;
     }
   return changed;
 }
--- a/src/liv.c
+++ b/src/liv.c
@@ -33,6 +33,7 @@
   kept->report.ended = true;
   kept->received_at_ms = steer_now_ms (steer);
   mem_set_self (&steer->members, MEM_ALIVE, 0);
+  mem_set_entry_ended (&steer->members, kept->report.incarnation);
   if (ldr_is_planner (steer))
     ldr_take_report (steer, &kept->report);
 }
--- a/src/lot.c
+++ b/src/lot.c
@@ -30,12 +30,12 @@
   BudHold *hold = hold_of (entry, in->service, in->zone);
   char place[2 * NAME_MAX_BYTES + 4];
 
-  if (hold == NULL || entry->state != ENTRY_SERVING)
+  if (hold == NULL || entry->state == ENTRY_JOINING || entry->state == ENTRY_STOPPED)
     return true;
   g_snprintf (place, sizeof place, "%s/%s", in->service, in->zone);
   out->lender_incarnation = entry->incarnation;
   out->slots = lon_request (&entry->loan_book, in->borrower, in->incarnation, in->sequence, place,
-                            hold, MIN (in->slots, LOAN_MAX_SLOTS));
+                            hold, MIN (in->slots, LOAN_MAX_SLOTS), entry->state == ENTRY_DRAINING);
   entry->counters.loans_granted += out->slots;
   return true;
 }
@@ -171,29 +171,24 @@
             (xdrproc_t)xdr_wire_none, sizeof (wire_none), LOAN_REPLY_MAX_MS, on_stated, NULL);
 }
 
+/* Unused budget goes back after a while, and at once when this entry stops. */
 static void
 return_idle (Entry *entry, EntryService *service, EntryLoan *loan)
 {
   BudHold *hold = &service->holds[loan->zone];
   uint64_t now_ms = entry_now_ms (entry);
+  uint32_t returned = 0;
 
   if (bud_spare (hold) == 0)
     loan->used_at_ms = now_ms;
-  if (now_ms - loan->used_at_ms >= LOAN_IDLE_MS)
-    loan->slots -= bud_give_back (hold, loan->slots);
-  if (!loan->asking && now_ms - loan->stated_at_ms >= LOAN_STATE_PERIOD_MS)
+  if (now_ms - loan->used_at_ms >= LOAN_IDLE_MS || entry->state == ENTRY_STOPPED)
+    returned = bud_give_back (hold, loan->slots);
+  loan->slots -= returned;
+  if (!loan->asking
+      && (returned > 0 || now_ms - loan->stated_at_ms >= LOAN_STATE_PERIOD_MS))
     state_held (entry, service, loan);
 }
 
-static bool
-lender_is_gone (const Entry *entry, const EntryLoan *loan)
-{
-  const MemMember *member = mem_get (&entry->members, loan->lender);
-
-  return member == NULL || member->state == MEM_DEAD
-         || (member->entry_incarnation != 0 && member->entry_incarnation != loan->incarnation);
-}
-
 static void
 tick_service (Entry *entry, EntryService *service)
 {
@@ -205,11 +200,30 @@
     {
       EntryLoan *loan = service->loans->pdata[i - 1];
       return_idle (entry, service, loan);
-      if (loan->slots == 0 && !loan->asking && lender_is_gone (entry, loan))
+      if (loan->slots == 0 && !loan->asking
+          && mem_entry_has_ended (&entry->members, loan->lender, loan->incarnation))
         g_ptr_array_remove_index (service->loans, i - 1);
     }
 }
 
+static bool
+borrower_is_gone (void *user, const char *borrower, uint64_t incarnation)
+{
+  return mem_entry_has_ended (&((Entry *) user)->members, borrower, incarnation);
+}
+
+static BudHold *
+hold_of_place (void *user, const char *place)
+{
+  char **parts = g_strsplit (place, "/", 2);
+  BudHold *hold = hold_of (user, parts[0], parts[1]);
+
+  g_strfreev (parts);
+  return hold;
+}
+
+static const LonSweep sweep = { .is_gone = borrower_is_gone, .hold_of = hold_of_place };
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -219,35 +233,57 @@
 
   if (entry->cfg == NULL || entry->baseline)
     return;
+  lon_sweep (&entry->loan_book, &sweep, entry);
   g_hash_table_iter_init (&iter, entry->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     tick_service (entry, value);
 }
 
+static void
+add_loans (const Entry *entry, const EntryService *service, GArray *loans)
+{
+  for (uint32_t i = 0; i < service->loans->len; i++)
+    {
+      const EntryLoan *loan = service->loans->pdata[i];
+      wire_loan out = { .service = g_strdup (service->name),
+                        .zone = g_strdup (cfg_zone (entry->cfg, loan->zone)->name),
+                        .lender = g_strdup (loan->lender),
+                        .lender_incarnation = loan->incarnation,
+                        .slots = loan->slots };
+      g_array_append_val (loans, out);
+    }
+}
+
+static void
+add_holds (const Entry *entry, const EntryService *service, GArray *holds)
+{
+  for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
+    {
+      wire_hold out = { .service = g_strdup (service->name),
+                        .zone = g_strdup (cfg_zone (entry->cfg, z)->name),
+                        .in_use = bud_in_use (&service->holds[z]) };
+      g_array_append_val (holds, out);
+    }
+}
+
 void
 lot_fill_report (const Entry *entry, wire_report *report)
 {
   GHashTableIter iter;
   gpointer value;
   GArray *loans = g_array_new (FALSE, TRUE, sizeof (wire_loan));
+  GArray *holds = g_array_new (FALSE, TRUE, sizeof (wire_hold));
 
   g_hash_table_iter_init (&iter, entry->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const EntryService *service = value;
-      for (uint32_t i = 0; i < service->loans->len; i++)
-        {
-          const EntryLoan *loan = service->loans->pdata[i];
-          wire_loan out = { .service = g_strdup (service->name),
-                            .zone = g_strdup (cfg_zone (entry->cfg, loan->zone)->name),
-                            .lender = g_strdup (loan->lender),
-                            .lender_incarnation = loan->incarnation,
-                            .slots = loan->slots };
-          g_array_append_val (loans, out);
-        }
+      add_loans (entry, value, loans);
+      add_holds (entry, value, holds);
     }
   report->loans.loans_len = loans->len;
-  report->loans.loans_val = (wire_loan *)(void *)g_array_free (loans, FALSE);
+  report->loans.loans_val = (wire_loan *) (void *) g_array_free (loans, FALSE);
+  report->holds.holds_len = holds->len;
+  report->holds.holds_val = (wire_hold *) (void *) g_array_free (holds, FALSE);
 }
 
 void
--- a/src/mem.c
+++ b/src/mem.c
@@ -57,6 +57,28 @@
   self->sends_left = SENDS_PER_NEWS;
 }
 
+void
+mem_set_entry_ended (MemTable *table, uint64_t incarnation)
+{
+  MemMember *self = mem_self (table);
+
+  if (self->entry_ended >= incarnation)
+    return;
+  self->entry_ended = incarnation;
+  self->refutation++;
+  self->sends_left = SENDS_PER_NEWS;
+}
+
+/* A newer process of the same VM listens on the same port, so the older one has ended. */
+bool
+mem_entry_has_ended (const MemTable *table, const char *vm, uint64_t incarnation)
+{
+  const MemMember *member = mem_get (table, vm);
+
+  return member == NULL || member->entry_ended >= incarnation
+         || member->entry_incarnation > incarnation;
+}
+
 static bool
 is_newer (const wire_member *news, const MemMember *known)
 {
@@ -79,6 +101,7 @@
   member->incarnation = news->incarnation;
   member->refutation = news->refutation;
   member->entry_incarnation = news->entry_incarnation;
+  member->entry_ended = MAX (member->entry_ended, news->entry_ended);
   member->state = news->state;
   member->state_at_ms = now_ms;
   member->sends_left = SENDS_PER_NEWS;
@@ -181,6 +204,7 @@
                         .incarnation = member->incarnation,
                         .refutation = member->refutation,
                         .entry_incarnation = member->entry_incarnation,
+                        .entry_ended = member->entry_ended,
                         .state = member->state };
   out->entry_http = g_strdup (net_addr_text (member->entry_http, text));
   out->entry_rpc = g_strdup (net_addr_text (member->entry_rpc, text));
--- a/src/mem.h
+++ b/src/mem.h
@@ -15,6 +15,7 @@
 /**
  * struct MemMember - one VM as last heard of
  * @refutation: raised by the member itself when it contradicts what is said of it
+ * @entry_ended: last incarnation of its entry that is known to have ended
  * @heard_at_ms: last direct answer, 0 for none
  * @sends_left: how often the news about it is still passed on
  */
@@ -29,6 +30,7 @@
   uint64_t incarnation;
   uint64_t refutation;
   uint64_t entry_incarnation;
+  uint64_t entry_ended;
   int32_t state;
   uint64_t state_at_ms;
   uint64_t heard_at_ms;
@@ -49,6 +51,12 @@
 /** mem_set_self() - states a new state and entry process of the own VM. */
 void mem_set_self (MemTable *table, int32_t state, uint64_t entry_incarnation);
 
+/** mem_set_entry_ended() - the own VM's entry process is known to have ended. */
+void mem_set_entry_ended (MemTable *table, uint64_t incarnation);
+
+/** mem_entry_has_ended() - a VM's entry process with that incarnation runs no more. */
+bool mem_entry_has_ended (const MemTable *table, const char *vm, uint64_t incarnation);
+
 /** mem_learn() - takes news; true when it was newer than what was known. */
 bool mem_learn (MemTable *table, const wire_member *news, uint64_t now_ms);
 
--- a/src/steer.c
+++ b/src/steer.c
@@ -147,14 +147,12 @@
 
 /* The planner waits for a new epoch to be in force, so that news does not wait for the timer. */
 static void
-forward_if_news (Steer *steer, const char *vm, uint64_t epoch_before, uint64_t settled_before)
+forward_if_news (Steer *steer, const char *vm, uint64_t epoch_before)
 {
   SteerReport *kept = g_hash_table_lookup (steer->reports, vm);
   NetAddr planner;
 
-  if (kept == NULL
-      || (kept->report.plan_epoch == epoch_before
-          && kept->report.settled_epoch == settled_before))
+  if (kept == NULL || (kept->report.plan_epoch == epoch_before && !kept->report.ended))
     return;
   if (!ldr_is_planner (steer) && planner_addr (steer, &planner))
     forward_report (steer, kept, planner);
@@ -252,7 +250,6 @@
   wire_sync_reply *out = result;
   const SteerReport *known;
   uint64_t epoch = 0;
-  uint64_t settled = 0;
 
   steer->counters.syncs++;
   if (in->local && strcmp (in->vm, steer->vm) == 0)
@@ -262,12 +259,9 @@
     }
   known = g_hash_table_lookup (steer->reports, in->report.vm);
   if (known != NULL)
-    {
-      epoch = known->report.plan_epoch;
-      settled = known->report.settled_epoch;
-    }
+    epoch = known->report.plan_epoch;
   steer_take_report (steer, &in->report, true);
-  forward_if_news (steer, in->report.vm, epoch, settled);
+  forward_if_news (steer, in->report.vm, epoch);
   gsp_take_items (steer, in->items.items_val, in->items.items_len);
   out->joined = steer->joined;
   out->revision = steer->joined ? steer->objects.revision : 0;
@@ -428,7 +422,8 @@
 
   if (steer->local_sync_at_ms != 0
       && steer_now_ms (steer) - steer->local_sync_at_ms > MEMBER_SUSPECT_MS)
-    mem_set_self (&steer->members, MEM_ALIVE, 0);
+    mem_set_self (&steer->members, MEM_LEAVING,
+                  mem_self (&steer->members)->entry_incarnation);
   if (steer->joined || steer->objects.revision == 0)
     return;
   if (!asked && up_ms < JOIN_WAIT_MS)
--- a/src/syn.c
+++ b/src/syn.c
@@ -175,7 +175,6 @@
   report->incarnation = entry->incarnation;
   report->plan_epoch = entry->plan_epoch;
   report->ended = entry->state == ENTRY_STOPPED;
-  report->settled_epoch = esv_settled (entry) ? entry->plan_epoch : 0;
   if (entry->cfg == NULL)
     return;
   report->usage.usage_val = g_new0 (wire_usage, count_usage (entry) + 1);
--- a/src/wire.h
+++ b/src/wire.h
@@ -36,6 +36,7 @@
 	u_quad_t incarnation;
 	u_quad_t refutation;
 	u_quad_t entry_incarnation;
+	u_quad_t entry_ended;
 	int state;
 };
 typedef struct wire_member wire_member;
@@ -117,11 +118,17 @@
 };
 typedef struct wire_loan wire_loan;
 
+struct wire_hold {
+	wire_name service;
+	wire_name zone;
+	u_int in_use;
+};
+typedef struct wire_hold wire_hold;
+
 struct wire_report {
 	wire_name vm;
 	u_quad_t incarnation;
 	u_quad_t plan_epoch;
-	u_quad_t settled_epoch;
 	u_int age_ms;
 	bool_t ended;
 	struct {
@@ -132,6 +139,10 @@
 		u_int loans_len;
 		wire_loan *loans_val;
 	} loans;
+	struct {
+		u_int holds_len;
+		wire_hold *holds_val;
+	} holds;
 };
 typedef struct wire_report wire_report;
 
@@ -257,6 +268,7 @@
 extern  bool_t xdr_wire_fetch_reply (XDR *, wire_fetch_reply*);
 extern  bool_t xdr_wire_usage (XDR *, wire_usage*);
 extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
+extern  bool_t xdr_wire_hold (XDR *, wire_hold*);
 extern  bool_t xdr_wire_report (XDR *, wire_report*);
 extern  bool_t xdr_wire_sync_args (XDR *, wire_sync_args*);
 extern  bool_t xdr_wire_sync_reply (XDR *, wire_sync_reply*);
@@ -279,6 +291,7 @@
 extern bool_t xdr_wire_fetch_reply ();
 extern bool_t xdr_wire_usage ();
 extern bool_t xdr_wire_loan ();
+extern bool_t xdr_wire_hold ();
 extern bool_t xdr_wire_report ();
 extern bool_t xdr_wire_sync_args ();
 extern bool_t xdr_wire_sync_reply ();
--- a/src/wire.x
+++ b/src/wire.x
@@ -10,7 +10,8 @@
   string value<1048576>;
 };
 
-/* State of a member: 0 alive, 1 leaving, 2 suspect, 3 dead. */
+/* State of a member: 0 alive, 1 leaving, 2 suspect, 3 dead.
+ * entry_ended is the last incarnation of its entry that is known to have ended. */
 struct wire_member {
   wire_name vm;
   wire_name region;
@@ -21,6 +22,7 @@
   unsigned hyper incarnation;
   unsigned hyper refutation;
   unsigned hyper entry_incarnation;
+  unsigned hyper entry_ended;
   int state;
 };
 
@@ -88,15 +90,22 @@
   unsigned int slots;
 };
 
+/* What an entry uses of its budget: in flight and lent, less borrowed. */
+struct wire_hold {
+  wire_name service;
+  wire_name zone;
+  unsigned int in_use;
+};
+
 struct wire_report {
   wire_name vm;
   unsigned hyper incarnation;
   unsigned hyper plan_epoch;
-  unsigned hyper settled_epoch;
   unsigned int age_ms;
   bool ended;
   wire_usage usage<>;
   wire_loan loans<>;
+  wire_hold holds<>;
 };
 
 struct wire_sync_args {
--- a/src/wire_xdr.c
+++ b/src/wire_xdr.c
@@ -64,6 +64,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->entry_incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->entry_ended))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->state))
 		 return FALSE;
 	return TRUE;
@@ -215,6 +217,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_hold (XDR *xdrs, wire_hold *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_use))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_report (XDR *xdrs, wire_report *objp)
 {
@@ -226,8 +242,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->plan_epoch))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->settled_epoch))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ended))
@@ -238,6 +252,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, ~0,
 		sizeof (wire_loan), (xdrproc_t) xdr_wire_loan))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->holds.holds_val, (u_int *) &objp->holds.holds_len, ~0,
+		sizeof (wire_hold), (xdrproc_t) xdr_wire_hold))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_bud.cc
+++ b/tests/test_bud.cc
@@ -30,7 +30,7 @@
   bud_replan (&table, 0, 10, to_b);
   EXPECT_EQ (0u, bud_row (&table, "a", 1)->now[0]);
   EXPECT_EQ (0u, bud_row (&table, "b", 1)->now[0]);
-  bud_settle (bud_row (&table, "a", 1));
+  bud_settle (bud_row (&table, "a", 1), 0, 0);
   bud_replan (&table, 0, 10, to_b);
   EXPECT_EQ (10u, bud_row (&table, "b", 1)->now[0]);
   bud_clear (&table);
@@ -83,7 +83,7 @@
         entries[i].plan = plans[entries[i].epoch][i];
         sum += entries[i].plan;
         if (entries[i].epoch == epoch && random () % 2 == 0)
-          bud_settle (bud_row (&table, entries[i].vm.c_str (), 1));
+          bud_settle (bud_row (&table, entries[i].vm.c_str (), 1), 0, random () % (entries[i].plan + 1));
       }
       ASSERT_LE (sum, limit) << "seed " << seed << " step " << step;
       ASSERT_LE (bud_ceiling_sum (&table, 0), limit) << "seed " << seed;
@@ -92,6 +92,24 @@
   }
 }
 
+TEST (Bud, UseBeyondTheAllotmentStaysCounted)
+{
+  BudTable table;
+  bud_init (&table);
+  bud_join (&table, "a", 1);
+  bud_join (&table, "b", 1);
+  uint64_t to_a[] = { 1, 0 }, to_b[] = { 0, 1 };
+  bud_replan (&table, 0, 10, to_a);
+  bud_replan (&table, 0, 10, to_b);
+  EXPECT_TRUE (bud_settle (bud_row (&table, "a", 1), 0, 4));
+  bud_replan (&table, 0, 10, to_b);
+  EXPECT_EQ (6u, bud_row (&table, "b", 1)->now[0]);
+  bud_end (bud_row (&table, "a", 1), 0, 1);
+  bud_replan (&table, 0, 10, to_b);
+  EXPECT_EQ (9u, bud_row (&table, "b", 1)->now[0]);
+  bud_clear (&table);
+}
+
 TEST (Bud, UsesTheWholeLimitWhenAllSettle)
 {
   BudTable table;
@@ -108,10 +126,10 @@
 {
   BudHold hold = { 4, 2, 1, 3 };
   EXPECT_EQ (2u, bud_spare (&hold));
-  EXPECT_TRUE (bud_is_settled (&hold));
+  EXPECT_EQ (2u, bud_in_use (&hold));
   hold.plan = 1;
   EXPECT_EQ (0u, bud_spare (&hold));
-  EXPECT_FALSE (bud_is_settled (&hold));
+  EXPECT_EQ (2u, bud_in_use (&hold));
 }
 
 } // namespace
--- a/tests/test_lon.cc
+++ b/tests/test_lon.cc
@@ -68,7 +68,7 @@
           break;
         }
         uint32_t got = lon_request (&book, name.c_str (), 1, message.sequence, "s/z", &lender,
-                                    message.slots);
+                                    message.slots, false);
         Borrower &to = borrowers[message.borrower];
         if (to.asking && to.asked == message.sequence && random () % 3 != 0) {
           to.held += got;
@@ -90,7 +90,7 @@
   LonBook book;
   lon_init (&book);
   BudHold lender = { 8, 0, 0, 0 };
-  EXPECT_EQ (3u, lon_request (&book, "b", 1, 1, "s/z", &lender, 3));
+  EXPECT_EQ (3u, lon_request (&book, "b", 1, 1, "s/z", &lender, 3, false));
   EXPECT_EQ (5u, bud_spare (&lender));
   lon_statement (&book, "b", 1, 2, "s/z", &lender, 0);
   EXPECT_EQ (8u, bud_spare (&lender));
@@ -98,13 +98,34 @@
   lon_clear (&book);
 }
 
+bool OneIsGone (void *, const char *borrower, uint64_t incarnation)
+{
+  return std::string (borrower) == "b" && incarnation == 1;
+}
+
+BudHold *OnlyHold (void *user, const char *) { return static_cast<BudHold *> (user); }
+
+TEST (Lon, LoansOfAnEndedProcessComeBack)
+{
+  LonBook book;
+  lon_init (&book);
+  BudHold lender = { 8, 0, 0, 0 };
+  lon_request (&book, "b", 1, 1, "s/z", &lender, 2, true);
+  lon_request (&book, "b", 2, 1, "s/z", &lender, 3, true);
+  LonSweep sweep = { OneIsGone, OnlyHold };
+  lon_sweep (&book, &sweep, &lender);
+  EXPECT_EQ (3u, lender.lent);
+  EXPECT_EQ (3u, lon_lent (&book, "b", 2, "s/z"));
+  lon_clear (&book);
+}
+
 TEST (Lon, DoubledRequestGrantsOnce)
 {
   LonBook book;
   lon_init (&book);
   BudHold lender = { 8, 0, 0, 0 };
-  EXPECT_EQ (2u, lon_request (&book, "b", 1, 1, "s/z", &lender, 2));
-  EXPECT_EQ (0u, lon_request (&book, "b", 1, 1, "s/z", &lender, 2));
+  EXPECT_EQ (2u, lon_request (&book, "b", 1, 1, "s/z", &lender, 2, false));
+  EXPECT_EQ (0u, lon_request (&book, "b", 1, 1, "s/z", &lender, 2, false));
   EXPECT_EQ (2u, lender.lent);
   lon_clear (&book);
 }
