--- a/src/blk.c
+++ b/src/blk.c
@@ -34,7 +34,7 @@
 
   if (x->ip != y->ip)
     return x->ip < y->ip ? -1 : 1;
-  return (int)x->length - (int)y->length;
+  return (int) x->length - (int) y->length;
 }
 
 static void
@@ -52,7 +52,7 @@
       table->starts = g_renew (uint32_t, table->starts, table->room);
       table->groups = g_renew (uint16_t, table->groups, table->room);
     }
-  table->starts[table->count] = (uint32_t)start;
+  table->starts[table->count] = (uint32_t) start;
   table->groups[table->count] = group;
   table->count++;
 }
@@ -67,9 +67,9 @@
     {
       while (at + 1 < table->count && table->starts[at + 1] <= i << (32 - INDEX_BITS))
         at++;
-      table->index[i] = (uint32_t)at;
+      table->index[i] = (uint32_t) at;
     }
-  table->index[INDEX_SIZE] = (uint32_t)table->count - 1;
+  table->index[INDEX_SIZE] = (uint32_t) table->count - 1;
 }
 
 BlkTable *
@@ -84,7 +84,7 @@
   add_range (table, 0, BLK_NONE);
   for (size_t i = 0; i <= count; i++)
     {
-      uint64_t start = i < count ? blocks[i].ip : (uint64_t)UINT32_MAX + 1;
+      uint64_t start = i < count ? blocks[i].ip : (uint64_t) UINT32_MAX + 1;
       while (depth > 0 && open[depth - 1].end <= start)
         {
           depth--;
@@ -164,12 +164,12 @@
   char *end;
   const char *slash = strchr (text, '/');
 
-  if (slash == NULL || (size_t)(slash - text) >= sizeof host || !g_ascii_isdigit (slash[1]))
+  if (slash == NULL || (size_t) (slash - text) >= sizeof host || !g_ascii_isdigit (slash[1]))
     return 0;
-  g_strlcpy (host, text, (size_t)(slash - text) + 1);
+  g_strlcpy (host, text, (size_t) (slash - text) + 1);
   unsigned long length = strtoul (slash + 1, &end, 10);
   if (*end != '\0' || length > 32 || !net_ip_parse (host, &block->ip))
     return 0;
-  block->length = (uint8_t)length;
-  return length == 0 ? block->ip == 0 : (block->ip & (uint32_t)((1ull << (32 - length)) - 1)) == 0;
+  block->length = (uint8_t) length;
+  return length == 0 ? block->ip == 0 : (block->ip & (uint32_t) ((1ull << (32 - length)) - 1)) == 0;
 }
--- a/src/bud.c
+++ b/src/bud.c
@@ -108,7 +108,7 @@
   for (uint32_t i = 0; i < count && total > 0; i++)
     {
       uint64_t weight = row_at (table, i)->dead ? 0 : weights[i];
-      wanted[i] = (uint32_t)(weight * limit / total);
+      wanted[i] = (uint32_t) (weight * limit / total);
       rest[i] = weight * limit % total;
       given += wanted[i];
     }
@@ -179,10 +179,10 @@
 uint32_t
 bud_spare (const BudHold *hold)
 {
-  uint64_t held = (uint64_t)hold->plan + hold->borrowed;
-  uint64_t used = (uint64_t)hold->lent + hold->in_flight;
+  uint64_t held = (uint64_t) hold->plan + hold->borrowed;
+  uint64_t used = (uint64_t) hold->lent + hold->in_flight;
 
-  return held > used ? (uint32_t)(held - used) : 0;
+  return held > used ? (uint32_t) (held - used) : 0;
 }
 
 uint32_t
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -73,8 +73,8 @@
                NAME_MAX_BYTES - 1);
       return false;
     }
-  gint64 number = field->kind == FIELD_UINT ? json_node_get_int (node) : (gint64)field->min;
-  if (number < (gint64)field->min || (field->max > 0 && number > (gint64)field->max))
+  gint64 number = field->kind == FIELD_UINT ? json_node_get_int (node) : (gint64) field->min;
+  if (number < (gint64) field->min || (field->max > 0 && number > (gint64) field->max))
     {
       err_set (err, ERR_LAYER_CONFIG, 4,
                "field '%s' is %" G_GINT64_FORMAT "; accepted: %" G_GUINT64_FORMAT
@@ -100,7 +100,7 @@
         known = known || strcmp (field->name, item->data) == 0;
       if (!known)
         {
-          err_set (err, ERR_LAYER_CONFIG, 5, "unknown field '%s'", (char *)item->data);
+          err_set (err, ERR_LAYER_CONFIG, 5, "unknown field '%s'", (char *) item->data);
           ok = false;
         }
     }
@@ -198,8 +198,8 @@
 static bool
 read_region (Cfg *cfg, const char *name, JsonObject *object, Err *err)
 {
-  CfgRegion region = { .max_inflight = (uint32_t)jsn_uint (object, "max_inflight", 0),
-                       .headroom_pct = (uint32_t)jsn_uint (object, "headroom_pct", 10) };
+  CfgRegion region = { .max_inflight = (uint32_t) jsn_uint (object, "max_inflight", 0),
+                       .headroom_pct = (uint32_t) jsn_uint (object, "headroom_pct", 10) };
   JsonArray *zones = jsn_array (object, "zones");
   uint32_t zones_before = cfg->zones->len;
 
@@ -210,7 +210,7 @@
     }
   g_strlcpy (region.name, name, sizeof region.name);
   for (uint32_t i = 0; i < json_array_get_length (zones); i++)
-    if (!add_zone (cfg, (uint8_t)cfg->regions->len, element_text (zones, i), err))
+    if (!add_zone (cfg, (uint8_t) cfg->regions->len, element_text (zones, i), err))
       {
         g_array_set_size (cfg->zones, zones_before);
         return false;
@@ -229,7 +229,7 @@
       err_set (err, ERR_LAYER_CONFIG, 8, "the name must be 'A~B'");
       return false;
     }
-  g_strlcpy (a, name, (size_t)(mark - name) + 1);
+  g_strlcpy (a, name, (size_t) (mark - name) + 1);
   g_strlcpy (b, mark + 1, NAME_MAX_BYTES);
   return true;
 }
@@ -269,7 +269,7 @@
       err_set (err, ERR_LAYER_CONFIG, 10, "unknown zone '%s'", from == ZONE_NONE ? a : b);
       return false;
     }
-  cfg->latency_ms[from][to] = (uint32_t)jsn_uint (object, "ms", 0);
+  cfg->latency_ms[from][to] = (uint32_t) jsn_uint (object, "ms", 0);
   cfg->latency_ms[to][from] = cfg->latency_ms[from][to];
   return true;
 }
@@ -307,7 +307,7 @@
   if (!zone_of (cfg, object, &zone, err) || !addr_of (object, "steer", &vm.steer, err)
       || !addr_of (object, "entry", &vm.entry_http, err))
     return false;
-  vm.zone = (uint8_t)zone;
+  vm.zone = (uint8_t) zone;
   g_strlcpy (vm.name, name, sizeof vm.name);
   g_array_append_val (cfg->vms, vm);
   return true;
@@ -329,9 +329,9 @@
       || !addr_of (object, "addr", &upstream.addr, err))
     return false;
   g_strlcpy (upstream.id, jsn_text (object, "id", ""), sizeof upstream.id);
-  upstream.zone = (uint8_t)zone;
-  upstream.slots = (uint32_t)jsn_uint (object, "slots", 1);
-  upstream.max_connections = (uint32_t)jsn_uint (object, "max_connections", 300);
+  upstream.zone = (uint8_t) zone;
+  upstream.slots = (uint32_t) jsn_uint (object, "slots", 1);
+  upstream.max_connections = (uint32_t) jsn_uint (object, "max_connections", 300);
   for (uint32_t i = 0; i < service->upstreams->len; i++)
     if (strcmp (g_array_index (service->upstreams, CfgUpstream, i).id, upstream.id) == 0)
       {
@@ -355,9 +355,9 @@
       ok = region != ZONE_NONE;
       if (!ok)
         err_set (err, ERR_LAYER_CONFIG, 9, "guaranteed_inflight: unknown region '%s'",
-                 (char *)item->data);
+                 (char *) item->data);
       else
-        service->guaranteed_inflight[region] = (uint32_t)jsn_uint (guaranteed, item->data, 0);
+        service->guaranteed_inflight[region] = (uint32_t) jsn_uint (guaranteed, item->data, 0);
     }
   g_list_free (names);
   return ok;
@@ -370,10 +370,10 @@
   for (uint32_t r = 0; r < cfg->regions->len; r++)
     {
       const CfgRegion *region = cfg_region (cfg, r);
-      uint64_t limit = (uint64_t)region->max_inflight * (100 - region->headroom_pct) / 100;
+      uint64_t limit = (uint64_t) region->max_inflight * (100 - region->headroom_pct) / 100;
       uint64_t total = added->guaranteed_inflight[r];
       for (uint32_t i = 0; i < cfg->services->len; i++)
-        total += ((CfgService *)cfg->services->pdata[i])->guaranteed_inflight[r];
+        total += ((CfgService *) cfg->services->pdata[i])->guaranteed_inflight[r];
       if (total > limit)
         {
           err_set (err, ERR_LAYER_CONFIG, 13,
@@ -401,15 +401,15 @@
   JsonArray *upstreams = jsn_array (object, "upstreams");
   const char *store_down = jsn_text (object, "store_down", "refuse");
 
-  service->caps.cap_ppm = (uint32_t)jsn_uint (object, "shift_cap_pct", 10) * 10000;
-  service->caps.evacuation_cap_ppm = (uint32_t)jsn_uint (object, "evacuation_cap_pct", 50) * 10000;
+  service->caps.cap_ppm = (uint32_t) jsn_uint (object, "shift_cap_pct", 10) * 10000;
+  service->caps.evacuation_cap_ppm = (uint32_t) jsn_uint (object, "evacuation_cap_pct", 50) * 10000;
   service->caps.into_region_cap_ppm
-      = (uint32_t)jsn_uint (object, "into_region_cap_pct", jsn_uint (object, "shift_cap_pct", 10))
+      = (uint32_t) jsn_uint (object, "into_region_cap_pct", jsn_uint (object, "shift_cap_pct", 10))
         * 10000;
-  service->caps.period_ms = (uint32_t)jsn_uint (object, "shift_period_ms", 10000);
-  service->headroom_pct = (uint32_t)jsn_uint (object, "headroom_pct", 20);
-  service->retry_budget_pct = (uint32_t)jsn_uint (object, "retry_budget_pct", 10);
-  service->queue_wait_ms = (uint32_t)jsn_uint (object, "queue_wait_ms", QUEUE_WAIT_MS);
+  service->caps.period_ms = (uint32_t) jsn_uint (object, "shift_period_ms", 10000);
+  service->headroom_pct = (uint32_t) jsn_uint (object, "headroom_pct", 20);
+  service->retry_budget_pct = (uint32_t) jsn_uint (object, "retry_budget_pct", 10);
+  service->queue_wait_ms = (uint32_t) jsn_uint (object, "queue_wait_ms", QUEUE_WAIT_MS);
   service->store_down_allow = strcmp (store_down, "allow") == 0;
   if (!service->store_down_allow && strcmp (store_down, "refuse") != 0)
     {
@@ -530,7 +530,7 @@
 static bool
 read_drain (Cfg *cfg, const char *name, JsonObject *object, Err *err)
 {
-  (void)name;
+  (void) name;
   return read_drain_of (cfg, NULL, object, err);
 }
 
@@ -547,7 +547,7 @@
     return false;
   for (uint32_t i = 0; i < json_array_get_length (list); i++)
     {
-      BlkBlock block = { .group = (uint16_t)zone };
+      BlkBlock block = { .group = (uint16_t) zone };
       const char *text = element_text (list, i);
       if (text == NULL || !blk_block_parse (text, &block))
         {
@@ -717,7 +717,7 @@
   obj_each (table, "teams/", build_team_drain, &build);
   obj_each (table, "vms/", mark_leaving, &build);
   obj_each (table, "platform/blocks/", build_blocks, &build);
-  cfg->blocks = blk_build ((BlkBlock *)(void *)build.blocks->data, build.blocks->len);
+  cfg->blocks = blk_build ((BlkBlock *) (void *) build.blocks->data, build.blocks->len);
   g_array_unref (build.blocks);
   return cfg;
 }
@@ -769,7 +769,7 @@
       for (uint32_t k = 0; k < before->errors->len; k++)
         known = known || strcmp (before->errors->pdata[k], after->errors->pdata[i]) == 0;
       if (!known && err->code == 0)
-        err_set (err, ERR_LAYER_CONFIG, 22, "%s", (char *)after->errors->pdata[i]);
+        err_set (err, ERR_LAYER_CONFIG, 22, "%s", (char *) after->errors->pdata[i]);
     }
 }
 
@@ -834,7 +834,7 @@
 cfg_service (const Cfg *cfg, const char *name)
 {
   for (uint32_t i = 0; i < cfg->services->len; i++)
-    if (strcmp (((CfgService *)cfg->services->pdata[i])->name, name) == 0)
+    if (strcmp (((CfgService *) cfg->services->pdata[i])->name, name) == 0)
       return cfg->services->pdata[i];
   return NULL;
 }
--- a/src/chart.c
+++ b/src/chart.c
@@ -16,7 +16,7 @@
 static bool
 parse_initial (Chart *chart, char **words, uint32_t line, Err *err)
 {
-  chart->initial = (int8_t)index_of (chart->states, words[1]);
+  chart->initial = (int8_t) index_of (chart->states, words[1]);
   if (chart->initial == CHART_NONE)
     err_set (err, ERR_LAYER_CHART, 2, "%s line %u: unknown state '%s'", chart->name, line,
              words[1]);
@@ -48,7 +48,7 @@
                chart->name, line, words[1], words[2]);
       return false;
     }
-  chart->next[from][event] = (int8_t)to;
+  chart->next[from][event] = (int8_t) to;
   return true;
 }
 
@@ -131,8 +131,8 @@
   memset (chart->next, CHART_NONE, sizeof chart->next);
   chart->states = states;
   chart->events = events;
-  chart->state_count = g_strv_length ((char **)states);
-  chart->event_count = g_strv_length ((char **)events);
+  chart->state_count = g_strv_length ((char **) states);
+  chart->event_count = g_strv_length ((char **) events);
   chart->initial = CHART_NONE;
   char *base = g_path_get_basename (path);
   g_strlcpy (chart->name, base, sizeof chart->name);
--- a/src/clm.c
+++ b/src/clm.c
@@ -41,7 +41,7 @@
 static void
 claim_free (Clm *claim)
 {
-  uv_close ((uv_handle_t *)claim->timer, on_timer_closed);
+  uv_close ((uv_handle_t *) claim->timer, on_timer_closed);
   g_free (claim->path);
   g_free (claim->id);
   g_free (claim->record);
@@ -76,7 +76,7 @@
                                      answer->content_type != NULL ? answer->content_type : "");
       if (answer->body != NULL && answer->size <= CLAIM_ANSWER_MAX_BYTES)
         {
-          char *encoded = g_base64_encode ((const guchar *)answer->body, answer->size);
+          char *encoded = g_base64_encode ((const guchar *) answer->body, answer->size);
           json_object_set_string_member (object, "body", encoded);
           g_free (encoded);
         }
@@ -134,9 +134,9 @@
   const char *encoded = jsn_text (object, "body", NULL);
   gsize size = 0;
   guchar *body = encoded != NULL ? g_base64_decode (encoded, &size) : NULL;
-  ClmAnswer answer = { .status = (int)jsn_uint (object, "status", 200),
+  ClmAnswer answer = { .status = (int) jsn_uint (object, "status", 200),
                        .content_type = jsn_text (object, "content_type", ""),
-                       .body = (const char *)body,
+                       .body = (const char *) body,
                        .size = size };
 
   claim_end (claim, CLM_REPLAY, &answer);
@@ -153,7 +153,7 @@
   if (strcmp (jsn_text (object, "id", ""), claim->id) == 0 && strcmp (state, "claimed") == 0)
     {
       claim->entry->counters.claims_read_back++;
-      claim->version = (int64_t)version;
+      claim->version = (int64_t) version;
       claim_end (claim, CLM_WON, NULL);
     }
   else if (strcmp (jsn_text (object, "fingerprint", ""), fingerprint) != 0)
@@ -161,7 +161,7 @@
   else if (strcmp (state, "done") == 0)
     replay (claim, object);
   else if (strcmp (state, "not_run") == 0)
-    try_claim (claim, (int64_t)version);
+    try_claim (claim, (int64_t) version);
   else
     claim_end (claim, CLM_MAY_HAVE_RUN, NULL);
 }
@@ -199,12 +199,12 @@
 on_claimed (void *user, StoResult result, uint64_t version, const char *value)
 {
   Clm *claim = user;
-  (void)value;
+  (void) value;
 
   switch (result)
     {
     case STO_OK:
-      claim->version = (int64_t)version;
+      claim->version = (int64_t) version;
       claim_end (claim, CLM_WON, NULL);
       break;
     case STO_CONFLICT:
@@ -281,7 +281,7 @@
   g_clear_pointer (&root, json_node_unref);
   if (own)
     {
-      claim->version = (int64_t)version;
+      claim->version = (int64_t) version;
       try_record (claim);
     }
   else if (result == STO_OK || ++claim->tries >= CLAIM_RELEASE_TRIES)
@@ -294,8 +294,8 @@
 on_recorded (void *user, StoResult result, uint64_t version, const char *value)
 {
   Clm *claim = user;
-  (void)version;
-  (void)value;
+  (void) version;
+  (void) value;
 
   if (result == STO_OK)
     claim_free (claim);
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -161,7 +161,7 @@
     {
       const Obj *obj = obj_get (&table, path);
       if (if_version < 0)
-        if_version = obj != NULL ? (int64_t)obj->revision : 0;
+        if_version = obj != NULL ? (int64_t) obj->revision : 0;
       url = g_strdup_printf ("/v1/objects/%s?if=%" PRId64, path, if_version);
       code = store_call (ctl, value != NULL ? "PUT" : "DELETE", url, value, &answer);
       g_free (url);
@@ -181,7 +181,7 @@
   char *url = g_strdup_printf ("/v1/objects/%s", args[0]);
   char *answer;
   Exit code = store_call (ctl, "GET", url, NULL, &answer);
-  (void)count;
+  (void) count;
 
   if (code == EXIT_OK)
     printf ("%s\n", answer);
@@ -195,7 +195,7 @@
 {
   char *value = team_owns (ctl, args[0]) ? read_value (ctl) : NULL;
   Exit code = value != NULL ? put_object (ctl, args[0], value, ctl->if_version) : EXIT_USAGE;
-  (void)count;
+  (void) count;
 
   g_free (value);
   return code;
@@ -204,7 +204,7 @@
 static Exit
 run_delete (Ctl *ctl, char **args, int count)
 {
-  (void)count;
+  (void) count;
   return team_owns (ctl, args[0]) ? put_object (ctl, args[0], NULL, ctl->if_version) : EXIT_USAGE;
 }
 
@@ -226,7 +226,7 @@
   Err err = { 0 };
   char *value = read_value (ctl);
   Exit code = value != NULL ? load_objects (ctl, &table) : EXIT_USAGE;
-  (void)count;
+  (void) count;
 
   if (code == EXIT_OK)
     {
@@ -283,7 +283,7 @@
   char *value
       = g_strdup_printf ("{\"schema\":1,\"kind\":\"%s\",\"target\":\"%s\"}", args[0], args[1]);
   Exit code = put_object (ctl, path, value, -1);
-  (void)count;
+  (void) count;
 
   g_free (value);
   g_free (path);
@@ -295,7 +295,7 @@
 {
   char *path = drain_path (ctl, args[0], args[1]);
   Exit code = put_object (ctl, path, NULL, -1);
-  (void)count;
+  (void) count;
 
   g_free (path);
   return code;
@@ -322,15 +322,16 @@
   JsonNode *root = dump != NULL ? jsn_parse (dump, strlen (dump)) : NULL;
   JsonObject *object = root != NULL ? jsn_object (root) : NULL;
   const char *format = json ? "{\"vm\":\"%s\",\"state\":\"%s\",\"config_revision\":%" PRIu64
-                              ",\"in_force_for_ms\":%" PRIu64 ",\"plan_epoch\":%" PRIu64 "}\n"
+                              ",\"in_force_for_ms\":%" PRIu64 ",\"plan_epoch\":%" PRIu64
+                              ",\"budget\":%" PRIu64 "}\n"
                             : "%s state=%s config_revision=%" PRIu64 " in_force_for_ms=%" PRIu64
-                              " plan_epoch=%" PRIu64 "\n";
+                              " plan_epoch=%" PRIu64 " budget=%" PRIu64 "\n";
 
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wformat-nonliteral"
   printf (format, vm->name, jsn_text (object, "state", "no_answer"),
           jsn_uint (object, "config_revision", 0), jsn_uint (object, "config_age_ms", 0),
-          jsn_uint (object, "plan_epoch", 0));
+          jsn_uint (object, "plan_epoch", 0), jsn_uint (object, "budget", 0));
 #pragma GCC diagnostic pop
   g_clear_pointer (&root, json_node_unref);
 }
@@ -343,8 +344,8 @@
   Exit code = load_objects (ctl, &table);
   bool json = strcmp (ctl->output, "json") == 0;
   Cfg *cfg;
-  (void)args;
-  (void)count;
+  (void) args;
+  (void) count;
 
   if (code != EXIT_OK)
     return code;
@@ -359,7 +360,7 @@
       g_free (dump);
     }
   for (uint32_t i = 0; i < cfg->errors->len; i++)
-    printf ("refused %s\n", (char *)cfg->errors->pdata[i]);
+    printf ("refused %s\n", (char *) cfg->errors->pdata[i]);
   cfg_free (cfg);
   obj_clear (&table);
   return code;
@@ -388,7 +389,7 @@
     {
       JsonNode *shares = jsn_member (jsn_child (groups, item->data), "shares");
       char *text = shares != NULL ? json_to_string (shares, FALSE) : g_strdup ("{}");
-      printf ("callers near %s go to %s\n", (char *)item->data, text);
+      printf ("callers near %s go to %s\n", (char *) item->data, text);
       g_free (text);
     }
   g_list_free (names);
@@ -403,7 +404,7 @@
   JsonObject *service = jsn_child (jsn_child (plan, "services"), args[0]);
   JsonArray *decisions = jsn_array (plan, "decisions");
   char *needle = g_strdup_printf ("service=%s ", args[0]);
-  (void)count;
+  (void) count;
 
   if (code == EXIT_OK && service == NULL)
     {
@@ -446,8 +447,8 @@
   JsonNode *root = load_plan (ctl, &code);
   JsonArray *decisions
       = root != NULL ? jsn_array (jsn_child (jsn_object (root), "value"), "decisions") : NULL;
-  (void)args;
-  (void)count;
+  (void) args;
+  (void) count;
 
   for (uint32_t i = 0; decisions != NULL && i < json_array_get_length (decisions); i++)
     printf ("%s\n", json_array_get_string_element (decisions, i));
@@ -460,7 +461,7 @@
 {
   NetAddr addr;
   char *dump;
-  (void)count;
+  (void) count;
 
   if (!net_addr_parse (args[0], &addr))
     {
@@ -583,5 +584,5 @@
   Exit code = run_command (&ctl, argv, argc);
   g_free (summary);
   g_option_context_free (context);
-  return (int)code;
+  return (int) code;
 }
--- a/src/dem.c
+++ b/src/dem.c
@@ -42,9 +42,9 @@
 static double
 offered_milli (const DemRate *rate, const wire_usage *usage, double elapsed_ms)
 {
-  double busy = (double)(usage->busy_ms - rate->last.busy_ms);
-  double requests = (double)(usage->requests - rate->last.requests);
-  double refused = (double)(usage->refused - rate->last.refused);
+  double busy = (double) (usage->busy_ms - rate->last.busy_ms);
+  double requests = (double) (usage->requests - rate->last.requests);
+  double refused = (double) (usage->refused - rate->last.refused);
 
   if (requests > 0)
     busy *= (requests + refused) / requests;
@@ -60,9 +60,9 @@
 
   if (continues)
     {
-      double elapsed_ms = (double)(at_ms - rate->at_ms);
+      double elapsed_ms = (double) (at_ms - rate->at_ms);
       double weight = 1.0 - exp (-elapsed_ms / SMOOTHING_MS);
-      double bytes = (double)(usage->bytes - rate->last.bytes) * 1000.0 / elapsed_ms;
+      double bytes = (double) (usage->bytes - rate->last.bytes) * 1000.0 / elapsed_ms;
       rate->in_flight_milli
           += weight * (offered_milli (rate, usage, elapsed_ms) - rate->in_flight_milli);
       rate->bytes_per_s += weight * (bytes - rate->bytes_per_s);
@@ -100,7 +100,7 @@
 
   g_hash_table_iter_init (&iter, table->by_key);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_ms - ((DemRate *)value)->at_ms > max_age_ms)
+    if (now_ms - ((DemRate *) value)->at_ms > max_age_ms)
       g_hash_table_iter_remove (&iter);
 }
 
--- a/src/edm.c
+++ b/src/edm.c
@@ -6,6 +6,21 @@
 
 /* ---- Dump ---- */
 
+/* Requests in flight that the plan allows this process over all services and zones. */
+static uint32_t
+budget_total (const Entry *entry)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t total = 0;
+
+  g_hash_table_iter_init (&iter, entry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (uint32_t z = 0; z < ZONES_MAX; z++)
+      total += ((EntryService *) value)->holds[z].plan;
+  return total;
+}
+
 static JsonObject *
 zones_object (const Entry *entry, const uint32_t *values)
 {
@@ -80,18 +95,19 @@
 
   json_object_set_string_member (root, "process", "entry");
   json_object_set_string_member (root, "vm", entry->vm);
-  json_object_set_int_member (root, "incarnation", (gint64)entry->incarnation);
+  json_object_set_int_member (root, "incarnation", (gint64) entry->incarnation);
   json_object_set_string_member (root, "state", states[entry->state]);
-  json_object_set_int_member (root, "config_revision", (gint64)entry->objects.revision);
+  json_object_set_int_member (root, "config_revision", (gint64) entry->objects.revision);
   json_object_set_int_member (root, "config_age_ms",
-                              (gint64)(entry_now_ms (entry) - entry->cfg_since_ms));
-  json_object_set_int_member (root, "plan_epoch", (gint64)entry->plan_epoch);
+                              (gint64) (entry_now_ms (entry) - entry->cfg_since_ms));
+  json_object_set_int_member (root, "plan_epoch", (gint64) entry->plan_epoch);
+  json_object_set_int_member (root, "budget", budget_total (entry));
   json_object_set_int_member (root, "config_errors",
                               entry->cfg != NULL ? entry->cfg->errors->len : 0);
   json_object_set_int_member (root, "open_requests", entry->open_requests);
   g_hash_table_iter_init (&iter, entry->services);
   while (entry->cfg != NULL && g_hash_table_iter_next (&iter, NULL, &value))
-    json_object_set_object_member (services, ((EntryService *)value)->name,
+    json_object_set_object_member (services, ((EntryService *) value)->name,
                                    service_object (entry, value));
   json_object_set_object_member (root, "services", services);
   return jsn_take (root, true);
--- a/src/entry.c
+++ b/src/entry.c
@@ -156,10 +156,10 @@
   clock_gettime (CLOCK_REALTIME, &now);
   g_strlcpy (entry->vm, set_text (settings, "vm"), sizeof entry->vm);
   entry->log = (Log){ .out = stderr,
-                      .level = (LogLevel)log_level_parse (set_text (settings, "log-level")),
+                      .level = (LogLevel) log_level_parse (set_text (settings, "log-level")),
                       .process = "entry",
                       .vm = entry->vm };
-  entry->incarnation = (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+  entry->incarnation = (uint64_t) now.tv_sec * 1000000 + (uint64_t) now.tv_nsec / 1000;
   entry->random = g_rand_new ();
   pck_policy_parse (set_text (settings, "policy"), &entry->policy);
   entry->claims_enabled = strcmp (set_text (settings, "claims"), "on") == 0;
--- a/src/esv.c
+++ b/src/esv.c
@@ -16,7 +16,7 @@
 esv_find (const EntryService *service, const char *id)
 {
   for (uint32_t i = 0; i < service->upstreams->len; i++)
-    if (strcmp (((EntryUpstream *)service->upstreams->pdata[i])->id, id) == 0)
+    if (strcmp (((EntryUpstream *) service->upstreams->pdata[i])->id, id) == 0)
       return service->upstreams->pdata[i];
   return NULL;
 }
@@ -30,7 +30,7 @@
   g_strlcpy (upstream->id, declared->id, sizeof upstream->id);
   upstream->addr = declared->addr;
   hlt_init (&upstream->health, &entry->upstream_chart);
-  h2o_socketpool_init_by_address (&upstream->pool, (struct sockaddr *)&sin, sizeof sin, 0,
+  h2o_socketpool_init_by_address (&upstream->pool, (struct sockaddr *) &sin, sizeof sin, 0,
                                   POOL_MAX_PER_UPSTREAM);
   h2o_socketpool_set_timeout (&upstream->pool, entry->loop, POOL_IDLE_MS);
   g_ptr_array_add (service->upstreams, upstream);
@@ -119,8 +119,8 @@
         .load_permille = hlt_load_permille (&upstream->health, now_ms),
       };
     }
-  uint32_t chosen = pck_upstream (candidates, service->upstreams->len, entry->policy,
-                                  entry->random, &service->cursor);
+  uint32_t chosen = pck_upstream (candidates, service->upstreams->len, entry->policy, entry->random,
+                                  &service->cursor);
   return chosen == PCK_NONE ? NULL : service->upstreams->pdata[chosen];
 }
 
@@ -132,7 +132,7 @@
   if (!hlt_request (&upstream->health, false))
     return;
   for (uint32_t i = 0; i < service->upstreams->len; i++)
-    ejected += ((EntryUpstream *)service->upstreams->pdata[i])->health.state == HLT_EJECTED;
+    ejected += ((EntryUpstream *) service->upstreams->pdata[i])->health.state == HLT_EJECTED;
   if (!hlt_eject (&upstream->health, &entry->upstream_chart, ejected, service->upstreams->len,
                   entry_now_ms (entry)))
     return;
@@ -196,7 +196,7 @@
       EntryService *service = value;
       service->cfg = NULL;
       for (uint32_t i = 0; i < service->upstreams->len; i++)
-        ((EntryUpstream *)service->upstreams->pdata[i])->listed = false;
+        ((EntryUpstream *) service->upstreams->pdata[i])->listed = false;
     }
   for (uint32_t s = 0; s < entry->cfg->services->len; s++)
     {
@@ -291,7 +291,7 @@
       uint32_t largest = ZONE_NONE;
       for (uint32_t z = 0; z < ZONES_MAX; z++)
         {
-          target[z] = (uint32_t)((uint64_t)target[z] * SHARE_ONE_PPM / rest);
+          target[z] = (uint32_t) ((uint64_t) target[z] * SHARE_ONE_PPM / rest);
           given += target[z];
           if (target[z] > 0 && (largest == ZONE_NONE || target[z] > target[largest]))
             largest = z;
@@ -387,5 +387,5 @@
 
   usage->busy_ms += usage->in_flight * (now_ms - usage->counted_at_ms);
   usage->counted_at_ms = now_ms;
-  usage->in_flight = (uint32_t)((int32_t)usage->in_flight + change);
+  usage->in_flight = (uint32_t) ((int32_t) usage->in_flight + change);
 }
--- a/src/flw.c
+++ b/src/flw.c
@@ -44,8 +44,8 @@
   Flw *flw = steer->follow;
 
   flw->backoff_ms = MIN (MAX (flw->backoff_ms * 2, BACKOFF_FIRST_MS), BACKOFF_MAX_MS);
-  schedule (steer, (uint32_t)g_rand_int_range (steer->random, (gint32)flw->backoff_ms / 2,
-                                               (gint32)flw->backoff_ms));
+  schedule (steer, (uint32_t) g_rand_int_range (steer->random, (gint32) flw->backoff_ms / 2,
+                                                (gint32) flw->backoff_ms));
 }
 
 static bool
@@ -81,7 +81,7 @@
     {
       GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
       for (uint32_t i = 0; i < changes->objects->len; i++)
-        g_hash_table_add (listed, ((Obj *)changes->objects->pdata[i])->path);
+        g_hash_table_add (listed, ((Obj *) changes->objects->pdata[i])->path);
       apply_changes (steer, changes);
       obj_reconcile (&steer->objects, listed, changes->revision);
       g_hash_table_unref (listed);
--- a/src/gsp.c
+++ b/src/gsp.c
@@ -59,7 +59,7 @@
                              .region = g_strdup (obs->region),
                              .state = obs->state,
                              .load_permille = obs->load_permille,
-                             .age_ms = (u_int)(steer_now_ms (steer) - obs->at_ms) };
+                             .age_ms = (u_int) (steer_now_ms (steer) - obs->at_ms) };
       (*count)++;
     }
 }
@@ -85,7 +85,7 @@
       items[*count].wire_item_u.poison
           = (wire_poison){ .fingerprint = suspect->fingerprint,
                            .crashes = suspect->crashes,
-                           .age_ms = (u_int)(steer_now_ms (steer) - suspect->at_ms) };
+                           .age_ms = (u_int) (steer_now_ms (steer) - suspect->at_ms) };
       (*count)++;
     }
 }
@@ -106,7 +106,7 @@
 gsp_free_items (wire_item *items, u_int count)
 {
   for (u_int i = 0; i < count; i++)
-    xdr_free ((xdrproc_t)xdr_wire_item, &items[i]);
+    xdr_free ((xdrproc_t) xdr_wire_item, &items[i]);
   g_free (items);
 }
 
@@ -120,7 +120,7 @@
   g_hash_table_insert (steer->poison_sends, g_memdup2 (&poison->fingerprint, 8),
                        GUINT_TO_POINTER (POISON_SENDS));
   log_event (&steer->log, LOG_WARN, "poison_suspect", "fingerprint=%016llx crashes=%u",
-             (unsigned long long)poison->fingerprint, poison->crashes);
+             (unsigned long long) poison->fingerprint, poison->crashes);
   return true;
 }
 
@@ -192,8 +192,8 @@
   if (steer->gossip->fetching)
     return;
   steer->gossip->fetching = true;
-  onc_call (steer->client, peer, WIRE_FETCH, (xdrproc_t)xdr_wire_fetch_args, &args,
-            (xdrproc_t)xdr_wire_fetch_reply, sizeof (wire_fetch_reply), STORE_CALL_TIMEOUT_MS,
+  onc_call (steer->client, peer, WIRE_FETCH, (xdrproc_t) xdr_wire_fetch_args, &args,
+            (xdrproc_t) xdr_wire_fetch_reply, sizeof (wire_fetch_reply), STORE_CALL_TIMEOUT_MS,
             on_fetched, steer);
 }
 
@@ -249,8 +249,8 @@
   args.items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, false, &args.items.items_len);
   add_suspicion (steer, vm, args.items.items_val, &args.items.items_len);
   steer->counters.gossip_sent++;
-  onc_call (steer->client, addr, WIRE_GOSSIP, (xdrproc_t)xdr_wire_gossip, &args,
-            (xdrproc_t)xdr_wire_gossip, sizeof (wire_gossip), GOSSIP_TIMEOUT_MS, on_exchanged,
+  onc_call (steer->client, addr, WIRE_GOSSIP, (xdrproc_t) xdr_wire_gossip, &args,
+            (xdrproc_t) xdr_wire_gossip, sizeof (wire_gossip), GOSSIP_TIMEOUT_MS, on_exchanged,
             exchange);
   gsp_free_items (args.items.items_val, args.items.items_len);
   mem_wire_free (&args.from);
@@ -278,7 +278,7 @@
 
   for (uint32_t sent = 0; sent < GOSSIP_FANOUT && count > 0; sent++)
     {
-      uint32_t at = (uint32_t)g_rand_int_range (steer->random, 0, (gint32)count);
+      uint32_t at = (uint32_t) g_rand_int_range (steer->random, 0, (gint32) count);
       exchange_with (steer, peers[at]->vm, peers[at]->steer);
       peers[at] = peers[--count];
     }
@@ -321,5 +321,5 @@
   uv_timer_init (steer->loop, &steer->gossip->timer);
   steer->gossip->timer.data = steer;
   uv_timer_start (&steer->gossip->timer, on_tick,
-                  (uint64_t)g_rand_int_range (steer->random, 10, 200), GOSSIP_PERIOD_MS);
+                  (uint64_t) g_rand_int_range (steer->random, 10, 200), GOSSIP_PERIOD_MS);
 }
--- a/src/hcl.c
+++ b/src/hcl.c
@@ -57,7 +57,7 @@
       g_string_free (call->fetch->body, TRUE);
       g_free (call->fetch);
     }
-  uv_close ((uv_handle_t *)call->timer, on_timer_closed);
+  uv_close ((uv_handle_t *) call->timer, on_timer_closed);
   g_free (call->head);
   g_free (call->body);
   g_free (call);
@@ -144,9 +144,9 @@
 {
   HclCall *call = client->data;
   HclHead head;
-  (void)minor_version;
-  (void)msg;
-  (void)rlen;
+  (void) minor_version;
+  (void) msg;
+  (void) rlen;
 
   if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
     {
@@ -315,15 +315,15 @@
 static void
 fetch_on_head (void *user, HclCall *call, const HclHead *head)
 {
-  (void)user;
+  (void) user;
   call->fetch->status = head->status;
 }
 
 static void
 fetch_on_body (void *user, HclCall *call, const char *data, size_t size)
 {
-  (void)user;
-  g_string_append_len (call->fetch->body, data, (gssize)size);
+  (void) user;
+  g_string_append_len (call->fetch->body, data, (gssize) size);
 }
 
 static void
--- a/src/hlt.c
+++ b/src/hlt.c
@@ -27,7 +27,7 @@
 {
   int32_t before = hlt->state;
 
-  chart_step (chart, &hlt->state, (int32_t)event);
+  chart_step (chart, &hlt->state, (int32_t) event);
   if (hlt->state == HLT_UP && before != HLT_UP && before != HLT_UNKNOWN)
     hlt->up_since_ms = now_ms;
 }
@@ -89,11 +89,11 @@
   uint64_t age_ms = now_ms - hlt->load_at_ms;
 
   if (hlt->contradicted_at_ms != 0 && now_ms - hlt->contradicted_at_ms < LOAD_REPORT_MAX_AGE_MS)
-    return (uint32_t)(1000 - (now_ms - hlt->contradicted_at_ms) * 1000 / LOAD_REPORT_MAX_AGE_MS);
+    return (uint32_t) (1000 - (now_ms - hlt->contradicted_at_ms) * 1000 / LOAD_REPORT_MAX_AGE_MS);
   if (hlt->load_at_ms == 0 || age_ms >= LOAD_REPORT_MAX_AGE_MS)
     return 500;
-  return (uint32_t)((hlt->load_permille * (LOAD_REPORT_MAX_AGE_MS - age_ms) + 500 * age_ms)
-                    / LOAD_REPORT_MAX_AGE_MS);
+  return (uint32_t) ((hlt->load_permille * (LOAD_REPORT_MAX_AGE_MS - age_ms) + 500 * age_ms)
+                     / LOAD_REPORT_MAX_AGE_MS);
 }
 
 uint32_t
@@ -103,7 +103,7 @@
 
   if (hlt->up_since_ms == 0 || age_ms >= RAMP_MS)
     return 1000;
-  return (uint32_t)(RAMP_FIRST_PERMILLE + (1000 - RAMP_FIRST_PERMILLE) * age_ms / RAMP_MS);
+  return (uint32_t) (RAMP_FIRST_PERMILLE + (1000 - RAMP_FIRST_PERMILLE) * age_ms / RAMP_MS);
 }
 
 bool
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -32,7 +32,7 @@
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
-  HsvServer *server = ((Handler *)self)->server;
+  HsvServer *server = ((Handler *) self)->server;
 
   server->handler (server->user, req);
   return 0;
@@ -48,13 +48,13 @@
     return;
   conn = h2o_mem_alloc (sizeof *conn);
   uv_tcp_init (listener->loop, conn);
-  if (uv_accept (listener, (uv_stream_t *)conn) != 0)
+  if (uv_accept (listener, (uv_stream_t *) conn) != 0)
     {
-      uv_close ((uv_handle_t *)conn, (uv_close_cb)free);
+      uv_close ((uv_handle_t *) conn, (uv_close_cb) free);
       return;
     }
   uv_tcp_nodelay (conn, 1);
-  h2o_accept (&server->accept_ctx, h2o_uv_socket_create ((uv_stream_t *)conn, (uv_close_cb)free));
+  h2o_accept (&server->accept_ctx, h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free));
 }
 
 static bool
@@ -68,16 +68,16 @@
 
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
-  rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&sin, 0);
+  rc = uv_tcp_bind (&server->listener, (struct sockaddr *) &sin, 0);
   if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, on_accept);
+    rc = uv_listen ((uv_stream_t *) &server->listener, LISTEN_BACKLOG, on_accept);
   if (rc != 0)
     {
       err_set (err, ERR_LAYER_HTTP, rc, "cannot listen on %s: %s", net_addr_text (addr, text),
                uv_strerror (rc));
       return false;
     }
-  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&bound, &size);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *) &bound, &size);
   server->port = ntohs (bound.sin_port);
   return true;
 }
@@ -98,7 +98,7 @@
   host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")),
                                    UINT16_MAX);
   path = h2o_config_register_path (host, "/", 0);
-  Handler *h = (Handler *)h2o_create_handler (path, sizeof *h);
+  Handler *h = (Handler *) h2o_create_handler (path, sizeof *h);
   h->super.on_req = on_request;
   h->server = server;
   h2o_context_init (&server->ctx, loop, &server->config);
@@ -122,7 +122,7 @@
   if (!server->listening)
     return;
   server->listening = false;
-  uv_close ((uv_handle_t *)&server->listener, NULL);
+  uv_close ((uv_handle_t *) &server->listener, NULL);
   h2o_context_request_shutdown (&server->ctx);
 }
 
@@ -202,6 +202,6 @@
   struct sockaddr_storage addr;
 
   memset (&addr, 0, sizeof addr);
-  req->conn->callbacks->get_peername (req->conn, (struct sockaddr *)&addr);
-  return ntohl (((struct sockaddr_in *)&addr)->sin_addr.s_addr);
+  req->conn->callbacks->get_peername (req->conn, (struct sockaddr *) &addr);
+  return ntohl (((struct sockaddr_in *) &addr)->sin_addr.s_addr);
 }
--- a/src/jsn.c
+++ b/src/jsn.c
@@ -7,7 +7,7 @@
   JsonParser *parser = json_parser_new_immutable ();
   JsonNode *root = NULL;
 
-  if (json_parser_load_from_data (parser, text, (gssize)size, NULL))
+  if (json_parser_load_from_data (parser, text, (gssize) size, NULL))
     root = json_parser_get_root (parser);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
     json_node_ref (root);
@@ -64,7 +64,7 @@
   if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
       || json_node_get_value_type (node) != G_TYPE_INT64 || json_node_get_int (node) < 0)
     return fallback;
-  return (uint64_t)json_node_get_int (node);
+  return (uint64_t) json_node_get_int (node);
 }
 
 bool
--- a/src/ldr.c
+++ b/src/ldr.c
@@ -73,41 +73,51 @@
 on_lease_put (void *user, StoResult result, uint64_t version, const char *value)
 {
   Steer *steer = user;
-  (void)value;
+  (void) value;
 
   steer->lead->lease_busy = false;
   if (result == STO_OK)
-    hold_lease (steer, (int64_t)version);
+    hold_lease (steer, (int64_t) version);
   else if (result == STO_CONFLICT)
     lose_lease (steer, "conflict");
 }
 
+static char *
+lease_text (const char *holder, uint64_t incarnation)
+{
+  JsonObject *object = json_object_new ();
+
+  json_object_set_string_member (object, "holder", holder);
+  json_object_set_int_member (object, "incarnation", (gint64) incarnation);
+  return jsn_take (object, false);
+}
+
 static void
 put_lease (Steer *steer, int64_t if_version)
 {
   Ldr *ldr = steer->lead;
-  JsonObject *object = json_object_new ();
+  char *text = lease_text (steer->vm, steer->incarnation);
 
-  json_object_set_string_member (object, "holder", steer->vm);
-  json_object_set_int_member (object, "incarnation", (gint64)steer->incarnation);
-  char *text = jsn_take (object, false);
   ldr->lease_busy = true;
   ldr->sent_at_ms = steer_now_ms (steer);
   sto_put (&steer->store, LEASE_PATH, text, if_version, on_lease_put, steer);
   g_free (text);
 }
 
+/* The lease was released, or was taken by a write of this process that got no answer. */
 static bool
-is_own_lease (const Steer *steer, const char *value)
+lease_is_free (const Steer *steer, const char *value)
 {
   JsonNode *root = value != NULL ? jsn_parse (value, strlen (value)) : NULL;
 
   if (root == NULL)
     return false;
-  bool own = strcmp (jsn_text (jsn_object (root), "holder", ""), steer->vm) == 0
-             && jsn_uint (jsn_object (root), "incarnation", 0) == steer->incarnation;
+  const char *holder = jsn_text (jsn_object (root), "holder", "");
+  bool is_free = holder[0] == '\0'
+                 || (strcmp (holder, steer->vm) == 0
+                     && jsn_uint (jsn_object (root), "incarnation", 0) == steer->incarnation);
   json_node_unref (root);
-  return own;
+  return is_free;
 }
 
 /* A lease counts as lapsed when it did not change for its time to live on the own clock. */
@@ -123,13 +133,13 @@
     put_lease (steer, STO_ABSENT);
   if (result != STO_OK)
     return;
-  if ((int64_t)version != ldr->seen_version)
+  if ((int64_t) version != ldr->seen_version)
     {
-      ldr->seen_version = (int64_t)version;
+      ldr->seen_version = (int64_t) version;
       ldr->seen_at_ms = now_ms;
     }
-  else if (now_ms - ldr->seen_at_ms > LEASE_TTL_MS || is_own_lease (steer, value))
-    put_lease (steer, (int64_t)version);
+  if (now_ms - ldr->seen_at_ms > LEASE_TTL_MS || lease_is_free (steer, value))
+    put_lease (steer, (int64_t) version);
 }
 
 static void
@@ -175,7 +185,7 @@
     return;
   pln_free (ldr->plan);
   ldr->plan = plan;
-  ldr->plan_version = result == STO_OK ? (int64_t)version : STO_ABSENT;
+  ldr->plan_version = result == STO_OK ? (int64_t) version : STO_ABSENT;
   ldr->plan_loaded = true;
 }
 
@@ -196,12 +206,12 @@
 {
   Steer *steer = user;
   Ldr *ldr = steer->lead;
-  (void)value;
+  (void) value;
 
   ldr->plan_busy = false;
   if (result == STO_OK)
     {
-      ldr->plan_version = (int64_t)version;
+      ldr->plan_version = (int64_t) version;
       ldr->plan_written_at_ms = steer_now_ms (steer);
       ldr->fence_needed = false;
       steer->counters.plans_written++;
@@ -266,7 +276,7 @@
       slots_of (steer, service, true, slots);
       for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
         sums[cfg_zone (steer->cfg, z)->region]
-            += (uint64_t)slots[z] * (100 - service->headroom_pct) / 100;
+            += (uint64_t) slots[z] * (100 - service->headroom_pct) / 100;
     }
 }
 
@@ -282,9 +292,9 @@
     {
       uint8_t r = cfg_zone (steer->cfg, z)->region;
       const CfgRegion *region = cfg_region (steer->cfg, r);
-      uint64_t allowed = (uint64_t)region->max_inflight * (100 - region->headroom_pct) / 100;
-      uint64_t limit = (uint64_t)limits[z] * (100 - service->headroom_pct) / 100;
-      limits[z] = (uint32_t)(sums[r] > allowed ? limit * allowed / sums[r] : limit);
+      uint64_t allowed = (uint64_t) region->max_inflight * (100 - region->headroom_pct) / 100;
+      uint64_t limit = (uint64_t) limits[z] * (100 - service->headroom_pct) / 100;
+      limits[z] = (uint32_t) (sums[r] > allowed ? limit * allowed / sums[r] : limit);
     }
 }
 
@@ -308,12 +318,12 @@
     return;
   if (strcmp (rate->service, gather->service) == 0)
     {
-      gather->input->demand_milli[group] += (uint64_t)rate->in_flight_milli;
-      gather->input->demand_bytes_per_s[group] += (uint64_t)rate->bytes_per_s;
+      gather->input->demand_milli[group] += (uint64_t) rate->in_flight_milli;
+      gather->input->demand_bytes_per_s[group] += (uint64_t) rate->bytes_per_s;
     }
   else
     gather->link_used[cfg_zone (cfg, group)->region][cfg_zone (cfg, zone)->region]
-        += (uint64_t)rate->bytes_per_s;
+        += (uint64_t) rate->bytes_per_s;
 }
 
 static bool
@@ -365,7 +375,7 @@
   fill_links (steer, service, &gather, input);
   for (uint32_t z = 0; z < input->zone_count; z++)
     {
-      input->capacity_milli[z] = (uint64_t)limits[z] * 1000;
+      input->capacity_milli[z] = (uint64_t) limits[z] * 1000;
       input->excluded[z] = cfg_zone (steer->cfg, z)->drained || limits[z] == 0;
       input->demand_known[z] = known;
     }
@@ -382,7 +392,7 @@
 
   g_hash_table_iter_init (&iter, steer->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    oldest = MAX (oldest, steer_now_ms (steer) - ((SteerReport *)value)->received_at_ms);
+    oldest = MAX (oldest, steer_now_ms (steer) - ((SteerReport *) value)->received_at_ms);
   return oldest;
 }
 
@@ -417,10 +427,11 @@
           "t=%lld epoch=%" PRIu64 " service=%s group=%s action=%s reason=%s moved_ppm=%u "
           "evacuated_ppm=%u left_ppm=%u bound=%s demand_milli=%" PRIu64 " oldest_report_ms=%" PRIu64
           " config_revision=%" PRIu64,
-          (long long)time (NULL), steer->lead->plan->epoch + 1, service, name,
-          moved ? "move" : (reason == PLN_MOVE_FIRST ? "place" : "refuse"), pln_reason_name (reason), move->moved_ppm, move->evacuated_ppm,
-          move->left_ppm, shf_bound_name (move->bound), input->demand_milli[group],
-          oldest_report_ms (steer), steer->cfg->revision);
+          (long long) time (NULL), steer->lead->plan->epoch + 1, service, name,
+          moved ? "move" : (reason == PLN_MOVE_FIRST ? "place" : "refuse"),
+          pln_reason_name (reason), move->moved_ppm, move->evacuated_ppm, move->left_ppm,
+          shf_bound_name (move->bound), input->demand_milli[group], oldest_report_ms (steer),
+          steer->cfg->revision);
       pln_decide (steer->lead->plan, "%s", text);
       log_event (&steer->log, LOG_INFO, "steering_decision", "%s", text);
       g_free (text);
@@ -499,8 +510,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const SteerReport *report = value;
-      if (!report->report.ended
-          && steer_now_ms (steer) - report->received_at_ms <= REPORT_LIVE_MS
+      if (!report->report.ended && steer_now_ms (steer) - report->received_at_ms <= REPORT_LIVE_MS
           && cfg_vm (steer->cfg, report->report.vm) != NULL)
         bud_join (&planned->budgets, report->report.vm, report->report.incarnation);
     }
@@ -577,7 +587,7 @@
   g_hash_table_iter_init (&iter, steer->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const wire_report *report = &((SteerReport *)value)->report;
+      const wire_report *report = &((SteerReport *) value)->report;
       for (u_int i = 0; i < report->loans.loans_len; i++)
         {
           const wire_loan *loan = &report->loans.loans_val[i];
@@ -667,8 +677,8 @@
       const BudRow *row = &g_array_index (weigh->planned->budgets.rows, BudRow, i);
       if (strcmp (row->vm, rate->vm) == 0 && row->incarnation == rate->incarnation)
         weigh->weights[i]
-            += (uint64_t)(rate->in_flight_milli
-                          * weigh->planned->groups[group].state.shares_ppm[weigh->zone] / 1000.0);
+            += (uint64_t) (rate->in_flight_milli
+                           * weigh->planned->groups[group].state.shares_ppm[weigh->zone] / 1000.0);
     }
 }
 
@@ -774,7 +784,7 @@
   GPtrArray *services = steer->lead->plan->services;
 
   for (uint32_t i = services->len; i > 0; i--)
-    if (cfg_service (steer->cfg, ((PlnService *)services->pdata[i - 1])->name) == NULL)
+    if (cfg_service (steer->cfg, ((PlnService *) services->pdata[i - 1])->name) == NULL)
       g_ptr_array_remove_index (services, i - 1);
 }
 
@@ -805,6 +815,35 @@
     write_plan (steer);
 }
 
+static void
+on_released (void *user, StoResult result, uint64_t version, const char *value)
+{
+  Steer *steer = user;
+  (void) result;
+  (void) version;
+  (void) value;
+
+  uv_stop (steer->loop);
+}
+
+void
+ldr_stop (Steer *steer)
+{
+  Ldr *ldr = steer->lead;
+  char *text;
+
+  uv_timer_stop (&ldr->lease_timer);
+  uv_timer_stop (&ldr->plan_timer);
+  if (!ldr->holding || ldr->lease_busy || ldr->plan_busy)
+    {
+      uv_stop (steer->loop);
+      return;
+    }
+  text = lease_text ("", 0);
+  sto_put (&steer->store, LEASE_PATH, text, ldr->lease_version, on_released, steer);
+  g_free (text);
+}
+
 bool
 ldr_is_planner (const Steer *steer)
 {
@@ -842,6 +881,6 @@
   uv_timer_init (steer->loop, &ldr->plan_timer);
   ldr->lease_timer.data = ldr->plan_timer.data = steer;
   uv_timer_start (&ldr->lease_timer, on_lease_tick,
-                  (uint64_t)g_rand_int_range (steer->random, 100, LEASE_RENEW_MS), LEASE_RENEW_MS);
+                  (uint64_t) g_rand_int_range (steer->random, 100, LEASE_RENEW_MS), LEASE_RENEW_MS);
   uv_timer_start (&ldr->plan_timer, on_plan_tick, PLAN_PERIOD_MS, PLAN_PERIOD_MS);
 }
--- a/src/liv.c
+++ b/src/liv.c
@@ -55,8 +55,7 @@
   struct sockaddr_in sin = net_addr_sockaddr (mem_self (&steer->members)->entry_rpc);
   Attempt *attempt;
 
-  if (steer->local_sync_at_ms == 0
-      || steer_now_ms (steer) - steer->local_sync_at_ms < SILENCE_MS)
+  if (steer->local_sync_at_ms == 0 || steer_now_ms (steer) - steer->local_sync_at_ms < SILENCE_MS)
     return;
   attempt = g_new0 (Attempt, 1);
   attempt->steer = steer;
--- a/src/log.c
+++ b/src/log.c
@@ -28,10 +28,10 @@
     return;
   clock_gettime (CLOCK_REALTIME, &now);
   n = snprintf (line, sizeof line, "ts=%lld.%03ld level=%s process=%s vm=%s event=%s ",
-                (long long)now.tv_sec, now.tv_nsec / 1000000, level_names[level], log->process,
+                (long long) now.tv_sec, now.tv_nsec / 1000000, level_names[level], log->process,
                 log->vm, event);
   va_start (args, format);
-  n += vsnprintf (line + n, sizeof line - (size_t)n, format, args);
+  n += vsnprintf (line + n, sizeof line - (size_t) n, format, args);
   va_end (args);
   for (char *p = line; *p != '\0'; p++)
     if (*p == '\n' || *p == '\r')
--- a/src/lot.c
+++ b/src/lot.c
@@ -47,7 +47,7 @@
   const wire_held_args *in = args;
   BudHold *hold = hold_of (entry, in->service, in->zone);
   char place[2 * NAME_MAX_BYTES + 4];
-  (void)result;
+  (void) result;
 
   if (hold == NULL || in->lender_incarnation != entry->incarnation)
     return true;
@@ -58,9 +58,9 @@
 }
 
 const OncProc lot_procs[] = {
-  { WIRE_LOAN, (xdrproc_t)xdr_wire_loan_args, sizeof (wire_loan_args),
-    (xdrproc_t)xdr_wire_loan_reply, sizeof (wire_loan_reply), do_loan },
-  { WIRE_HELD, (xdrproc_t)xdr_wire_held_args, sizeof (wire_held_args), (xdrproc_t)xdr_wire_none,
+  { WIRE_LOAN, (xdrproc_t) xdr_wire_loan_args, sizeof (wire_loan_args),
+    (xdrproc_t) xdr_wire_loan_reply, sizeof (wire_loan_reply), do_loan },
+  { WIRE_HELD, (xdrproc_t) xdr_wire_held_args, sizeof (wire_held_args), (xdrproc_t) xdr_wire_none,
     sizeof (wire_none), do_held },
   { 0, NULL, 0, NULL, 0, NULL },
 };
@@ -113,7 +113,7 @@
   wire_loan_args args = { .borrower = entry->vm,
                           .incarnation = entry->incarnation,
                           .service = service->name,
-                          .zone = (char *)cfg_zone (entry->cfg, zone)->name,
+                          .zone = (char *) cfg_zone (entry->cfg, zone)->name,
                           .slots = MIN (wanted, LOAN_MAX_SLOTS) };
 
   if (loan->asking)
@@ -122,8 +122,8 @@
   args.sequence = ++entry->loan_sequence;
   ask = g_new0 (Ask, 1);
   *ask = (Ask){ .entry = entry, .service = service, .loan = loan };
-  onc_call (entry->client, lender->entry_rpc, WIRE_LOAN, (xdrproc_t)xdr_wire_loan_args, &args,
-            (xdrproc_t)xdr_wire_loan_reply, sizeof (wire_loan_reply), LOAN_REPLY_MAX_MS, on_loan,
+  onc_call (entry->client, lender->entry_rpc, WIRE_LOAN, (xdrproc_t) xdr_wire_loan_args, &args,
+            (xdrproc_t) xdr_wire_loan_reply, sizeof (wire_loan_reply), LOAN_REPLY_MAX_MS, on_loan,
             ask);
 }
 
@@ -148,8 +148,8 @@
 static void
 on_stated (void *user, const void *result)
 {
-  (void)user;
-  (void)result;
+  (void) user;
+  (void) result;
 }
 
 static void
@@ -160,15 +160,15 @@
                           .incarnation = entry->incarnation,
                           .lender_incarnation = loan->incarnation,
                           .service = service->name,
-                          .zone = (char *)cfg_zone (entry->cfg, loan->zone)->name,
+                          .zone = (char *) cfg_zone (entry->cfg, loan->zone)->name,
                           .slots = loan->slots };
 
   loan->stated_at_ms = entry_now_ms (entry);
   if (lender == NULL)
     return;
   args.sequence = ++entry->loan_sequence;
-  onc_call (entry->client, lender->entry_rpc, WIRE_HELD, (xdrproc_t)xdr_wire_held_args, &args,
-            (xdrproc_t)xdr_wire_none, sizeof (wire_none), LOAN_REPLY_MAX_MS, on_stated, NULL);
+  onc_call (entry->client, lender->entry_rpc, WIRE_HELD, (xdrproc_t) xdr_wire_held_args, &args,
+            (xdrproc_t) xdr_wire_none, sizeof (wire_none), LOAN_REPLY_MAX_MS, on_stated, NULL);
 }
 
 /* Unused budget goes back after a while, and at once when this entry stops. */
@@ -184,8 +184,7 @@
   if (now_ms - loan->used_at_ms >= LOAN_IDLE_MS || entry->state == ENTRY_STOPPED)
     returned = bud_give_back (hold, loan->slots);
   loan->slots -= returned;
-  if (!loan->asking
-      && (returned > 0 || now_ms - loan->stated_at_ms >= LOAN_STATE_PERIOD_MS))
+  if (!loan->asking && (returned > 0 || now_ms - loan->stated_at_ms >= LOAN_STATE_PERIOD_MS))
     state_held (entry, service, loan);
 }
 
--- a/src/mem.c
+++ b/src/mem.c
@@ -8,7 +8,7 @@
 static int
 compare_members (const void *a, const void *b)
 {
-  return strcmp ((*(MemMember *const *)a)->vm, (*(MemMember *const *)b)->vm);
+  return strcmp ((*(MemMember *const *) a)->vm, (*(MemMember *const *) b)->vm);
 }
 
 static MemMember *
@@ -33,7 +33,7 @@
 mem_get (const MemTable *table, const char *vm)
 {
   for (uint32_t i = 0; i < table->members->len; i++)
-    if (strcmp (((MemMember *)table->members->pdata[i])->vm, vm) == 0)
+    if (strcmp (((MemMember *) table->members->pdata[i])->vm, vm) == 0)
       return table->members->pdata[i];
   return NULL;
 }
--- a/src/met.c
+++ b/src/met.c
@@ -6,7 +6,7 @@
 static uint64_t
 bucket_upper_us (uint32_t index)
 {
-  return (uint64_t)(8.0 * pow (2.0, (double)(index + 1) / 4.0));
+  return (uint64_t) (8.0 * pow (2.0, (double) (index + 1) / 4.0));
 }
 
 void
@@ -24,7 +24,7 @@
 uint64_t
 met_quantile_us (const MetHistogram *histogram, double q)
 {
-  uint64_t rank = (uint64_t)ceil (q * (double)histogram->count);
+  uint64_t rank = (uint64_t) ceil (q * (double) histogram->count);
   uint64_t seen = 0;
 
   for (uint32_t i = 0; i < MET_BUCKETS; i++)
@@ -57,9 +57,9 @@
       if (histogram->bucket[i] == 0)
         continue;
       g_string_append_printf (out, "%s_bucket{le=\"%.6f\"} %" G_GUINT64_FORMAT "\n", name,
-                              (double)bucket_upper_us (i) / 1e6, seen);
+                              (double) bucket_upper_us (i) / 1e6, seen);
     }
   g_string_append_printf (out, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", name, seen);
-  g_string_append_printf (out, "%s_sum %.6f\n", name, (double)histogram->sum_us / 1e6);
+  g_string_append_printf (out, "%s_sum %.6f\n", name, (double) histogram->sum_us / 1e6);
   g_string_append_printf (out, "%s_count %" G_GUINT64_FORMAT "\n", name, histogram->count);
 }
--- a/src/net.c
+++ b/src/net.c
@@ -24,14 +24,14 @@
   char *end;
   const char *colon = strrchr (text, ':');
 
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host || colon[1] == '\0')
+  if (colon == NULL || (size_t) (colon - text) >= sizeof host || colon[1] == '\0')
     return false;
-  memcpy (host, text, (size_t)(colon - text));
+  memcpy (host, text, (size_t) (colon - text));
   host[colon - text] = '\0';
   unsigned long port = strtoul (colon + 1, &end, 10);
   if (*end != '\0' || port > UINT16_MAX)
     return false;
-  addr->port = (uint16_t)port;
+  addr->port = (uint16_t) port;
   return net_ip_parse (host, &addr->ip);
 }
 
--- a/src/obj.c
+++ b/src/obj.c
@@ -67,7 +67,7 @@
 static int
 compare_paths (const void *a, const void *b)
 {
-  return strcmp ((*(const Obj *const *)a)->path, (*(const Obj *const *)b)->path);
+  return strcmp ((*(const Obj *const *) a)->path, (*(const Obj *const *) b)->path);
 }
 
 void
@@ -99,7 +99,7 @@
 
   g_hash_table_iter_init (&iter, table->by_path);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Obj *)value)->revision > revision)
+    if (((Obj *) value)->revision > revision)
       fn (user, value);
 }
 
--- a/src/obs.c
+++ b/src/obs.c
@@ -45,7 +45,7 @@
       g_hash_table_insert (table->by_key, g_strdup_printf ("%s/%s", id, region), obs);
     }
   news = news || obs->state != state
-         || abs ((int)obs->load_permille - (int)load_permille) > LOAD_NEWS_PERMILLE;
+         || abs ((int) obs->load_permille - (int) load_permille) > LOAD_NEWS_PERMILLE;
   obs->state = state;
   obs->at_ms = at_ms;
   if (news)
--- a/src/onc.c
+++ b/src/onc.c
@@ -25,8 +25,8 @@
 static void
 on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-  (void)handle;
-  (void)suggested;
+  (void) handle;
+  (void) suggested;
   buf->base = g_malloc (READ_CHUNK_BYTES);
   buf->len = READ_CHUNK_BYTES;
 }
@@ -34,8 +34,8 @@
 static void
 on_written (uv_write_t *req, int status)
 {
-  Write *write = (Write *)req;
-  (void)status;
+  Write *write = (Write *) req;
+  (void) status;
 
   g_free (write->data);
   g_free (write);
@@ -56,7 +56,7 @@
 {
   while (input->len >= MARK_BYTES)
     {
-      uint32_t size = mark_size ((char *)input->data);
+      uint32_t size = mark_size ((char *) input->data);
       if (size > RPC_RECORD_MAX_BYTES)
         return false;
       if (input->len < MARK_BYTES + size)
@@ -104,7 +104,7 @@
 static void
 on_server_conn_closed (uv_handle_t *handle)
 {
-  ServerConn *conn = (ServerConn *)handle;
+  ServerConn *conn = (ServerConn *) handle;
 
   g_byte_array_unref (conn->input);
   g_free (conn);
@@ -113,8 +113,8 @@
 static void
 server_conn_close (ServerConn *conn)
 {
-  if (!uv_is_closing ((uv_handle_t *)&conn->tcp))
-    uv_close ((uv_handle_t *)&conn->tcp, on_server_conn_closed);
+  if (!uv_is_closing ((uv_handle_t *) &conn->tcp))
+    uv_close ((uv_handle_t *) &conn->tcp, on_server_conn_closed);
 }
 
 static const OncProc *
@@ -140,11 +140,12 @@
   reply.acpted_rply.ar_verf = _null_auth;
   reply.acpted_rply.ar_stat = status;
   reply.acpted_rply.ar_results.where = result;
-  reply.acpted_rply.ar_results.proc
-      = proc != NULL && status == SUCCESS ? proc->xdr_result : (xdrproc_t)(void (*) (void))xdr_void;
-  xdrmem_create (&xdr, data + MARK_BYTES, (u_int)room, XDR_ENCODE);
+  reply.acpted_rply.ar_results.proc = proc != NULL && status == SUCCESS
+                                          ? proc->xdr_result
+                                          : (xdrproc_t) (void (*) (void)) xdr_void;
+  xdrmem_create (&xdr, data + MARK_BYTES, (u_int) room, XDR_ENCODE);
   if (xdr_replymsg (&xdr, &reply))
-    send_record ((uv_stream_t *)&conn->tcp, data, xdr_getpos (&xdr), &conn->server->bytes);
+    send_record ((uv_stream_t *) &conn->tcp, data, xdr_getpos (&xdr), &conn->server->bytes);
   else
     g_free (data);
   xdr_destroy (&xdr);
@@ -186,7 +187,7 @@
     send_reply (conn, call.rm_xid, PROG_UNAVAIL, NULL, NULL);
   else
     {
-      const OncProc *proc = find_proc (conn->server, (uint32_t)call.rm_call.cb_proc);
+      const OncProc *proc = find_proc (conn->server, (uint32_t) call.rm_call.cb_proc);
       if (proc == NULL)
         send_reply (conn, call.rm_xid, PROC_UNAVAIL, NULL, NULL);
       else
@@ -198,12 +199,12 @@
 static void
 on_server_read (uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
-  ServerConn *conn = (ServerConn *)stream;
+  ServerConn *conn = (ServerConn *) stream;
 
   if (size > 0)
     {
-      conn->server->bytes += (uint64_t)size;
-      g_byte_array_append (conn->input, (guint8 *)buf->base, (guint)size);
+      conn->server->bytes += (uint64_t) size;
+      g_byte_array_append (conn->input, (guint8 *) buf->base, (guint) size);
     }
   g_free (buf->base);
   if (size < 0 || !take_records (conn->input, on_server_record, conn))
@@ -221,13 +222,13 @@
   conn->server = listener->data;
   conn->input = g_byte_array_new ();
   uv_tcp_init (listener->loop, &conn->tcp);
-  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0)
+  if (uv_accept (listener, (uv_stream_t *) &conn->tcp) != 0)
     {
       server_conn_close (conn);
       return;
     }
   uv_tcp_nodelay (&conn->tcp, 1);
-  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_server_read);
+  uv_read_start ((uv_stream_t *) &conn->tcp, on_alloc, on_server_read);
 }
 
 OncServer *
@@ -244,16 +245,16 @@
   server->user = user;
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
-  rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&sin, 0);
+  rc = uv_tcp_bind (&server->listener, (struct sockaddr *) &sin, 0);
   if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, on_accept);
+    rc = uv_listen ((uv_stream_t *) &server->listener, LISTEN_BACKLOG, on_accept);
   if (rc != 0)
     {
       err_set (err, ERR_LAYER_RPC, rc, "cannot listen on %s: %s", net_addr_text (addr, text),
                uv_strerror (rc));
       return NULL;
     }
-  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&bound, &size);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *) &bound, &size);
   server->port = ntohs (bound.sin_port);
   return server;
 }
@@ -308,7 +309,7 @@
 static uint64_t
 conn_key (NetAddr addr)
 {
-  return ((uint64_t)addr.ip << 16) | addr.port;
+  return ((uint64_t) addr.ip << 16) | addr.port;
 }
 
 static void
@@ -348,8 +349,8 @@
   conn->closing = true;
   if (g_hash_table_lookup (conn->client->conns, &key) == conn)
     g_hash_table_remove (conn->client->conns, &key);
-  uv_close ((uv_handle_t *)&conn->tcp, on_client_handle_closed);
-  uv_close ((uv_handle_t *)&conn->timer, on_client_handle_closed);
+  uv_close ((uv_handle_t *) &conn->tcp, on_client_handle_closed);
+  uv_close ((uv_handle_t *) &conn->timer, on_client_handle_closed);
   fail_calls (conn);
 }
 
@@ -390,8 +391,8 @@
 
   if (size > 0)
     {
-      conn->client->bytes += (uint64_t)size;
-      g_byte_array_append (conn->input, (guint8 *)buf->base, (guint)size);
+      conn->client->bytes += (uint64_t) size;
+      g_byte_array_append (conn->input, (guint8 *) buf->base, (guint) size);
     }
   g_free (buf->base);
   if (size < 0 || !take_records (conn->input, on_client_record, conn))
@@ -406,7 +407,7 @@
   if (status != 0)
     client_conn_close (conn);
   else if (!conn->closing)
-    uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_client_read);
+    uv_read_start ((uv_stream_t *) &conn->tcp, on_alloc, on_client_read);
 }
 
 static void
@@ -419,7 +420,7 @@
 
   g_hash_table_iter_init (&iter, conn->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Call *)value)->expires_at_ms <= now_ms)
+    if (((Call *) value)->expires_at_ms <= now_ms)
       {
         client_conn_close (conn);
         return;
@@ -447,7 +448,7 @@
   *key = conn_key (addr);
   g_hash_table_insert (client->conns, key, conn);
   uv_timer_start (&conn->timer, on_conn_timer, 50, 50);
-  if (uv_tcp_connect (&conn->connect, &conn->tcp, (struct sockaddr *)&sin, on_connect) != 0)
+  if (uv_tcp_connect (&conn->connect, &conn->tcp, (struct sockaddr *) &sin, on_connect) != 0)
     uv_timer_start (&conn->timer, on_conn_timer, 0, 1);
   return conn;
 }
@@ -475,7 +476,7 @@
   msg.rm_call.cb_proc = number;
   msg.rm_call.cb_cred = _null_auth;
   msg.rm_call.cb_verf = _null_auth;
-  xdrmem_create (&xdr, data + MARK_BYTES, (u_int)room, XDR_ENCODE);
+  xdrmem_create (&xdr, data + MARK_BYTES, (u_int) room, XDR_ENCODE);
   bool ok = xdr_callmsg (&xdr, &msg) && xdr_args (&xdr, args);
   *size = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
@@ -511,7 +512,7 @@
                   .user = user };
   g_hash_table_insert (conn->calls, GUINT_TO_POINTER (xid), call);
   conn->used_at_ms = uv_now (client->loop);
-  send_record ((uv_stream_t *)&conn->tcp, data, size, &client->bytes);
+  send_record ((uv_stream_t *) &conn->tcp, data, size, &client->bytes);
 }
 
 uint64_t
--- a/src/pck.c
+++ b/src/pck.c
@@ -7,7 +7,7 @@
 static uint64_t
 score (const PckUpstream *candidate)
 {
-  uint64_t local = ((uint64_t)candidate->in_flight + 1) * 1000 / MAX (candidate->usable_slots, 1);
+  uint64_t local = ((uint64_t) candidate->in_flight + 1) * 1000 / MAX (candidate->usable_slots, 1);
 
   return local + candidate->load_permille;
 }
@@ -26,8 +26,8 @@
 static uint32_t
 two_choices (const PckUpstream *candidates, const uint32_t *eligible, uint32_t found, GRand *random)
 {
-  uint32_t a = (uint32_t)g_rand_int_range (random, 0, (gint32)found);
-  uint32_t b = (uint32_t)g_rand_int_range (random, 0, (gint32)found - 1);
+  uint32_t a = (uint32_t) g_rand_int_range (random, 0, (gint32) found);
+  uint32_t b = (uint32_t) g_rand_int_range (random, 0, (gint32) found - 1);
 
   if (b >= a)
     b++;
@@ -63,7 +63,7 @@
     case PCK_TWO_CHOICES:
       return two_choices (candidates, eligible, found, random);
     case PCK_RANDOM:
-      return eligible[g_rand_int_range (random, 0, (gint32)found)];
+      return eligible[g_rand_int_range (random, 0, (gint32) found)];
     case PCK_LEAST_REPORTED:
       return least_reported (candidates, eligible, found);
     case PCK_ROUND_ROBIN:
@@ -101,7 +101,7 @@
   for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], name) == 0)
       {
-        *policy = (PckPolicy)i;
+        *policy = (PckPolicy) i;
         return true;
       }
   return false;
--- a/src/pln.c
+++ b/src/pln.c
@@ -142,7 +142,7 @@
     return;
   for (uint32_t z = 0; z < ZONES_MAX; z++)
     {
-      shares[z] = (uint32_t)(assigned[z] * SHARE_ONE_PPM / total);
+      shares[z] = (uint32_t) (assigned[z] * SHARE_ONE_PPM / total);
       given += shares[z];
       if (assigned[z] > assigned[largest])
         largest = z;
@@ -194,7 +194,7 @@
     {
       *demand += demand_of (input, g);
       for (uint32_t z = 0; z < input->zone_count; z++)
-        cost += demand_of (input, g) * input->latency_ms[g][z] * (uint64_t)shares[g][z]
+        cost += demand_of (input, g) * input->latency_ms[g][z] * (uint64_t) shares[g][z]
                 / SHARE_ONE_PPM;
     }
   return cost;
@@ -314,7 +314,7 @@
 pln_service (const Plan *plan, const char *name)
 {
   for (uint32_t i = 0; i < plan->services->len; i++)
-    if (strcmp (((PlnService *)plan->services->pdata[i])->name, name) == 0)
+    if (strcmp (((PlnService *) plan->services->pdata[i])->name, name) == 0)
       return plan->services->pdata[i];
   return NULL;
 }
@@ -387,7 +387,7 @@
       const BudRow *row = &g_array_index (table->rows, BudRow, i);
       JsonObject *object = json_object_new ();
       json_object_set_string_member (object, "vm", row->vm);
-      json_object_set_int_member (object, "incarnation", (gint64)row->incarnation);
+      json_object_set_int_member (object, "incarnation", (gint64) row->incarnation);
       json_object_set_boolean_member (object, "dead", row->dead);
       json_object_set_object_member (object, "now", encode_zones (cfg, row->now));
       json_object_set_object_member (object, "ceiling", encode_zones (cfg, row->ceiling));
@@ -420,7 +420,7 @@
   for (uint32_t i = 0; i < plan->decisions->len; i++)
     json_array_add_string_element (decisions, plan->decisions->pdata[i]);
   json_object_set_int_member (root, "schema", SCHEMA_VERSION);
-  json_object_set_int_member (root, "epoch", (gint64)plan->epoch);
+  json_object_set_int_member (root, "epoch", (gint64) plan->epoch);
   json_object_set_string_member (root, "planner", plan->planner);
   json_object_set_object_member (root, "services", services);
   json_object_set_array_member (root, "decisions", decisions);
@@ -433,7 +433,7 @@
 decode_zones (const Cfg *cfg, JsonObject *object, uint32_t *values)
 {
   for (uint32_t z = 0; z < cfg->zones->len; z++)
-    values[z] = (uint32_t)jsn_uint (object, cfg_zone (cfg, z)->name, 0);
+    values[z] = (uint32_t) jsn_uint (object, cfg_zone (cfg, z)->name, 0);
 }
 
 static void
@@ -444,11 +444,11 @@
 
   decode_zones (cfg, jsn_child (object, "shares"), shares);
   for (uint32_t r = 0; r < cfg->regions->len; r++)
-    into[r] = (uint32_t)jsn_uint (jsn_child (object, "into"), cfg_region (cfg, r)->name, 0);
+    into[r] = (uint32_t) jsn_uint (jsn_child (object, "into"), cfg_region (cfg, r)->name, 0);
   group->present = sum_shares (shares) == SHARE_ONE_PPM;
   if (group->present)
-    shf_adopt (&group->state, shares, (uint32_t)jsn_uint (object, "moved", 0),
-               (uint32_t)jsn_uint (object, "evacuated", 0), into, now_ms);
+    shf_adopt (&group->state, shares, (uint32_t) jsn_uint (object, "moved", 0),
+               (uint32_t) jsn_uint (object, "evacuated", 0), into, now_ms);
 }
 
 static void
--- a/src/poi.c
+++ b/src/poi.c
@@ -23,10 +23,10 @@
   gsize length = sizeof digest;
   uint64_t fingerprint;
 
-  g_checksum_update (sum, (const guchar *)method, (gssize)strlen (method) + 1);
-  g_checksum_update (sum, (const guchar *)path, (gssize)strlen (path) + 1);
+  g_checksum_update (sum, (const guchar *) method, (gssize) strlen (method) + 1);
+  g_checksum_update (sum, (const guchar *) path, (gssize) strlen (path) + 1);
   if (size > 0)
-    g_checksum_update (sum, body, (gssize)size);
+    g_checksum_update (sum, body, (gssize) size);
   g_checksum_get_digest (sum, digest, &length);
   g_checksum_free (sum);
   memcpy (&fingerprint, digest, sizeof fingerprint);
@@ -92,6 +92,6 @@
 
   g_hash_table_iter_init (&iter, table->by_fingerprint);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_ms >= ((PoiSuspect *)value)->at_ms + POISON_TTL_MS)
+    if (now_ms >= ((PoiSuspect *) value)->at_ms + POISON_TTL_MS)
       g_hash_table_iter_remove (&iter);
 }
--- a/src/prb.c
+++ b/src/prb.c
@@ -47,7 +47,7 @@
     return;
   bool leaving = strcmp (jsn_text (jsn_object (root), "state", ""), "draining") == 0;
   hlt_set_leaving (hlt, &steer->upstream_chart, leaving, steer_now_ms (steer));
-  hlt->load_permille = (uint32_t)jsn_uint (jsn_object (root), "load_permille", 500);
+  hlt->load_permille = (uint32_t) jsn_uint (jsn_object (root), "load_permille", 500);
   hlt->load_at_ms = steer_now_ms (steer);
   json_node_unref (root);
 }
@@ -114,5 +114,5 @@
   uv_timer_init (steer->loop, &steer->probe->timer);
   steer->probe->timer.data = steer;
   uv_timer_start (&steer->probe->timer, on_tick,
-                  (uint64_t)g_rand_int_range (steer->random, 0, PROBE_PERIOD_MS), PROBE_PERIOD_MS);
+                  (uint64_t) g_rand_int_range (steer->random, 0, PROBE_PERIOD_MS), PROBE_PERIOD_MS);
 }
--- a/src/req.c
+++ b/src/req.c
@@ -109,9 +109,9 @@
 static void
 step (Req *req, ReqEvent event)
 {
-  if (!chart_step (&req->entry->request_chart, &req->state, (int32_t)event))
+  if (!chart_step (&req->entry->request_chart, &req->state, (int32_t) event))
     log_event (&req->entry->log, LOG_ERROR, "impossible_event", "chart=request state=%d event=%d",
-               req->state, (int)event);
+               req->state, (int) event);
 }
 
 static void
@@ -133,7 +133,7 @@
       else
         clm_release (req->claim);
     }
-  uv_close ((uv_handle_t *)req->timer, on_timer_closed);
+  uv_close ((uv_handle_t *) req->timer, on_timer_closed);
   g_free (req->method);
   g_free (req->rest);
   g_free (req->key);
@@ -288,11 +288,21 @@
                                  : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/* The last piece may end the connection and with it the request, so nothing may follow. */
+static void
+send_or_free (Req *req)
+{
+  if (req->h2o != NULL)
+    send_more (req);
+  else
+    maybe_free (req);
+}
+
 static void
 on_proceed (h2o_generator_t *generator, h2o_req_t *h2o)
 {
-  Req *req = (Req *)generator;
-  (void)h2o;
+  Req *req = (Req *) generator;
+  (void) h2o;
 
   req->sending = false;
   if (req->call != NULL && req->out->len < STREAM_BUFFER_MAX_BYTES)
@@ -303,8 +313,8 @@
 static void
 on_stop (h2o_generator_t *generator, h2o_req_t *h2o)
 {
-  (void)generator;
-  (void)h2o;
+  (void) generator;
+  (void) h2o;
 }
 
 static bool
@@ -445,8 +455,7 @@
   if (req->state != REQ_ABANDONED)
     step (req, REQ_CUT);
   req->answer_failed = true;
-  send_more (req);
-  maybe_free (req);
+  send_or_free (req);
 }
 
 static void
@@ -457,14 +466,14 @@
   if (req->state != REQ_ABANDONED)
     step (req, REQ_FINISHED);
   entry->counters.answered++;
-  met_observe (&entry->latency, (uint64_t)g_get_monotonic_time () - req->started_us);
+  met_observe (&entry->latency, (uint64_t) g_get_monotonic_time () - req->started_us);
   if (req->claim != NULL)
     {
       ClmAnswer answer
           = { .status = req->status,
               .content_type = req->content_type,
               .body
-              = req->received <= CLAIM_ANSWER_MAX_BYTES ? (const char *)req->kept->data : NULL,
+              = req->received <= CLAIM_ANSWER_MAX_BYTES ? (const char *) req->kept->data : NULL,
               .size = req->kept->len };
       if (answer.body == NULL && req->received == 0)
         answer.body = "";
@@ -472,8 +481,7 @@
       req->claim = NULL;
     }
   req->upstream_done = true;
-  send_more (req);
-  maybe_free (req);
+  send_or_free (req);
 }
 
 /* ---- Callbacks of the upstream's call ---- */
@@ -525,7 +533,7 @@
   step (req, REQ_HEAD);
   uv_timer_stop (req->timer);
   start_response (req, head);
-  (void)call;
+  (void) call;
 }
 
 static void
@@ -538,10 +546,10 @@
   req->received += size;
   req->usage->bytes += size;
   if (req->claim != NULL && req->received <= CLAIM_ANSWER_MAX_BYTES)
-    g_byte_array_append (req->kept, (const guint8 *)data, (guint)size);
+    g_byte_array_append (req->kept, (const guint8 *) data, (guint) size);
   if (req->h2o == NULL)
     return;
-  g_byte_array_append (req->out, (const guint8 *)data, (guint)size);
+  g_byte_array_append (req->out, (const guint8 *) data, (guint) size);
   send_more (req);
   if (req->out->len >= STREAM_BUFFER_MAX_BYTES)
     hcl_pause (call);
@@ -583,7 +591,7 @@
   EntryService *service = req->service;
   uint32_t zone = req->zone;
   EntryUpstream *upstream = req->upstream;
-  (void)call;
+  (void) call;
 
   req->call = NULL;
   if (outcome == HCL_DONE)
@@ -644,7 +652,7 @@
                    .body = req->body->data,
                    .body_size = req->body->len,
                    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                   .head_timeout_ms = (uint32_t)MIN (left_ms, HEAD_TIMEOUT_MS),
+                   .head_timeout_ms = (uint32_t) MIN (left_ms, HEAD_TIMEOUT_MS),
                    .progress_timeout_ms = PROGRESS_TIMEOUT_MS,
                    .method_is_head = strcmp (req->method, "HEAD") == 0 };
   req->call = hcl_start (&entry->http, &spec, &upstream_ops, req);
@@ -683,7 +691,7 @@
 
   for (uint32_t z = 0; z < ZONES_MAX; z++)
     for (GList *item = service->waiting[z].head; item != NULL; item = item->next)
-      count += ((Req *)item->data)->caller_ip == ip;
+      count += ((Req *) item->data)->caller_ip == ip;
   return count;
 }
 
@@ -756,7 +764,7 @@
 req_wake (Entry *entry, EntryService *service, uint32_t zone)
 {
   GList *item = service->waiting[zone].head;
-  (void)entry;
+  (void) entry;
 
   while (item != NULL)
     {
@@ -858,7 +866,7 @@
       const h2o_header_t *header = &h2o->headers.entries[i];
       char *name = g_strndup (header->name->base, header->name->len);
       if (!g_strv_contains (dropped, name))
-        g_string_append_printf (req->headers, "%s: %.*s\r\n", name, (int)header->value.len,
+        g_string_append_printf (req->headers, "%s: %.*s\r\n", name, (int) header->value.len,
                                 header->value.base);
       g_free (name);
     }
@@ -887,14 +895,14 @@
   req->state = entry->request_chart.initial;
   req->method = g_strndup (h2o->method.base, h2o->method.len);
   req->rest = h2o->query_at != SIZE_MAX
-                  ? g_strdup_printf ("%s%.*s", rest, (int)(h2o->path.len - h2o->query_at),
+                  ? g_strdup_printf ("%s%.*s", rest, (int) (h2o->path.len - h2o->query_at),
                                      h2o->path.base + h2o->query_at)
                   : g_strdup (rest);
   req->key = hsv_header (h2o, "idempotency-key");
   req->headers = g_string_new (NULL);
   req->body = g_byte_array_new ();
   if (h2o->entity.len > 0)
-    g_byte_array_append (req->body, (const guint8 *)h2o->entity.base, (guint)h2o->entity.len);
+    g_byte_array_append (req->body, (const guint8 *) h2o->entity.base, (guint) h2o->entity.len);
   req->out = g_byte_array_new ();
   req->in_flight_out = g_byte_array_new ();
   req->kept = g_byte_array_new ();
@@ -902,7 +910,7 @@
   req->idempotent = is_idempotent (req->method);
   req->caller_ip = hsv_peer_ip (h2o);
   req->zone = ZONE_NONE;
-  req->started_us = (uint64_t)g_get_monotonic_time ();
+  req->started_us = (uint64_t) g_get_monotonic_time ();
   req->deadline_at_ms = entry_now_ms (entry) + deadline_ms (h2o);
   req->fingerprint = poi_fingerprint (req->method, req->rest, req->body->data, req->body->len);
   req->timer = g_new0 (uv_timer_t, 1);
@@ -953,7 +961,7 @@
 {
   const char *name = path + strlen (SERVICE_PREFIX);
   const char *slash = strchr (name, '/');
-  char *service_name = slash != NULL ? g_strndup (name, (gsize)(slash - name)) : g_strdup (name);
+  char *service_name = slash != NULL ? g_strndup (name, (gsize) (slash - name)) : g_strdup (name);
   EntryService *service = entry->cfg != NULL ? esv_get (entry, service_name) : NULL;
 
   g_free (service_name);
--- a/src/set.c
+++ b/src/set.c
@@ -51,7 +51,7 @@
     case SET_CHOICE:
       {
         char **choices = g_strsplit (spec->accepted, "|", -1);
-        bool found = g_strv_contains ((const char *const *)choices, value);
+        bool found = g_strv_contains ((const char *const *) choices, value);
         g_strfreev (choices);
         return found;
       }
@@ -165,5 +165,5 @@
 uint32_t
 set_uint (const Settings *settings, const char *flag)
 {
-  return (uint32_t)strtoul (set_text (settings, flag), NULL, 10);
+  return (uint32_t) strtoul (set_text (settings, flag), NULL, 10);
 }
--- a/src/shf.c
+++ b/src/shf.c
@@ -101,7 +101,7 @@
   memcpy (wanted, values, sizeof wanted);
   for (uint32_t z = 0; z < ZONES_MAX; z++)
     {
-      values[z] = (uint32_t)((uint64_t)wanted[z] * total / have);
+      values[z] = (uint32_t) ((uint64_t) wanted[z] * total / have);
       scaled += values[z];
     }
   for (uint32_t z = 0; z < ZONES_MAX && scaled < total; z++)
--- a/src/steer.c
+++ b/src/steer.c
@@ -40,16 +40,16 @@
   steer->cfg_since_ms = steer_now_ms (steer);
   for (uint32_t i = 0; i < cfg->errors->len; i++)
     log_event (&steer->log, LOG_WARN, "object_refused", "reason=\"%s\"",
-               (char *)cfg->errors->pdata[i]);
+               (char *) cfg->errors->pdata[i]);
   for (uint32_t i = 0; i < cfg->vms->len; i++)
     {
       const CfgVm *vm = &g_array_index (cfg->vms, CfgVm, i);
       if (mem_get (&steer->members, vm->name) != NULL)
         continue;
       wire_member blank
-          = { .vm = (char *)vm->name,
-              .region = (char *)cfg_region (cfg, cfg_zone (cfg, vm->zone)->region)->name,
-              .zone = (char *)cfg_zone (cfg, vm->zone)->name,
+          = { .vm = (char *) vm->name,
+              .region = (char *) cfg_region (cfg, cfg_zone (cfg, vm->zone)->region)->name,
+              .zone = (char *) cfg_zone (cfg, vm->zone)->name,
               .steer_addr = "",
               .entry_http = "",
               .entry_rpc = "",
@@ -71,22 +71,22 @@
 {
   SteerReport *kept = data;
 
-  xdr_free ((xdrproc_t)xdr_wire_report, &kept->report);
+  xdr_free ((xdrproc_t) xdr_wire_report, &kept->report);
   g_free (kept);
 }
 
 static bool
 report_copy (const wire_report *from, wire_report *to)
 {
-  size_t size = xdr_sizeof ((xdrproc_t)xdr_wire_report, (void *)from);
+  size_t size = xdr_sizeof ((xdrproc_t) xdr_wire_report, (void *) from);
   char *data = g_malloc (size);
   XDR xdr;
 
-  xdrmem_create (&xdr, data, (u_int)size, XDR_ENCODE);
-  bool ok = xdr_wire_report (&xdr, (wire_report *)from);
+  xdrmem_create (&xdr, data, (u_int) size, XDR_ENCODE);
+  bool ok = xdr_wire_report (&xdr, (wire_report *) from);
   xdr_destroy (&xdr);
   memset (to, 0, sizeof *to);
-  xdrmem_create (&xdr, data, (u_int)size, XDR_DECODE);
+  xdrmem_create (&xdr, data, (u_int) size, XDR_DECODE);
   ok = ok && xdr_wire_report (&xdr, to);
   xdr_destroy (&xdr);
   g_free (data);
@@ -116,8 +116,8 @@
 static void
 on_report_sent (void *user, const void *result)
 {
-  (void)user;
-  (void)result;
+  (void) user;
+  (void) result;
 }
 
 static bool
@@ -274,19 +274,19 @@
 static bool
 do_report (void *user, const void *args, void *result)
 {
-  (void)result;
+  (void) result;
   steer_take_report (user, args, false);
   return true;
 }
 
 static const OncProc procs[] = {
-  { WIRE_GOSSIP, (xdrproc_t)xdr_wire_gossip, sizeof (wire_gossip), (xdrproc_t)xdr_wire_gossip,
+  { WIRE_GOSSIP, (xdrproc_t) xdr_wire_gossip, sizeof (wire_gossip), (xdrproc_t) xdr_wire_gossip,
     sizeof (wire_gossip), do_gossip },
-  { WIRE_FETCH, (xdrproc_t)xdr_wire_fetch_args, sizeof (wire_fetch_args),
-    (xdrproc_t)xdr_wire_fetch_reply, sizeof (wire_fetch_reply), do_fetch },
-  { WIRE_SYNC, (xdrproc_t)xdr_wire_sync_args, sizeof (wire_sync_args),
-    (xdrproc_t)xdr_wire_sync_reply, sizeof (wire_sync_reply), do_sync },
-  { WIRE_REPORT, (xdrproc_t)xdr_wire_report, sizeof (wire_report), (xdrproc_t)xdr_wire_none,
+  { WIRE_FETCH, (xdrproc_t) xdr_wire_fetch_args, sizeof (wire_fetch_args),
+    (xdrproc_t) xdr_wire_fetch_reply, sizeof (wire_fetch_reply), do_fetch },
+  { WIRE_SYNC, (xdrproc_t) xdr_wire_sync_args, sizeof (wire_sync_args),
+    (xdrproc_t) xdr_wire_sync_reply, sizeof (wire_sync_reply), do_sync },
+  { WIRE_REPORT, (xdrproc_t) xdr_wire_report, sizeof (wire_report), (xdrproc_t) xdr_wire_none,
     sizeof (wire_none), do_report },
   { 0, NULL, 0, NULL, 0, NULL },
 };
@@ -307,8 +307,8 @@
       json_object_set_string_member (object, "zone", member->zone);
       json_object_set_string_member (object, "state", mem_state_name (member->state));
       json_object_set_string_member (object, "entry", net_addr_text (member->entry_http, text));
-      json_object_set_int_member (object, "incarnation", (gint64)member->incarnation);
-      json_object_set_int_member (object, "entry_incarnation", (gint64)member->entry_incarnation);
+      json_object_set_int_member (object, "incarnation", (gint64) member->incarnation);
+      json_object_set_int_member (object, "entry_incarnation", (gint64) member->entry_incarnation);
       json_array_add_object_element (array, object);
     }
   return array;
@@ -330,7 +330,7 @@
       json_object_set_string_member (object, "region", obs->region);
       json_object_set_string_member (object, "state", obs_state_name (obs->state));
       json_object_set_int_member (object, "load_permille", obs->load_permille);
-      json_object_set_int_member (object, "age_ms", (gint64)(steer_now_ms (steer) - obs->at_ms));
+      json_object_set_int_member (object, "age_ms", (gint64) (steer_now_ms (steer) - obs->at_ms));
       json_array_add_object_element (array, object);
     }
   return array;
@@ -344,13 +344,13 @@
 
   json_object_set_string_member (root, "process", "steer");
   json_object_set_string_member (root, "vm", steer->vm);
-  json_object_set_int_member (root, "incarnation", (gint64)steer->incarnation);
+  json_object_set_int_member (root, "incarnation", (gint64) steer->incarnation);
   json_object_set_boolean_member (root, "joined", steer->joined);
   json_object_set_boolean_member (root, "watcher", flw_is_watcher (steer));
   json_object_set_boolean_member (root, "planner", ldr_is_planner (steer));
-  json_object_set_int_member (root, "config_revision", (gint64)steer->objects.revision);
+  json_object_set_int_member (root, "config_revision", (gint64) steer->objects.revision);
   json_object_set_int_member (root, "config_age_ms",
-                              (gint64)(steer_now_ms (steer) - steer->cfg_since_ms));
+                              (gint64) (steer_now_ms (steer) - steer->cfg_since_ms));
   for (uint32_t i = 0; steer->cfg != NULL && i < steer->cfg->errors->len; i++)
     json_array_add_string_element (errors, steer->cfg->errors->pdata[i]);
   json_object_set_array_member (root, "config_errors", errors);
@@ -422,8 +422,7 @@
 
   if (steer->local_sync_at_ms != 0
       && steer_now_ms (steer) - steer->local_sync_at_ms > MEMBER_SUSPECT_MS)
-    mem_set_self (&steer->members, MEM_LEAVING,
-                  mem_self (&steer->members)->entry_incarnation);
+    mem_set_self (&steer->members, MEM_LEAVING, mem_self (&steer->members)->entry_incarnation);
   if (steer->joined || steer->objects.revision == 0)
     return;
   if (!asked && up_ms < JOIN_WAIT_MS)
@@ -446,7 +445,7 @@
       return;
     }
   log_event (&steer->log, LOG_INFO, "stopped", "signal=%d", number);
-  uv_stop (steer->loop);
+  ldr_stop (steer);
 }
 
 static void
@@ -482,10 +481,10 @@
   g_strlcpy (steer->region, set_text (settings, "region"), sizeof steer->region);
   g_strlcpy (steer->zone, set_text (settings, "zone"), sizeof steer->zone);
   steer->log = (Log){ .out = stderr,
-                      .level = (LogLevel)log_level_parse (set_text (settings, "log-level")),
+                      .level = (LogLevel) log_level_parse (set_text (settings, "log-level")),
                       .process = "steer",
                       .vm = steer->vm };
-  steer->incarnation = (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+  steer->incarnation = (uint64_t) now.tv_sec * 1000000 + (uint64_t) now.tv_nsec / 1000;
   steer->random = g_rand_new ();
   steer->loop = uv_default_loop ();
   steer->started_at_ms = uv_now (steer->loop);
--- a/src/steer.h
+++ b/src/steer.h
@@ -119,6 +119,9 @@
 
 /** ldr_start() - competes for the planner's lease and plans while holding it. */
 void ldr_start (Steer *steer);
+
+/** ldr_stop() - releases the lease when it is held, then stops the loop. */
+void ldr_stop (Steer *steer);
 void ldr_take_report (Steer *steer, const wire_report *report);
 bool ldr_is_planner (const Steer *steer);
 const Plan *ldr_plan (const Steer *steer);
--- a/src/syn.c
+++ b/src/syn.c
@@ -191,6 +191,8 @@
 
   args->items.items_val = g_new0 (wire_item, count + 1);
   args->items.items_len = count;
+  if (count == 0)
+    return;
   memcpy (args->items.items_val, entry->news->data, count * sizeof (wire_item));
   g_array_remove_range (entry->news, 0, count);
 }
@@ -231,10 +233,10 @@
   args.since = entry->objects.revision;
   fill_report (entry, &args.report);
   fill_news (entry, &args);
-  onc_call (entry->client, steer, WIRE_SYNC, (xdrproc_t)xdr_wire_sync_args, &args,
-            (xdrproc_t)xdr_wire_sync_reply, sizeof (wire_sync_reply), SYNC_TIMEOUT_MS, on_synced,
+  onc_call (entry->client, steer, WIRE_SYNC, (xdrproc_t) xdr_wire_sync_args, &args,
+            (xdrproc_t) xdr_wire_sync_reply, sizeof (wire_sync_reply), SYNC_TIMEOUT_MS, on_synced,
             syn);
-  xdr_free ((xdrproc_t)xdr_wire_sync_args, &args);
+  xdr_free ((xdrproc_t) xdr_wire_sync_args, &args);
 }
 
 void
@@ -252,7 +254,7 @@
 static void
 on_tick (uv_timer_t *timer)
 {
-  Syn *syn = (Syn *)timer;
+  Syn *syn = (Syn *) timer;
 
   esv_tick (syn->entry);
   poi_expire (&syn->entry->poison, entry_now_ms (syn->entry));
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -20,12 +20,14 @@
 
 extern char **environ;
 
-namespace {
+namespace
+{
 
 constexpr int kPorts = 96;
 const char *const kZones[] = { "luz-a", "luz-b", "vis-a", "vis-b" };
 
-std::string ReadFile (const std::string &path)
+std::string
+ReadFile (const std::string &path)
 {
   std::ifstream in (path);
   std::stringstream text;
@@ -33,13 +35,15 @@
   return text.str ();
 }
 
-size_t OnBody (char *data, size_t size, size_t count, void *user)
+size_t
+OnBody (char *data, size_t size, size_t count, void *user)
 {
   static_cast<HttpAnswer *> (user)->body.append (data, size * count);
   return size * count;
 }
 
-size_t OnHeader (char *data, size_t size, size_t count, void *user)
+size_t
+OnHeader (char *data, size_t size, size_t count, void *user)
 {
   std::string line (data, size * count);
   size_t colon = line.find (": ");
@@ -49,23 +53,30 @@
   return size * count;
 }
 
-std::string RegionOf (const std::string &zone)
+std::string
+RegionOf (const std::string &zone)
 {
   return zone.substr (0, 3) == "luz" ? "luzon" : "visayas";
 }
 
 } // namespace
 
-void SleepMs (int ms) { std::this_thread::sleep_for (std::chrono::milliseconds (ms)); }
+void
+SleepMs (int ms)
+{
+  std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+}
 
-long NowMs ()
+long
+NowMs ()
 {
   return std::chrono::duration_cast<std::chrono::milliseconds> (
              std::chrono::steady_clock::now ().time_since_epoch ())
       .count ();
 }
 
-std::string JsonField (const std::string &json, const std::string &name)
+std::string
+JsonField (const std::string &json, const std::string &name)
 {
   size_t at = json.find ("\"" + name + "\"");
   if (at == std::string::npos)
@@ -87,17 +98,18 @@
     ports_.push_back (port);
   pclose (list);
   store_addr_ = NextAddr ();
-  Start ("platform", "standin-platform",
-         { "--listen=" + store_addr_,
-           "--latency-ms=" + std::to_string (options_.store_latency_ms) });
+  Start (
+      "platform", "standin-platform",
+      { "--listen=" + store_addr_, "--latency-ms=" + std::to_string (options_.store_latency_ms) });
   store_for_vms_ = options_.proxy_store ? StartProxy ("store", store_addr_) : store_addr_;
   for (int i = 0; i < 100 && Http ("GET", store_addr_, "/standin/counts").status != 200; i++)
     SleepMs (50);
   PutTopology ();
-  for (const std::string &vm : Entries ()) {
-    StartSteer (vm);
-    StartEntry (vm);
-  }
+  for (const std::string &vm : Entries ())
+    {
+      StartSteer (vm);
+      StartEntry (vm);
+    }
 }
 
 Cluster::~Cluster ()
@@ -106,20 +118,27 @@
     kill (process.pid, SIGKILL);
   for (auto &[name, process] : processes_)
     waitpid (process.pid, nullptr, 0);
-  if (getenv ("KEEP_LOGS") == nullptr) {
-    for (auto &[name, process] : processes_)
-      unlink (process.log.c_str ());
-    for (const char *name : { "/exec", "/ctl.in", "/ctl.out" })
-      unlink ((dir_ + name).c_str ());
-    rmdir (dir_.c_str ());
-  } else
+  if (getenv ("KEEP_LOGS") == nullptr)
+    {
+      for (auto &[name, process] : processes_)
+        unlink (process.log.c_str ());
+      for (const char *name : { "/exec", "/ctl.in", "/ctl.out" })
+        unlink ((dir_ + name).c_str ());
+      rmdir (dir_.c_str ());
+    }
+  else
     std::cerr << "logs are in " << dir_ << "\n";
 }
 
-std::string Cluster::NextAddr () { return "127.0.0.1:" + std::to_string (ports_.at (next_port_++)); }
+std::string
+Cluster::NextAddr ()
+{
+  return "127.0.0.1:" + std::to_string (ports_.at (next_port_++));
+}
 
-void Cluster::Start (const std::string &name, const std::string &program,
-                     std::vector<std::string> args, const std::string &stdout_file)
+void
+Cluster::Start (const std::string &name, const std::string &program, std::vector<std::string> args,
+                const std::string &stdout_file)
 {
   Process process;
   process.log = dir_ + "/" + name + ".log";
@@ -141,7 +160,8 @@
   processes_[name] = process;
 }
 
-std::string Cluster::StartProxy (const std::string &name, const std::string &target)
+std::string
+Cluster::StartProxy (const std::string &name, const std::string &target)
 {
   std::string addr = NextAddr ();
   control_addr_[name] = NextAddr ();
@@ -150,7 +170,8 @@
   return addr;
 }
 
-std::vector<std::string> Cluster::Upstreams ()
+std::vector<std::string>
+Cluster::Upstreams ()
 {
   std::vector<std::string> ids;
   for (int n = 0; n < options_.upstreams_per_zone; n++)
@@ -159,7 +180,8 @@
   return ids;
 }
 
-std::vector<std::string> Cluster::Entries ()
+std::vector<std::string>
+Cluster::Entries ()
 {
   std::vector<std::string> vms;
   for (int i = 0; i < options_.entries; i++)
@@ -167,46 +189,52 @@
   return vms;
 }
 
-void Cluster::PutTopology ()
+void
+Cluster::PutTopology ()
 {
   Put ("platform/regions/luzon", R"({"schema":1,"zones":["luz-a","luz-b"],"max_inflight":1000})");
   Put ("platform/regions/visayas", R"({"schema":1,"zones":["vis-a","vis-b"],"max_inflight":1000})");
   Put ("platform/blocks/luz", R"({"schema":1,"zone":"luz-a","blocks":["10.1.0.0/16"]})");
   Put ("platform/blocks/vis", R"({"schema":1,"zone":"vis-a","blocks":["10.2.0.0/16"]})");
   std::string list;
-  for (const std::string &id : Upstreams ()) {
-    std::string zone = id.substr (2, 5);
-    upstream_addr_[id] = NextAddr ();
-    StartUpstream (id);
-    std::string addr
-        = options_.proxy_upstreams ? StartProxy (id, upstream_addr_[id]) : upstream_addr_[id];
-    list += (list.empty () ? "" : ",") + std::string ("{\"id\":\"") + id + "\",\"addr\":\"" + addr
-            + "\",\"zone\":\"" + zone + "\",\"slots\":" + std::to_string (options_.slots) + "}";
-  }
+  for (const std::string &id : Upstreams ())
+    {
+      std::string zone = id.substr (2, 5);
+      upstream_addr_[id] = NextAddr ();
+      StartUpstream (id);
+      std::string addr
+          = options_.proxy_upstreams ? StartProxy (id, upstream_addr_[id]) : upstream_addr_[id];
+      list += (list.empty () ? "" : ",") + std::string ("{\"id\":\"") + id + "\",\"addr\":\"" + addr
+              + "\",\"zone\":\"" + zone + "\",\"slots\":" + std::to_string (options_.slots) + "}";
+    }
   Put ("teams/t/services/desk",
        "{\"schema\":1,\"upstreams\":[" + list + "]" + options_.service_fields + "}");
-  for (int i = 0; i < options_.entries; i++) {
-    std::string vm = "e" + std::to_string (i);
-    zone_of_[vm] = kZones[(i * 2 + i / 2) % 4];
-    steer_addr_[vm] = NextAddr ();
-    entry_addr_[vm] = NextAddr ();
-    rpc_addr_[vm] = NextAddr ();
-    peers_ += (peers_.empty () ? "" : ",") + steer_addr_[vm];
-    Put ("vms/" + vm, "{\"schema\":1,\"role\":\"entry\",\"zone\":\"" + zone_of_[vm]
-                          + "\",\"state\":\"live\",\"steer\":\"" + steer_addr_[vm]
-                          + "\",\"entry\":\"" + entry_addr_[vm] + "\"}");
-  }
+  for (int i = 0; i < options_.entries; i++)
+    {
+      std::string vm = "e" + std::to_string (i);
+      zone_of_[vm] = kZones[(i * 2 + i / 2) % 4];
+      steer_addr_[vm] = NextAddr ();
+      entry_addr_[vm] = NextAddr ();
+      rpc_addr_[vm] = NextAddr ();
+      peers_ += (peers_.empty () ? "" : ",") + steer_addr_[vm];
+      Put ("vms/" + vm, "{\"schema\":1,\"role\":\"entry\",\"zone\":\"" + zone_of_[vm]
+                            + "\",\"state\":\"live\",\"steer\":\"" + steer_addr_[vm]
+                            + "\",\"entry\":\"" + entry_addr_[vm] + "\"}");
+    }
 }
 
-void Cluster::StartUpstream (const std::string &id)
+void
+Cluster::StartUpstream (const std::string &id)
 {
   Start (id, "standin-upstream",
          { "--listen=" + upstream_addr_[id], "--id=" + id,
            "--slots=" + std::to_string (options_.slots),
-           "--service-ms=" + std::to_string (options_.service_ms), "--exec-log=" + dir_ + "/exec" });
+           "--service-ms=" + std::to_string (options_.service_ms),
+           "--exec-log=" + dir_ + "/exec" });
 }
 
-void Cluster::StartSteer (const std::string &vm)
+void
+Cluster::StartSteer (const std::string &vm)
 {
   Start ("steer-" + vm, "cardamom-steer",
          { "--vm=" + vm, "--region=" + RegionOf (zone_of_[vm]), "--zone=" + zone_of_[vm],
@@ -214,7 +242,8 @@
            "--entry-rpc=" + rpc_addr_[vm], "--store=" + store_for_vms_, "--peers=" + peers_ });
 }
 
-void Cluster::StartEntry (const std::string &vm)
+void
+Cluster::StartEntry (const std::string &vm)
 {
   std::vector<std::string> args
       = { "--vm=" + vm, "--entry-listen=" + entry_addr_[vm], "--entry-rpc-listen=" + rpc_addr_[vm],
@@ -223,33 +252,38 @@
   Start ("entry-" + vm, "cardamom-entry", args);
 }
 
-void Cluster::Signal (const std::string &name, int signal)
+void
+Cluster::Signal (const std::string &name, int signal)
 {
   kill (processes_.at (name).pid, signal);
 }
 
-int Cluster::WaitExit (const std::string &name, int timeout_ms)
+int
+Cluster::WaitExit (const std::string &name, int timeout_ms)
 {
   long end = NowMs () + timeout_ms;
   int status;
-  while (NowMs () < end) {
-    if (waitpid (processes_.at (name).pid, &status, WNOHANG) != 0) {
-      processes_.erase (name);
-      return WIFEXITED (status) ? WEXITSTATUS (status) : -2;
+  while (NowMs () < end)
+    {
+      if (waitpid (processes_.at (name).pid, &status, WNOHANG) != 0)
+        {
+          processes_.erase (name);
+          return WIFEXITED (status) ? WEXITSTATUS (status) : -2;
+        }
+      SleepMs (20);
     }
-    SleepMs (20);
-  }
   return -1;
 }
 
-bool Cluster::IsRunning (const std::string &name)
+bool
+Cluster::IsRunning (const std::string &name)
 {
   return processes_.count (name) > 0 && waitpid (processes_.at (name).pid, nullptr, WNOHANG) == 0;
 }
 
-HttpAnswer Cluster::Http (const std::string &method, const std::string &addr,
-                          const std::string &path, const std::vector<std::string> &headers,
-                          long timeout_ms)
+HttpAnswer
+Cluster::Http (const std::string &method, const std::string &addr, const std::string &path,
+               const std::vector<std::string> &headers, long timeout_ms)
 {
   HttpAnswer answer;
   CURL *curl = curl_easy_init ();
@@ -258,10 +292,11 @@
     list = curl_slist_append (list, header.c_str ());
   curl_easy_setopt (curl, CURLOPT_URL, ("http://" + addr + path).c_str ());
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method.c_str ());
-  if (method == "POST") {
-    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "");
-    curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE, 0L);
-  }
+  if (method == "POST")
+    {
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "");
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE, 0L);
+    }
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, list);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
@@ -276,28 +311,33 @@
   return answer;
 }
 
-std::string Cluster::Dump (const std::string &vm)
+std::string
+Cluster::Dump (const std::string &vm)
 {
   return Http ("GET", entry_addr_[vm], "/dump", {}, 2000).body;
 }
 
-HttpAnswer Cluster::Platform (const std::string &fault)
+HttpAnswer
+Cluster::Platform (const std::string &fault)
 {
   return Http ("POST", store_addr_, "/standin/fault?" + fault);
 }
 
-HttpAnswer Cluster::Control (const std::string &upstream, const std::string &query)
+HttpAnswer
+Cluster::Control (const std::string &upstream, const std::string &query)
 {
   return Http ("POST", upstream_addr_[upstream], "/standin/control?" + query);
 }
 
-long Cluster::Count (const std::string &upstream, const std::string &name)
+long
+Cluster::Count (const std::string &upstream, const std::string &name)
 {
   std::string body = Http ("GET", upstream_addr_[upstream], "/standin/counts").body;
   return atol (JsonField (body, name).c_str ());
 }
 
-void Cluster::ProxyCommand (const std::string &name, const std::string &command)
+void
+Cluster::ProxyCommand (const std::string &name, const std::string &command)
 {
   const std::string &addr = control_addr_.at (name);
   sockaddr_in to = {};
@@ -307,14 +347,14 @@
   to.sin_port = htons ((uint16_t) atoi (addr.substr (addr.find (':') + 1).c_str ()));
   to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   std::string line = command + "\n";
-  if (connect (fd, (sockaddr *) &to, sizeof to) != 0
-      || write (fd, line.data (), line.size ()) < 0 || read (fd, answer, sizeof answer) < 4)
+  if (connect (fd, (sockaddr *) &to, sizeof to) != 0 || write (fd, line.data (), line.size ()) < 0
+      || read (fd, answer, sizeof answer) < 4)
     std::cerr << "proxy " << name << " took no command\n";
   close (fd);
 }
 
-int Cluster::Ctl (const std::vector<std::string> &args, const std::string &input,
-                  std::string *output)
+int
+Cluster::Ctl (const std::vector<std::string> &args, const std::string &input, std::string *output)
 {
   std::ofstream (dir_ + "/ctl.in") << input;
   std::vector<std::string> all = args;
@@ -330,7 +370,8 @@
   return code;
 }
 
-bool Cluster::Put (const std::string &path, const std::string &value)
+bool
+Cluster::Put (const std::string &path, const std::string &value)
 {
   std::string output;
   if (Ctl ({ "set", path }, value, &output) == 0)
@@ -339,76 +380,86 @@
   return false;
 }
 
-bool Cluster::WaitFor (int timeout_ms, const std::vector<std::string> &command,
-                       const std::string &text)
+bool
+Cluster::WaitFor (int timeout_ms, const std::vector<std::string> &command, const std::string &text)
 {
   long end = NowMs () + timeout_ms;
   std::string output;
-  while (NowMs () < end) {
-    Ctl (command, "", &output);
-    if (output.find (text) != std::string::npos)
-      return true;
-    SleepMs (100);
-  }
+  while (NowMs () < end)
+    {
+      Ctl (command, "", &output);
+      if (output.find (text) != std::string::npos)
+        return true;
+      SleepMs (100);
+    }
   std::cerr << output;
   return false;
 }
 
-bool Cluster::WaitServing ()
+bool
+Cluster::WaitServing ()
 {
   long end = NowMs () + 20000;
-  while (NowMs () < end) {
-    bool all = true;
-    for (const auto &[vm, addr] : entry_addr_) {
-      std::string dump = Dump (vm);
-      all = all && JsonField (dump, "state") == "serving" && JsonField (dump, "config_errors") == "0"
-            && atol (JsonField (dump, "plan_epoch").c_str ()) > 1
-            && dump.find ("\"state\" : \"unknown\"") == std::string::npos;
+  while (NowMs () < end)
+    {
+      bool all = true;
+      for (const auto &[vm, addr] : entry_addr_)
+        {
+          std::string dump = Dump (vm);
+          all = all && JsonField (dump, "state") == "serving"
+                && JsonField (dump, "config_errors") == "0"
+                && atol (JsonField (dump, "budget").c_str ()) > 0
+                && dump.find ("\"state\" : \"unknown\"") == std::string::npos;
+        }
+      if (all)
+        return true;
+      SleepMs (100);
     }
-    if (all)
-      return true;
-    SleepMs (100);
-  }
   return false;
 }
 
-void Cluster::StartLoad (const std::string &name, const std::vector<std::string> &flags)
+void
+Cluster::StartLoad (const std::string &name, const std::vector<std::string> &flags)
 {
   std::string entries;
   for (const auto &[vm, addr] : entry_addr_)
     entries += (entries.empty () ? "" : ",") + addr;
   std::vector<std::string> args
-      = { "--entries=" + entries, "--service=desk", "--callers=10.1.0.1,10.2.0.1",
+      = { "--entries=" + entries,         "--service=desk",   "--callers=10.1.0.1,10.2.0.1",
           "--exec-log=" + dir_ + "/exec", "--run-id=" + name, "--output=json" };
   args.insert (args.end (), flags.begin (), flags.end ());
   Start (name, "cardamom-load", args, dir_ + "/" + name + ".out");
 }
 
-Report Cluster::FinishLoad (const std::string &name)
+Report
+Cluster::FinishLoad (const std::string &name)
 {
   Report report;
   WaitExit (name, 120000);
   std::string path = dir_ + "/" + name + ".out";
   std::string text = ReadFile (path);
   std::cerr << name << " " << text;
-  for (size_t at = text.find ('"'); at != std::string::npos; at = text.find ('"', at + 1)) {
-    size_t end = text.find ('"', at + 1);
-    std::string key = text.substr (at + 1, end - at - 1);
-    report[key] = atol (text.c_str () + end + 2);
-    at = end;
-  }
+  for (size_t at = text.find ('"'); at != std::string::npos; at = text.find ('"', at + 1))
+    {
+      size_t end = text.find ('"', at + 1);
+      std::string key = text.substr (at + 1, end - at - 1);
+      report[key] = atol (text.c_str () + end + 2);
+      at = end;
+    }
   unlink (path.c_str ());
   unlink ((dir_ + "/" + name + ".log").c_str ());
   return report;
 }
 
-Report Cluster::Load (const std::vector<std::string> &flags)
+Report
+Cluster::Load (const std::vector<std::string> &flags)
 {
   StartLoad ("load", flags);
   return FinishLoad ("load");
 }
 
-long Cluster::Executions (const std::string &text)
+long
+Cluster::Executions (const std::string &text)
 {
   std::istringstream lines (ReadFile (dir_ + "/exec"));
   long count = 0;
@@ -417,4 +468,8 @@
   return count;
 }
 
-std::string Cluster::LogOf (const std::string &name) { return ReadFile (dir_ + "/" + name + ".log"); }
+std::string
+Cluster::LogOf (const std::string &name)
+{
+  return ReadFile (dir_ + "/" + name + ".log");
+}
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -6,12 +6,14 @@
 #include <vector>
 
 // One process started by a test; ended by its id.
-struct Process {
+struct Process
+{
   pid_t pid = 0;
   std::string log;
 };
 
-struct HttpAnswer {
+struct HttpAnswer
+{
   long status = 0;
   bool whole = false; // the answer came to its end as its headers promised
   std::string body;
@@ -21,7 +23,8 @@
 // Figures of a load run, by the names of the tool's JSON report.
 using Report = std::map<std::string, long>;
 
-struct Options {
+struct Options
+{
   int upstreams_per_zone = 1;
   int slots = 8;
   int service_ms = 5;
@@ -33,7 +36,8 @@
   std::vector<std::string> entry_flags;
 };
 
-class Cluster {
+class Cluster
+{
 public:
   explicit Cluster (const Options &options);
   ~Cluster ();
@@ -69,15 +73,23 @@
   // Lines of the upstreams' execution log that hold text.
   long Executions (const std::string &text);
   std::string LogOf (const std::string &name);
-  std::string EntryAddr (const std::string &vm) { return entry_addr_[vm]; }
-  std::string StoreAddr () { return store_addr_; }
+  std::string
+  EntryAddr (const std::string &vm)
+  {
+    return entry_addr_[vm];
+  }
+  std::string
+  StoreAddr ()
+  {
+    return store_addr_;
+  }
   std::vector<std::string> Upstreams ();
   std::vector<std::string> Entries ();
 
 private:
   std::string NextAddr ();
-  void Start (const std::string &name, const std::string &program,
-              std::vector<std::string> args, const std::string &stdout_file = "");
+  void Start (const std::string &name, const std::string &program, std::vector<std::string> args,
+              const std::string &stdout_file = "");
   std::string StartProxy (const std::string &name, const std::string &target);
   void PutTopology ();
 
--- a/tests/test_bud.cc
+++ b/tests/test_bud.cc
@@ -1,6 +1,7 @@
 // Budgets: what entries may use together never exceeds the limit while plans are partly known.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "bud.h"
 }
 #include <gtest/gtest.h>
@@ -8,10 +9,12 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace
+{
 
 // An entry that takes a plan's row some plans late and reports settlement late.
-struct LateEntry {
+struct LateEntry
+{
   std::string vm;
   uint32_t plan = 0;
   uint64_t epoch = 0;
@@ -55,41 +58,46 @@
 
 TEST (Bud, SumHoldsUnderLatePlansAndLateReports)
 {
-  for (uint32_t seed = 1; seed <= 3000; seed++) {
-    std::mt19937 random (seed);
-    BudTable table;
-    bud_init (&table);
-    std::vector<LateEntry> entries;
-    for (int i = 0; i < 2 + (int) (random () % 9); i++) {
-      entries.push_back ({ "e" + std::to_string (i), 0, 0 });
-      bud_join (&table, entries.back ().vm.c_str (), 1);
-    }
-    const uint32_t limit = 1 + random () % 60;
-    uint64_t epoch = 0;
-    std::vector<std::vector<uint32_t>> plans = { std::vector<uint32_t> (entries.size (), 0) };
-    for (int step = 0; step < 60; step++) {
-      std::vector<uint64_t> weights (entries.size ());
-      for (auto &weight : weights)
-        weight = random () % 5;
-      bud_replan (&table, 0, limit, weights.data ());
-      epoch++;
-      plans.emplace_back ();
-      for (auto &entry : entries)
-        plans.back ().push_back (bud_row (&table, entry.vm.c_str (), 1)->now[0]);
-      uint32_t sum = 0;
-      for (size_t i = 0; i < entries.size (); i++) {
-        if (random () % 3 == 0 && entries[i].epoch < epoch)
-          entries[i].epoch += 1 + random () % (epoch - entries[i].epoch);
-        entries[i].plan = plans[entries[i].epoch][i];
-        sum += entries[i].plan;
-        if (entries[i].epoch == epoch && random () % 2 == 0)
-          bud_settle (bud_row (&table, entries[i].vm.c_str (), 1), 0, random () % (entries[i].plan + 1));
-      }
-      ASSERT_LE (sum, limit) << "seed " << seed << " step " << step;
-      ASSERT_LE (bud_ceiling_sum (&table, 0), limit) << "seed " << seed;
+  for (uint32_t seed = 1; seed <= 3000; seed++)
+    {
+      std::mt19937 random (seed);
+      BudTable table;
+      bud_init (&table);
+      std::vector<LateEntry> entries;
+      for (int i = 0; i < 2 + (int) (random () % 9); i++)
+        {
+          entries.push_back ({ "e" + std::to_string (i), 0, 0 });
+          bud_join (&table, entries.back ().vm.c_str (), 1);
+        }
+      const uint32_t limit = 1 + random () % 60;
+      uint64_t epoch = 0;
+      std::vector<std::vector<uint32_t>> plans = { std::vector<uint32_t> (entries.size (), 0) };
+      for (int step = 0; step < 60; step++)
+        {
+          std::vector<uint64_t> weights (entries.size ());
+          for (auto &weight : weights)
+            weight = random () % 5;
+          bud_replan (&table, 0, limit, weights.data ());
+          epoch++;
+          plans.emplace_back ();
+          for (auto &entry : entries)
+            plans.back ().push_back (bud_row (&table, entry.vm.c_str (), 1)->now[0]);
+          uint32_t sum = 0;
+          for (size_t i = 0; i < entries.size (); i++)
+            {
+              if (random () % 3 == 0 && entries[i].epoch < epoch)
+                entries[i].epoch += 1 + random () % (epoch - entries[i].epoch);
+              entries[i].plan = plans[entries[i].epoch][i];
+              sum += entries[i].plan;
+              if (entries[i].epoch == epoch && random () % 2 == 0)
+                bud_settle (bud_row (&table, entries[i].vm.c_str (), 1), 0,
+                            random () % (entries[i].plan + 1));
+            }
+          ASSERT_LE (sum, limit) << "seed " << seed << " step " << step;
+          ASSERT_LE (bud_ceiling_sum (&table, 0), limit) << "seed " << seed;
+        }
+      bud_clear (&table);
     }
-    bud_clear (&table);
-  }
 }
 
 TEST (Bud, UseBeyondTheAllotmentStaysCounted)
--- a/tests/test_cfg.cc
+++ b/tests/test_cfg.cc
@@ -1,40 +1,51 @@
 // Configuration: each bad object is refused by name and leaves the rest in force.
 #include <glib.h>
 #include <rpc/rpc.h>
-extern "C" {
+extern "C"
+{
 #include "cfg.h"
 }
 #include <gtest/gtest.h>
 #include <string>
 
-namespace {
+namespace
+{
 
 const char kRegion[] = R"({"schema":1,"zones":["a1","a2"],"max_inflight":100,"headroom_pct":10})";
 const char kOther[] = R"({"schema":1,"zones":["b1"],"max_inflight":100})";
 const char kService[]
     = R"({"schema":1,"upstreams":[{"id":"u1","addr":"127.0.0.1:1","zone":"a1","slots":6}]})";
 
-class CfgTest : public ::testing::Test {
+class CfgTest : public ::testing::Test
+{
 protected:
-  void SetUp () override
+  void
+  SetUp () override
   {
     obj_init (&table_);
     Put ("platform/regions/a", kRegion);
     Put ("platform/regions/b", kOther);
     Put ("teams/t1/services/desk", kService);
   }
-  void TearDown () override { obj_clear (&table_); }
-  void Put (const std::string &path, const std::string &value)
+  void
+  TearDown () override
+  {
+    obj_clear (&table_);
+  }
+  void
+  Put (const std::string &path, const std::string &value)
   {
     obj_apply (&table_, path.c_str (), ++revision_, false, value.c_str ());
     obj_advance (&table_, revision_);
   }
-  std::string Check (const std::string &path, const std::string &value)
+  std::string
+  Check (const std::string &path, const std::string &value)
   {
     Err err = {};
     return cfg_check_change (&table_, path.c_str (), value.c_str (), &err) ? "" : err.text;
   }
-  void ExpectRefused (const std::string &path, const std::string &value, const std::string &why)
+  void
+  ExpectRefused (const std::string &path, const std::string &value, const std::string &why)
   {
     EXPECT_NE (std::string::npos, Check (path, value).find (why)) << Check (path, value);
   }
--- a/tests/test_chart.cc
+++ b/tests/test_chart.cc
@@ -1,6 +1,7 @@
 // State charts: the shipped ones load; broken ones are named with their fault.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "chart.h"
 #include "hlt.h"
 }
@@ -9,12 +10,14 @@
 #include <gtest/gtest.h>
 #include <string>
 
-namespace {
+namespace
+{
 
 const char *const kStates[] = { "a", "b", nullptr };
 const char *const kEvents[] = { "go", "back", nullptr };
 
-std::string LoadError (const std::string &text)
+std::string
+LoadError (const std::string &text)
 {
   std::string path = ::testing::TempDir () + "chart_test.chart";
   std::ofstream (path) << text;
--- a/tests/test_dem.cc
+++ b/tests/test_dem.cc
@@ -1,14 +1,17 @@
 // Demand from cumulative reports.
 #include <glib.h>
 #include <rpc/rpc.h>
-extern "C" {
+extern "C"
+{
 #include "dem.h"
 }
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
-struct Report {
+struct Report
+{
   wire_usage usage = {};
   wire_report report = {};
   Report (uint64_t incarnation, uint64_t requests, uint64_t refused, uint64_t busy_ms)
@@ -26,16 +29,20 @@
   }
 };
 
-void Take (DemTable *table, const Report &report, uint64_t at_ms)
+void
+Take (DemTable *table, const Report &report, uint64_t at_ms)
 {
   dem_take (table, &report.report, at_ms);
 }
 
-double Rate (const DemTable *table)
+double
+Rate (const DemTable *table)
 {
   double rate = -1;
-  dem_each (table, [] (void *user, const DemRate *r) { *static_cast<double *> (user) = r->in_flight_milli; },
-            &rate);
+  dem_each (
+      table,
+      [] (void *user, const DemRate *r) { *static_cast<double *> (user) = r->in_flight_milli; },
+      &rate);
   return rate;
 }
 
--- a/tests/test_hlt.cc
+++ b/tests/test_hlt.cc
@@ -1,15 +1,19 @@
 // Upstream health: hysteresis, bounded ejection, ramp, and distrust of load reports.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "hlt.h"
 }
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
-class HltTest : public ::testing::Test {
+class HltTest : public ::testing::Test
+{
 protected:
-  void SetUp () override
+  void
+  SetUp () override
   {
     Err err = {};
     ASSERT_TRUE (hlt_chart_load (&chart_, "charts", &err)) << err.text;
--- a/tests/test_mem.cc
+++ b/tests/test_mem.cc
@@ -1,15 +1,18 @@
 // Membership: news is ordered by incarnation; a paused member refutes; ranks agree.
 #include <glib.h>
 #include <rpc/rpc.h>
-extern "C" {
+extern "C"
+{
 #include "mem.h"
 }
 #include <gtest/gtest.h>
 #include <string>
 
-namespace {
+namespace
+{
 
-wire_member News (const char *vm, uint64_t incarnation, uint64_t refutation, int state)
+wire_member
+News (const char *vm, uint64_t incarnation, uint64_t refutation, int state)
 {
   wire_member news = {};
   news.vm = const_cast<char *> (vm);
@@ -24,9 +27,11 @@
   return news;
 }
 
-class MemTest : public ::testing::Test {
+class MemTest : public ::testing::Test
+{
 protected:
-  void SetUp () override
+  void
+  SetUp () override
   {
     MemMember self = {};
     g_strlcpy (self.vm, "self", sizeof self.vm);
@@ -34,8 +39,13 @@
     self.incarnation = 10;
     mem_init (&table_, &self);
   }
-  void TearDown () override { g_ptr_array_unref (table_.members); }
-  bool Learn (const char *vm, uint64_t incarnation, uint64_t refutation, int state)
+  void
+  TearDown () override
+  {
+    g_ptr_array_unref (table_.members);
+  }
+  bool
+  Learn (const char *vm, uint64_t incarnation, uint64_t refutation, int state)
   {
     wire_member news = News (vm, incarnation, refutation, state);
     return mem_learn (&table_, &news, 100);
@@ -88,10 +98,11 @@
   for (int i = 0; i < 7; i++)
     Learn (("m" + std::to_string (i)).c_str (), 5, 0, MEM_ALIVE);
   uint32_t seen = 0;
-  for (uint32_t i = 0; i < table_.members->len; i++) {
-    auto *member = static_cast<MemMember *> (table_.members->pdata[i]);
-    seen |= 1u << mem_rank (&table_, member->vm, "salt");
-  }
+  for (uint32_t i = 0; i < table_.members->len; i++)
+    {
+      auto *member = static_cast<MemMember *> (table_.members->pdata[i]);
+      seen |= 1u << mem_rank (&table_, member->vm, "salt");
+    }
   EXPECT_EQ (0xffu, seen);
   EXPECT_EQ (UINT32_MAX, mem_rank (&table_, "nobody", "salt"));
 }
--- a/tests/test_met.cc
+++ b/tests/test_met.cc
@@ -1,12 +1,14 @@
 // Counters and histograms.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "met.h"
 }
 #include <gtest/gtest.h>
 #include <string>
 
-namespace {
+namespace
+{
 
 TEST (Met, QuantilesAreWithinABucket)
 {
--- a/tests/test_obj.cc
+++ b/tests/test_obj.cc
@@ -1,6 +1,7 @@
 // Object table: revisions never go back, whatever order changes come in.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "obj.h"
 }
 #include <gtest/gtest.h>
@@ -8,12 +9,22 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace
+{
 
-class ObjTest : public ::testing::Test {
+class ObjTest : public ::testing::Test
+{
 protected:
-  void SetUp () override { obj_init (&table_); }
-  void TearDown () override { obj_clear (&table_); }
+  void
+  SetUp () override
+  {
+    obj_init (&table_);
+  }
+  void
+  TearDown () override
+  {
+    obj_clear (&table_);
+  }
   ObjTable table_;
 };
 
@@ -48,31 +59,40 @@
 
 TEST_F (ObjTest, AnyOrderGivesTheSameTable)
 {
-  for (uint32_t seed = 1; seed <= 300; seed++) {
-    std::mt19937 random (seed);
-    ObjTable forward, shuffled;
-    obj_init (&forward);
-    obj_init (&shuffled);
-    struct Change { std::string path; uint64_t revision; bool deleted; };
-    std::vector<Change> changes;
-    for (uint64_t r = 1; r <= 30; r++)
-      changes.push_back ({ "p" + std::to_string (random () % 5), r, random () % 3 == 0 });
-    for (const Change &c : changes)
-      obj_apply (&forward, c.path.c_str (), c.revision, c.deleted, "{}");
-    std::shuffle (changes.begin (), changes.end (), random);
-    for (const Change &c : changes)
-      obj_apply (&shuffled, c.path.c_str (), c.revision, c.deleted, "{}");
-    for (int p = 0; p < 5; p++) {
-      std::string path = "p" + std::to_string (p);
-      const Obj *a = obj_get (&forward, path.c_str ());
-      const Obj *b = obj_get (&shuffled, path.c_str ());
-      ASSERT_EQ (a == nullptr, b == nullptr) << "seed " << seed;
-      if (a != nullptr)
-        ASSERT_EQ (a->revision, b->revision);
+  for (uint32_t seed = 1; seed <= 300; seed++)
+    {
+      std::mt19937 random (seed);
+      ObjTable forward, shuffled;
+      obj_init (&forward);
+      obj_init (&shuffled);
+      struct Change
+      {
+        std::string path;
+        uint64_t revision;
+        bool deleted;
+      };
+      std::vector<Change> changes;
+      for (uint64_t r = 1; r <= 30; r++)
+        changes.push_back ({ "p" + std::to_string (random () % 5), r, random () % 3 == 0 });
+      for (const Change &c : changes)
+        obj_apply (&forward, c.path.c_str (), c.revision, c.deleted, "{}");
+      std::shuffle (changes.begin (), changes.end (), random);
+      for (const Change &c : changes)
+        obj_apply (&shuffled, c.path.c_str (), c.revision, c.deleted, "{}");
+      for (int p = 0; p < 5; p++)
+        {
+          std::string path = "p" + std::to_string (p);
+          const Obj *a = obj_get (&forward, path.c_str ());
+          const Obj *b = obj_get (&shuffled, path.c_str ());
+          ASSERT_EQ (a == nullptr, b == nullptr) << "seed " << seed;
+          if (a != nullptr)
+            {
+              ASSERT_EQ (a->revision, b->revision);
+            }
+        }
+      obj_clear (&forward);
+      obj_clear (&shuffled);
     }
-    obj_clear (&forward);
-    obj_clear (&shuffled);
-  }
 }
 
 } // namespace
--- a/tests/test_obs.cc
+++ b/tests/test_obs.cc
@@ -1,16 +1,27 @@
 // Observations of upstreams.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "obs.h"
 }
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
-class ObsTest : public ::testing::Test {
+class ObsTest : public ::testing::Test
+{
 protected:
-  void SetUp () override { obs_init (&table_); }
-  void TearDown () override { obs_clear (&table_); }
+  void
+  SetUp () override
+  {
+    obs_init (&table_);
+  }
+  void
+  TearDown () override
+  {
+    obs_clear (&table_);
+  }
   ObsTable table_;
 };
 
--- a/tests/test_pck.cc
+++ b/tests/test_pck.cc
@@ -1,33 +1,38 @@
 // Choice of upstream and zone.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "pck.h"
 }
 #include <gtest/gtest.h>
 #include <random>
 
-namespace {
+namespace
+{
 
 TEST (Pck, ZonesGetTheirSharesOfAnyRun)
 {
-  for (uint32_t seed = 1; seed <= 300; seed++) {
-    std::mt19937 random (seed);
-    uint32_t shares[ZONES_MAX] = {};
-    int64_t credit[ZONES_MAX] = {};
-    uint32_t left = SHARE_ONE_PPM;
-    for (int z = 0; z < 3; z++) {
-      shares[z] = random () % (left + 1);
-      left -= shares[z];
-    }
-    shares[3] = left;
-    uint32_t counts[ZONES_MAX] = {};
-    for (uint32_t n = 1; n <= 500; n++) {
-      counts[pck_zone (shares, credit)]++;
-      for (int z = 0; z < 4; z++)
-        ASSERT_NEAR ((double) counts[z], (double) n * shares[z] / SHARE_ONE_PPM, 3.0)
-            << "seed " << seed;
+  for (uint32_t seed = 1; seed <= 300; seed++)
+    {
+      std::mt19937 random (seed);
+      uint32_t shares[ZONES_MAX] = {};
+      int64_t credit[ZONES_MAX] = {};
+      uint32_t left = SHARE_ONE_PPM;
+      for (int z = 0; z < 3; z++)
+        {
+          shares[z] = random () % (left + 1);
+          left -= shares[z];
+        }
+      shares[3] = left;
+      uint32_t counts[ZONES_MAX] = {};
+      for (uint32_t n = 1; n <= 500; n++)
+        {
+          counts[pck_zone (shares, credit)]++;
+          for (int z = 0; z < 4; z++)
+            ASSERT_NEAR ((double) counts[z], (double) n * shares[z] / SHARE_ONE_PPM, 3.0)
+                << "seed " << seed;
+        }
     }
-  }
 }
 
 TEST (Pck, NoShareMeansNoZone)
@@ -40,10 +45,9 @@
 TEST (Pck, NeverTakesAFullOrIneligibleOne)
 {
   GRand *random = g_rand_new_with_seed (1);
-  PckUpstream candidates[4] = { { false, 4, 4, 0, 0 },
-                                { true, 4, 4, 4, 0 },
-                                { true, 4, 2, 2, 0 },
-                                { true, 4, 4, 3, 900 } };
+  PckUpstream candidates[4] = {
+    { false, 4, 4, 0, 0 }, { true, 4, 4, 4, 0 }, { true, 4, 2, 2, 0 }, { true, 4, 4, 3, 900 }
+  };
   uint32_t cursor = 0;
   for (int policy = 0; policy < 4; policy++)
     for (int i = 0; i < 100; i++)
--- a/tests/test_pln.cc
+++ b/tests/test_pln.cc
@@ -1,33 +1,38 @@
 // Planner: nearest first within capacity and links; keeps what is unknown or good enough.
 #include <glib.h>
 #include <rpc/rpc.h>
-extern "C" {
+extern "C"
+{
 #include "pln.h"
 }
 #include <gtest/gtest.h>
 #include <random>
 #include <string>
 
-namespace {
+namespace
+{
 
 using Matrix = uint32_t[ZONES_MAX][ZONES_MAX];
 
-PlnInput Input (uint32_t zones)
+PlnInput
+Input (uint32_t zones)
 {
   PlnInput input = {};
   input.zone_count = zones;
-  for (uint32_t a = 0; a < zones; a++) {
-    input.region_of[a] = (uint8_t) (a / 2);
-    input.capacity_milli[a] = 10000;
-    input.demand_milli[a] = 1000;
-    input.demand_known[a] = true;
-    for (uint32_t b = 0; b < zones; b++)
-      input.latency_ms[a][b] = a == b ? 0 : (a / 2 == b / 2 ? 1 : 35);
-  }
+  for (uint32_t a = 0; a < zones; a++)
+    {
+      input.region_of[a] = (uint8_t) (a / 2);
+      input.capacity_milli[a] = 10000;
+      input.demand_milli[a] = 1000;
+      input.demand_known[a] = true;
+      for (uint32_t b = 0; b < zones; b++)
+        input.latency_ms[a][b] = a == b ? 0 : (a / 2 == b / 2 ? 1 : 35);
+    }
   return input;
 }
 
-void Identity (Matrix shares, uint32_t zones)
+void
+Identity (Matrix shares, uint32_t zones)
 {
   memset (shares, 0, sizeof (Matrix));
   for (uint32_t z = 0; z < zones; z++)
@@ -111,50 +116,56 @@
   Matrix current, target;
   Identity (current, 6);
   int moves = 0;
-  for (int minute = 0; minute < 3600; minute++) {
-    for (int g = 0; g < 6; g++)
-      input.demand_milli[g] = 6000 + random () % 3000;
-    PlnReason reason = pln_targets (&input, current, target);
-    moves += reason == PLN_MOVE_LATENCY || reason == PLN_MOVE_OVER_CAPACITY;
-    memcpy (current, target, sizeof (Matrix));
-  }
+  for (int minute = 0; minute < 3600; minute++)
+    {
+      for (int g = 0; g < 6; g++)
+        input.demand_milli[g] = 6000 + random () % 3000;
+      PlnReason reason = pln_targets (&input, current, target);
+      moves += reason == PLN_MOVE_LATENCY || reason == PLN_MOVE_OVER_CAPACITY;
+      memcpy (current, target, sizeof (Matrix));
+    }
   EXPECT_EQ (0, moves);
 }
 
 TEST (Pln, TargetsNeverExceedCapacityWhenDemandFits)
 {
-  for (uint32_t seed = 1; seed <= 3000; seed++) {
-    std::mt19937 random (seed);
-    uint32_t zones = 2 + random () % 5;
-    PlnInput input = Input (zones);
-    uint64_t capacity = 0, demand = 0;
-    for (uint32_t z = 0; z < zones; z++) {
-      input.capacity_milli[z] = random () % 40000;
-      input.excluded[z] = random () % 5 == 0;
-      capacity += input.excluded[z] ? 0 : input.capacity_milli[z];
-    }
-    for (uint32_t g = 0; g < zones; g++) {
-      input.demand_milli[g] = random () % 8000;
-      demand += MAX (input.demand_milli[g], 1);
-    }
-    if (demand > capacity)
-      continue;
-    Matrix current = {}, target;
-    pln_targets (&input, current, target);
-    for (uint32_t z = 0; z < zones; z++) {
-      uint64_t load = 0;
+  for (uint32_t seed = 1; seed <= 3000; seed++)
+    {
+      std::mt19937 random (seed);
+      uint32_t zones = 2 + random () % 5;
+      PlnInput input = Input (zones);
+      uint64_t capacity = 0, demand = 0;
+      for (uint32_t z = 0; z < zones; z++)
+        {
+          input.capacity_milli[z] = random () % 40000;
+          input.excluded[z] = random () % 5 == 0;
+          capacity += input.excluded[z] ? 0 : input.capacity_milli[z];
+        }
       for (uint32_t g = 0; g < zones; g++)
-        load += input.demand_milli[g] * target[g][z] / SHARE_ONE_PPM;
-      ASSERT_LE (load, (input.excluded[z] ? 0 : input.capacity_milli[z]) + zones)
-          << "seed " << seed;
-    }
-    for (uint32_t g = 0; g < zones; g++) {
-      uint64_t sum = 0;
+        {
+          input.demand_milli[g] = random () % 8000;
+          demand += MAX (input.demand_milli[g], 1);
+        }
+      if (demand > capacity)
+        continue;
+      Matrix current = {}, target;
+      pln_targets (&input, current, target);
       for (uint32_t z = 0; z < zones; z++)
-        sum += target[g][z];
-      ASSERT_EQ (SHARE_ONE_PPM, sum) << "seed " << seed;
+        {
+          uint64_t load = 0;
+          for (uint32_t g = 0; g < zones; g++)
+            load += input.demand_milli[g] * target[g][z] / SHARE_ONE_PPM;
+          ASSERT_LE (load, (input.excluded[z] ? 0 : input.capacity_milli[z]) + zones)
+              << "seed " << seed;
+        }
+      for (uint32_t g = 0; g < zones; g++)
+        {
+          uint64_t sum = 0;
+          for (uint32_t z = 0; z < zones; z++)
+            sum += target[g][z];
+          ASSERT_EQ (SHARE_ONE_PPM, sum) << "seed " << seed;
+        }
     }
-  }
 }
 
 TEST (Pln, EncodesAndDecodesWithMovesOfTheWindow)
--- a/tests/test_poi.cc
+++ b/tests/test_poi.cc
@@ -1,16 +1,27 @@
 // Poison requests: crashes counted by fingerprint.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "poi.h"
 }
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
-class PoiTest : public ::testing::Test {
+class PoiTest : public ::testing::Test
+{
 protected:
-  void SetUp () override { poi_init (&table_); }
-  void TearDown () override { poi_clear (&table_); }
+  void
+  SetUp () override
+  {
+    poi_init (&table_);
+  }
+  void
+  TearDown () override
+  {
+    poi_clear (&table_);
+  }
   PoiTable table_;
 };
 
--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -4,12 +4,14 @@
 #include <csignal>
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
 const std::vector<std::string> kShortLoad = { "--rate=100", "--seconds=4" };
 
 // Nothing run twice, nothing acknowledged that did not run, nothing cut or mixed up.
-void ExpectPromises (Report &report)
+void
+ExpectPromises (Report &report)
 {
   EXPECT_EQ (0, report["doubles"]);
   EXPECT_EQ (0, report["lost"]);
@@ -31,16 +33,17 @@
 {
   Cluster cluster ({});
   ASSERT_TRUE (cluster.WaitServing ());
-  for (int round = 0; round < 3; round++) {
-    cluster.Signal ("steer-e0", SIGKILL);
-    cluster.WaitExit ("steer-e0", 2000);
-    cluster.Signal ("entry-e0", SIGKILL);
-    cluster.WaitExit ("entry-e0", 2000);
-    cluster.StartEntry ("e0");
-    SleepMs (300);
-    cluster.StartSteer ("e0");
-    ASSERT_TRUE (cluster.WaitServing ()) << cluster.Dump ("e0");
-  }
+  for (int round = 0; round < 3; round++)
+    {
+      cluster.Signal ("steer-e0", SIGKILL);
+      cluster.WaitExit ("steer-e0", 2000);
+      cluster.Signal ("entry-e0", SIGKILL);
+      cluster.WaitExit ("entry-e0", 2000);
+      cluster.StartEntry ("e0");
+      SleepMs (300);
+      cluster.StartSteer ("e0");
+      ASSERT_TRUE (cluster.WaitServing ()) << cluster.Dump ("e0");
+    }
 }
 
 TEST (RequestPath, KilledEntryLosesAndDoublesNoPosting)
@@ -64,10 +67,11 @@
   Cluster cluster ({});
   ASSERT_TRUE (cluster.WaitServing ());
   cluster.StartLoad ("load", { "--rate=40", "--seconds=6", "--posts-pct=100" });
-  for (int i = 0; i < 4; i++) {
-    SleepMs (1000);
-    cluster.Platform ("lose_answers=10");
-  }
+  for (int i = 0; i < 4; i++)
+    {
+      SleepMs (1000);
+      cluster.Platform ("lose_answers=10");
+    }
   Report report = cluster.FinishLoad ("load");
   ExpectPromises (report);
   EXPECT_EQ (report["requests"], report["ok"] + report["not_run"] + report["unresolved"]);
@@ -81,16 +85,16 @@
   cluster.Platform ("mode=refuse");
   Report reads = cluster.Load ({ "--rate=100", "--seconds=3", "--posts-pct=0" });
   EXPECT_EQ (reads["requests"], reads["ok"]);
-  HttpAnswer answer = cluster.Http ("POST", cluster.EntryAddr ("e0"), "/svc/desk/pay",
-                                    { "idempotency-key: k1" });
+  HttpAnswer answer
+      = cluster.Http ("POST", cluster.EntryAddr ("e0"), "/svc/desk/pay", { "idempotency-key: k1" });
   EXPECT_EQ (503, answer.status);
   EXPECT_EQ ("not-run", answer.headers["x-cardamom-run"]);
   EXPECT_EQ ("1", answer.headers["retry-after"]);
   EXPECT_EQ (0, cluster.Executions (" k1"));
   cluster.Platform ("mode=ok");
   SleepMs (1000);
-  answer = cluster.Http ("POST", cluster.EntryAddr ("e1"), "/svc/desk/pay",
-                         { "idempotency-key: k1" });
+  answer
+      = cluster.Http ("POST", cluster.EntryAddr ("e1"), "/svc/desk/pay", { "idempotency-key: k1" });
   EXPECT_EQ (200, answer.status);
   EXPECT_EQ (1, cluster.Executions (" k1"));
 }
@@ -151,11 +155,12 @@
   ASSERT_TRUE (cluster.WaitServing ());
   for (const std::string &id : cluster.Upstreams ())
     cluster.Control (id, "cut_after=1000");
-  for (int i = 0; i < 4; i++) {
-    HttpAnswer answer
-        = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/download?size=200000");
-    EXPECT_FALSE (answer.whole && answer.status == 200);
-  }
+  for (int i = 0; i < 4; i++)
+    {
+      HttpAnswer answer
+          = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/download?size=200000");
+      EXPECT_FALSE (answer.whole && answer.status == 200);
+    }
 }
 
 TEST (RequestPath, SilentConnectionsAreReplaced)
@@ -180,12 +185,13 @@
   options.upstreams_per_zone = 2;
   Cluster cluster (options);
   ASSERT_TRUE (cluster.WaitServing ());
-  for (int i = 0; i < 9; i++) {
-    std::string vm = "e" + std::to_string (i % 3);
-    HttpAnswer answer = cluster.Http ("GET", cluster.EntryAddr (vm), "/svc/desk/poison");
-    EXPECT_NE (200, answer.status);
-    SleepMs (100);
-  }
+  for (int i = 0; i < 9; i++)
+    {
+      std::string vm = "e" + std::to_string (i % 3);
+      HttpAnswer answer = cluster.Http ("GET", cluster.EntryAddr (vm), "/svc/desk/poison");
+      EXPECT_NE (200, answer.status);
+      SleepMs (100);
+    }
   EXPECT_GE (cluster.Executions ("/poison"), 1);
   EXPECT_LE (cluster.Executions ("/poison"), 3);
 }
@@ -194,16 +200,17 @@
 {
   Cluster cluster ({});
   ASSERT_TRUE (cluster.WaitServing ());
-  for (int i = 0; i < 6; i++) {
-    HttpAnswer late = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/a?ms=400",
-                                    { "x-echo: late", "x-deadline-ms: 100" });
-    EXPECT_EQ (504, late.status);
-    EXPECT_EQ ("may-have-run", late.headers["x-cardamom-run"]);
-    HttpAnswer next = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/b?ms=1",
-                                    { "x-echo: next" });
-    EXPECT_EQ (200, next.status);
-    EXPECT_NE (std::string::npos, next.body.find ("\"next\"")) << next.body;
-  }
+  for (int i = 0; i < 6; i++)
+    {
+      HttpAnswer late = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/a?ms=400",
+                                      { "x-echo: late", "x-deadline-ms: 100" });
+      EXPECT_EQ (504, late.status);
+      EXPECT_EQ ("may-have-run", late.headers["x-cardamom-run"]);
+      HttpAnswer next
+          = cluster.Http ("GET", cluster.EntryAddr ("e0"), "/svc/desk/b?ms=1", { "x-echo: next" });
+      EXPECT_EQ (200, next.status);
+      EXPECT_NE (std::string::npos, next.body.find ("\"next\"")) << next.body;
+    }
 }
 
 TEST (RequestPath, PlannedStopCutsNothing)
@@ -226,15 +233,16 @@
   Cluster cluster ({});
   ASSERT_TRUE (cluster.WaitServing ());
   cluster.StartLoad ("load", { "--rate=80", "--seconds=22" });
-  for (const std::string &vm : cluster.Entries ()) {
-    cluster.Signal ("entry-" + vm, SIGTERM);
-    ASSERT_EQ (0, cluster.WaitExit ("entry-" + vm, 15000));
-    cluster.Signal ("steer-" + vm, SIGTERM);
-    ASSERT_EQ (0, cluster.WaitExit ("steer-" + vm, 5000));
-    cluster.StartSteer (vm);
-    cluster.StartEntry (vm);
-    ASSERT_TRUE (cluster.WaitServing ());
-  }
+  for (const std::string &vm : cluster.Entries ())
+    {
+      cluster.Signal ("entry-" + vm, SIGTERM);
+      ASSERT_EQ (0, cluster.WaitExit ("entry-" + vm, 15000));
+      cluster.Signal ("steer-" + vm, SIGTERM);
+      ASSERT_EQ (0, cluster.WaitExit ("steer-" + vm, 5000));
+      cluster.StartSteer (vm);
+      cluster.StartEntry (vm);
+      ASSERT_TRUE (cluster.WaitServing ());
+    }
   Report report = cluster.FinishLoad ("load");
   ExpectPromises (report);
   EXPECT_EQ (report["requests"], report["ok"]);
--- a/tests/test_rty.cc
+++ b/tests/test_rty.cc
@@ -1,21 +1,24 @@
 // Retry budget: retries stay a share of requests.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "rty.h"
 }
 #include <gtest/gtest.h>
 
-namespace {
+namespace
+{
 
 TEST (Rty, RetriesStayWithinTheShare)
 {
   RtyBudget budget = {};
   int retries = 0;
-  for (int i = 0; i < 1000; i++) {
-    rty_request (&budget, 10);
-    while (rty_take (&budget))
-      retries++;
-  }
+  for (int i = 0; i < 1000; i++)
+    {
+      rty_request (&budget, 10);
+      while (rty_take (&budget))
+        retries++;
+    }
   EXPECT_EQ (100, retries);
 }
 
--- a/tests/test_set.cc
+++ b/tests/test_set.cc
@@ -1,6 +1,7 @@
 // Settings: flags before environment before defaults; all errors at once.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "set.h"
 }
 #include <cstdlib>
@@ -8,7 +9,8 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace
+{
 
 const SetSpec kSpecs[] = { { "vm", SET_TEXT, nullptr, nullptr, "name" },
                            { "store", SET_ADDRESS, nullptr, nullptr, "address" },
@@ -16,7 +18,8 @@
                            { "mode", SET_CHOICE, "on", "on|off", "choice" },
                            { nullptr, SET_TEXT, nullptr, nullptr, nullptr } };
 
-Settings *Load (std::vector<std::string> args, Err *err)
+Settings *
+Load (std::vector<std::string> args, Err *err)
 {
   static std::vector<std::string> kept;
   kept = std::move (args);
--- a/tests/test_shf.cc
+++ b/tests/test_shf.cc
@@ -1,25 +1,29 @@
 // Shift caps hold over every window, for generated sequences of targets and failures.
 #include <glib.h>
-extern "C" {
+extern "C"
+{
 #include "shf.h"
 }
 #include <gtest/gtest.h>
 #include <random>
 #include <vector>
 
-namespace {
+namespace
+{
 
 constexpr int kZones = 6;
 const uint8_t kRegionOf[ZONES_MAX] = { 0, 0, 1, 1, 2, 2 };
 
-struct Move {
+struct Move
+{
   uint64_t at_ms;
   uint32_t moved;
   uint32_t evacuated;
   uint32_t into[REGIONS_MAX];
 };
 
-uint32_t Sum (const uint32_t *shares)
+uint32_t
+Sum (const uint32_t *shares)
 {
   uint32_t sum = 0;
   for (int z = 0; z < ZONES_MAX; z++)
@@ -27,15 +31,17 @@
   return sum;
 }
 
-void RandomShares (std::mt19937 &random, uint32_t *shares)
+void
+RandomShares (std::mt19937 &random, uint32_t *shares)
 {
   uint32_t left = SHARE_ONE_PPM;
   for (int z = 0; z < ZONES_MAX; z++)
     shares[z] = 0;
-  for (int z = 0; z < kZones - 1; z++) {
-    shares[z] = random () % (left + 1);
-    left -= shares[z];
-  }
+  for (int z = 0; z < kZones - 1; z++)
+    {
+      shares[z] = random () % (left + 1);
+      left -= shares[z];
+    }
   shares[kZones - 1] = left;
 }
 
@@ -91,76 +97,82 @@
   EXPECT_EQ (100000u, shf_advance (&state, to, failed, kRegionOf, &caps, 1050).moved_ppm);
 }
 
-void CheckWindows (const std::vector<Move> &moves, const ShfCaps &caps)
+void
+CheckWindows (const std::vector<Move> &moves, const ShfCaps &caps)
 {
-  for (size_t i = 0; i < moves.size (); i++) {
-    uint64_t moved = 0, evacuated = 0, into[REGIONS_MAX] = {};
-    for (size_t k = i; k < moves.size () && moves[k].at_ms < moves[i].at_ms + caps.period_ms; k++) {
-      moved += moves[k].moved;
-      evacuated += moves[k].evacuated;
+  for (size_t i = 0; i < moves.size (); i++)
+    {
+      uint64_t moved = 0, evacuated = 0, into[REGIONS_MAX] = {};
+      for (size_t k = i; k < moves.size () && moves[k].at_ms < moves[i].at_ms + caps.period_ms; k++)
+        {
+          moved += moves[k].moved;
+          evacuated += moves[k].evacuated;
+          for (int r = 0; r < REGIONS_MAX; r++)
+            into[r] += moves[k].into[r];
+        }
+      ASSERT_LE (moved, caps.cap_ppm);
+      ASSERT_LE (evacuated, caps.evacuation_cap_ppm);
       for (int r = 0; r < REGIONS_MAX; r++)
-        into[r] += moves[k].into[r];
+        ASSERT_LE (into[r], (uint64_t) caps.into_region_cap_ppm + caps.evacuation_cap_ppm);
     }
-    ASSERT_LE (moved, caps.cap_ppm);
-    ASSERT_LE (evacuated, caps.evacuation_cap_ppm);
-    for (int r = 0; r < REGIONS_MAX; r++)
-      ASSERT_LE (into[r], (uint64_t) caps.into_region_cap_ppm + caps.evacuation_cap_ppm);
-  }
 }
 
 TEST (Shf, CapsHoldOverEveryWindow)
 {
-  for (uint32_t seed = 1; seed <= 2000; seed++) {
-    std::mt19937 random (seed);
-    ShfState state = {};
-    ShfCaps caps = { 1 + random () % 300000, 1 + random () % 900000, 1 + random () % 300000,
-                     100 + random () % 5000 };
-    bool failed[ZONES_MAX] = {};
-    uint32_t target[ZONES_MAX];
-    uint64_t now = random () % 1000;
-    std::vector<Move> moves;
-    RandomShares (random, target);
-    shf_advance (&state, target, failed, kRegionOf, &caps, now);
-    for (int step = 0; step < 60; step++) {
-      now += random () % 400;
-      if (random () % 8 == 0)
-        RandomShares (random, target);
-      if (random () % 10 == 0)
-        failed[random () % kZones] ^= true;
-      uint32_t before[ZONES_MAX];
-      memcpy (before, state.shares_ppm, sizeof before);
-      ShfMove result = shf_advance (&state, target, failed, kRegionOf, &caps, now);
-      ASSERT_EQ (SHARE_ONE_PPM, Sum (state.shares_ppm)) << "seed " << seed;
-      ASSERT_EQ (result.moved_ppm + result.evacuated_ppm,
-                 shf_distance_ppm (state.shares_ppm, before))
-          << "seed " << seed;
-      Move move = { now, result.moved_ppm, result.evacuated_ppm, {} };
-      for (int z = 0; z < ZONES_MAX; z++)
-        if (state.shares_ppm[z] > before[z])
-          move.into[kRegionOf[z]] += state.shares_ppm[z] - before[z];
-      moves.push_back (move);
+  for (uint32_t seed = 1; seed <= 2000; seed++)
+    {
+      std::mt19937 random (seed);
+      ShfState state = {};
+      ShfCaps caps = { 1 + (uint32_t) random () % 300000, 1 + (uint32_t) random () % 900000,
+                       1 + (uint32_t) random () % 300000, 100 + (uint32_t) random () % 5000 };
+      bool failed[ZONES_MAX] = {};
+      uint32_t target[ZONES_MAX];
+      uint64_t now = random () % 1000;
+      std::vector<Move> moves;
+      RandomShares (random, target);
+      shf_advance (&state, target, failed, kRegionOf, &caps, now);
+      for (int step = 0; step < 60; step++)
+        {
+          now += random () % 400;
+          if (random () % 8 == 0)
+            RandomShares (random, target);
+          if (random () % 10 == 0)
+            failed[random () % kZones] ^= true;
+          uint32_t before[ZONES_MAX];
+          memcpy (before, state.shares_ppm, sizeof before);
+          ShfMove result = shf_advance (&state, target, failed, kRegionOf, &caps, now);
+          ASSERT_EQ (SHARE_ONE_PPM, Sum (state.shares_ppm)) << "seed " << seed;
+          ASSERT_EQ (result.moved_ppm + result.evacuated_ppm,
+                     shf_distance_ppm (state.shares_ppm, before))
+              << "seed " << seed;
+          Move move = { now, result.moved_ppm, result.evacuated_ppm, {} };
+          for (int z = 0; z < ZONES_MAX; z++)
+            if (state.shares_ppm[z] > before[z])
+              move.into[kRegionOf[z]] += state.shares_ppm[z] - before[z];
+          moves.push_back (move);
+        }
+      CheckWindows (moves, caps);
+      if (HasFatalFailure ())
+        FAIL () << "seed " << seed;
     }
-    CheckWindows (moves, caps);
-    if (HasFatalFailure ())
-      FAIL () << "seed " << seed;
-  }
 }
 
 TEST (Shf, ReachesTheTargetWhenNothingBinds)
 {
-  for (uint32_t seed = 1; seed <= 500; seed++) {
-    std::mt19937 random (seed);
-    ShfState state = {};
-    ShfCaps caps = { 200000, 500000, 200000, 1000 };
-    bool failed[ZONES_MAX] = {};
-    uint32_t target[ZONES_MAX];
-    RandomShares (random, target);
-    shf_advance (&state, target, failed, kRegionOf, &caps, 0);
-    RandomShares (random, target);
-    for (uint64_t now = 0; now < 12000; now += 100)
-      shf_advance (&state, target, failed, kRegionOf, &caps, now);
-    ASSERT_EQ (0u, shf_distance_ppm (state.shares_ppm, target)) << "seed " << seed;
-  }
+  for (uint32_t seed = 1; seed <= 500; seed++)
+    {
+      std::mt19937 random (seed);
+      ShfState state = {};
+      ShfCaps caps = { 200000, 500000, 200000, 1000 };
+      bool failed[ZONES_MAX] = {};
+      uint32_t target[ZONES_MAX];
+      RandomShares (random, target);
+      shf_advance (&state, target, failed, kRegionOf, &caps, 0);
+      RandomShares (random, target);
+      for (uint64_t now = 0; now < 12000; now += 100)
+        shf_advance (&state, target, failed, kRegionOf, &caps, now);
+      ASSERT_EQ (0u, shf_distance_ppm (state.shares_ppm, target)) << "seed " << seed;
+    }
 }
 
 } // namespace
--- a/tools/faultproxy.c
+++ b/tools/faultproxy.c
@@ -75,14 +75,14 @@
 static void
 chunk_free (gpointer data)
 {
-  g_free (((Chunk *)data)->data);
+  g_free (((Chunk *) data)->data);
   g_free (data);
 }
 
 static void
 on_side_closed (uv_handle_t *handle)
 {
-  Pair *pair = ((Side *)handle)->pair;
+  Pair *pair = ((Side *) handle)->pair;
 
   if (--pair->handles > 0)
     return;
@@ -97,14 +97,14 @@
   if (pair->closing)
     return;
   pair->closing = true;
-  uv_close ((uv_handle_t *)&pair->caller.tcp, on_side_closed);
-  uv_close ((uv_handle_t *)&pair->target.tcp, on_side_closed);
+  uv_close ((uv_handle_t *) &pair->caller.tcp, on_side_closed);
+  uv_close ((uv_handle_t *) &pair->target.tcp, on_side_closed);
 }
 
 static void
 on_written (uv_write_t *write, int status)
 {
-  (void)status;
+  (void) status;
   chunk_free (write);
 }
 
@@ -112,9 +112,9 @@
 pass_on (Pair *pair, Chunk *chunk)
 {
   Side *to = chunk->to_target ? &pair->target : &pair->caller;
-  uv_buf_t buf = uv_buf_init (chunk->data, (unsigned int)chunk->size);
+  uv_buf_t buf = uv_buf_init (chunk->data, (unsigned int) chunk->size);
 
-  if (uv_write (&chunk->write, (uv_stream_t *)&to->tcp, &buf, 1, on_written) != 0)
+  if (uv_write (&chunk->write, (uv_stream_t *) &to->tcp, &buf, 1, on_written) != 0)
     {
       chunk_free (chunk);
       pair_close (pair);
@@ -145,8 +145,8 @@
 static void
 on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-  (void)handle;
-  (void)suggested;
+  (void) handle;
+  (void) suggested;
   *buf = uv_buf_init (g_malloc (CHUNK_BYTES), CHUNK_BYTES);
 }
 
@@ -158,18 +158,18 @@
 
   if (!side->is_target || proxy->cut_after < 0)
     return false;
-  pair->answered_bytes += (uint64_t)*size;
-  if (pair->answered_bytes <= (uint64_t)proxy->cut_after)
+  pair->answered_bytes += (uint64_t) *size;
+  if (pair->answered_bytes <= (uint64_t) proxy->cut_after)
     return false;
-  uint64_t over = pair->answered_bytes - (uint64_t)proxy->cut_after;
-  *size -= (ssize_t)MIN (over, (uint64_t)*size);
+  uint64_t over = pair->answered_bytes - (uint64_t) proxy->cut_after;
+  *size -= (ssize_t) MIN (over, (uint64_t) *size);
   return true;
 }
 
 static void
 on_read (uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
-  Side *side = (Side *)stream;
+  Side *side = (Side *) stream;
   Pair *pair = side->pair;
   bool cut = false;
 
@@ -190,7 +190,7 @@
   *chunk = (Chunk){ .to_target = !side->is_target,
                     .due_ms = uv_now (pair->proxy->loop) + pair->proxy->delay_ms,
                     .data = buf->base,
-                    .size = (size_t)size };
+                    .size = (size_t) size };
   g_ptr_array_add (pair->queue, chunk);
   flush (pair);
   if (cut)
@@ -210,7 +210,7 @@
   if (pair->closing)
     return;
   pair->connected = true;
-  uv_read_start ((uv_stream_t *)&pair->target.tcp, on_alloc, on_read);
+  uv_read_start ((uv_stream_t *) &pair->target.tcp, on_alloc, on_read);
   flush (pair);
 }
 
@@ -220,7 +220,7 @@
   Proxy *proxy = listener->data;
   Pair *pair = g_new0 (Pair, 1);
   struct sockaddr_in sin = net_addr_sockaddr (proxy->target);
-  (void)status;
+  (void) status;
 
   pair->proxy = proxy;
   pair->handles = 2;
@@ -230,7 +230,7 @@
   g_ptr_array_add (proxy->pairs, pair);
   uv_tcp_init (proxy->loop, &pair->caller.tcp);
   uv_tcp_init (proxy->loop, &pair->target.tcp);
-  uv_accept (listener, (uv_stream_t *)&pair->caller.tcp);
+  uv_accept (listener, (uv_stream_t *) &pair->caller.tcp);
   uv_tcp_nodelay (&pair->caller.tcp, 1);
   uv_tcp_nodelay (&pair->target.tcp, 1);
   if (proxy->refuse)
@@ -239,8 +239,8 @@
       return;
     }
   pair->connect.data = pair;
-  uv_tcp_connect (&pair->connect, &pair->target.tcp, (struct sockaddr *)&sin, on_connect);
-  uv_read_start ((uv_stream_t *)&pair->caller.tcp, on_alloc, on_read);
+  uv_tcp_connect (&pair->connect, &pair->target.tcp, (struct sockaddr *) &sin, on_connect);
+  uv_read_start ((uv_stream_t *) &pair->caller.tcp, on_alloc, on_read);
 }
 
 static void
@@ -260,7 +260,7 @@
 silence_open (Proxy *proxy)
 {
   for (uint32_t i = 0; i < proxy->pairs->len; i++)
-    ((Pair *)proxy->pairs->pdata[i])->silenced = true;
+    ((Pair *) proxy->pairs->pdata[i])->silenced = true;
 }
 
 static void
@@ -295,7 +295,7 @@
   else if (g_str_has_prefix (line, "silent"))
     proxy->silent = true;
   else if (g_str_has_prefix (line, "delay "))
-    proxy->delay_ms = (uint32_t)strtoul (line + 6, NULL, 10);
+    proxy->delay_ms = (uint32_t) strtoul (line + 6, NULL, 10);
   else if (g_str_has_prefix (line, "limit "))
     proxy->limit_bytes_per_s = strtoull (line + 6, NULL, 10);
   else
@@ -317,14 +317,14 @@
 
   if (size < 0)
     {
-      uv_close ((uv_handle_t *)stream, on_control_closed);
+      uv_close ((uv_handle_t *) stream, on_control_closed);
       g_free (buf->base);
       return;
     }
-  g_strlcpy (line, buf->base, MIN ((size_t)size + 1, sizeof line));
+  g_strlcpy (line, buf->base, MIN ((size_t) size + 1, sizeof line));
   g_free (buf->base);
   const char *answer = run_command (proxy, line) ? "done\n" : "unknown command\n";
-  uv_buf_t out = uv_buf_init ((char *)answer, (unsigned int)strlen (answer));
+  uv_buf_t out = uv_buf_init ((char *) answer, (unsigned int) strlen (answer));
   uv_try_write (stream, &out, 1);
 }
 
@@ -333,12 +333,12 @@
 {
   Proxy *proxy = listener->data;
   uv_tcp_t *tcp = g_new0 (uv_tcp_t, 1);
-  (void)status;
+  (void) status;
 
   uv_tcp_init (proxy->loop, tcp);
   tcp->data = proxy;
-  uv_accept (listener, (uv_stream_t *)tcp);
-  uv_read_start ((uv_stream_t *)tcp, on_alloc, on_command);
+  uv_accept (listener, (uv_stream_t *) tcp);
+  uv_read_start ((uv_stream_t *) tcp, on_alloc, on_command);
 }
 
 static uint16_t
@@ -352,13 +352,13 @@
   struct sockaddr_in sin = net_addr_sockaddr (addr);
   uv_tcp_init (proxy->loop, tcp);
   tcp->data = proxy;
-  if (uv_tcp_bind (tcp, (struct sockaddr *)&sin, 0) != 0
-      || uv_listen ((uv_stream_t *)tcp, 128, fn) != 0)
+  if (uv_tcp_bind (tcp, (struct sockaddr *) &sin, 0) != 0
+      || uv_listen ((uv_stream_t *) tcp, 128, fn) != 0)
     {
       fprintf (stderr, "cannot listen on %s\n", text);
       exit (1);
     }
-  uv_tcp_getsockname (tcp, (struct sockaddr *)&bound, &size);
+  uv_tcp_getsockname (tcp, (struct sockaddr *) &bound, &size);
   return ntohs (bound.sin_port);
 }
 
--- a/tools/load.c
+++ b/tools/load.c
@@ -115,8 +115,8 @@
 static void
 on_lookup (void *user, HclOutcome outcome, int status, const char *body, size_t size)
 {
-  Group *group = ((Job *)user)->group;
-  Load *load = ((Job *)user)->load;
+  Group *group = ((Job *) user)->group;
+  Load *load = ((Job *) user)->load;
   JsonNode *root = outcome == HCL_DONE && status == 200 ? jsn_parse (body, size) : NULL;
 
   g_free (user);
@@ -132,7 +132,7 @@
     {
       JsonObject *item = json_array_get_object_element (list, i);
       if (net_addr_parse (jsn_text (item, "addr", ""), &group->targets[count].addr))
-        group->targets[count++].weight = (uint32_t)jsn_uint (item, "weight", 1);
+        group->targets[count++].weight = (uint32_t) jsn_uint (item, "weight", 1);
     }
   if (count > 0)
     group->target_count = count;
@@ -170,7 +170,7 @@
     return g_array_index (load->entries, NetAddr, load->next_direct++ % load->entries->len);
   for (uint32_t i = 0; i < group->target_count; i++)
     total += group->targets[i].weight;
-  uint32_t at = (uint32_t)g_rand_int_range (load->random, 0, (gint32)total);
+  uint32_t at = (uint32_t) g_rand_int_range (load->random, 0, (gint32) total);
   for (uint32_t i = 0; i < group->target_count; i++)
     {
       if (at < group->targets[i].weight)
@@ -196,7 +196,7 @@
 job_end (Job *job)
 {
   job->load->open--;
-  uv_close ((uv_handle_t *)&job->timer, on_job_closed);
+  uv_close ((uv_handle_t *) &job->timer, on_job_closed);
 }
 
 static char *
@@ -243,7 +243,7 @@
 succeed (Job *job)
 {
   Load *load = job->load;
-  uint64_t us = (uint64_t)g_get_monotonic_time () - job->started_us;
+  uint64_t us = (uint64_t) g_get_monotonic_time () - job->started_us;
 
   load->ok++;
   met_observe (job->kind == KIND_POST ? &load->post_latency : &load->latency, us);
@@ -268,7 +268,7 @@
 {
   Job *job = user;
   Load *load = job->load;
-  (void)call;
+  (void) call;
 
   if (outcome == HCL_DONE && job->status == 200)
     {
@@ -294,7 +294,7 @@
 on_head (void *user, HclCall *call, const HclHead *head)
 {
   Job *job = user;
-  (void)call;
+  (void) call;
 
   job->status = head->status;
   g_free (job->run);
@@ -305,15 +305,15 @@
 on_body (void *user, HclCall *call, const char *data, size_t size)
 {
   Job *job = user;
-  (void)call;
+  (void) call;
 
   if (job->kind != KIND_DOWNLOAD)
     {
-      g_string_append_len (job->body, data, (gssize)size);
+      g_string_append_len (job->body, data, (gssize) size);
       return;
     }
   for (size_t i = 0; i < size; i++)
-    if (data[i] != (char)((job->received + i) % PATTERN_PERIOD))
+    if (data[i] != (char) ((job->received + i) % PATTERN_PERIOD))
       job->pattern_ok = false;
   job->received += size;
 }
@@ -363,7 +363,7 @@
 start_job (Load *load)
 {
   Job *job = g_new0 (Job, 1);
-  uint32_t draw = (uint32_t)g_rand_int_range (load->random, 0, 100);
+  uint32_t draw = (uint32_t) g_rand_int_range (load->random, 0, 100);
   uint32_t posts = set_uint (load->settings, "posts-pct");
   uint32_t downloads = set_uint (load->settings, "downloads-pct");
 
@@ -372,7 +372,7 @@
   job->group = load->groups->pdata[job->id % load->groups->len];
   job->kind = draw < posts ? KIND_POST : (draw < posts + downloads ? KIND_DOWNLOAD : KIND_GET);
   job->expected = set_uint (load->settings, "download-bytes");
-  job->started_us = (uint64_t)g_get_monotonic_time ();
+  job->started_us = (uint64_t) g_get_monotonic_time ();
   job->body = g_string_new (NULL);
   uv_timer_init (load->loop, &job->timer);
   job->timer.data = job;
@@ -521,7 +521,7 @@
     }
   hcl_ctx_init (&load.http, load.loop);
   load.started_at_ms = uv_now (load.loop);
-  load.ends_at_ms = load.started_at_ms + (uint64_t)set_uint (settings, "seconds") * 1000;
+  load.ends_at_ms = load.started_at_ms + (uint64_t) set_uint (settings, "seconds") * 1000;
   uv_timer_init (load.loop, &load.timer);
   load.timer.data = &load;
   uv_timer_start (&load.timer, on_tick, 1, 1);
--- a/tools/platform.c
+++ b/tools/platform.c
@@ -69,10 +69,10 @@
 static void
 on_caller_gone (void *data)
 {
-  Pending *pending = ((Link *)data)->pending;
+  Pending *pending = ((Link *) data)->pending;
 
   g_ptr_array_remove (pending->platform->watches, pending);
-  uv_close ((uv_handle_t *)&pending->timer, on_timer_closed);
+  uv_close ((uv_handle_t *) &pending->timer, on_timer_closed);
 }
 
 static Pending *
@@ -134,7 +134,7 @@
     return;
   object = json_object_new ();
   json_object_set_string_member (object, "path", obj->path);
-  json_object_set_int_member (object, "version", (gint64)obj->revision);
+  json_object_set_int_member (object, "version", (gint64) obj->revision);
   if (!obj->deleted)
     json_object_set_member (object, "value", jsn_parse (obj->value, strlen (obj->value)));
   json_array_add_object_element (listing->array, object);
@@ -152,7 +152,7 @@
   else
     obj_since (&platform->objects, from, list_one, &listing);
   *found = json_array_get_length (listing.array);
-  json_object_set_int_member (root, "revision", (gint64)platform->objects.revision);
+  json_object_set_int_member (root, "revision", (gint64) platform->objects.revision);
   json_object_set_array_member (root, "objects", listing.array);
   g_strfreev (listing.prefixes);
   return jsn_take (root, false);
@@ -227,7 +227,7 @@
 {
   JsonObject *root = json_object_new ();
 
-  json_object_set_int_member (root, "version", obj != NULL ? (gint64)obj->revision : 0);
+  json_object_set_int_member (root, "version", obj != NULL ? (gint64) obj->revision : 0);
   if (with_value && obj != NULL)
     json_object_set_member (root, "value", jsn_parse (obj->value, strlen (obj->value)));
   return jsn_take (root, false);
@@ -304,9 +304,9 @@
 
   for (uint32_t i = 0; mode != NULL && i < G_N_ELEMENTS (modes); i++)
     if (strcmp (mode, modes[i]) == 0)
-      platform->mode = (Mode)i;
-  platform->latency_ms = (uint32_t)query_uint (req, "latency_ms", platform->latency_ms);
-  platform->lose_answers = (uint32_t)query_uint (req, "lose_answers", platform->lose_answers);
+      platform->mode = (Mode) i;
+  platform->latency_ms = (uint32_t) query_uint (req, "latency_ms", platform->latency_ms);
+  platform->lose_answers = (uint32_t) query_uint (req, "lose_answers", platform->lose_answers);
   g_free (mode);
   hsv_reply (req, 200, "application/json", "{}");
 }
--- a/tools/upstream.c
+++ b/tools/upstream.c
@@ -77,12 +77,12 @@
 static void
 on_caller_gone (void *data)
 {
-  Job *job = ((Link *)data)->job;
+  Job *job = ((Link *) data)->job;
 
   if (!job->answered)
     job->upstream->cancelled++;
   job->upstream->in_flight--;
-  uv_close ((uv_handle_t *)&job->timer, on_job_closed);
+  uv_close ((uv_handle_t *) &job->timer, on_job_closed);
 }
 
 static uint64_t
@@ -100,14 +100,14 @@
 static void
 send_chunk (h2o_generator_t *generator, h2o_req_t *req)
 {
-  Job *job = (Job *)generator;
+  Job *job = (Job *) generator;
   uint64_t size = MIN (job->end - job->at, CHUNK_BYTES);
-  bool cut = job->cut_at >= 0 && job->at + size > (uint64_t)job->cut_at;
+  bool cut = job->cut_at >= 0 && job->at + size > (uint64_t) job->cut_at;
 
   if (cut)
-    size = (uint64_t)job->cut_at > job->at ? (uint64_t)job->cut_at - job->at : 0;
+    size = (uint64_t) job->cut_at > job->at ? (uint64_t) job->cut_at - job->at : 0;
   for (uint64_t i = 0; i < size; i++)
-    job->chunk[i] = (char)((job->at + i) % PATTERN_PERIOD);
+    job->chunk[i] = (char) ((job->at + i) % PATTERN_PERIOD);
   job->at += size;
   h2o_iovec_t buf = h2o_iovec_init (job->chunk, size);
   if (cut)
@@ -120,8 +120,8 @@
 static void
 on_stop (h2o_generator_t *generator, h2o_req_t *req)
 {
-  (void)generator;
-  (void)req;
+  (void) generator;
+  (void) req;
 }
 
 static uint64_t
@@ -170,7 +170,7 @@
 log_execution (Upstream *upstream, h2o_req_t *req, const char *path)
 {
   char *key = hsv_header (req, "idempotency-key");
-  char *line = g_strdup_printf ("%s %.*s %s %s\n", upstream->id, (int)req->method.len,
+  char *line = g_strdup_printf ("%s %.*s %s %s\n", upstream->id, (int) req->method.len,
                                 req->method.base, path, key != NULL ? key : "-");
 
   if (write (upstream->log_fd, line, strlen (line)) < 0)
@@ -240,8 +240,8 @@
 answer_health (Upstream *upstream, h2o_req_t *req)
 {
   uint64_t load = upstream->false_load >= 0
-                      ? (uint64_t)upstream->false_load
-                      : (uint64_t)upstream->in_flight * 1000 / upstream->slots;
+                      ? (uint64_t) upstream->false_load
+                      : (uint64_t) upstream->in_flight * 1000 / upstream->slots;
   char *text = g_strdup_printf (
       "{\"state\":\"%s\",\"load_permille\":%lu}",
       upstream->draining && !upstream->health_lags ? "draining" : "serving", load);
@@ -263,10 +263,10 @@
       upstream->draining_since_ms = uv_now (upstream->loop);
     }
   upstream->health_lags = query_uint (req, "health_lags", upstream->health_lags);
-  upstream->false_load = (int64_t)query_uint (req, "false_load", (uint64_t)upstream->false_load);
-  upstream->cut_after = (int64_t)query_uint (req, "cut_after", (uint64_t)upstream->cut_after);
+  upstream->false_load = (int64_t) query_uint (req, "false_load", (uint64_t) upstream->false_load);
+  upstream->cut_after = (int64_t) query_uint (req, "cut_after", (uint64_t) upstream->cut_after);
   upstream->silent = query_uint (req, "silent", upstream->silent);
-  upstream->service_ms = (uint32_t)query_uint (req, "service_ms", upstream->service_ms);
+  upstream->service_ms = (uint32_t) query_uint (req, "service_ms", upstream->service_ms);
   g_free (state);
   hsv_reply (req, 200, "text/plain", "ok\n");
 }
