--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -23,7 +23,7 @@
 namespace
 {
 
-constexpr int kPorts = 96;
+constexpr int kPorts = 128;
 const char *const kZones[] = { "luz-a", "luz-b", "vis-a", "vis-b" };
 
 std::string
@@ -216,6 +216,7 @@
       steer_addr_[vm] = NextAddr ();
       entry_addr_[vm] = NextAddr ();
       rpc_addr_[vm] = NextAddr ();
+      steer_http_[vm] = NextAddr ();
       peers_ += (peers_.empty () ? "" : ",") + steer_addr_[vm];
       Put ("vms/" + vm, "{\"schema\":1,\"role\":\"entry\",\"zone\":\"" + zone_of_[vm]
                             + "\",\"state\":\"live\",\"steer\":\"" + steer_addr_[vm]
@@ -239,7 +240,8 @@
   Start ("steer-" + vm, "cardamom-steer",
          { "--vm=" + vm, "--region=" + RegionOf (zone_of_[vm]), "--zone=" + zone_of_[vm],
            "--steer-listen=" + steer_addr_[vm], "--entry-advertise=" + entry_addr_[vm],
-           "--entry-rpc=" + rpc_addr_[vm], "--store=" + store_for_vms_, "--peers=" + peers_ });
+           "--entry-rpc=" + rpc_addr_[vm], "--steer-http=" + steer_http_[vm],
+           "--store=" + store_for_vms_, "--peers=" + peers_ });
 }
 
 void
@@ -380,6 +382,20 @@
   return false;
 }
 
+void
+Cluster::PutRaw (const std::string &path, const std::string &value)
+{
+  CURL *curl = curl_easy_init ();
+  HttpAnswer ignored;
+  curl_easy_setopt (curl, CURLOPT_URL, ("http://" + store_addr_ + "/v1/objects/" + path).c_str ());
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, "PUT");
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, value.c_str ());
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, &ignored);
+  curl_easy_perform (curl);
+  curl_easy_cleanup (curl);
+}
+
 bool
 Cluster::WaitFor (int timeout_ms, const std::vector<std::string> &command, const std::string &text)
 {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -64,6 +64,13 @@
   void ProxyCommand (const std::string &name, const std::string &command);
   int Ctl (const std::vector<std::string> &args, const std::string &input, std::string *output);
   bool Put (const std::string &path, const std::string &value);
+  // Writes an object without the checks of cardamomctl.
+  void PutRaw (const std::string &path, const std::string &value);
+  std::string
+  SteerHttp (const std::string &vm)
+  {
+    return steer_http_[vm];
+  }
 
   // Starts a load in the background, and reads its report when it has ended.
   void StartLoad (const std::string &name, const std::vector<std::string> &flags);
@@ -103,7 +110,7 @@
   std::map<std::string, Process> processes_;
   std::map<std::string, std::string> entry_addr_, steer_addr_, rpc_addr_, upstream_addr_,
       control_addr_;
-  std::map<std::string, std::string> zone_of_;
+  std::map<std::string, std::string> zone_of_, steer_http_;
   std::string peers_;
 };
 
