Lint clean under cppcheck and clang-format

cppcheck named an alloca, arrays that it took for uninitialised, a format chosen at run time and leaks on the error paths of main functions. The choice of upstream takes its list from the heap, the command line parses its options in a function of its own. No behaviour changed.

--- a/src/blk.c
+++ b/src/blk.c
@@ -76,7 +76,7 @@
 blk_build (BlkBlock *blocks, size_t count)
 {
   BlkTable *table = g_new0 (BlkTable, 1);
-  Open open[NEST_MAX];
+  Open open[NEST_MAX] = { { 0 } };
   uint32_t depth = 0;
 
   if (count > 0)
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -32,10 +32,7 @@
   char *output;
   char *file;
   char *team;
-  char *at;
-  char *target;
   gint64 if_version;
-  gboolean wait;
 } Ctl;
 
 typedef Exit (*CommandFn) (Ctl *ctl, char **args, int count);
@@ -321,18 +318,20 @@
 {
   JsonNode *root = dump != NULL ? jsn_parse (dump, strlen (dump)) : NULL;
   JsonObject *object = root != NULL ? jsn_object (root) : NULL;
-  const char *format = json ? "{\"vm\":\"%s\",\"state\":\"%s\",\"config_revision\":%" PRIu64
-                              ",\"in_force_for_ms\":%" PRIu64 ",\"plan_epoch\":%" PRIu64
-                              ",\"budget\":%" PRIu64 "}\n"
-                            : "%s state=%s config_revision=%" PRIu64 " in_force_for_ms=%" PRIu64
-                              " plan_epoch=%" PRIu64 " budget=%" PRIu64 "\n";
-
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wformat-nonliteral"
-  printf (format, vm->name, jsn_text (object, "state", "no_answer"),
-          jsn_uint (object, "config_revision", 0), jsn_uint (object, "config_age_ms", 0),
-          jsn_uint (object, "plan_epoch", 0), jsn_uint (object, "budget", 0));
-#pragma GCC diagnostic pop
+  const char *state = jsn_text (object, "state", "no_answer");
+  uint64_t revision = jsn_uint (object, "config_revision", 0);
+  uint64_t age_ms = jsn_uint (object, "config_age_ms", 0);
+  uint64_t epoch = jsn_uint (object, "plan_epoch", 0);
+  uint64_t budget = jsn_uint (object, "budget", 0);
+
+  if (json)
+    printf ("{\"vm\":\"%s\",\"state\":\"%s\",\"config_revision\":%" PRIu64
+            ",\"in_force_for_ms\":%" PRIu64 ",\"plan_epoch\":%" PRIu64 ",\"budget\":%" PRIu64 "}\n",
+            vm->name, state, revision, age_ms, epoch, budget);
+  else
+    printf ("%s state=%s config_revision=%" PRIu64 " in_force_for_ms=%" PRIu64
+            " plan_epoch=%" PRIu64 " budget=%" PRIu64 "\n",
+            vm->name, state, revision, age_ms, epoch, budget);
   g_clear_pointer (&root, json_node_unref);
 }
 
@@ -547,42 +546,45 @@
   return true;
 }
 
-int
-main (int argc, char **argv)
+/* Reads the options; what stays in @argv is the command with its arguments. */
+static bool
+parse_options (Ctl *ctl, int *argc, char ***argv)
 {
-  Ctl ctl = { .if_version = -1 };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new ("COMMAND [ARGUMENT...]");
-  char *summary = summary_text ();
   const GOptionEntry options[] = {
-    { "store", 's', 0, G_OPTION_ARG_STRING, &ctl.store_text, "address of the platform", "ADDR" },
-    { "output", 'o', 0, G_OPTION_ARG_STRING, &ctl.output, "text or json", "FORM" },
-    { "file", 'f', 0, G_OPTION_ARG_STRING, &ctl.file, "JSON object to write, '-' for input",
+    { "store", 's', 0, G_OPTION_ARG_STRING, &ctl->store_text, "address of the platform", "ADDR" },
+    { "output", 'o', 0, G_OPTION_ARG_STRING, &ctl->output, "text or json", "FORM" },
+    { "file", 'f', 0, G_OPTION_ARG_STRING, &ctl->file, "JSON object to write, '-' for input",
       "FILE" },
-    { "team", 't', 0, G_OPTION_ARG_STRING, &ctl.team, "change this team's subtree only", "TEAM" },
-    { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl.if_version, "version that must be in place",
+    { "team", 't', 0, G_OPTION_ARG_STRING, &ctl->team, "change this team's subtree only", "TEAM" },
+    { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl->if_version, "version that must be in place",
       "N" },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
   };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new ("COMMAND [ARGUMENT...]");
+  char *summary = summary_text ();
 
   g_option_context_set_summary (context, summary);
   g_option_context_add_main_entries (context, options, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, &error))
-    {
-      fprintf (stderr, "%s\n", error->message);
-      return EXIT_USAGE;
-    }
-  if (argc < 2)
-    {
-      fprintf (stderr, "%s\n", summary);
-      return EXIT_USAGE;
-    }
-  if (!check_options (&ctl))
+  bool ok = g_option_context_parse (context, argc, argv, &error);
+  if (!ok)
+    fprintf (stderr, "%s\n", error->message);
+  else if (*argc < 2)
+    fprintf (stderr, "%s\n", summary);
+  g_clear_error (&error);
+  g_free (summary);
+  g_option_context_free (context);
+  return ok && *argc >= 2;
+}
+
+int
+main (int argc, char **argv)
+{
+  Ctl ctl = { .if_version = -1 };
+
+  if (!parse_options (&ctl, &argc, &argv) || !check_options (&ctl))
     return EXIT_USAGE;
   ctl.loop = uv_default_loop ();
   hcl_ctx_init (&ctl.http, ctl.loop);
-  Exit code = run_command (&ctl, argv, argc);
-  g_free (summary);
-  g_option_context_free (context);
-  return (int) code;
+  return (int) run_command (&ctl, argv, argc);
 }
--- a/src/entry.c
+++ b/src/entry.c
@@ -220,7 +220,7 @@
 int
 main (int argc, char **argv)
 {
-  Entry *entry = g_new0 (Entry, 1);
+  Entry *entry;
   bool check_only;
   Err err = { 0 };
   Settings *settings
@@ -234,6 +234,7 @@
     }
   if (check_only)
     return 0;
+  entry = g_new0 (Entry, 1);
   init_tables (entry, settings);
   if (!load_charts (entry, set_text (settings, "charts"), &err)
       || !open_sockets (entry, settings, &err))
--- a/src/esv.c
+++ b/src/esv.c
@@ -104,7 +104,7 @@
 EntryUpstream *
 esv_pick (Entry *entry, EntryService *service, uint32_t zone, const GPtrArray *tried, bool suspect)
 {
-  PckUpstream *candidates = g_newa (PckUpstream, service->upstreams->len + 1);
+  PckUpstream *candidates = g_new0 (PckUpstream, service->upstreams->len + 1);
   uint64_t now_ms = entry_now_ms (entry);
   bool drained = zone_needs_drained (service, zone);
 
--- a/src/pck.c
+++ b/src/pck.c
@@ -47,13 +47,10 @@
   return best;
 }
 
-uint32_t
-pck_upstream (const PckUpstream *candidates, uint32_t count, PckPolicy policy, GRand *random,
-              uint32_t *cursor)
+static uint32_t
+choose (const PckUpstream *candidates, const uint32_t *eligible, uint32_t found, PckPolicy policy,
+        GRand *random, uint32_t *cursor)
 {
-  uint32_t *eligible = g_newa (uint32_t, count + 1);
-  uint32_t found = list_eligible (candidates, count, eligible);
-
   if (found == 0)
     return PCK_NONE;
   if (found == 1)
@@ -72,6 +69,18 @@
   return PCK_NONE;
 }
 
+uint32_t
+pck_upstream (const PckUpstream *candidates, uint32_t count, PckPolicy policy, GRand *random,
+              uint32_t *cursor)
+{
+  uint32_t *eligible = g_new (uint32_t, count + 1);
+  uint32_t found = list_eligible (candidates, count, eligible);
+  uint32_t chosen = choose (candidates, eligible, found, policy, random, cursor);
+
+  g_free (eligible);
+  return chosen;
+}
+
 uint32_t
 pck_zone (const uint32_t *shares_ppm, int64_t *credit)
 {
--- a/src/pln.c
+++ b/src/pln.c
@@ -98,7 +98,7 @@
 fill (const PlnInput *input, uint32_t current[ZONES_MAX][ZONES_MAX],
       uint64_t assigned[ZONES_MAX][ZONES_MAX])
 {
-  Pair pairs[ZONES_MAX * ZONES_MAX];
+  Pair pairs[ZONES_MAX * ZONES_MAX] = { { 0 } };
   uint32_t count = list_pairs (input, current, pairs);
   uint64_t left[REGIONS_MAX][REGIONS_MAX];
   uint64_t open[ZONES_MAX];
--- a/src/steer.c
+++ b/src/steer.c
@@ -558,7 +558,7 @@
 int
 main (int argc, char **argv)
 {
-  Steer *steer = g_new0 (Steer, 1);
+  Steer *steer;
   bool check_only;
   Err err = { 0 };
   Settings *settings
@@ -572,6 +572,7 @@
     }
   if (check_only)
     return 0;
+  steer = g_new0 (Steer, 1);
   if (!init_state (steer, settings, &err))
     {
       fprintf (stderr, "%s\n", err.text);
