A lost connection counts as a crash only when the upstream refuses connections

Cause: two cut downloads of the same path made the path a poison request, and all 76 following downloads were refused for a minute, though no upstream had crashed. Change: the entry connects to the upstream after a loss; only a refusal counts. The steer's check of its own entry uses the same module.

--- a/src/liv.c
+++ b/src/liv.c
@@ -1,24 +1,10 @@
 /* Liveness of the VM's own entry: a refused connection proves that its process has ended. */
+#include "crs.h"
 #include "steer.h"
 
-#include <string.h>
-
 #define CHECK_PERIOD_MS 500
 #define SILENCE_MS 1000
 
-typedef struct
-{
-  uv_tcp_t tcp;
-  uv_connect_t connect;
-  Steer *steer;
-} Attempt;
-
-static void
-on_closed (uv_handle_t *handle)
-{
-  g_free (handle);
-}
-
 /* States that the process of the last report has ended, so that its budget can be used again. */
 static void
 report_ended (Steer *steer)
@@ -38,31 +24,24 @@
     ldr_take_report (steer, &kept->report);
 }
 
+/* An entry that reported again since the check began is a new process. */
 static void
-on_connect (uv_connect_t *connect, int status)
+on_checked (void *user, bool crashed)
 {
-  Attempt *attempt = connect->data;
+  Steer *steer = user;
 
-  if (status == UV_ECONNREFUSED)
-    report_ended (attempt->steer);
-  uv_close ((uv_handle_t *) &attempt->tcp, on_closed);
+  if (crashed && steer_now_ms (steer) - steer->local_sync_at_ms >= SILENCE_MS)
+    report_ended (steer);
 }
 
 static void
 on_tick (uv_timer_t *timer)
 {
   Steer *steer = timer->data;
-  struct sockaddr_in sin = net_addr_sockaddr (mem_self (&steer->members)->entry_rpc);
-  Attempt *attempt;
 
   if (steer->local_sync_at_ms == 0 || steer_now_ms (steer) - steer->local_sync_at_ms < SILENCE_MS)
     return;
-  attempt = g_new0 (Attempt, 1);
-  attempt->steer = steer;
-  attempt->connect.data = attempt;
-  uv_tcp_init (steer->loop, &attempt->tcp);
-  if (uv_tcp_connect (&attempt->connect, &attempt->tcp, (struct sockaddr *) &sin, on_connect) != 0)
-    uv_close ((uv_handle_t *) &attempt->tcp, on_closed);
+  crs_check (steer->loop, mem_self (&steer->members)->entry_rpc, on_checked, steer);
 }
 
 void
--- a/src/req.c
+++ b/src/req.c
@@ -1,5 +1,6 @@
 /* Requests: from admission to the end of the answer, following the request chart. */
 #include "clm.h"
+#include "crs.h"
 #include "entry.h"
 
 #include <inttypes.h>
@@ -78,6 +79,8 @@
   HclCall *call;
   Clm *claim;
   bool claiming;
+  bool checking;
+  HclOutcome outcome;
   bool may_have_run;
   bool suspect;
   uint64_t fingerprint;
@@ -106,10 +109,12 @@
 
 /* ---- Life ---- */
 
+/* A request that goes on without its caller has left the chart. */
 static void
 step (Req *req, ReqEvent event)
 {
-  if (!chart_step (&req->entry->request_chart, &req->state, (int32_t) event))
+  if (req->state != REQ_ABANDONED
+      && !chart_step (&req->entry->request_chart, &req->state, (int32_t) event))
     log_event (&req->entry->log, LOG_ERROR, "impossible_event", "chart=request state=%d event=%d",
                req->state, (int) event);
 }
@@ -123,7 +128,7 @@
 static void
 maybe_free (Req *req)
 {
-  if (req->h2o != NULL || req->call != NULL || req->claiming || req->queued)
+  if (req->h2o != NULL || req->call != NULL || req->claiming || req->queued || req->checking)
     return;
   req->entry->open_requests--;
   if (req->claim != NULL)
@@ -223,7 +228,7 @@
 {
   char retry[16];
 
-  if (req->state != REQ_ANSWERED && req->state != REQ_ABANDONED)
+  if (req->state != REQ_ANSWERED)
     step (req, REQ_REFUSED);
   if (run == RUN_NOT_RUN)
     req->entry->counters.refused_not_run++;
@@ -418,8 +423,6 @@
 fail_before_head (Req *req, HclOutcome outcome)
 {
   req->may_have_run = true;
-  if (outcome == HCL_LOST)
-    note_crash (req);
   if (req->idempotent && !(outcome == HCL_LOST && is_poison (req)))
     {
       try_again (req, REQ_FAILED_IDEMPOTENT, "upstreams failed\n");
@@ -440,10 +443,8 @@
 }
 
 static void
-fail_within_body (Req *req, HclOutcome outcome)
+fail_within_body (Req *req)
 {
-  if (outcome == HCL_TRUNCATED)
-    note_crash (req);
   if (can_resume (req) && !is_poison (req) && rty_take (&req->service->retries))
     {
       step (req, REQ_INTERRUPTED);
@@ -452,8 +453,7 @@
       return;
     }
   req->entry->counters.cut_answers++;
-  if (req->state != REQ_ABANDONED)
-    step (req, REQ_CUT);
+  step (req, REQ_CUT);
   req->answer_failed = true;
   send_or_free (req);
 }
@@ -463,8 +463,7 @@
 {
   Entry *entry = req->entry;
 
-  if (req->state != REQ_ABANDONED)
-    step (req, REQ_FINISHED);
+  step (req, REQ_FINISHED);
   entry->counters.answered++;
   met_observe (&entry->latency, (uint64_t) g_get_monotonic_time () - req->started_us);
   if (req->claim != NULL)
@@ -555,32 +554,54 @@
     hcl_pause (call);
 }
 
+static bool
+is_complete (const Req *req)
+{
+  return !req->answer_failed
+         && (!req->has_length || strcmp (req->method, "HEAD") == 0
+             || req->received == req->content_length);
+}
+
 static void
 judge_end (Req *req, HclOutcome outcome)
 {
-  if (outcome == HCL_NOT_SENT && !req->response_started)
-    try_again (req, REQ_NOT_RUN, "no upstream could be reached\n");
-  else if (outcome == HCL_NOT_SENT)
-    fail_within_body (req, HCL_STALLED);
-  else if (outcome == HCL_LOST || outcome == HCL_TIMEOUT)
-    {
-      if (req->response_started)
-        fail_within_body (req, outcome == HCL_LOST ? HCL_TRUNCATED : HCL_STALLED);
-      else
-        fail_before_head (req, outcome);
-    }
-  else if (!req->response_started)
-    try_again (req, REQ_NOT_RUN, "upstreams are full\n");
-  else if (outcome != HCL_DONE || req->answer_failed
-           || (req->has_length && strcmp (req->method, "HEAD") != 0
-               && req->received != req->content_length))
-    fail_within_body (req, outcome == HCL_DONE ? HCL_STALLED : outcome);
-  else
+  if (outcome == HCL_DONE && req->response_started && is_complete (req))
     {
       if (req->crashes == 0)
         poi_clear_suspect (&req->entry->poison, req->fingerprint);
       finish_answer (req);
     }
+  else if (req->response_started)
+    fail_within_body (req);
+  else if (outcome == HCL_LOST || outcome == HCL_TIMEOUT)
+    fail_before_head (req, outcome);
+  else if (outcome == HCL_NOT_SENT)
+    try_again (req, REQ_NOT_RUN, "no upstream could be reached\n");
+  else
+    try_again (req, REQ_NOT_RUN, "upstreams are full\n");
+}
+
+static void
+on_checked (void *user, bool crashed)
+{
+  Req *req = user;
+
+  req->checking = false;
+  if (crashed)
+    note_crash (req);
+  if (req->h2o == NULL && req->claim == NULL)
+    maybe_free (req);
+  else
+    judge_end (req, req->outcome);
+}
+
+/* A lost connection counts against the request only when the upstream's process has ended. */
+static void
+check_crash (Req *req, HclOutcome outcome, NetAddr addr)
+{
+  req->checking = true;
+  req->outcome = outcome;
+  crs_check (req->entry->loop, addr, on_checked, req);
 }
 
 static void
@@ -591,6 +612,7 @@
   EntryService *service = req->service;
   uint32_t zone = req->zone;
   EntryUpstream *upstream = req->upstream;
+  NetAddr addr = upstream->addr;
   (void) call;
 
   req->call = NULL;
@@ -599,7 +621,10 @@
   else
     esv_upstream_failed (entry, service, upstream);
   free_upstream (req);
-  judge_end (req, outcome);
+  if (outcome == HCL_LOST || outcome == HCL_TRUNCATED)
+    check_crash (req, outcome, addr);
+  else
+    judge_end (req, outcome);
   req_wake (entry, service, zone);
 }
 
@@ -704,7 +729,7 @@
   leave_queue (req);
   if (req->response_started)
     {
-      fail_within_body (req, HCL_STALLED);
+      fail_within_body (req);
       return;
     }
   refuse (req, "no capacity within the waiting time\n");
@@ -720,7 +745,7 @@
       || waiting_of_caller (service, req->caller_ip) >= QUEUE_MAX / CALLER_QUEUE_SHARE)
     {
       if (req->response_started)
-        fail_within_body (req, HCL_STALLED);
+        fail_within_body (req);
       else
         refuse (req, "queue is full\n");
       return;
