--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Runs all benchmarks; each ends by itself.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build/bench/cardamom-bench
+bench/steers.sh
+bench/policies.sh
--- a/src/blk.c
+++ b/src/blk.c
@@ -13,6 +13,7 @@
 
 struct _BlkTable
 {
+  uint32_t holders;
   uint32_t *starts;
   uint16_t *groups;
   size_t count;
@@ -102,13 +103,21 @@
   table->starts = g_renew (uint32_t, table->starts, table->count);
   table->groups = g_renew (uint16_t, table->groups, table->count);
   build_index (table);
+  table->holders = 1;
+  return table;
+}
+
+BlkTable *
+blk_ref (BlkTable *table)
+{
+  table->holders++;
   return table;
 }
 
 void
 blk_free (BlkTable *table)
 {
-  if (table == NULL)
+  if (table == NULL || --table->holders > 0)
     return;
   g_free (table->starts);
   g_free (table->groups);
--- a/src/blk.h
+++ b/src/blk.h
@@ -18,6 +18,9 @@
 
 /** blk_build() - builds a table; @blocks is sorted in place. */
 BlkTable *blk_build (BlkBlock *blocks, size_t count);
+
+/** blk_ref() - another holder of the table; each calls blk_free() once. */
+BlkTable *blk_ref (BlkTable *table);
 void blk_free (BlkTable *table);
 
 /** blk_lookup() - group of the longest block that holds @ip, or BLK_NONE. */
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -692,8 +692,52 @@
                                     : OTHER_REGION_LATENCY_MS;
 }
 
+/* Changes with any block object and with the zones that they name. */
+static void
+mark_block (void *user, const Obj *obj)
+{
+  uint64_t *mark = user;
+
+  *mark = *mark * 1099511628211u + obj->revision;
+}
+
+static uint64_t
+blocks_mark (const Cfg *cfg, const ObjTable *table)
+{
+  uint64_t mark = 1;
+
+  for (uint32_t z = 0; z < cfg->zones->len; z++)
+    mark = mark * 1099511628211u + g_str_hash (cfg_zone (cfg, z)->name);
+  obj_each (table, "platform/blocks/", mark_block, &mark);
+  return mark;
+}
+
+static void
+keep_block_errors (Cfg *cfg, const Cfg *before)
+{
+  for (uint32_t i = 0; i < before->errors->len; i++)
+    if (g_str_has_prefix (before->errors->pdata[i], "platform/blocks/"))
+      g_ptr_array_add (cfg->errors, g_strdup (before->errors->pdata[i]));
+}
+
+static void
+take_blocks (Build *build, const ObjTable *table, const Cfg *before)
+{
+  Cfg *cfg = build->cfg;
+
+  cfg->blocks_mark = blocks_mark (cfg, table);
+  if (before != NULL && before->blocks_mark == cfg->blocks_mark)
+    {
+      cfg->blocks = blk_ref (before->blocks);
+      keep_block_errors (cfg, before);
+      return;
+    }
+  obj_each (table, "platform/blocks/", build_blocks, build);
+  cfg->blocks = blk_build ((BlkBlock *) (void *) build->blocks->data, build->blocks->len);
+}
+
 Cfg *
-cfg_build (const ObjTable *table)
+cfg_rebuild (const ObjTable *table, const Cfg *before)
 {
   Cfg *cfg = g_new0 (Cfg, 1);
   Build build = { .cfg = cfg, .blocks = g_array_new (FALSE, FALSE, sizeof (BlkBlock)) };
@@ -716,12 +760,23 @@
   obj_each (table, kind_drain.prefix, build_kind, &build);
   obj_each (table, "teams/", build_team_drain, &build);
   obj_each (table, "vms/", mark_leaving, &build);
-  obj_each (table, "platform/blocks/", build_blocks, &build);
-  cfg->blocks = blk_build ((BlkBlock *) (void *) build.blocks->data, build.blocks->len);
+  take_blocks (&build, table, before);
   g_array_unref (build.blocks);
   return cfg;
 }
 
+Cfg *
+cfg_build (const ObjTable *table)
+{
+  return cfg_rebuild (table, NULL);
+}
+
+bool
+cfg_is_plan_path (const char *path)
+{
+  return g_str_has_prefix (path, "system/");
+}
+
 void
 cfg_free (Cfg *cfg)
 {
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -84,12 +84,19 @@
   GArray *vms;
   GPtrArray *errors;
   BlkTable *blocks;
+  uint64_t blocks_mark;
   uint32_t latency_ms[ZONES_MAX][ZONES_MAX];
   uint64_t link_bytes_per_s[REGIONS_MAX][REGIONS_MAX];
 } Cfg;
 
 /** cfg_build() - builds the model; bad objects are refused one by one and named in errors. */
 Cfg *cfg_build (const ObjTable *table);
+
+/** cfg_rebuild() - as cfg_build(), but keeps the block table of @before when no block changed. */
+Cfg *cfg_rebuild (const ObjTable *table, const Cfg *before);
+
+/** cfg_is_plan_path() - the object belongs to the planner, so the model does not depend on it. */
+bool cfg_is_plan_path (const char *path);
 void cfg_free (Cfg *cfg);
 
 /** cfg_check_change() - tells whether @table with one object set would be accepted whole. */
--- a/src/flw.c
+++ b/src/flw.c
@@ -48,18 +48,17 @@
                                                 (gint32) flw->backoff_ms));
 }
 
-static bool
-apply_changes (Steer *steer, const StoChanges *changes)
+static SteerChanges
+apply_changes (Steer *steer, const StoChanges *set)
 {
-  bool changed = false;
+  SteerChanges changes = { 0 };
 
-  for (uint32_t i = 0; i < changes->objects->len; i++)
+  for (uint32_t i = 0; i < set->objects->len; i++)
     {
-      const Obj *obj = changes->objects->pdata[i];
-      changed = obj_apply (&steer->objects, obj->path, obj->revision, obj->deleted, obj->value)
-                || changed;
+      const Obj *obj = set->objects->pdata[i];
+      steer_take_object (steer, obj->path, obj->revision, obj->deleted, obj->value, &changes);
     }
-  return changed;
+  return changes;
 }
 
 static void
@@ -82,11 +81,12 @@
       GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
       for (uint32_t i = 0; i < changes->objects->len; i++)
         g_hash_table_add (listed, ((Obj *) changes->objects->pdata[i])->path);
+      SteerChanges all = { .any = true, .config = true };
       apply_changes (steer, changes);
       obj_reconcile (&steer->objects, listed, changes->revision);
       g_hash_table_unref (listed);
       obj_advance (&steer->objects, changes->revision);
-      steer_objects_changed (steer, "store_list");
+      steer_objects_changed (steer, &all, "store_list");
     }
   schedule (steer, 0);
 }
@@ -107,10 +107,9 @@
   steer->follow->backoff_ms = 0;
   if (changes->revision >= steer->objects.revision)
     {
-      bool changed = apply_changes (steer, changes);
+      SteerChanges found = apply_changes (steer, changes);
       obj_advance (&steer->objects, changes->revision);
-      if (changed)
-        steer_objects_changed (steer, "store_watch");
+      steer_objects_changed (steer, &found, "store_watch");
     }
   schedule (steer, 0);
 }
--- a/src/gsp.c
+++ b/src/gsp.c
@@ -166,7 +166,7 @@
 {
   Steer *steer = user;
   const wire_fetch_reply *reply = result;
-  bool changed = false;
+  SteerChanges changes = { 0 };
 
   steer->gossip->fetching = false;
   if (reply == NULL || reply->revision < steer->objects.revision)
@@ -175,13 +175,11 @@
   for (u_int i = 0; i < reply->objects.objects_len; i++)
     {
       const wire_object *object = &reply->objects.objects_val[i];
-      changed = obj_apply (&steer->objects, object->path, object->revision, object->deleted,
-                           object->value)
-                || changed;
+      steer_take_object (steer, object->path, object->revision, object->deleted, object->value,
+                         &changes);
     }
   obj_advance (&steer->objects, reply->revision);
-  if (changed)
-    steer_objects_changed (steer, "peer");
+  steer_objects_changed (steer, &changes, "peer");
 }
 
 void
--- a/src/steer.c
+++ b/src/steer.c
@@ -31,37 +31,64 @@
 /* ---- Objects ---- */
 
 void
-steer_objects_changed (Steer *steer, const char *source)
+steer_take_object (Steer *steer, const char *path, uint64_t revision, bool deleted,
+                   const char *value, SteerChanges *changes)
 {
-  Cfg *cfg = cfg_build (&steer->objects);
+  if (!obj_apply (&steer->objects, path, revision, deleted, value))
+    return;
+  changes->any = true;
+  changes->config = changes->config || !cfg_is_plan_path (path);
+}
+
+/* Listed VMs become members before they are heard of, so that they are asked. */
+static void
+add_listed_members (Steer *steer)
+{
+  const Cfg *cfg = steer->cfg;
 
-  cfg_free (steer->cfg);
-  steer->cfg = cfg;
-  steer->cfg_since_ms = steer_now_ms (steer);
-  for (uint32_t i = 0; i < cfg->errors->len; i++)
-    log_event (&steer->log, LOG_WARN, "object_refused", "reason=\"%s\"",
-               (char *) cfg->errors->pdata[i]);
   for (uint32_t i = 0; i < cfg->vms->len; i++)
     {
       const CfgVm *vm = &g_array_index (cfg->vms, CfgVm, i);
+      const CfgZone *zone = cfg_zone (cfg, vm->zone);
       if (mem_get (&steer->members, vm->name) != NULL)
         continue;
-      wire_member blank
-          = { .vm = (char *) vm->name,
-              .region = (char *) cfg_region (cfg, cfg_zone (cfg, vm->zone)->region)->name,
-              .zone = (char *) cfg_zone (cfg, vm->zone)->name,
-              .steer_addr = "",
-              .entry_http = "",
-              .entry_rpc = "",
-              .state = MEM_SUSPECT };
+      wire_member blank = { .vm = (char *) vm->name,
+                            .region = (char *) cfg_region (cfg, zone->region)->name,
+                            .zone = (char *) zone->name,
+                            .steer_addr = "",
+                            .entry_http = "",
+                            .entry_rpc = "",
+                            .state = MEM_SUSPECT };
       mem_learn (&steer->members, &blank, steer_now_ms (steer));
       mem_get (&steer->members, vm->name)->steer = vm->steer;
       mem_get (&steer->members, vm->name)->entry_http = vm->entry_http;
     }
+}
+
+static void
+rebuild_config (Steer *steer, const char *source)
+{
+  Cfg *cfg = cfg_rebuild (&steer->objects, steer->cfg);
+
+  cfg_free (steer->cfg);
+  steer->cfg = cfg;
+  steer->cfg_since_ms = steer_now_ms (steer);
+  for (uint32_t i = 0; i < cfg->errors->len; i++)
+    log_event (&steer->log, LOG_WARN, "object_refused", "reason=\"%s\"",
+               (char *) cfg->errors->pdata[i]);
+  add_listed_members (steer);
   mem_remove_absent (&steer->members, cfg);
   log_event (&steer->log, LOG_INFO, "config_in_force", "revision=%" PRIu64 " source=%s errors=%u",
              cfg->revision, source, cfg->errors->len);
-  gsp_push (steer);
+}
+
+void
+steer_objects_changed (Steer *steer, const SteerChanges *changes, const char *source)
+{
+  if (changes->config || steer->cfg == NULL)
+    rebuild_config (steer, source);
+  if (changes->any)
+    gsp_push (steer);
 }
 
 /* ---- Reports ---- */
--- a/src/steer.h
+++ b/src/steer.h
@@ -83,8 +83,23 @@
 /** steer_now_ms() - the loop's monotonic clock. */
 uint64_t steer_now_ms (const Steer *steer);
 
-/** steer_objects_changed() - rebuilds the configuration and tells the peers. */
-void steer_objects_changed (Steer *steer, const char *source);
+/**
+ * struct SteerChanges - what a set of objects changed
+ * @any: at least one object was new
+ * @config: at least one of them belongs to the configuration
+ */
+typedef struct
+{
+  bool any;
+  bool config;
+} SteerChanges;
+
+/** steer_take_object() - takes one object and notes what it changes. */
+void steer_take_object (Steer *steer, const char *path, uint64_t revision, bool deleted,
+                        const char *value, SteerChanges *changes);
+
+/** steer_objects_changed() - rebuilds the configuration when it changed, and tells the peers. */
+void steer_objects_changed (Steer *steer, const SteerChanges *changes, const char *source);
 
 /** steer_take_report() - keeps an entry's report; @direct when it came from the entry itself. */
 void steer_take_report (Steer *steer, const wire_report *report, bool direct);
--- a/src/syn.c
+++ b/src/syn.c
@@ -49,7 +49,7 @@
 static void
 config_in_force (Entry *entry)
 {
-  Cfg *cfg = cfg_build (&entry->objects);
+  Cfg *cfg = cfg_rebuild (&entry->objects, entry->cfg);
 
   cfg_free (entry->cfg);
   entry->cfg = cfg;
@@ -72,7 +72,7 @@
       const wire_object *object = &reply->objects.objects_val[i];
       bool taken = obj_apply (&entry->objects, object->path, object->revision, object->deleted,
                               object->value);
-      bool is_plan = g_str_has_prefix (object->path, "system/");
+      bool is_plan = cfg_is_plan_path (object->path);
       plan_changed = plan_changed || (taken && is_plan);
       config_changed = config_changed || (taken && !is_plan);
     }
--- a/tests/test_cfg.cc
+++ b/tests/test_cfg.cc
@@ -121,6 +121,24 @@
   ExpectRefused ("teams/t2/services/two", big, "= 90");
 }
 
+TEST_F (CfgTest, BlockTableIsKeptUntilABlockOrZoneChanges)
+{
+  Put ("platform/blocks/x", R"({"schema":1,"zone":"b1","blocks":["10.2.0.0/16"]})");
+  Put ("platform/blocks/y", R"({"schema":1,"zone":"b1","blocks":["bad"]})");
+  Cfg *first = cfg_build (&table_);
+  Put ("teams/t1/services/other", R"({"schema":1,"upstreams":[]})");
+  Cfg *second = cfg_rebuild (&table_, first);
+  EXPECT_EQ (first->blocks, second->blocks);
+  EXPECT_EQ (first->errors->len, second->errors->len);
+  Put ("platform/blocks/x", R"({"schema":1,"zone":"a1","blocks":["10.2.0.0/16"]})");
+  Cfg *third = cfg_rebuild (&table_, second);
+  EXPECT_NE (second->blocks, third->blocks);
+  cfg_free (first);
+  cfg_free (second);
+  EXPECT_EQ (0u, cfg_group_of (third, 0x0a020005));
+  cfg_free (third);
+}
+
 TEST_F (CfgTest, DrainAndVmListMarkUpstreams)
 {
   Put ("platform/drains/d", R"({"schema":1,"kind":"region","target":"a"})");
--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -2,6 +2,7 @@
 #include "cluster.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <gtest/gtest.h>
 
 namespace
@@ -131,10 +132,24 @@
   EXPECT_EQ (1, cluster.Executions (" k1"));
 }
 
+long
+Sum (Cluster &cluster, const std::string &counter)
+{
+  long sum = 0;
+  for (const std::string &vm : cluster.Entries ())
+    {
+      std::string text = cluster.Http ("GET", cluster.EntryAddr (vm), "/metrics").body;
+      size_t at = text.find (counter + " ");
+      sum += at == std::string::npos ? 0 : atol (text.c_str () + at + counter.size ());
+    }
+  return sum;
+}
+
 TEST (RequestPath, InterruptedDownloadIsContinuedFromAnotherUpstream)
 {
   Options options;
   options.upstreams_per_zone = 2;
+  options.service_fields = ",\"retry_budget_pct\":100";
   Cluster cluster (options);
   ASSERT_TRUE (cluster.WaitServing ());
   for (const std::string &id : cluster.Upstreams ())
@@ -143,10 +158,23 @@
   Report report = cluster.Load ({ "--rate=20", "--seconds=4", "--posts-pct=0",
                                   "--downloads-pct=100", "--download-bytes=300000" });
   ExpectPromises (report);
-  std::string metrics;
-  for (const std::string &vm : cluster.Entries ())
-    metrics += cluster.Http ("GET", cluster.EntryAddr (vm), "/metrics").body;
-  EXPECT_NE (std::string::npos, metrics.find ("cardamom_entry_resumed_downloads_total"));
+  EXPECT_EQ (report["requests"], report["ok"]);
+  EXPECT_GT (Sum (cluster, "cardamom_entry_resumed_downloads_total"), 0);
+}
+
+TEST (RequestPath, RetriesStayWithinTheirBudget)
+{
+  Options options;
+  options.service_fields = ",\"retry_budget_pct\":10";
+  Cluster cluster (options);
+  ASSERT_TRUE (cluster.WaitServing ());
+  for (const std::string &id : cluster.Upstreams ())
+    cluster.Control (id, "cut_after=1000");
+  Report report = cluster.Load ({ "--rate=50", "--seconds=4", "--posts-pct=0",
+                                  "--downloads-pct=100", "--download-bytes=300000" });
+  EXPECT_EQ (0, report["ok"]);
+  EXPECT_EQ (report["requests"], report["cut"] + report["not_run"] + report["failed"]);
+  EXPECT_LE (Sum (cluster, "cardamom_entry_resumed_downloads_total"), report["requests"] / 10 + 3);
 }
 
 TEST (RequestPath, CutAnswerIsNeverACleanEnd)
