An entry is told what changed since its last synchronisation, and reports once a second

Cause: each synchronisation, five a second, carried all members and observations and a whole report, so control bytes grew with the fleet. Change: members, observations and suspects carry versions; an entry states how far it knows a steer process's news. Reports go once a second, or at once when a plan came into force. A crashed entry's row no longer trusts its last report for what it lent; only a planned stop states that.

--- a/src/gsp.c
+++ b/src/gsp.c
@@ -23,16 +23,29 @@
 
 /* ---- News ---- */
 
+/* An entry wants what changed since its mark; a steer what was not yet passed on often enough. */
+static bool
+is_wanted (bool by_mark, uint64_t mark, uint64_t version, uint32_t *sends_left)
+{
+  if (by_mark)
+    return version > mark;
+  if (*sends_left == 0)
+    return false;
+  (*sends_left)--;
+  return true;
+}
+
 static void
-add_member_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+add_member_items (Steer *steer, wire_item *items, uint32_t max, const wire_news_mark *known,
+                  u_int *count)
 {
   for (uint32_t i = 0; i < steer->members.members->len && *count < max; i++)
     {
       MemMember *member = steer->members.members->pdata[i];
-      if (member->incarnation == 0 || (!all && member->sends_left == 0))
+      if (member->incarnation == 0
+          || !is_wanted (known != NULL, known != NULL ? known->members : 0, member->version,
+                         &member->sends_left))
         continue;
-      if (!all)
-        member->sends_left--;
       items[*count].kind = WIRE_ITEM_MEMBER;
       mem_to_wire (member, &items[*count].wire_item_u.member);
       (*count)++;
@@ -40,7 +53,8 @@
 }
 
 static void
-add_upstream_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+add_upstream_items (Steer *steer, wire_item *items, uint32_t max, const wire_news_mark *known,
+                    u_int *count)
 {
   GHashTableIter iter;
   gpointer value;
@@ -49,10 +63,9 @@
   while (*count < max && g_hash_table_iter_next (&iter, NULL, &value))
     {
       Obs *obs = value;
-      if (!all && obs->sends_left == 0)
+      if (!is_wanted (known != NULL, known != NULL ? known->upstreams : 0, obs->version,
+                      &obs->sends_left))
         continue;
-      if (!all)
-        obs->sends_left--;
       items[*count].kind = WIRE_ITEM_UPSTREAM;
       items[*count].wire_item_u.upstream
           = (wire_upstream){ .id = g_strdup (obs->id),
@@ -65,7 +78,8 @@
 }
 
 static void
-add_poison_items (Steer *steer, wire_item *items, uint32_t max, bool all, u_int *count)
+add_poison_items (Steer *steer, wire_item *items, uint32_t max, const wire_news_mark *known,
+                  u_int *count)
 {
   GHashTableIter iter;
   gpointer value;
@@ -74,13 +88,12 @@
   while (*count < max && g_hash_table_iter_next (&iter, NULL, &value))
     {
       PoiSuspect *suspect = value;
-      guint sends
+      uint32_t sends
           = GPOINTER_TO_UINT (g_hash_table_lookup (steer->poison_sends, &suspect->fingerprint));
-      if (!all && sends == 0)
+      if (!is_wanted (known != NULL, known != NULL ? known->poison : 0, suspect->version, &sends))
         continue;
-      if (!all)
-        g_hash_table_insert (steer->poison_sends, g_memdup2 (&suspect->fingerprint, 8),
-                             GUINT_TO_POINTER (sends - 1));
+      g_hash_table_insert (steer->poison_sends, g_memdup2 (&suspect->fingerprint, 8),
+                           GUINT_TO_POINTER (sends));
       items[*count].kind = WIRE_ITEM_POISON;
       items[*count].wire_item_u.poison
           = (wire_poison){ .fingerprint = suspect->fingerprint,
@@ -91,14 +104,14 @@
 }
 
 wire_item *
-gsp_fill_items (Steer *steer, uint32_t max, bool all, u_int *count)
+gsp_fill_items (Steer *steer, uint32_t max, const wire_news_mark *known, u_int *count)
 {
   wire_item *items = g_new0 (wire_item, max);
 
   *count = 0;
-  add_poison_items (steer, items, max, all, count);
-  add_member_items (steer, items, max, all, count);
-  add_upstream_items (steer, items, max, all, count);
+  add_poison_items (steer, items, max, known, count);
+  add_member_items (steer, items, max, known, count);
+  add_upstream_items (steer, items, max, known, count);
   return items;
 }
 
@@ -244,7 +257,7 @@
   exchange->addr = addr;
   g_strlcpy (exchange->vm, vm, sizeof exchange->vm);
   mem_to_wire (mem_self (&steer->members), &args.from);
-  args.items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, false, &args.items.items_len);
+  args.items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, NULL, &args.items.items_len);
   add_suspicion (steer, vm, args.items.items_val, &args.items.items_len);
   steer->counters.gossip_sent++;
   onc_call (steer->client, addr, WIRE_GOSSIP, (xdrproc_t) xdr_wire_gossip, &args,
--- a/src/ldr.c
+++ b/src/ldr.c
@@ -599,41 +599,43 @@
   return sum;
 }
 
-static bool
-settle_row (const Steer *steer, const PlnService *planned, BudRow *row, const wire_report *report)
+static uint32_t
+stated_use (const Steer *steer, const wire_report *report, const char *service, uint32_t zone)
 {
-  bool changed = false;
-
   for (u_int i = 0; i < report->holds.holds_len; i++)
     {
       const wire_hold *hold = &report->holds.holds_val[i];
-      uint32_t zone = cfg_zone_index (steer->cfg, hold->zone);
-      if (zone == ZONE_NONE || strcmp (hold->service, planned->name) != 0)
-        continue;
-      changed = bud_settle (row, zone, hold->in_use) || changed;
+      if (strcmp (hold->service, service) == 0
+          && strcmp (hold->zone, cfg_zone (steer->cfg, zone)->name) == 0)
+        return hold->in_use;
     }
+  return 0;
+}
+
+static bool
+settle_row (const Steer *steer, const PlnService *planned, BudRow *row, const wire_report *report)
+{
+  bool changed = false;
+
+  for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
+    changed = bud_settle (row, z, stated_use (steer, report, planned->name, z)) || changed;
   return changed;
 }
 
-/* An entry that ended by plan states what it lent; the rest of its allotment is free at once. */
+/* An entry that ended by plan states what it lent; the rest of its allotment is free at once. One
+ * that crashed could not state it, so its row waits until its borrowers have reported. */
 static bool
 end_row (const Steer *steer, const PlnService *planned, BudRow *row, const wire_report *report)
 {
-  uint32_t before = 0;
-  uint32_t after = 0;
+  bool changed = false;
 
-  for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
-    before += row->ceiling[z];
-  for (u_int i = 0; i < report->holds.holds_len; i++)
+  for (uint32_t z = 0; report->by_plan && z < steer->cfg->zones->len; z++)
     {
-      const wire_hold *hold = &report->holds.holds_val[i];
-      uint32_t zone = cfg_zone_index (steer->cfg, hold->zone);
-      if (zone != ZONE_NONE && strcmp (hold->service, planned->name) == 0)
-        bud_end (row, zone, hold->in_use);
+      uint32_t before = row->ceiling[z];
+      bud_end (row, z, stated_use (steer, report, planned->name, z));
+      changed = changed || row->ceiling[z] < before;
     }
-  for (uint32_t z = 0; z < steer->cfg->zones->len; z++)
-    after += row->ceiling[z];
-  return after < before;
+  return changed;
 }
 
 static bool
--- a/src/lim.h
+++ b/src/lim.h
@@ -16,7 +16,7 @@
 #define ZONE_NONE UINT32_MAX
 
 /* Replication of objects between processes. */
-#define SYNC_PERIOD_MS 200
+#define SYNC_PERIOD_MS 300
 #define SYNC_TIMEOUT_MS 1000
 #define GOSSIP_PERIOD_MS 1000
 #define GOSSIP_TIMEOUT_MS 1000
@@ -65,6 +65,8 @@
 #define RAMP_MS 10000
 #define LOAD_REPORT_MAX_AGE_MS 5000
 #define OBS_SEEN_TTL_MS 30000
+#define OBS_REFRESH_MS 3000
+#define SYNC_ITEMS_MAX 4096
 
 /* Request path. */
 #define CONNECT_TIMEOUT_MS 500
--- a/src/lot.c
+++ b/src/lot.c
@@ -244,6 +244,8 @@
   for (uint32_t i = 0; i < service->loans->len; i++)
     {
       const EntryLoan *loan = service->loans->pdata[i];
+      if (loan->slots == 0)
+        continue;
       wire_loan out = { .service = g_strdup (service->name),
                         .zone = g_strdup (cfg_zone (entry->cfg, loan->zone)->name),
                         .lender = g_strdup (loan->lender),
@@ -258,9 +260,12 @@
 {
   for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
     {
+      uint32_t in_use = bud_in_use (&service->holds[z]);
+      if (in_use == 0)
+        continue;
       wire_hold out = { .service = g_strdup (service->name),
                         .zone = g_strdup (cfg_zone (entry->cfg, z)->name),
-                        .in_use = bud_in_use (&service->holds[z]) };
+                        .in_use = in_use };
       g_array_append_val (holds, out);
     }
 }
--- a/src/mem.c
+++ b/src/mem.c
@@ -11,6 +11,14 @@
   return strcmp ((*(MemMember *const *) a)->vm, (*(MemMember *const *) b)->vm);
 }
 
+/* The change is passed on to other steers and to the entries. */
+static void
+mark_changed (MemTable *table, MemMember *member)
+{
+  member->sends_left = SENDS_PER_NEWS;
+  member->version = ++table->version;
+}
+
 static MemMember *
 add_member (MemTable *table, const MemMember *member)
 {
@@ -26,7 +34,8 @@
 {
   table->members = g_ptr_array_new_with_free_func (g_free);
   g_strlcpy (table->self, self->vm, sizeof table->self);
-  add_member (table, self)->sends_left = SENDS_PER_NEWS;
+  table->version = 0;
+  mark_changed (table, add_member (table, self));
 }
 
 MemMember *
@@ -54,7 +63,7 @@
   self->state = state;
   self->entry_incarnation = entry_incarnation;
   self->refutation++;
-  self->sends_left = SENDS_PER_NEWS;
+  mark_changed (table, self);
 }
 
 void
@@ -66,7 +75,7 @@
     return;
   self->entry_ended = incarnation;
   self->refutation++;
-  self->sends_left = SENDS_PER_NEWS;
+  mark_changed (table, self);
 }
 
 /* A newer process of the same VM listens on the same port, so the older one has ended. */
@@ -90,7 +99,7 @@
 }
 
 static void
-take_news (MemMember *member, const wire_member *news, uint64_t now_ms)
+take_news (MemTable *table, MemMember *member, const wire_member *news, uint64_t now_ms)
 {
   g_strlcpy (member->vm, news->vm, sizeof member->vm);
   g_strlcpy (member->region, news->region, sizeof member->region);
@@ -104,17 +113,17 @@
   member->entry_ended = MAX (member->entry_ended, news->entry_ended);
   member->state = news->state;
   member->state_at_ms = now_ms;
-  member->sends_left = SENDS_PER_NEWS;
+  mark_changed (table, member);
 }
 
 static bool
-refute (MemMember *self, const wire_member *news)
+refute (MemTable *table, MemMember *self, const wire_member *news)
 {
   if (news->incarnation != self->incarnation || news->refutation < self->refutation
       || (news->state == self->state && news->refutation == self->refutation))
     return false;
   self->refutation = news->refutation + 1;
-  self->sends_left = SENDS_PER_NEWS;
+  mark_changed (table, self);
   return true;
 }
 
@@ -125,7 +134,7 @@
   MemMember blank = { 0 };
 
   if (strcmp (news->vm, table->self) == 0)
-    return refute (known, news);
+    return refute (table, known, news);
   if (known != NULL && !is_newer (news, known))
     return false;
   if (known == NULL)
@@ -133,7 +142,7 @@
       g_strlcpy (blank.vm, news->vm, sizeof blank.vm);
       known = add_member (table, &blank);
     }
-  take_news (known, news, now_ms);
+  take_news (table, known, news, now_ms);
   return true;
 }
 
@@ -156,7 +165,7 @@
     return;
   member->state = MEM_SUSPECT;
   member->state_at_ms = now_ms;
-  member->sends_left = SENDS_PER_NEWS;
+  mark_changed (table, member);
 }
 
 void
@@ -169,7 +178,7 @@
         {
           member->state = MEM_DEAD;
           member->state_at_ms = now_ms;
-          member->sends_left = SENDS_PER_NEWS;
+          mark_changed (table, member);
         }
     }
 }
--- a/src/mem.h
+++ b/src/mem.h
@@ -18,6 +18,7 @@
  * @entry_ended: last incarnation of its entry that is known to have ended
  * @heard_at_ms: last direct answer, 0 for none
  * @sends_left: how often the news about it is still passed on
+ * @version: the table's version at its last change
  */
 typedef struct
 {
@@ -35,6 +36,7 @@
   uint64_t state_at_ms;
   uint64_t heard_at_ms;
   uint32_t sends_left;
+  uint64_t version;
 } MemMember;
 
 /** struct MemTable - all members, sorted by VM name; the first call names the own one */
@@ -42,6 +44,7 @@
 {
   char self[NAME_MAX_BYTES];
   GPtrArray *members;
+  uint64_t version;
 } MemTable;
 
 void mem_init (MemTable *table, const MemMember *self);
--- a/src/obs.c
+++ b/src/obs.c
@@ -11,6 +11,7 @@
 obs_init (ObsTable *table)
 {
   table->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  table->version = 0;
 }
 
 void
@@ -48,6 +49,11 @@
          || abs ((int) obs->load_permille - (int) load_permille) > LOAD_NEWS_PERMILLE;
   obs->state = state;
   obs->at_ms = at_ms;
+  if (news || at_ms >= obs->told_at_ms + OBS_REFRESH_MS)
+    {
+      obs->version = ++table->version;
+      obs->told_at_ms = at_ms;
+    }
   if (news)
     {
       obs->load_permille = load_permille;
--- a/src/obs.h
+++ b/src/obs.h
@@ -17,7 +17,10 @@
   OBS_LEAVING,
 } ObsState;
 
-/** struct Obs - what the probers of one region saw last of an upstream */
+/**
+ * struct Obs - what the probers of one region saw last of an upstream
+ * @version: the table's version when it was last worth telling, at @told_at_ms
+ */
 typedef struct
 {
   char id[NAME_MAX_BYTES];
@@ -26,11 +29,14 @@
   uint32_t load_permille;
   uint64_t at_ms;
   uint32_t sends_left;
+  uint64_t version;
+  uint64_t told_at_ms;
 } Obs;
 
 typedef struct
 {
   GHashTable *by_key;
+  uint64_t version;
 } ObsTable;
 
 void obs_init (ObsTable *table);
--- a/src/poi.c
+++ b/src/poi.c
@@ -7,6 +7,7 @@
 poi_init (PoiTable *table)
 {
   table->by_fingerprint = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  table->version = 0;
 }
 
 void
@@ -55,6 +56,7 @@
 
   suspect->crashes++;
   suspect->at_ms = now_ms;
+  suspect->version = ++table->version;
   return suspect;
 }
 
@@ -67,6 +69,7 @@
     return false;
   suspect->crashes = crashes;
   suspect->at_ms = at_ms;
+  suspect->version = ++table->version;
   return true;
 }
 
--- a/src/poi.h
+++ b/src/poi.h
@@ -11,6 +11,7 @@
 typedef struct
 {
   GHashTable *by_fingerprint;
+  uint64_t version;
 } PoiTable;
 
 typedef struct
@@ -18,6 +19,7 @@
   uint64_t fingerprint;
   uint32_t crashes;
   uint64_t at_ms;
+  uint64_t version;
 } PoiSuspect;
 
 void poi_init (PoiTable *table);
--- a/src/steer.c
+++ b/src/steer.c
@@ -224,7 +224,7 @@
     gsp_fetch (steer, peer->steer);
   mem_to_wire (mem_self (&steer->members), &out->from);
   out->revision = steer->objects.revision;
-  out->items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, false, &out->items.items_len);
+  out->items.items_val = gsp_fill_items (steer, GOSSIP_ITEMS_MAX, NULL, &out->items.items_len);
   return true;
 }
 
@@ -269,6 +269,21 @@
   return true;
 }
 
+/* All news for an entry that does not know this process yet, else what changed since. */
+static void
+fill_news (Steer *steer, const wire_news_mark *known, wire_sync_reply *out)
+{
+  wire_news_mark mark = *known;
+
+  if (known->steer_incarnation != steer->incarnation)
+    memset (&mark, 0, sizeof mark);
+  out->known = (wire_news_mark){ .steer_incarnation = steer->incarnation,
+                                 .members = steer->members.version,
+                                 .upstreams = steer->observations.version,
+                                 .poison = steer->poison.version };
+  out->items.items_val = gsp_fill_items (steer, SYNC_ITEMS_MAX, &mark, &out->items.items_len);
+}
+
 static bool
 do_sync (void *user, const void *args, void *result)
 {
@@ -294,7 +309,7 @@
   out->revision = steer->joined ? steer->objects.revision : 0;
   if (steer->joined)
     out->objects.objects_val = objects_since (steer, in->since, &out->objects.objects_len);
-  out->items.items_val = gsp_fill_items (steer, 4096, true, &out->items.items_len);
+  fill_news (steer, &in->known, out);
   return true;
 }
 
--- a/src/steer.h
+++ b/src/steer.h
@@ -119,8 +119,11 @@
 /** gsp_take_items() - learns news; from an entry or another steer. */
 void gsp_take_items (Steer *steer, const wire_item *items, uint32_t count);
 
-/** gsp_fill_items() - writes news of all kinds; @all ignores how often each was sent. */
-wire_item *gsp_fill_items (Steer *steer, uint32_t max, bool all, u_int *count);
+/**
+ * gsp_fill_items() - writes news of all kinds
+ * @known: what an entry knows already, or NULL for what other steers are still to be told
+ */
+wire_item *gsp_fill_items (Steer *steer, uint32_t max, const wire_news_mark *known, u_int *count);
 void gsp_free_items (wire_item *items, u_int count);
 
 /** gsp_fetch() - fetches objects after the own revision from a peer. */
--- a/src/syn.c
+++ b/src/syn.c
@@ -14,6 +14,9 @@
   bool busy;
   bool again;
   uint32_t fails;
+  wire_news_mark known;
+  uint64_t reported_at_ms;
+  uint64_t reported_epoch;
 } Syn;
 
 static Syn *syn_of (Entry *entry);
@@ -126,6 +129,7 @@
   syn->fails = 0;
   take_objects (entry, reply);
   take_items (entry, reply);
+  syn->known = reply->known;
   if (entry->state == ENTRY_JOINING && reply->joined && entry->cfg != NULL)
     {
       chart_step (&entry->entry_chart, &entry->state, 0);
@@ -171,10 +175,10 @@
   GHashTableIter iter;
   gpointer value;
 
-  report->vm = g_strdup (entry->vm);
   report->incarnation = entry->incarnation;
   report->plan_epoch = entry->plan_epoch;
   report->ended = entry->state == ENTRY_STOPPED;
+  report->by_plan = report->ended;
   if (entry->cfg == NULL)
     return;
   report->usage.usage_val = g_new0 (wire_usage, count_usage (entry) + 1);
@@ -210,6 +214,21 @@
   return *local ? entry->steer : member->steer;
 }
 
+/* Once in a while, and at once when a plan came into force or the process ends. */
+static bool
+report_is_due (Syn *syn)
+{
+  const Entry *entry = syn->entry;
+  uint64_t now_ms = entry_now_ms (entry);
+
+  if (entry->state != ENTRY_STOPPED && entry->plan_epoch == syn->reported_epoch
+      && now_ms - syn->reported_at_ms < REPORT_PERIOD_MS)
+    return false;
+  syn->reported_at_ms = now_ms;
+  syn->reported_epoch = entry->plan_epoch;
+  return true;
+}
+
 void
 syn_now (Entry *entry)
 {
@@ -231,7 +250,10 @@
   args.leaving = entry->state == ENTRY_DRAINING;
   args.local = local;
   args.since = entry->objects.revision;
-  fill_report (entry, &args.report);
+  args.known = syn->known;
+  args.report.vm = g_strdup (entry->vm);
+  if (report_is_due (syn))
+    fill_report (entry, &args.report);
   fill_news (entry, &args);
   onc_call (entry->client, steer, WIRE_SYNC, (xdrproc_t) xdr_wire_sync_args, &args,
             (xdrproc_t) xdr_wire_sync_reply, sizeof (wire_sync_reply), SYNC_TIMEOUT_MS, on_synced,
--- a/src/wire.h
+++ b/src/wire.h
@@ -131,6 +131,7 @@
 	u_quad_t plan_epoch;
 	u_int age_ms;
 	bool_t ended;
+	bool_t by_plan;
 	struct {
 		u_int usage_len;
 		wire_usage *usage_val;
@@ -146,12 +147,21 @@
 };
 typedef struct wire_report wire_report;
 
+struct wire_news_mark {
+	u_quad_t steer_incarnation;
+	u_quad_t members;
+	u_quad_t upstreams;
+	u_quad_t poison;
+};
+typedef struct wire_news_mark wire_news_mark;
+
 struct wire_sync_args {
 	wire_name vm;
 	u_quad_t entry_incarnation;
 	bool_t leaving;
 	bool_t local;
 	u_quad_t since;
+	wire_news_mark known;
 	wire_report report;
 	struct {
 		u_int items_len;
@@ -163,6 +173,7 @@
 struct wire_sync_reply {
 	u_quad_t revision;
 	bool_t joined;
+	wire_news_mark known;
 	struct {
 		u_int objects_len;
 		wire_object *objects_val;
@@ -270,6 +281,7 @@
 extern  bool_t xdr_wire_loan (XDR *, wire_loan*);
 extern  bool_t xdr_wire_hold (XDR *, wire_hold*);
 extern  bool_t xdr_wire_report (XDR *, wire_report*);
+extern  bool_t xdr_wire_news_mark (XDR *, wire_news_mark*);
 extern  bool_t xdr_wire_sync_args (XDR *, wire_sync_args*);
 extern  bool_t xdr_wire_sync_reply (XDR *, wire_sync_reply*);
 extern  bool_t xdr_wire_loan_args (XDR *, wire_loan_args*);
@@ -293,6 +305,7 @@
 extern bool_t xdr_wire_loan ();
 extern bool_t xdr_wire_hold ();
 extern bool_t xdr_wire_report ();
+extern bool_t xdr_wire_news_mark ();
 extern bool_t xdr_wire_sync_args ();
 extern bool_t xdr_wire_sync_reply ();
 extern bool_t xdr_wire_loan_args ();
--- a/src/wire.x
+++ b/src/wire.x
@@ -90,7 +90,7 @@
   unsigned int slots;
 };
 
-/* What an entry uses of its budget: in flight and lent, less borrowed. */
+/* What an entry uses of its budget: in flight and lent, less borrowed; zones with 0 are left out. */
 struct wire_hold {
   wire_name service;
   wire_name zone;
@@ -103,17 +103,27 @@
   unsigned hyper plan_epoch;
   unsigned int age_ms;
   bool ended;
+  bool by_plan;
   wire_usage usage<>;
   wire_loan loans<>;
   wire_hold holds<>;
 };
 
+/* How far an entry knows a steer process's news, by kind. */
+struct wire_news_mark {
+  unsigned hyper steer_incarnation;
+  unsigned hyper members;
+  unsigned hyper upstreams;
+  unsigned hyper poison;
+};
+
 struct wire_sync_args {
   wire_name vm;
   unsigned hyper entry_incarnation;
   bool leaving;
   bool local;
   unsigned hyper since;
+  wire_news_mark known;
   wire_report report;
   wire_item items<512>;
 };
@@ -121,6 +131,7 @@
 struct wire_sync_reply {
   unsigned hyper revision;
   bool joined;
+  wire_news_mark known;
   wire_object objects<>;
   wire_item items<4096>;
 };
--- a/src/wire_xdr.c
+++ b/src/wire_xdr.c
@@ -236,6 +236,71 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_wire_name (xdrs, &objp->vm))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->plan_epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->by_plan))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_BOOL(buf, objp->ended);
+		IXDR_PUT_BOOL(buf, objp->by_plan);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, ~0,
+			sizeof (wire_usage), (xdrproc_t) xdr_wire_usage))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, ~0,
+			sizeof (wire_loan), (xdrproc_t) xdr_wire_loan))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->holds.holds_val, (u_int *) &objp->holds.holds_len, ~0,
+			sizeof (wire_hold), (xdrproc_t) xdr_wire_hold))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_wire_name (xdrs, &objp->vm))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->plan_epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->by_plan))
+				 return FALSE;
+
+		} else {
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->ended = IXDR_GET_BOOL(buf);
+		objp->by_plan = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, ~0,
+			sizeof (wire_usage), (xdrproc_t) xdr_wire_usage))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, ~0,
+			sizeof (wire_loan), (xdrproc_t) xdr_wire_loan))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->holds.holds_val, (u_int *) &objp->holds.holds_len, ~0,
+			sizeof (wire_hold), (xdrproc_t) xdr_wire_hold))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_wire_name (xdrs, &objp->vm))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -246,6 +311,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ended))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->by_plan))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, ~0,
 		sizeof (wire_usage), (xdrproc_t) xdr_wire_usage))
 		 return FALSE;
@@ -258,6 +325,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_news_mark (XDR *xdrs, wire_news_mark *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->steer_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->members))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upstreams))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->poison))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_sync_args (XDR *xdrs, wire_sync_args *objp)
 {
@@ -273,6 +356,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->since))
 		 return FALSE;
+	 if (!xdr_wire_news_mark (xdrs, &objp->known))
+		 return FALSE;
 	 if (!xdr_wire_report (xdrs, &objp->report))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, 512,
@@ -290,6 +375,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->joined))
 		 return FALSE;
+	 if (!xdr_wire_news_mark (xdrs, &objp->known))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->objects.objects_val, (u_int *) &objp->objects.objects_len, ~0,
 		sizeof (wire_object), (xdrproc_t) xdr_wire_object))
 		 return FALSE;
