--- a/tests/test_steering.cc
+++ b/tests/test_steering.cc
@@ -184,6 +184,29 @@
   ExpectCaps (cluster);
 }
 
+TEST_F (Steering, PlanOfASuccessorIsNeverOverwritten)
+{
+  Cluster cluster (Capped ());
+  ASSERT_TRUE (cluster.WaitServing ());
+  std::string output;
+  cluster.Ctl ({ "get", "system/plan" }, "", &output);
+  size_t at = output.find ("\"value\":") + strlen ("\"value\":");
+  std::string plan = output.substr (at, output.rfind ('}') - at);
+  std::string epoch = JsonField (plan, "epoch");
+  long successor = atol (epoch.c_str ()) + 100;
+  at = plan.find ("\"epoch\":") + strlen ("\"epoch\":");
+  plan.replace (at, epoch.size (), std::to_string (successor));
+  cluster.PutRaw ("system/plan", plan);
+  ASSERT_EQ (0, cluster.Ctl ({ "drain", "zone", "luz-a" }, "", nullptr));
+  for (int i = 0; i < 50; i++)
+    {
+      ASSERT_GE (Epoch (cluster), successor);
+      SleepMs (50);
+    }
+  EXPECT_TRUE (WaitShares (cluster, "near luz-a go to {\"luz-b\":1000000}", 40000));
+  EXPECT_GE (Epoch (cluster), successor);
+}
+
 TEST_F (Steering, LostAnswersToThePlannersWritesStopNothing)
 {
   Cluster cluster (Capped ());
