--- a/src/blk.c
+++ b/src/blk.c
@@ -160,12 +160,6 @@
          + (INDEX_SIZE + 1) * sizeof (uint32_t);
 }
 
-size_t
-blk_ranges (const BlkTable *table)
-{
-  return table->count;
-}
-
 int
 blk_block_parse (const char *text, BlkBlock *block)
 {
--- a/src/blk.h
+++ b/src/blk.h
@@ -31,7 +31,6 @@
 
 /** blk_bytes() - memory held by the table. */
 size_t blk_bytes (const BlkTable *table);
-size_t blk_ranges (const BlkTable *table);
 
 /** blk_block_parse() - reads "a.b.c.d/len"; false when host bits are set or it cannot be read. */
 int blk_block_parse (const char *text, BlkBlock *block);
--- a/src/ldb.c
+++ b/src/ldb.c
@@ -88,7 +88,7 @@
       row->dead = row->dead || process_has_ended (steer, row);
       if (!row->dead || !loans_are_known (steer, planned, row, dead_since (steer, row)))
         continue;
-      g_array_remove_index (planned->budgets.rows, i - 1);
+      bud_remove (&planned->budgets, row->vm, row->incarnation);
       changed = true;
     }
   return changed;
--- a/src/ldr.c
+++ b/src/ldr.c
@@ -296,12 +296,6 @@
   return steer->lead->holding;
 }
 
-const Plan *
-ldr_plan (const Steer *steer)
-{
-  return steer->lead->plan;
-}
-
 void
 ldr_take_report (Steer *steer, const wire_report *report)
 {
--- a/src/steer.h
+++ b/src/steer.h
@@ -142,4 +142,3 @@
 void ldr_stop (Steer *steer);
 void ldr_take_report (Steer *steer, const wire_report *report);
 bool ldr_is_planner (const Steer *steer);
-const Plan *ldr_plan (const Steer *steer);
