--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 BUILD ?= build
 PACKAGES = build-essential cmake ninja-build pkg-config clang-format cppcheck libh2o-dev \
   libuv1-dev libtirpc-dev libjson-glib-dev libglib2.0-dev libssl-dev libgtest-dev \
-  libcurl4-openssl-dev
-SOURCES = $(filter-out src/wire.h src/wire_xdr.c,$(wildcard src/*.[ch] tools/*.c bench/*.c)) \
+  libcurl4-openssl-dev libhttp-parser-dev
+SOURCES = $(filter-out src/wire.h src/wire_xdr.c src/peer.h src/peer_xdr.c, \
+  $(wildcard src/*.[ch] platform/*.[ch] tools/*.c bench/*.c)) \
   $(wildcard tests/*.cc tests/*.h)
 JOBS ?= 6
 
@@ -27,8 +28,8 @@
 lint: packages
 	clang-format --dry-run --Werror $(SOURCES)
 	cppcheck --quiet --error-exitcode=1 --enable=warning,portability --inline-suppr \
-	  --suppress=missingIncludeSystem --suppress=memleak:tools/* --library=posix --library=gtk -Isrc \
-	  $(filter-out src/wire_xdr.c,$(wildcard src/*.c tools/*.c))
+	  --suppress=missingIncludeSystem --suppress=memleak:tools/* --library=posix --library=gtk -Isrc -Iplatform \
+	  $(filter-out src/wire_xdr.c src/peer_xdr.c,$(wildcard src/*.c platform/*.c tools/*.c))
 
 format:
 	clang-format -i $(SOURCES)
--- /dev/null
+++ b/src/adm.c
@@ -0,0 +1,55 @@
+/* Admission: whether a request may wait, what it must leave free, and when it may come back. Pure. */
+#include "adm.h"
+
+#define RESERVE_DIVISOR 32
+#define HOPELESS_SHARE 2
+
+uint32_t
+adm_reserve (const AdmRequest *request, uint32_t slots)
+{
+  uint32_t step = slots / RESERVE_DIVISOR > 0 ? slots / RESERVE_DIVISOR : 1;
+  uint32_t classes = request->urgency > 0 ? 1 : 0;
+
+  if (request->returned)
+    classes++;
+  return slots > 4 ? classes * step : 0;
+}
+
+uint32_t
+adm_wait_ms (const AdmRequest *request)
+{
+  uint32_t wait_ms = request->objective_ms / ADM_WAIT_SHARE;
+
+  if (request->left_ms <= request->usual_ms)
+    return 0;
+  return wait_ms < request->left_ms - request->usual_ms ? wait_ms
+                                                        : request->left_ms - request->usual_ms;
+}
+
+bool
+adm_is_hopeless (const AdmRequest *request)
+{
+  return request->left_ms < request->usual_ms / HOPELESS_SHARE;
+}
+
+uint32_t
+adm_back_ms (const AdmRequest *request, uint32_t random)
+{
+  uint32_t most_ms = request->left_ms / 3;
+
+  if (most_ms > ADM_BACK_MAX_MS)
+    most_ms = ADM_BACK_MAX_MS;
+  if (most_ms <= ADM_BACK_MIN_MS)
+    return most_ms;
+  return ADM_BACK_MIN_MS + random % (most_ms - ADM_BACK_MIN_MS + 1);
+}
+
+bool
+adm_is_before (const AdmRequest *a, uint32_t a_waited_ms, const AdmRequest *b, uint32_t b_waited_ms)
+{
+  if (a->urgency != b->urgency)
+    return a->urgency < b->urgency;
+  if (a->returned != b->returned)
+    return b->returned;
+  return a_waited_ms < b_waited_ms;
+}
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -19,8 +19,16 @@
   bool listening;
   HsvHandler handler;
   void *user;
+  GHashTable *watched;
 };
 
+/** struct Watch - a caller whose going is of interest */
+typedef struct
+{
+  HsvGoneFn fn;
+  void *user;
+} Watch;
+
 typedef struct
 {
   h2o_handler_t super;
@@ -91,6 +99,7 @@
 
   server->handler = handler;
   server->user = user;
+  server->watched = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   h2o_config_init (&server->config);
   server->config.max_request_entity_size = REQUEST_BODY_MAX_BYTES;
   server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
@@ -126,22 +135,87 @@
   h2o_context_request_shutdown (&server->ctx);
 }
 
+void
+hsv_set_idle_timeout (HsvServer *server, uint32_t timeout_ms)
+{
+  server->config.http1.req_timeout = timeout_ms;
+  server->ctx.http1.req_timeout.timeout = timeout_ms;
+}
+
+void
+hsv_announce_stop (HsvServer *server)
+{
+  h2o_context_request_shutdown (&server->ctx);
+}
+
+/* ---- Callers that go ---- */
+
+/* h2o's connection state begins with its h2o_conn_t. */
+static HsvServer *
+server_of (h2o_socket_t *sock)
+{
+  const h2o_conn_t *conn = sock->data;
+
+  return (HsvServer *) ((char *) conn->ctx - offsetof (HsvServer, ctx));
+}
+
+/* The server reads no further request while one is open, so only the end is of interest. */
+static void
+on_watched_read (h2o_socket_t *sock, const char *err)
+{
+  GHashTable *watched = server_of (sock)->watched;
+  Watch *watch = g_hash_table_lookup (watched, sock);
+
+  if (watch != NULL && err == NULL)
+    return;
+  h2o_socket_read_stop (sock);
+  if (watch == NULL)
+    return;
+  Watch gone = *watch;
+  g_hash_table_remove (watched, sock);
+  gone.fn (gone.user);
+}
+
+void *
+hsv_watch_gone (HsvServer *server, h2o_req_t *req, HsvGoneFn fn, void *user)
+{
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+  Watch *watch = g_new (Watch, 1);
+
+  *watch = (Watch){ .fn = fn, .user = user };
+  g_hash_table_insert (server->watched, sock, watch);
+  h2o_socket_read_start (sock, on_watched_read);
+  return sock;
+}
+
+void
+hsv_unwatch_gone (HsvServer *server, void *key)
+{
+  g_hash_table_remove (server->watched, key);
+}
+
 /* ---- Requests ---- */
 
 void
-hsv_reply (h2o_req_t *req, int status, const char *type, const char *body)
+hsv_send (h2o_req_t *req, int status, const void *body, size_t size)
 {
   static h2o_generator_t generator;
-  h2o_iovec_t buf = h2o_strdup (&req->pool, body, SIZE_MAX);
+  h2o_iovec_t buf = h2o_strdup (&req->pool, body, size);
 
   req->res.status = status;
   req->res.reason = status < 300 ? "OK" : "Refused";
   req->res.content_length = buf.len;
+  h2o_start_response (req, &generator);
+  h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
+}
+
+void
+hsv_reply (h2o_req_t *req, int status, const char *type, const char *body)
+{
   if (type != NULL)
     h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type,
                     strlen (type));
-  h2o_start_response (req, &generator);
-  h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
+  hsv_send (req, status, body, strlen (body));
 }
 
 char *
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -21,6 +21,22 @@
 /** hsv_stop_listening() - closes the listener; open connections end after their requests. */
 void hsv_stop_listening (HsvServer *server);
 
+/** hsv_set_idle_timeout() - longest time that a caller may stay idle or send a request's head. */
+void hsv_set_idle_timeout (HsvServer *server, uint32_t timeout_ms);
+
+/** hsv_announce_stop() - answers from now on say that their connection ends. */
+void hsv_announce_stop (HsvServer *server);
+
+/** typedef HsvGoneFn - the caller closed its connection before the answer */
+typedef void (*HsvGoneFn) (void *user);
+
+/** hsv_watch_gone() - calls @fn once if the caller goes before hsv_unwatch_gone(). Return: a key. */
+void *hsv_watch_gone (HsvServer *server, h2o_req_t *req, HsvGoneFn fn, void *user);
+void hsv_unwatch_gone (HsvServer *server, void *key);
+
+/** hsv_send() - sends a whole answer with a body that is copied; headers were added before. */
+void hsv_send (h2o_req_t *req, int status, const void *body, size_t size);
+
 /** hsv_reply() - sends a whole answer; @type may be NULL. */
 void hsv_reply (h2o_req_t *req, int status, const char *type, const char *body);
 
--- a/src/jsn.c
+++ b/src/jsn.c
@@ -67,6 +67,17 @@
   return (uint64_t) json_node_get_int (node);
 }
 
+double
+jsn_number (JsonObject *object, const char *name, double fallback)
+{
+  JsonNode *node = jsn_member (object, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node))
+    return fallback;
+  GType type = json_node_get_value_type (node);
+  return type == G_TYPE_INT64 || type == G_TYPE_DOUBLE ? json_node_get_double (node) : fallback;
+}
+
 bool
 jsn_bool (JsonObject *object, const char *name, bool fallback)
 {
--- a/src/lim.h
+++ b/src/lim.h
@@ -100,3 +100,45 @@
 #define LOAN_MAX_SLOTS 8
 #define LOAN_IDLE_MS 500
 #define LOAN_STATE_PERIOD_MS 500
+
+/* Upstream connections of the node process. */
+#define UCN_READ_BYTES (64u * 1024u)
+#define UCN_USER_TIMEOUT_MS 1500
+#define ANSWER_MAX_BYTES (32u * 1024u * 1024u)
+#define UPS_IDLE_MAX_MS 4000
+#define UPS_CONNECT_TIMEOUT_MS 400
+
+/* Upstreams as the node process sees them. */
+#define UPS_DOWN_FIRST_MS 300
+#define UPS_DOWN_MAX_MS 2000
+#define UPS_SHED_PAUSE_MS 100
+#define UPS_COLD_MARGIN_MS 300
+#define UPS_COLD_SHARERS 2
+#define UPS_MISSING_HOLD_MS 2000
+#define UPS_COLD_TIMES 24
+
+/* Placement. */
+#define PLC_WARM_RANKS 3
+#define PLC_WARM_PERMILLE 700
+#define PLC_LOAD_COST_MS 60
+#define PLC_REMOTE_RTT_MS 70
+#define PLC_NEAR_RTT_MS 3
+
+/* Admission and waiting. */
+#define ADM_WAIT_SHARE 8
+#define ADM_BACK_MIN_MS 150
+#define ADM_BACK_MAX_MS 1000
+
+/* Retry budget. */
+#define RBG_SLOT_MS 1000
+#define RBG_SLOTS 16
+
+/* Views exchanged between nodes. */
+#define PER_TICK_MS 100
+#define PER_BEAT_MS 500
+#define PER_LOST_MS 3000
+#define PER_DATAGRAM_MAX_BYTES 16384
+#define PER_SENDS_PER_S 120
+
+/* Stopping. */
+#define NOD_REFUSE_AFTER_MS 2800
--- /dev/null
+++ b/src/msg.c
@@ -0,0 +1,87 @@
+/* Messages to upstreams: what of a caller's request is passed on. */
+#include "msg.h"
+
+#include <string.h>
+
+static const char *const hop_headers[]
+    = { "connection", "keep-alive",       "proxy-connection", "te",     "trailer",
+        "upgrade",    "transfer-encoding", "content-length",   "expect", NULL };
+
+static bool
+is_in (const char *const *names, const char *name, size_t size)
+{
+  for (; *names != NULL; names++)
+    if (strlen (*names) == size && g_ascii_strncasecmp (*names, name, size) == 0)
+      return true;
+  return false;
+}
+
+bool
+msg_is_hop (const char *name, size_t size)
+{
+  return is_in (hop_headers, name, size);
+}
+
+static void
+take_headers (MsgRequest *request, h2o_req_t *h2o, const char *const *dropped)
+{
+  for (size_t i = 0; i < h2o->headers.size; i++)
+    {
+      const h2o_header_t *header = &h2o->headers.entries[i];
+      const char *name = header->orig_name != NULL ? header->orig_name : header->name->base;
+      size_t size = header->name->len;
+      if (msg_is_hop (name, size) || is_in (dropped, name, size))
+        continue;
+      g_string_append_len (request->headers, name, (gssize) size);
+      g_string_append (request->headers, ": ");
+      g_string_append_len (request->headers, header->value.base, (gssize) header->value.len);
+      g_string_append (request->headers, "\r\n");
+    }
+}
+
+void
+msg_take (MsgRequest *request, h2o_req_t *h2o, const char *const *dropped)
+{
+  request->method = g_strndup (h2o->method.base, h2o->method.len);
+  request->path = g_strndup (h2o->path.base, h2o->path.len);
+  request->host = g_strndup (h2o->authority.base, h2o->authority.len);
+  request->headers = g_string_new (NULL);
+  request->body = g_byte_array_new ();
+  if (h2o->entity.len > 0)
+    g_byte_array_append (request->body, (const guint8 *) h2o->entity.base,
+                         (guint) h2o->entity.len);
+  take_headers (request, h2o, dropped);
+}
+
+void
+msg_clear (MsgRequest *request)
+{
+  g_free (request->method);
+  g_free (request->path);
+  g_free (request->host);
+  g_string_free (request->headers, TRUE);
+  g_byte_array_unref (request->body);
+}
+
+static bool
+has_body (const MsgRequest *request)
+{
+  return request->body->len > 0 || strcmp (request->method, "POST") == 0
+         || strcmp (request->method, "PUT") == 0 || strcmp (request->method, "PATCH") == 0;
+}
+
+GString *
+msg_build (const MsgRequest *request, const char *extra)
+{
+  GString *out = g_string_sized_new (512 + request->headers->len + request->body->len);
+
+  g_string_append_printf (out, "%s %s HTTP/1.1\r\nHost: %s\r\n", request->method, request->path,
+                          request->host);
+  g_string_append_len (out, request->headers->str, (gssize) request->headers->len);
+  g_string_append (out, extra);
+  if (has_body (request))
+    g_string_append_printf (out, "Content-Length: %u\r\n", request->body->len);
+  g_string_append (out, "\r\n");
+  g_string_append_len (out, (const char *) request->body->data, (gssize) request->body->len);
+  return out;
+}
--- /dev/null
+++ b/src/nod.c
@@ -0,0 +1,305 @@
+/* Node process: one on each entry VM, which takes requests and answers look-ups. */
+#include "nod.h"
+
+#include "fwd.h"
+
+#include <string.h>
+#include <time.h>
+
+#define TICK_MS 25
+#define STOP_MARGIN_MS 500
+#define STOP_LEAST_MS 4200
+#define USUAL_SHARE_PCT 90
+
+uint64_t
+nod_now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+}
+
+/* ---- State ---- */
+
+uint32_t
+nod_zone_index (const Node *node, const char *zone)
+{
+  for (guint i = 0; i < node->set.zones->len; i++)
+    if (strcmp (g_array_index (node->set.zones, NodZone, i).name, zone) == 0)
+      return i;
+  return ZONE_NONE;
+}
+
+static uint32_t
+zone_of_peer (void *user, const char *zone)
+{
+  return nod_zone_index (user, zone);
+}
+
+NodService *
+nod_service (Node *node, const char *name)
+{
+  NodService *service = g_hash_table_lookup (node->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (NodService, 1);
+  g_strlcpy (service->name, name, sizeof service->name);
+  g_queue_init (&service->waiting);
+  g_hash_table_insert (node->services, service->name, service);
+  return service;
+}
+
+NodWork *
+nod_work (Node *node, const RttRoute *route)
+{
+  NodWork *work = g_hash_table_lookup (node->work, route->name);
+
+  if (work != NULL)
+    return work;
+  work = g_new0 (NodWork, 1);
+  work->usual_ms = route->objective_ms * USUAL_SHARE_PCT / 100;
+  g_hash_table_insert (node->work, g_strdup (route->name), work);
+  return work;
+}
+
+uint32_t
+nod_nodes (const Node *node)
+{
+  return MAX (1 + g_hash_table_size (node->peers.peers), 1);
+}
+
+void
+nod_init (Node *node, uv_loop_t *loop)
+{
+  node->loop = loop;
+  node->started_at_ms = nod_now_ms ();
+  node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (uint32_t i = 0; i < ZONES_MAX; i++)
+    node->zone_rtt_ms[i] = UINT32_MAX;
+  ucn_ctx_init (&node->ucn, loop);
+  ups_init (&node->upstreams, &node->ucn);
+}
+
+/* ---- What the platform says ---- */
+
+static void
+begin_serving (Node *node)
+{
+  if (node->state != NOD_STARTING || node->table == NULL)
+    return;
+  node->state = NOD_SERVING;
+  node->peers.self.state = PER_SERVING;
+  log_event (&node->log, LOG_INFO, "serving", "config=%llu",
+             (unsigned long long) node->table->version);
+}
+
+bool
+nod_configure (Node *node, RttTable *table)
+{
+  if (node->table != NULL && table->version <= node->table->version)
+    {
+      rtt_unref (table);
+      return false;
+    }
+  if (node->table != NULL)
+    rtt_unref (node->table);
+  node->table = table;
+  hsv_set_idle_timeout (node->front, table->idle_timeout_ms);
+  log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
+             (unsigned long long) table->version, table->routes->len);
+  begin_serving (node);
+  return true;
+}
+
+static bool
+is_settling (const Node *node, uint64_t now_ms)
+{
+  return node->store_lost
+         || (node->store_back_ms != 0 && now_ms - node->store_back_ms < UPS_MISSING_HOLD_MS);
+}
+
+/* Registrations that lapsed during an outage of the store come back soon after it. */
+static void
+upstream_missing (Node *node, const char *id)
+{
+  Ups *ups = ups_get (&node->upstreams, id);
+  uint64_t now_ms = nod_now_ms ();
+
+  if (ups == NULL)
+    return;
+  if (is_settling (node, now_ms) && !ups->record.draining)
+    {
+      ups->missing_since_ms = now_ms;
+      return;
+    }
+  log_event (&node->log, LOG_INFO, "upstream_gone", "upstream=%s", id);
+  ups_remove (&node->upstreams, id);
+}
+
+static void
+remove_missing (Node *node, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (is_settling (node, now_ms))
+    return;
+  GPtrArray *ended = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_iter_init (&iter, node->upstreams.by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Ups *) value)->missing_since_ms != 0 && !((Ups *) value)->gone)
+      g_ptr_array_add (ended, g_strdup (((Ups *) value)->record.id));
+  for (guint i = 0; i < ended->len; i++)
+    upstream_missing (node, g_ptr_array_index (ended, i));
+  g_ptr_array_unref (ended);
+}
+
+void
+nod_upstream (Node *node, const char *id, const UpsRecord *record)
+{
+  if (record == NULL)
+    {
+      upstream_missing (node, id);
+      return;
+    }
+  if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), nod_now_ms ()))
+    return;
+  log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
+             id, record->service, record->zone, record->draining, record->cold_ms);
+  fwd_wake (node, nod_service (node, record->service));
+}
+
+void
+nod_evacuate (Node *node, const char *zone, bool evacuated)
+{
+  if (evacuated)
+    g_hash_table_add (node->evacuated, g_strdup (zone));
+  else
+    g_hash_table_remove (node->evacuated, zone);
+  log_event (&node->log, LOG_INFO, "evacuation", "zone=%s on=%d", zone, evacuated);
+}
+
+void
+nod_store_contact (Node *node, bool ok)
+{
+  if (ok != node->store_lost)
+    return;
+  node->store_lost = !ok;
+  if (ok)
+    node->store_back_ms = nod_now_ms ();
+  log_event (&node->log, ok ? LOG_INFO : LOG_WARN, ok ? "store_regained" : "store_lost", "peers=%u",
+             per_count (&node->peers, nod_now_ms ()));
+}
+
+/* ---- Other listeners ---- */
+
+static void
+on_front (void *user, h2o_req_t *h2o)
+{
+  fwd_request (user, h2o);
+}
+
+static void
+on_ready (void *user, h2o_req_t *h2o)
+{
+  const Node *node = user;
+  bool ready = node->state == NOD_SERVING;
+
+  hsv_reply (h2o, ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
+}
+
+/* ---- Life of the process ---- */
+
+static void
+end_loop (Node *node)
+{
+  log_event (&node->log, LOG_INFO, "stopped", "open=%u requests=%llu answered=%llu refused=%llu",
+             node->open, (unsigned long long) node->counters.requests,
+             (unsigned long long) node->counters.answered,
+             (unsigned long long) node->counters.refused);
+  uv_stop (node->loop);
+}
+
+static void
+check_stop (Node *node, uint64_t now_ms)
+{
+  uint64_t stopping_ms = now_ms - node->stopping_since_ms;
+  uint64_t last_ms = node->set.grace_ms > 2 * STOP_MARGIN_MS
+                         ? node->set.grace_ms - STOP_MARGIN_MS
+                         : node->set.grace_ms / 2;
+
+  if (node->state != NOD_STOPPING)
+    return;
+  if (stopping_ms >= last_ms || (stopping_ms >= STOP_LEAST_MS && node->open == 0))
+    end_loop (node);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  Node *node = timer->data;
+  uint64_t now_ms = nod_now_ms ();
+
+  fwd_tick (node);
+  if (now_ms - node->peers.ticked_at_ms + TICK_MS / 2 >= PER_TICK_MS)
+    {
+      per_tick (&node->peers, now_ms);
+      remove_missing (node, now_ms);
+    }
+  check_stop (node, now_ms);
+}
+
+void
+nod_stop (Node *node)
+{
+  if (node->state == NOD_STOPPING)
+    return;
+  node->state = NOD_STOPPING;
+  node->peers.self.state = PER_STOPPING;
+  node->stopping_since_ms = nod_now_ms ();
+  hsv_announce_stop (node->front);
+  log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
+}
+
+static void
+name_self (Node *node)
+{
+  PerSelf *self = &node->peers.self;
+
+  g_strlcpy (self->vm, node->set.vm, sizeof self->vm);
+  g_strlcpy (self->zone, node->set.zone, sizeof self->zone);
+  self->zone_index = node->set.zone_index;
+  self->front = node->set.front;
+  self->addr = node->set.peer;
+  self->incarnation = (uint64_t) g_get_real_time ();
+  node->peers.log = &node->log;
+  node->peers.zone_of = zone_of_peer;
+  node->peers.user = node;
+  node->peers.upstreams = &node->upstreams;
+}
+
+bool
+nod_start (Node *node, HsvHandler on_lookup, Err *err)
+{
+  name_self (node);
+  if (!per_start (&node->peers, node->loop, err))
+    return false;
+  node->front = hsv_start (node->loop, node->set.front, on_front, node, err);
+  node->ready = node->front != NULL
+                    ? hsv_start (node->loop, node->set.ready, on_ready, node, err)
+                    : NULL;
+  node->lookup = node->ready != NULL
+                     ? hsv_start (node->loop, node->set.lookup, on_lookup, node, err)
+                     : NULL;
+  if (node->lookup == NULL)
+    return false;
+  uv_timer_init (node->loop, &node->tick);
+  node->tick.data = node;
+  uv_timer_start (&node->tick, on_tick, TICK_MS, TICK_MS);
+  log_event (&node->log, LOG_INFO, "started", "zone=%s", node->set.zone);
+  return true;
+}
--- /dev/null
+++ b/src/nod.h
@@ -0,0 +1,167 @@
+/* State of a node process: one on each entry VM, which takes requests and answers look-ups. */
+#pragma once
+
+#include "hsv.h"
+#include "log.h"
+#include "met.h"
+#include "per.h"
+#include "rbg.h"
+#include "rtt.h"
+#include "ucn.h"
+#include "ups.h"
+
+typedef enum
+{
+  NOD_STARTING,
+  NOD_SERVING,
+  NOD_STOPPING,
+} NodState;
+
+/** struct NodZone - an availability zone and the index of its region */
+typedef struct
+{
+  char name[NAME_MAX_BYTES];
+  uint32_t region;
+} NodZone;
+
+/**
+ * struct NodHeaders - names of the headers that callers and upstreams use
+ * @instance: names the upstream that is meant
+ * @not_run: an upstream states that it did not run the request
+ */
+typedef struct
+{
+  const char *request_id;
+  const char *deadline_ms;
+  const char *affinity;
+  const char *signature;
+  const char *instance;
+  const char *not_run;
+  const char *load;
+} NodHeaders;
+
+/**
+ * struct NodSettings - settings of a node
+ * @grace_ms: time between the request to stop and the forced end
+ * @lookup_ttl_ms: how long callers may keep a look-up's answer
+ * @cold_factor_permille: bound on a cold upstream's requests, against its declared rate
+ */
+typedef struct
+{
+  char vm[NAME_MAX_BYTES];
+  char zone[NAME_MAX_BYTES];
+  NetAddr front;
+  NetAddr ready;
+  NetAddr lookup;
+  NetAddr peer;
+  NetAddr metrics;
+  GArray *zones;
+  GPtrArray *regions;
+  uint32_t zone_index;
+  uint32_t region_index;
+  RbgLimits retry;
+  uint32_t grace_ms;
+  uint32_t lookup_ttl_ms;
+} NodSettings;
+
+/** struct NodWork - what is learnt of a route's requests */
+typedef struct
+{
+  uint32_t usual_ms;
+  uint32_t deadline_ms;
+} NodWork;
+
+/** struct NodService - what is kept of a service */
+typedef struct
+{
+  char name[NAME_MAX_BYTES];
+  RbgBudget retries;
+  GQueue waiting;
+} NodService;
+
+typedef struct
+{
+  uint64_t requests;
+  uint64_t answered;
+  uint64_t refused;
+  uint64_t may_have_run;
+  uint64_t no_route;
+  uint64_t callers_gone;
+  uint64_t timeouts;
+  uint64_t sends;
+  uint64_t retries;
+  uint64_t sheds;
+  uint64_t misdirected;
+  uint64_t connect_failures;
+  uint64_t broken_answers;
+  uint64_t lookups;
+} NodCounters;
+
+/**
+ * struct Node - central state
+ * @clock_ms: time that also runs while the VM is suspended
+ * @store_back_ms: when contact with the platform's store was last regained
+ * @evacuated: zones that get no new work, a set of names
+ * @open: requests without an answer
+ */
+typedef struct Node
+{
+  uv_loop_t *loop;
+  Log log;
+  NodSettings set;
+  NodHeaders headers;
+  NodState state;
+  uint64_t started_at_ms;
+  uint64_t stopping_since_ms;
+  uint64_t store_back_ms;
+  bool store_lost;
+  UcnCtx ucn;
+  UpsBook upstreams;
+  Per peers;
+  RttTable *table;
+  GHashTable *evacuated;
+  GHashTable *services;
+  GHashTable *work;
+  uint32_t zone_rtt_ms[ZONES_MAX];
+  HsvServer *front;
+  HsvServer *ready;
+  HsvServer *lookup;
+  HsvServer *metrics;
+  uv_timer_t tick;
+  uint32_t open;
+  MetHistogram latency;
+  NodCounters counters;
+} Node;
+
+/** nod_init() - prepares the state; settings and headers are set by the caller before. */
+void nod_init (Node *node, uv_loop_t *loop);
+
+/** nod_start() - listens and serves; @on_lookup answers look-ups. False with @err set when an address cannot be used. */
+bool nod_start (Node *node, HsvHandler on_lookup, Err *err);
+
+/** nod_stop() - begins a graceful stop; the loop ends when it is over. */
+void nod_stop (Node *node);
+
+/** nod_now_ms() - milliseconds on a clock that is never set. */
+uint64_t nod_now_ms (void);
+
+/** nod_configure() - puts a newer configuration in force; takes over the reference. */
+bool nod_configure (Node *node, RttTable *table);
+
+/** nod_upstream() - an upstream's registration, or its end when @record is NULL. */
+void nod_upstream (Node *node, const char *id, const UpsRecord *record);
+
+/** nod_evacuate() - starts or ends the evacuation of a zone. */
+void nod_evacuate (Node *node, const char *zone, bool evacuated);
+
+/** nod_store_contact() - contact with the platform's store was lost or is there. */
+void nod_store_contact (Node *node, bool ok);
+
+/** nod_zone_index() - index of a zone or ZONE_NONE. */
+uint32_t nod_zone_index (const Node *node, const char *zone);
+
+NodService *nod_service (Node *node, const char *name);
+NodWork *nod_work (Node *node, const RttRoute *route);
+
+/** nod_nodes() - nodes that share budgets, at least 1. */
+uint32_t nod_nodes (const Node *node);
--- /dev/null
+++ b/src/peer.x
@@ -0,0 +1,53 @@
+/* Views that nodes send each other in datagrams, and objects that they fetch from each other. */
+
+typedef string peer_name<64>;
+
+/* A revision of one kind of the platform's objects. */
+struct peer_revision {
+  peer_name kind;
+  unsigned hyper revision;
+};
+
+/* Requests in flight on one upstream, named by the hash of its id. */
+struct peer_load {
+  unsigned int upstream;
+  unsigned int in_flight;
+};
+
+/* A request that was lost with the upstream that ran it. */
+struct peer_crash {
+  unsigned hyper fingerprint;
+  unsigned int crashes;
+  unsigned int age_ms;
+};
+
+/* State of a node: 0 starting, 1 serving, 2 stopping. */
+struct peer_view {
+  peer_name vm;
+  peer_name zone;
+  unsigned int ip;
+  unsigned int front_port;
+  unsigned int peer_port;
+  unsigned hyper incarnation;
+  unsigned int state;
+  peer_revision revisions<16>;
+  peer_load loads<1024>;
+  peer_crash crashes<64>;
+};
+
+struct peer_fetch_args {
+  peer_name kind;
+  unsigned hyper since;
+};
+
+struct peer_object {
+  string name<256>;
+  unsigned hyper revision;
+  bool deleted;
+  string value<1048576>;
+};
+
+struct peer_fetch_reply {
+  unsigned hyper revision;
+  peer_object objects<>;
+};
--- /dev/null
+++ b/src/per.c
@@ -0,0 +1,431 @@
+/* Peers: the views that nodes send each other, who is alive, and objects fetched from peers. */
+#include "per.h"
+
+#include <string.h>
+
+#define PROC_FETCH 101
+#define FETCH_TIMEOUT_MS 1000
+#define BEHIND_MS 300
+#define RESUM_MS 1000
+#define LOADS_MAX 1024
+
+/* ---- Peers ---- */
+
+static void
+peer_free (gpointer data)
+{
+  PerPeer *peer = data;
+
+  xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
+  g_free (peer);
+}
+
+static PerPeer *
+peer_get (Per *per, const char *vm, uint64_t now_ms)
+{
+  PerPeer *peer = g_hash_table_lookup (per->peers, vm);
+
+  if (peer != NULL)
+    return peer;
+  peer = g_new0 (PerPeer, 1);
+  g_strlcpy (peer->vm, vm, sizeof peer->vm);
+  peer->zone = ZONE_NONE;
+  peer->known_at_ms = now_ms;
+  g_hash_table_insert (per->peers, peer->vm, peer);
+  return peer;
+}
+
+void
+per_name (Per *per, const char *vm, NetAddr addr, uint64_t now_ms)
+{
+  if (strcmp (vm, per->self.vm) == 0)
+    return;
+  PerPeer *peer = peer_get (per, vm, now_ms);
+  if (peer->heard_at_ms == 0)
+    peer->addr = addr;
+}
+
+bool
+per_alive (const PerPeer *peer, uint64_t now_ms)
+{
+  return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < PER_LOST_MS;
+}
+
+uint32_t
+per_count (const Per *per, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 1;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (per_alive (value, now_ms))
+      count++;
+  return count;
+}
+
+/* ---- Requests in flight elsewhere ---- */
+
+static void
+add_loads (Per *per, const peer_view *view)
+{
+  for (u_int i = 0; i < view->loads.loads_len; i++)
+    {
+      const peer_load *load = &view->loads.loads_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
+      if (ups != NULL)
+        ups->others += load->in_flight;
+    }
+}
+
+static void
+take_loads (Per *per, const peer_view *view)
+{
+  for (u_int i = 0; i < view->loads.loads_len; i++)
+    {
+      const peer_load *load = &view->loads.loads_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
+      if (ups != NULL)
+        ups->others -= MIN (ups->others, load->in_flight);
+    }
+}
+
+static void
+sum_loads (Per *per, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Ups *) value)->others = 0;
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (per_alive (value, now_ms))
+      add_loads (per, &((PerPeer *) value)->view);
+}
+
+/* ---- Fetching objects from a peer ---- */
+
+typedef struct
+{
+  Per *per;
+  RepKind *kind;
+} Fetch;
+
+static void
+on_fetched (void *user, const void *result)
+{
+  Fetch *fetch = user;
+  const peer_fetch_reply *reply = result;
+
+  fetch->kind->fetching = false;
+  fetch->kind->behind_since_ms = 0;
+  if (reply != NULL)
+    for (u_int i = 0; i < reply->objects.objects_len; i++)
+      {
+        const peer_object *object = &reply->objects.objects_val[i];
+        rep_take (&fetch->per->rep, fetch->kind, object->name, object->revision, object->deleted,
+                  object->value);
+      }
+  g_free (fetch);
+}
+
+static void
+fetch_from (Per *per, PerPeer *peer, RepKind *kind)
+{
+  peer_fetch_args args = { .kind = kind->name, .since = kind->changed };
+  Fetch *fetch = g_new (Fetch, 1);
+
+  *fetch = (Fetch){ .per = per, .kind = kind };
+  kind->fetching = true;
+  per->fetches++;
+  onc_call (per->client, peer->addr, PROC_FETCH, (xdrproc_t) xdr_peer_fetch_args, &args,
+            (xdrproc_t) xdr_peer_fetch_reply, sizeof (peer_fetch_reply), FETCH_TIMEOUT_MS,
+            on_fetched, fetch);
+}
+
+/* The platform's own news usually arrives first, so a peer is asked only after a moment. */
+static void
+compare_revisions (Per *per, PerPeer *peer, uint64_t now_ms)
+{
+  for (u_int i = 0; i < peer->view.revisions.revisions_len; i++)
+    {
+      const peer_revision *revision = &peer->view.revisions.revisions_val[i];
+      RepKind *kind = rep_find (&per->rep, revision->kind);
+      if (kind == NULL || revision->revision <= kind->changed || kind->fetching)
+        continue;
+      if (kind->behind_since_ms == 0)
+        kind->behind_since_ms = now_ms;
+      else if (now_ms - kind->behind_since_ms >= BEHIND_MS)
+        fetch_from (per, peer, kind);
+    }
+}
+
+typedef struct
+{
+  GArray *objects;
+} Collect;
+
+static void
+collect_object (void *user, const Obj *obj)
+{
+  Collect *collect = user;
+  peer_object object = { .name = strdup (obj->path),
+                         .revision = obj->revision,
+                         .deleted = obj->deleted,
+                         .value = strdup (obj->value != NULL ? obj->value : "") };
+
+  g_array_append_val (collect->objects, object);
+}
+
+static bool
+run_fetch (void *user, const void *args, void *result)
+{
+  Per *per = user;
+  const peer_fetch_args *wanted = args;
+  peer_fetch_reply *reply = result;
+  RepKind *kind = rep_find (&per->rep, wanted->kind);
+  Collect collect = { .objects = g_array_new (FALSE, FALSE, sizeof (peer_object)) };
+
+  if (kind != NULL)
+    {
+      obj_since (&kind->table, wanted->since, collect_object, &collect);
+      reply->revision = kind->changed;
+    }
+  reply->objects.objects_len = collect.objects->len;
+  reply->objects.objects_val = malloc (MAX (collect.objects->len, 1) * sizeof (peer_object));
+  memcpy (reply->objects.objects_val, collect.objects->data,
+          collect.objects->len * sizeof (peer_object));
+  g_array_unref (collect.objects);
+  return true;
+}
+
+static const OncProc procs[] = {
+  { .number = PROC_FETCH,
+    .xdr_args = (xdrproc_t) xdr_peer_fetch_args,
+    .args_size = sizeof (peer_fetch_args),
+    .xdr_result = (xdrproc_t) xdr_peer_fetch_reply,
+    .result_size = sizeof (peer_fetch_reply),
+    .fn = run_fetch },
+  { .number = 0 },
+};
+
+/* ---- Receiving views ---- */
+
+static void
+take_view (Per *per, peer_view *view, uint64_t now_ms)
+{
+  PerPeer *peer = peer_get (per, view->vm, now_ms);
+
+  if (view->incarnation < peer->incarnation)
+    {
+      xdr_free ((xdrproc_t) xdr_peer_view, view);
+      return;
+    }
+  if (per_alive (peer, now_ms))
+    take_loads (per, &peer->view);
+  xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
+  peer->view = *view;
+  add_loads (per, &peer->view);
+  peer->incarnation = view->incarnation;
+  peer->zone = per->zone_of (per->user, view->zone);
+  peer->front = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->front_port };
+  peer->addr = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->peer_port };
+  peer->state = (PerState) MIN (view->state, (u_int) PER_STOPPING);
+  if (!per_alive (peer, now_ms))
+    log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
+               (unsigned long long) peer->incarnation);
+  peer->heard_at_ms = now_ms;
+  compare_revisions (per, peer, now_ms);
+}
+
+static uint64_t
+boot_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+}
+
+static void
+on_view (uv_udp_t *udp, ssize_t size, const uv_buf_t *buf, const struct sockaddr *from,
+         unsigned int flags)
+{
+  Per *per = udp->data;
+  peer_view view = { 0 };
+  XDR xdr;
+  (void) from;
+  (void) flags;
+
+  if (size <= 0)
+    return;
+  per->received++;
+  xdrmem_create (&xdr, buf->base, (u_int) size, XDR_DECODE);
+  if (xdr_peer_view (&xdr, &view) && strcmp (view.vm, per->self.vm) != 0)
+    take_view (per, &view, boot_ms ());
+  else
+    xdr_free ((xdrproc_t) xdr_peer_view, &view);
+  xdr_destroy (&xdr);
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  Per *per = handle->data;
+  (void) suggested;
+
+  *buf = uv_buf_init (per->buffer, PER_DATAGRAM_MAX_BYTES);
+}
+
+/* ---- Sending views ---- */
+
+static u_int
+own_loads (const Per *per, peer_load *loads)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int count = 0;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (count < LOADS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      if (ups->in_flight > 0)
+        loads[count++] = (peer_load){ .upstream = ups->hash, .in_flight = ups->in_flight };
+    }
+  return count;
+}
+
+static u_int
+own_revisions (const Per *per, peer_revision *revisions, u_int room)
+{
+  u_int count = 0;
+
+  for (guint i = 0; i < per->rep.kinds->len && count < room; i++)
+    {
+      RepKind *kind = g_ptr_array_index (per->rep.kinds, i);
+      revisions[count++] = (peer_revision){ .kind = kind->name, .revision = kind->changed };
+    }
+  return count;
+}
+
+static u_int
+encode_view (const Per *per, char *out, u_int room)
+{
+  peer_load loads[LOADS_MAX];
+  peer_revision revisions[8];
+  const PerSelf *self = &per->self;
+  peer_view view = { .vm = (char *) self->vm,
+                     .zone = (char *) self->zone,
+                     .ip = self->front.ip,
+                     .front_port = self->front.port,
+                     .peer_port = self->addr.port,
+                     .incarnation = self->incarnation,
+                     .state = self->state };
+  XDR xdr;
+
+  view.loads.loads_val = loads;
+  view.loads.loads_len = own_loads (per, loads);
+  view.revisions.revisions_val = revisions;
+  view.revisions.revisions_len = own_revisions (per, revisions, G_N_ELEMENTS (revisions));
+  xdrmem_create (&xdr, out, room, XDR_ENCODE);
+  u_int size = xdr_peer_view (&xdr, &view) ? xdr_getpos (&xdr) : 0;
+  xdr_destroy (&xdr);
+  return size;
+}
+
+static uint32_t
+send_period_ms (const Per *per)
+{
+  uint32_t peers = g_hash_table_size (per->peers);
+
+  return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
+}
+
+static bool
+is_due (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  uint32_t period_ms = per_alive (peer, now_ms) ? send_period_ms (per) : PER_BEAT_MS;
+
+  return peer->addr.port != 0 && now_ms - peer->sent_at_ms + PER_TICK_MS / 4 >= period_ms;
+}
+
+static void
+send_views (Per *per, uint64_t now_ms)
+{
+  char out[PER_DATAGRAM_MAX_BYTES];
+  u_int size = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      if (!is_due (per, peer, now_ms))
+        continue;
+      if (size == 0)
+        size = encode_view (per, out, sizeof out);
+      struct sockaddr_in sin = net_addr_sockaddr (peer->addr);
+      uv_buf_t buf = uv_buf_init (out, size);
+      uv_udp_try_send (&per->udp, &buf, 1, (struct sockaddr *) &sin);
+      peer->sent_at_ms = now_ms;
+      per->sent++;
+    }
+}
+
+/* After a pause of the own process, silence of the others says nothing. */
+static void
+forgive_pause (Per *per, uint64_t now_ms)
+{
+  uint64_t gap_ms = per->ticked_at_ms != 0 ? now_ms - per->ticked_at_ms : 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  per->ticked_at_ms = now_ms;
+  if (gap_ms < PER_BEAT_MS)
+    return;
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((PerPeer *) value)->heard_at_ms != 0)
+      ((PerPeer *) value)->heard_at_ms += MIN (gap_ms, now_ms - ((PerPeer *) value)->heard_at_ms);
+}
+
+void
+per_tick (Per *per, uint64_t now_ms)
+{
+  forgive_pause (per, now_ms);
+  send_views (per, now_ms);
+  if (now_ms - per->summed_at_ms >= RESUM_MS)
+    {
+      per->summed_at_ms = now_ms;
+      sum_loads (per, now_ms);
+    }
+}
+
+bool
+per_start (Per *per, uv_loop_t *loop, Err *err)
+{
+  struct sockaddr_in sin = net_addr_sockaddr (per->self.addr);
+
+  per->loop = loop;
+  per->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  per->buffer = g_malloc (PER_DATAGRAM_MAX_BYTES);
+  per->client = onc_client_new (loop);
+  per->server = onc_serve (loop, per->self.addr, procs, per, err);
+  if (per->server == NULL)
+    return false;
+  uv_udp_init (loop, &per->udp);
+  per->udp.data = per;
+  int rc = uv_udp_bind (&per->udp, (struct sockaddr *) &sin, 0);
+  if (rc != 0)
+    {
+      err_set (err, ERR_LAYER_RPC, rc, "cannot bind datagrams: %s", uv_strerror (rc));
+      return false;
+    }
+  uv_udp_recv_start (&per->udp, on_alloc, on_view);
+  return true;
+}
--- /dev/null
+++ b/src/per.h
@@ -0,0 +1,88 @@
+/* Peers: the views that nodes send each other, who is alive, and objects fetched from peers. */
+#pragma once
+
+#include "log.h"
+#include "net.h"
+#include "onc.h"
+#include "peer.h"
+#include "rep.h"
+#include "ups.h"
+
+/** typedef PerState - what a node says of itself */
+typedef enum
+{
+  PER_STARTING,
+  PER_SERVING,
+  PER_STOPPING,
+} PerState;
+
+/**
+ * struct PerPeer - another node
+ * @heard_at_ms: last view received, 0 for none yet
+ * @known_at_ms: when it was first named
+ * @view: its last view
+ */
+typedef struct
+{
+  char vm[NAME_MAX_BYTES];
+  uint32_t zone;
+  NetAddr front;
+  NetAddr addr;
+  uint64_t incarnation;
+  PerState state;
+  uint64_t known_at_ms;
+  uint64_t heard_at_ms;
+  uint64_t sent_at_ms;
+  peer_view view;
+} PerPeer;
+
+/** struct PerSelf - the own node */
+typedef struct
+{
+  char vm[NAME_MAX_BYTES];
+  char zone[NAME_MAX_BYTES];
+  uint32_t zone_index;
+  NetAddr front;
+  NetAddr addr;
+  uint64_t incarnation;
+  PerState state;
+} PerSelf;
+
+/** typedef PerZoneFn - index of a zone by name */
+typedef uint32_t (*PerZoneFn) (void *user, const char *zone);
+
+typedef struct
+{
+  uv_loop_t *loop;
+  Log *log;
+  PerSelf self;
+  PerZoneFn zone_of;
+  void *user;
+  UpsBook *upstreams;
+  Rep rep;
+  GHashTable *peers;
+  OncClient *client;
+  OncServer *server;
+  uv_udp_t udp;
+  char *buffer;
+  uint64_t ticked_at_ms;
+  uint64_t summed_at_ms;
+  uint64_t sent;
+  uint64_t received;
+  uint64_t fetches;
+} Per;
+
+/** per_start() - listens for views and fetches on the own address. */
+bool per_start (Per *per, uv_loop_t *loop, Err *err);
+
+/** per_tick() - sends views that are due and fetches what a peer knows better. */
+void per_tick (Per *per, uint64_t now_ms);
+
+/** per_name() - names a node that may be alive. */
+void per_name (Per *per, const char *vm, NetAddr addr, uint64_t now_ms);
+
+/** per_alive() - it was heard within PER_LOST_MS. */
+bool per_alive (const PerPeer *peer, uint64_t now_ms);
+
+/** per_count() - nodes that were heard lately, the own one included. */
+uint32_t per_count (const Per *per, uint64_t now_ms);
--- /dev/null
+++ b/src/plc.c
@@ -0,0 +1,103 @@
+/* Placement: which upstream takes a request. Pure. */
+#include "plc.h"
+
+#define PERMILLE 1000u
+
+/** struct Ranks - the best scores of one region's candidates, best first */
+typedef struct
+{
+  uint32_t score[PLC_WARM_RANKS];
+} Ranks;
+
+static uint32_t
+score_of (uint32_t key, uint32_t hash)
+{
+  uint32_t x = key ^ (hash * 0x9e3779b1u);
+
+  x = (x ^ (x >> 16)) * 0x85ebca6bu;
+  x = (x ^ (x >> 13)) * 0xc2b2ae35u;
+  return x ^ (x >> 16);
+}
+
+static void
+ranks_add (Ranks *ranks, uint32_t score)
+{
+  for (uint32_t i = 0; i < PLC_WARM_RANKS; i++)
+    if (score > ranks->score[i])
+      {
+        uint32_t lower = ranks->score[i];
+        ranks->score[i] = score;
+        score = lower;
+      }
+}
+
+static void
+rank_regions (const PlcCandidate *candidates, uint32_t count, uint32_t key, Ranks *ranks)
+{
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    ranks[r] = (Ranks){ 0 };
+  for (uint32_t i = 0; i < count; i++)
+    if (candidates[i].region < REGIONS_MAX)
+      ranks_add (&ranks[candidates[i].region], score_of (key, candidates[i].hash));
+}
+
+static bool
+is_warm (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
+{
+  if (request->key == 0 || candidate->region >= REGIONS_MAX)
+    return false;
+  return score_of (request->key, candidate->hash)
+         >= ranks[candidate->region].score[PLC_WARM_RANKS - 1];
+}
+
+static bool
+has_room (const PlcCandidate *candidate)
+{
+  return candidate->usable && candidate->in_flight < candidate->slots;
+}
+
+static uint64_t
+cost_ms (const PlcCandidate *candidate, const PlcRequest *request, bool warm)
+{
+  uint64_t work = (uint64_t) request->usual_ms * candidate->slowness_permille / PERMILLE;
+  uint64_t load = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / candidate->slots;
+
+  if (warm)
+    work = work * PLC_WARM_PERMILLE / PERMILLE;
+  work += work * candidate->fault_permille / PERMILLE;
+  return candidate->rtt_ms + work + load;
+}
+
+uint32_t
+plc_free_slots (const PlcCandidate *candidates, uint32_t count)
+{
+  uint32_t slots = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (has_room (&candidates[i]))
+      slots += candidates[i].slots - candidates[i].in_flight;
+  return slots;
+}
+
+uint32_t
+plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request)
+{
+  Ranks ranks[REGIONS_MAX];
+  uint32_t best = PLC_NONE;
+  uint64_t best_ms = UINT64_MAX;
+
+  if (request->reserve > 0 && plc_free_slots (candidates, count) <= request->reserve)
+    return PLC_NONE;
+  rank_regions (candidates, count, request->key, ranks);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (!has_room (&candidates[i]))
+        continue;
+      uint64_t ms = cost_ms (&candidates[i], request, is_warm (&candidates[i], request, ranks));
+      if (ms >= best_ms)
+        continue;
+      best = i;
+      best_ms = ms;
+    }
+  return best;
+}
--- /dev/null
+++ b/src/plc.h
@@ -0,0 +1,54 @@
+/* Placement: which upstream takes a request. Pure. */
+#pragma once
+
+#include "lim.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct PlcCandidate - what is known of one upstream
+ * @region: index of its region
+ * @in_flight: requests on it from all nodes
+ * @rtt_ms: time to reach it and back
+ * @slowness_permille: its work times against the usual ones
+ * @fault_permille: recent share of requests that it failed
+ */
+typedef struct
+{
+  bool usable;
+  uint32_t hash;
+  uint32_t region;
+  uint32_t slots;
+  uint32_t in_flight;
+  uint32_t rtt_ms;
+  uint32_t slowness_permille;
+  uint32_t fault_permille;
+} PlcCandidate;
+
+/**
+ * struct PlcRequest - what the choice depends on
+ * @key: hash of the object, 0 when placement does not depend on one
+ * @usual_ms: usual work time
+ * @reserve: slots that must stay free in all candidates together
+ */
+typedef struct
+{
+  uint32_t key;
+  uint32_t usual_ms;
+  uint32_t reserve;
+} PlcRequest;
+
+#define PLC_NONE UINT32_MAX
+
+/**
+ * plc_choose() - the candidate with a free slot that is expected to answer first
+ *
+ * Each region's candidates are ranked by a hash of the object and the upstream, the same on all
+ * nodes. Those of the first PLC_WARM_RANKS ranks are expected to know the object.
+ * Return: its index, or PLC_NONE.
+ */
+uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
+
+/** plc_free_slots() - free slots of all usable candidates. */
+uint32_t plc_free_slots (const PlcCandidate *candidates, uint32_t count);
--- /dev/null
+++ b/src/rep.c
@@ -0,0 +1,88 @@
+/* Replica of the platform's objects by kind, fed by the platform and by other nodes. */
+#include "rep.h"
+
+#include <string.h>
+
+static void
+kind_free (gpointer data)
+{
+  RepKind *kind = data;
+
+  obj_clear (&kind->table);
+  g_free (kind);
+}
+
+void
+rep_init (Rep *rep, RepChangedFn changed, void *user)
+{
+  rep->kinds = g_ptr_array_new_with_free_func (kind_free);
+  rep->changed = changed;
+  rep->user = user;
+}
+
+void
+rep_clear (Rep *rep)
+{
+  g_ptr_array_unref (rep->kinds);
+}
+
+RepKind *
+rep_find (const Rep *rep, const char *name)
+{
+  for (guint i = 0; i < rep->kinds->len; i++)
+    {
+      RepKind *kind = g_ptr_array_index (rep->kinds, i);
+      if (strcmp (kind->name, name) == 0)
+        return kind;
+    }
+  return NULL;
+}
+
+RepKind *
+rep_kind (Rep *rep, const char *name)
+{
+  RepKind *kind = rep_find (rep, name);
+
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (RepKind, 1);
+  g_strlcpy (kind->name, name, sizeof kind->name);
+  obj_init (&kind->table);
+  g_ptr_array_add (rep->kinds, kind);
+  return kind;
+}
+
+static const Obj *
+any_obj (const RepKind *kind, const char *name)
+{
+  return g_hash_table_lookup (kind->table.by_path, name);
+}
+
+void
+rep_take (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
+          const char *value)
+{
+  if (!obj_apply (&kind->table, name, revision, deleted, value))
+    return;
+  kind->changed = MAX (kind->changed, revision);
+  rep->changed (rep->user, kind->name, any_obj (kind, name));
+}
+
+void
+rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, uint64_t revision)
+{
+  GPtrArray *ended = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, kind->table.by_path);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Obj *obj = value;
+      if (!obj->deleted && !g_hash_table_contains (listed, obj->path))
+        g_ptr_array_add (ended, g_strdup (obj->path));
+    }
+  for (guint i = 0; i < ended->len; i++)
+    rep_take (rep, kind, g_ptr_array_index (ended, i), revision, true, NULL);
+  g_ptr_array_unref (ended);
+}
--- /dev/null
+++ b/src/ups.c
@@ -0,0 +1,244 @@
+/* Upstreams as one process sees them: what is declared, what is in flight, how they behave. */
+#include "ups.h"
+
+#include <string.h>
+
+#define SLOWNESS_WEIGHT 4
+#define FAULT_WEIGHT 8
+#define PERMILLE 1000u
+
+uint32_t
+ups_hash (const char *text)
+{
+  uint32_t hash = 2166136261u;
+
+  for (; *text != '\0'; text++)
+    hash = (hash ^ (uint8_t) *text) * 16777619u;
+  return hash;
+}
+
+static void
+ups_free (gpointer data)
+{
+  Ups *ups = data;
+
+  ucn_pool_close (&ups->pool);
+  g_free (ups);
+}
+
+static void
+array_free (gpointer data)
+{
+  g_ptr_array_unref (data);
+}
+
+void
+ups_init (UpsBook *book, UcnCtx *ucn)
+{
+  book->ucn = ucn;
+  book->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, ups_free);
+  book->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
+  book->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, array_free);
+}
+
+void
+ups_clear (UpsBook *book)
+{
+  g_hash_table_unref (book->by_service);
+  g_hash_table_unref (book->by_hash);
+  g_hash_table_unref (book->by_id);
+}
+
+Ups *
+ups_get (const UpsBook *book, const char *id)
+{
+  return g_hash_table_lookup (book->by_id, id);
+}
+
+Ups *
+ups_by_hash (const UpsBook *book, uint32_t hash)
+{
+  return g_hash_table_lookup (book->by_hash, GUINT_TO_POINTER (hash));
+}
+
+GPtrArray *
+ups_of (const UpsBook *book, const char *service)
+{
+  return g_hash_table_lookup (book->by_service, service);
+}
+
+static void
+list_in_service (UpsBook *book, Ups *ups)
+{
+  GPtrArray *list = ups_of (book, ups->record.service);
+
+  if (list == NULL)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (book->by_service, g_strdup (ups->record.service), list);
+    }
+  g_ptr_array_add (list, ups);
+}
+
+static void
+unlist_from_service (UpsBook *book, Ups *ups)
+{
+  GPtrArray *list = ups_of (book, ups->record.service);
+
+  if (list != NULL)
+    g_ptr_array_remove (list, ups);
+}
+
+static Ups *
+ups_add (UpsBook *book, const UpsRecord *record)
+{
+  Ups *ups = g_new0 (Ups, 1);
+
+  ups->record = *record;
+  ups->hash = ups_hash (record->id);
+  ups->slowness_permille = PERMILLE;
+  ucn_pool_init (&ups->pool, book->ucn, record->addr, UPS_IDLE_MAX_MS);
+  g_hash_table_insert (book->by_id, ups->record.id, ups);
+  g_hash_table_insert (book->by_hash, GUINT_TO_POINTER (ups->hash), ups);
+  list_in_service (book, ups);
+  return ups;
+}
+
+static bool
+same_addr (NetAddr a, NetAddr b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+/* A new incarnation knows nothing of what was before. */
+static void
+start_incarnation (UpsBook *book, Ups *ups, const UpsRecord *record)
+{
+  ups->failures = 0;
+  ups->down_until_ms = 0;
+  ups->full_until_ms = 0;
+  ups->slowness_permille = PERMILLE;
+  ups->fault_permille = 0;
+  if (!same_addr (ups->record.addr, record->addr))
+    {
+      ucn_pool_close (&ups->pool);
+      ucn_pool_init (&ups->pool, book->ucn, record->addr, UPS_IDLE_MAX_MS);
+    }
+}
+
+static bool
+is_older (const UpsRecord *a, const UpsRecord *b)
+{
+  if (a->born_ms != b->born_ms)
+    return a->born_ms < b->born_ms;
+  return a->sequence < b->sequence;
+}
+
+bool
+ups_apply (UpsBook *book, const UpsRecord *record, uint32_t zone, uint64_t now_ms)
+{
+  Ups *ups = ups_get (book, record->id);
+
+  if (ups == NULL)
+    ups = ups_add (book, record);
+  else
+    {
+      if (is_older (record, &ups->record))
+        return false;
+      if (record->born_ms != ups->record.born_ms || !same_addr (record->addr, ups->record.addr))
+        start_incarnation (book, ups, record);
+      if (strcmp (ups->record.service, record->service) != 0)
+        {
+          unlist_from_service (book, ups);
+          ups->record = *record;
+          list_in_service (book, ups);
+        }
+      ups->record = *record;
+    }
+  ups->gone = false;
+  ups->missing_since_ms = 0;
+  ups->zone = zone;
+  if (record->cold_ms > 0)
+    ups->cold_until_ms = now_ms + record->cold_ms + UPS_COLD_MARGIN_MS;
+  return true;
+}
+
+static void
+free_if_unused (UpsBook *book, Ups *ups)
+{
+  if (!ups->gone || ups->in_flight > 0)
+    return;
+  unlist_from_service (book, ups);
+  g_hash_table_remove (book->by_hash, GUINT_TO_POINTER (ups->hash));
+  g_hash_table_remove (book->by_id, ups->record.id);
+}
+
+void
+ups_remove (UpsBook *book, const char *id)
+{
+  Ups *ups = ups_get (book, id);
+
+  if (ups == NULL)
+    return;
+  ups->gone = true;
+  free_if_unused (book, ups);
+}
+
+void
+ups_release (UpsBook *book, Ups *ups)
+{
+  ups->in_flight--;
+  free_if_unused (book, ups);
+}
+
+void
+ups_failed (Ups *ups, uint64_t now_ms)
+{
+  uint32_t rest_ms = UPS_DOWN_FIRST_MS << MIN (ups->failures, 4u);
+
+  ups->failures++;
+  ups->down_until_ms = now_ms + MIN (rest_ms, UPS_DOWN_MAX_MS);
+  ups->fault_permille += (PERMILLE - ups->fault_permille) / FAULT_WEIGHT;
+}
+
+void
+ups_succeeded (Ups *ups)
+{
+  ups->failures = 0;
+  ups->down_until_ms = 0;
+  ups->fault_permille -= ups->fault_permille / FAULT_WEIGHT;
+}
+
+void
+ups_took (Ups *ups, uint32_t took_ms, uint32_t usual_ms)
+{
+  int64_t ratio = usual_ms > 0 ? (int64_t) took_ms * PERMILLE / usual_ms : PERMILLE;
+  int64_t value = ups->slowness_permille;
+
+  ratio = CLAMP (ratio, 200, 20 * (int64_t) PERMILLE);
+  ups->slowness_permille = (uint32_t) (value + (ratio - value) / SLOWNESS_WEIGHT);
+}
+
+bool
+ups_is_cold (const Ups *ups, uint64_t now_ms)
+{
+  return now_ms < ups->cold_until_ms;
+}
+
+bool
+ups_cold_room (const Ups *ups, uint32_t per_s, uint64_t now_ms)
+{
+  uint32_t sent = 0;
+
+  for (uint32_t i = 0; i < UPS_COLD_TIMES; i++)
+    if (ups->cold_sent_ms[i] != 0 && now_ms - ups->cold_sent_ms[i] <= 1000)
+      sent++;
+  return sent < per_s && sent < UPS_COLD_TIMES;
+}
+
+void
+ups_cold_note (Ups *ups, uint64_t now_ms)
+{
+  ups->cold_sent_ms[ups->cold_cursor] = now_ms;
+  ups->cold_cursor = (ups->cold_cursor + 1) % UPS_COLD_TIMES;
+}
--- /dev/null
+++ b/src/ups.h
@@ -0,0 +1,101 @@
+/* Upstreams as one process sees them: what is declared, what is in flight, how they behave. */
+#pragma once
+
+#include "lim.h"
+#include "ucn.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct UpsRecord - an upstream as its registration declares it
+ * @born_ms: start of the incarnation, Unix milliseconds
+ * @sequence: number of the registration within the incarnation
+ * @cold_ms: how much longer it stays cold
+ */
+typedef struct
+{
+  char id[NAME_MAX_BYTES];
+  char service[NAME_MAX_BYTES];
+  char zone[NAME_MAX_BYTES];
+  NetAddr addr;
+  uint32_t slots;
+  bool draining;
+  uint64_t born_ms;
+  uint64_t sequence;
+  uint32_t cold_ms;
+} UpsRecord;
+
+/**
+ * struct Ups - one upstream
+ * @gone: no longer registered; kept while requests are in flight
+ * @others: requests in flight from other nodes
+ * @down_until_ms: not tried before; @failures counts failures in a row
+ * @full_until_ms: it refused work for load
+ * @slowness_permille: its work times against what is usual for the route
+ * @fault_permille: recent share of requests that it failed
+ * @cold_sent_ms: times of the last requests sent while it is cold
+ */
+typedef struct
+{
+  UpsRecord record;
+  uint32_t hash;
+  uint32_t zone;
+  bool gone;
+  uint64_t missing_since_ms;
+  uint64_t cold_until_ms;
+  uint32_t in_flight;
+  uint32_t others;
+  uint32_t failures;
+  uint64_t down_until_ms;
+  uint64_t full_until_ms;
+  uint32_t slowness_permille;
+  uint32_t fault_permille;
+  uint64_t cold_sent_ms[UPS_COLD_TIMES];
+  uint32_t cold_cursor;
+  UcnPool pool;
+} Ups;
+
+/** struct UpsBook - all upstreams; by id, by hash of the id, and by service */
+typedef struct
+{
+  UcnCtx *ucn;
+  GHashTable *by_id;
+  GHashTable *by_hash;
+  GHashTable *by_service;
+} UpsBook;
+
+void ups_init (UpsBook *book, UcnCtx *ucn);
+void ups_clear (UpsBook *book);
+
+/** ups_apply() - takes a registration; false when it is older than the one known. */
+bool ups_apply (UpsBook *book, const UpsRecord *record, uint32_t zone, uint64_t now_ms);
+
+/** ups_remove() - the registration is gone; no new work goes there. */
+void ups_remove (UpsBook *book, const char *id);
+
+Ups *ups_get (const UpsBook *book, const char *id);
+Ups *ups_by_hash (const UpsBook *book, uint32_t hash);
+
+/** ups_of() - upstreams of a service, or NULL. */
+GPtrArray *ups_of (const UpsBook *book, const char *service);
+
+/** ups_release() - a request on it ended; frees an upstream that is gone and unused. */
+void ups_release (UpsBook *book, Ups *ups);
+
+/** ups_failed() - a connection or request failed; it rests for a time that doubles. */
+void ups_failed (Ups *ups, uint64_t now_ms);
+void ups_succeeded (Ups *ups);
+
+/** ups_took() - learns from the time that a request took against the usual one. */
+void ups_took (Ups *ups, uint32_t took_ms, uint32_t usual_ms);
+
+bool ups_is_cold (const Ups *ups, uint64_t now_ms);
+
+/** ups_cold_room() - fewer than @per_s requests were sent to it in the last second. */
+bool ups_cold_room (const Ups *ups, uint32_t per_s, uint64_t now_ms);
+void ups_cold_note (Ups *ups, uint64_t now_ms);
+
+/** ups_hash() - FNV-1a hash of a text. */
+uint32_t ups_hash (const char *text);
