Placement by objects: an upstream that handled the object lately is chosen first

Ruled out: waiting (nothing was refused) and the way to the upstream (3 ms in the region). Change: each node keeps the last objects of each upstream; ranks stand in for what others sent.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -45,6 +45,7 @@
   uint32_t runs;
   bool may_have_run;
   bool waiting;
+  bool sent_warm;
   uint32_t tried[SENDS_MAX];
   Ups *ups;
   UcnCall *call;
@@ -185,6 +186,12 @@
   fwd_wake (node, service);
 }
 
+static uint32_t
+expected_ms (const Fwd *fwd)
+{
+  return fwd->sent_warm ? fwd->work->warm_ms : fwd->work->cold_ms;
+}
+
 static void
 on_ends (uv_timer_t *timer)
 {
@@ -195,7 +202,7 @@
   node->counters.timeouts++;
   if (fwd->call != NULL && ucn_was_sent (fwd->call))
     {
-      ups_took (fwd->ups, (uint32_t) (nod_now_ms () - fwd->sent_at_ms), fwd->work->usual_ms);
+      ups_took (fwd->ups, (uint32_t) (nod_now_ms () - fwd->sent_at_ms), expected_ms (fwd));
       node->counters.may_have_run++;
       answer_own (fwd, 504, "timeout");
     }
@@ -310,7 +317,9 @@
                                       .in_flight = ups->in_flight + ups->others,
                                       .rtt_ms = rtt_to (node, ups, region),
                                       .slowness_permille = ups->slowness_permille,
-                                      .fault_permille = ups->fault_permille };
+                                      .fault_permille = ups->fault_permille,
+                                      .knows_object
+                                      = fwd->key != 0 && ups_knows (ups, fwd->key) };
     }
   return candidates;
 }
@@ -333,8 +342,9 @@
   if (list == NULL || list->len == 0)
     return NULL;
   PlcCandidate *candidates = candidates_of (fwd, list, nod_now_ms ());
-  PlcRequest request = { .key = fwd->route->sticky ? fwd->key : 0,
-                         .usual_ms = fwd->work->usual_ms,
+  PlcRequest request = { .key = fwd->key,
+                         .cold_ms = fwd->work->cold_ms,
+                         .warm_ms = fwd->work->warm_ms,
                          .reserve = adm_reserve (&fwd->admission, total_slots (list)) };
   uint32_t index = plc_choose (candidates, list->len, &request);
   g_free (candidates);
@@ -375,10 +385,10 @@
 static void
 learn_work (Fwd *fwd, uint32_t took_ms)
 {
-  NodWork *work = fwd->work;
-  int64_t value = work->usual_ms;
+  uint32_t *usual_ms = fwd->sent_warm ? &fwd->work->warm_ms : &fwd->work->cold_ms;
+  int64_t value = *usual_ms;
 
-  work->usual_ms = (uint32_t) (value + ((int64_t) took_ms - value) / USUAL_WEIGHT);
+  *usual_ms = (uint32_t) (value + ((int64_t) took_ms - value) / USUAL_WEIGHT);
 }
 
 static bool
@@ -390,7 +400,7 @@
     return false;
   if (fwd->sends >= SENDS_MAX || fwd->runs >= MAX (fwd->route->attempts, 1))
     return false;
-  if (nod_now_ms () + fwd->work->usual_ms / 2 >= fwd->ends_at_ms)
+  if (nod_now_ms () + fwd->work->warm_ms >= fwd->ends_at_ms)
     return false;
   return rbg_take (&fwd->service->retries, &node->set.retry, nod_nodes (node), nod_now_ms ());
 }
@@ -454,8 +464,10 @@
   if (answer->status < 500)
     {
       ups_succeeded (ups);
-      ups_took (ups, took_ms, fwd->work->usual_ms);
+      ups_took (ups, took_ms, expected_ms (fwd));
       learn_work (fwd, took_ms);
+      if (fwd->key != 0)
+        ups_note_object (ups, fwd->key);
       release_upstream (fwd);
       deliver (fwd, answer);
       return;
@@ -534,6 +546,7 @@
   fwd->tried[fwd->sends++] = ups->hash;
   fwd->ups = ups;
   fwd->sent_at_ms = now_ms;
+  fwd->sent_warm = fwd->key != 0 && ups_knows (ups, fwd->key);
   ups->in_flight++;
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
@@ -644,7 +657,7 @@
 }
 
 static uint32_t
-read_key (Node *node, h2o_req_t *h2o)
+read_key (Node *node, h2o_req_t *h2o, const RttRoute *route)
 {
   char *cookie = hsv_header (h2o, "cookie");
   const char *found = cookie != NULL ? strstr (cookie, node->headers.affinity) : NULL;
@@ -653,7 +666,7 @@
   if (found != NULL && found[strlen (node->headers.affinity)] == '=')
     {
       char **parts = g_strsplit (found + strlen (node->headers.affinity) + 1, ";", 2);
-      key = ups_hash (g_strstrip (parts[0])) | 1u;
+      key = (ups_hash (g_strstrip (parts[0])) * 31u + ups_hash (route->name)) | 1u;
       g_strfreev (parts);
     }
   g_free (cookie);
@@ -685,7 +698,7 @@
                                  .returned = deadline_ms + RETURNED_MARGIN_MS < work->deadline_ms,
                                  .objective_ms = fwd->route->objective_ms,
                                  .left_ms = (uint32_t) (fwd->ends_at_ms - fwd->at_ms),
-                                 .usual_ms = work->usual_ms };
+                                 .usual_ms = work->warm_ms };
 }
 
 static Fwd *
@@ -705,7 +718,7 @@
   fwd->service = nod_service (node, part->service);
   fwd->work = nod_work (node, route);
   fwd->id = hsv_header (h2o, names->request_id);
-  fwd->key = read_key (node, h2o);
+  fwd->key = route->sticky ? read_key (node, h2o, route) : 0;
   msg_take (&fwd->message, h2o, dropped);
   fwd->at_ms = nod_now_ms ();
   fwd->ends_at_ms = fwd->at_ms
--- a/src/lim.h
+++ b/src/lim.h
@@ -116,11 +116,11 @@
 #define UPS_COLD_SHARERS 2
 #define UPS_MISSING_HOLD_MS 2000
 #define UPS_COLD_TIMES 24
+#define UPS_OBJECTS_KEPT 24
 
 /* Placement. */
 #define PLC_WARM_RANKS 3
-#define PLC_WARM_PERMILLE 700
-#define PLC_LOAD_COST_MS 60
+#define PLC_LOAD_COST_MS 40
 #define PLC_REMOTE_RTT_MS 70
 #define PLC_NEAR_RTT_MS 3
 
--- a/src/nod.c
+++ b/src/nod.c
@@ -9,7 +9,7 @@
 #define TICK_MS 25
 #define STOP_MARGIN_MS 500
 #define STOP_LEAST_MS 4200
-#define USUAL_SHARE_PCT 90
+#define WARM_SHARE_PCT 50
 
 uint64_t
 nod_now_ms (void)
@@ -59,7 +59,8 @@
   if (work != NULL)
     return work;
   work = g_new0 (NodWork, 1);
-  work->usual_ms = route->objective_ms * USUAL_SHARE_PCT / 100;
+  work->cold_ms = route->objective_ms;
+  work->warm_ms = route->objective_ms * WARM_SHARE_PCT / 100;
   g_hash_table_insert (node->work, g_strdup (route->name), work);
   return work;
 }
--- a/src/nod.h
+++ b/src/nod.h
@@ -64,10 +64,16 @@
   uint32_t lookup_ttl_ms;
 } NodSettings;
 
-/** struct NodWork - what is learnt of a route's requests */
+/**
+ * struct NodWork - what is learnt of a route's requests
+ * @cold_ms: work time on an upstream that does not know the object
+ * @warm_ms: work time on one that does
+ * @deadline_ms: longest deadline seen, which is that of a first attempt
+ */
 typedef struct
 {
-  uint32_t usual_ms;
+  uint32_t cold_ms;
+  uint32_t warm_ms;
   uint32_t deadline_ms;
 } NodWork;
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -41,13 +41,21 @@
       ranks_add (&ranks[candidates[i].region], score_of (key, candidates[i].hash));
 }
 
-static bool
-is_warm (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
+/* Other nodes send an object to the same first ranks, so these are likely to know it. */
+static uint32_t
+warm_permille (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
 {
+  static const uint32_t by_rank[PLC_WARM_RANKS] = { 800, 400, 150 };
+
   if (request->key == 0 || candidate->region >= REGIONS_MAX)
-    return false;
-  return score_of (request->key, candidate->hash)
-         >= ranks[candidate->region].score[PLC_WARM_RANKS - 1];
+    return 0;
+  if (candidate->knows_object)
+    return PERMILLE;
+  uint32_t score = score_of (request->key, candidate->hash);
+  for (uint32_t i = 0; i < PLC_WARM_RANKS; i++)
+    if (score >= ranks[candidate->region].score[i])
+      return by_rank[i];
+  return 0;
 }
 
 static bool
@@ -57,13 +65,12 @@
 }
 
 static uint64_t
-cost_ms (const PlcCandidate *candidate, const PlcRequest *request, bool warm)
+cost_ms (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm)
 {
-  uint64_t work = (uint64_t) request->usual_ms * candidate->slowness_permille / PERMILLE;
+  uint64_t mixed = (uint64_t) request->warm_ms * warm + (uint64_t) request->cold_ms * (PERMILLE - warm);
+  uint64_t work = mixed / PERMILLE * candidate->slowness_permille / PERMILLE;
   uint64_t load = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / candidate->slots;
 
-  if (warm)
-    work = work * PLC_WARM_PERMILLE / PERMILLE;
   work += work * candidate->fault_permille / PERMILLE;
   return candidate->rtt_ms + work + load;
 }
@@ -93,7 +100,8 @@
     {
       if (!has_room (&candidates[i]))
         continue;
-      uint64_t ms = cost_ms (&candidates[i], request, is_warm (&candidates[i], request, ranks));
+      uint32_t warm = warm_permille (&candidates[i], request, ranks);
+      uint64_t ms = cost_ms (&candidates[i], request, warm);
       if (ms >= best_ms)
         continue;
       best = i;
--- a/src/plc.h
+++ b/src/plc.h
@@ -13,6 +13,7 @@
  * @rtt_ms: time to reach it and back
  * @slowness_permille: its work times against the usual ones
  * @fault_permille: recent share of requests that it failed
+ * @knows_object: this node sent it requests for the object lately
  */
 typedef struct
 {
@@ -24,18 +25,21 @@
   uint32_t rtt_ms;
   uint32_t slowness_permille;
   uint32_t fault_permille;
+  bool knows_object;
 } PlcCandidate;
 
 /**
  * struct PlcRequest - what the choice depends on
  * @key: hash of the object, 0 when placement does not depend on one
- * @usual_ms: usual work time
+ * @cold_ms: usual work time where the object is not known
+ * @warm_ms: usual work time where it is
  * @reserve: slots that must stay free in all candidates together
  */
 typedef struct
 {
   uint32_t key;
-  uint32_t usual_ms;
+  uint32_t cold_ms;
+  uint32_t warm_ms;
   uint32_t reserve;
 } PlcRequest;
 
@@ -45,7 +49,7 @@
  * plc_choose() - the candidate with a free slot that is expected to answer first
  *
  * Each region's candidates are ranked by a hash of the object and the upstream, the same on all
- * nodes. Those of the first PLC_WARM_RANKS ranks are expected to know the object.
+ * nodes, so that few upstreams see each object and those are likely to know it.
  * Return: its index, or PLC_NONE.
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
--- a/src/ups.c
+++ b/src/ups.c
@@ -119,6 +119,7 @@
   ups->full_until_ms = 0;
   ups->slowness_permille = PERMILLE;
   ups->fault_permille = 0;
+  memset (ups->objects, 0, sizeof ups->objects);
   if (!same_addr (ups->record.addr, record->addr))
     {
       ucn_pool_close (&ups->pool);
@@ -242,3 +243,23 @@
   ups->cold_sent_ms[ups->cold_cursor] = now_ms;
   ups->cold_cursor = (ups->cold_cursor + 1) % UPS_COLD_TIMES;
 }
+
+bool
+ups_knows (const Ups *ups, uint32_t object)
+{
+  for (uint32_t i = 0; i < UPS_OBJECTS_KEPT; i++)
+    if (ups->objects[i] == object)
+      return true;
+  return false;
+}
+
+void
+ups_note_object (Ups *ups, uint32_t object)
+{
+  uint32_t last = 0;
+
+  while (last < UPS_OBJECTS_KEPT - 1 && ups->objects[last] != object)
+    last++;
+  memmove (&ups->objects[1], &ups->objects[0], last * sizeof ups->objects[0]);
+  ups->objects[0] = object;
+}
--- a/src/ups.h
+++ b/src/ups.h
@@ -35,6 +35,7 @@
  * @full_until_ms: it refused work for load
  * @slowness_permille: its work times against what is usual for the route
  * @fault_permille: recent share of requests that it failed
+ * @objects: hashes of the objects that it handled last for this node, newest first
  * @cold_sent_ms: times of the last requests sent while it is cold
  */
 typedef struct
@@ -54,6 +55,7 @@
   uint32_t fault_permille;
   uint64_t cold_sent_ms[UPS_COLD_TIMES];
   uint32_t cold_cursor;
+  uint32_t objects[UPS_OBJECTS_KEPT];
   UcnPool pool;
 } Ups;
 
@@ -97,5 +99,9 @@
 bool ups_cold_room (const Ups *ups, uint32_t per_s, uint64_t now_ms);
 void ups_cold_note (Ups *ups, uint64_t now_ms);
 
+/** ups_knows() - it handled the object for this node lately. */
+bool ups_knows (const Ups *ups, uint32_t object);
+void ups_note_object (Ups *ups, uint32_t object);
+
 /** ups_hash() - FNV-1a hash of a text. */
 uint32_t ups_hash (const char *text);
