--- a/src/hsv.c
+++ b/src/hsv.c
@@ -258,7 +258,8 @@
   for (size_t i = 0; i < req->headers.size; i++)
     {
       const h2o_header_t *header = &req->headers.entries[i];
-      if (h2o_memis (header->name->base, header->name->len, name, strlen (name)))
+      if (header->name->len == strlen (name)
+          && g_ascii_strncasecmp (header->name->base, name, header->name->len) == 0)
         return g_strndup (header->value.base, header->value.len);
     }
   return NULL;
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -49,7 +49,7 @@
 /** hsv_query_uint() - a query parameter as a number, or @fallback. */
 uint64_t hsv_query_uint (h2o_req_t *req, const char *name, uint64_t fallback);
 
-/** hsv_header() - a request header by lower-case name, as a new string or NULL. */
+/** hsv_header() - a request header by name without regard to case, as a new string or NULL. */
 char *hsv_header (h2o_req_t *req, const char *name);
 
 /** hsv_add_header() - adds an answer header; texts are copied. */
