--- a/src/fwd.c
+++ b/src/fwd.c
@@ -379,7 +379,10 @@
   met_observe (&node->latency, took_ms * 1000);
   pass_headers (fwd, answer);
   h2o_req_t *h2o = detach (fwd);
-  hsv_send (h2o, answer->status, answer->body->data, answer->body->len);
+  if (answer->until_close)
+    hsv_send_until_close (h2o, answer->status, answer->body->data, answer->body->len);
+  else
+    hsv_send (h2o, answer->status, answer->body->data, answer->body->len);
 }
 
 static void
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -196,19 +196,34 @@
 
 /* ---- Requests ---- */
 
-void
-hsv_send (h2o_req_t *req, int status, const void *body, size_t size)
+static void
+send_body (h2o_req_t *req, int status, const void *body, size_t size, size_t declared)
 {
   static h2o_generator_t generator;
   h2o_iovec_t buf = h2o_strdup (&req->pool, body, size);
 
   req->res.status = status;
   req->res.reason = status < 300 ? "OK" : "Refused";
-  req->res.content_length = buf.len;
+  req->res.content_length = declared;
   h2o_start_response (req, &generator);
   h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
 }
 
+void
+hsv_send (h2o_req_t *req, int status, const void *body, size_t size)
+{
+  send_body (req, status, body, size, size);
+}
+
+/* For HTTP/1.0, h2o neither sends chunks nor keeps the connection. */
+void
+hsv_send_until_close (h2o_req_t *req, int status, const void *body, size_t size)
+{
+  req->version = 0x100;
+  req->http1_is_persistent = 0;
+  send_body (req, status, body, size, SIZE_MAX);
+}
+
 void
 hsv_reply (h2o_req_t *req, int status, const char *type, const char *body)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -37,6 +37,9 @@
 /** hsv_send() - sends a whole answer with a body that is copied; headers were added before. */
 void hsv_send (h2o_req_t *req, int status, const void *body, size_t size);
 
+/** hsv_send_until_close() - as hsv_send(), but the end is marked only by closing the connection. */
+void hsv_send_until_close (h2o_req_t *req, int status, const void *body, size_t size);
+
 /** hsv_reply() - sends a whole answer; @type may be NULL. */
 void hsv_reply (h2o_req_t *req, int status, const char *type, const char *body);
 
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -75,6 +75,7 @@
   g_string_truncate (conn->field, 0);
   g_string_truncate (conn->value, 0);
   conn->answer.status = 0;
+  conn->answer.until_close = false;
   conn->in_value = false;
   conn->head_seen = false;
   conn->skipping = false;
@@ -327,6 +328,7 @@
       http_parser_execute (&conn->parser, &parser_settings, NULL, 0);
       if (conn->complete)
         {
+          conn->answer.until_close = true;
           finish (conn, UCN_DONE);
           conn_close (conn);
           return;
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -31,10 +31,14 @@
   char *value;
 } UcnHeader;
 
-/** struct UcnAnswer - a whole answer; valid during the callback only */
+/**
+ * struct UcnAnswer - an answer; valid during the callback only
+ * @until_close: it had no length and ended with its connection, so nothing proves that it is whole
+ */
 typedef struct
 {
   int status;
+  bool until_close;
   GPtrArray *headers;
   GByteArray *body;
 } UcnAnswer;
