A request waits for an upstream that knows its object rather than going where it is not known

Cause: under load, placement on any free slot spread objects over all upstreams; work on an unknown object takes about three times as long, so capacity fell and stayed low after the load had gone. Change: placement counts the wait at a likely upstream; others take it only below half of their slots.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -14,6 +14,8 @@
 #define COLD_SHARE_PERMILLE 450
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
+#define QUEUE_SHARE 4
+#define UNLISTED_FAILURES 3
 #define MISDIRECTED 421
 
 /**
@@ -280,8 +282,9 @@
   return region == node->set.region_index ? PLC_NEAR_RTT_MS : PLC_REMOTE_RTT_MS;
 }
 
+/* Objects are assigned among these, whatever holds for a moment. */
 static bool
-is_usable (const Fwd *fwd, const Ups *ups, uint32_t region, uint64_t now_ms)
+is_listed (const Fwd *fwd, const Ups *ups, uint32_t region)
 {
   const Node *node = fwd->node;
 
@@ -289,13 +292,17 @@
     return false;
   if (g_hash_table_contains (node->evacuated, ups->record.zone))
     return false;
-  if (!rtt_allows_region (fwd->route, g_ptr_array_index (node->set.regions, region)))
-    return false;
+  return rtt_allows_region (fwd->route, g_ptr_array_index (node->set.regions, region));
+}
+
+static bool
+is_usable (const Fwd *fwd, const Ups *ups, uint32_t region, uint64_t now_ms)
+{
   if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms)
     return false;
   if (ups->failures > 0 && ups->in_flight > 0)
     return false;
-  return !was_tried (fwd, ups->hash) && cold_allows (node, fwd, ups, region, now_ms);
+  return !was_tried (fwd, ups->hash) && cold_allows (fwd->node, fwd, ups, region, now_ms);
 }
 
 static PlcCandidate *
@@ -310,7 +317,9 @@
       uint32_t region = ups->zone < node->set.zones->len
                             ? g_array_index (node->set.zones, NodZone, ups->zone).region
                             : 0;
-      candidates[i] = (PlcCandidate){ .usable = is_usable (fwd, ups, region, now_ms),
+      bool listed = is_listed (fwd, ups, region);
+      candidates[i] = (PlcCandidate){ .listed = listed && ups->failures < UNLISTED_FAILURES,
+                                      .usable = listed && is_usable (fwd, ups, region, now_ms),
                                       .hash = ups->hash,
                                       .region = region,
                                       .slots = ups->record.slots,
@@ -345,6 +354,7 @@
   PlcRequest request = { .key = fwd->key,
                          .cold_ms = fwd->work->cold_ms,
                          .warm_ms = fwd->work->warm_ms,
+                         .wait_max_ms = fwd->route->objective_ms / QUEUE_SHARE,
                          .reserve = adm_reserve (&fwd->admission, total_slots (list)) };
   uint32_t index = plc_choose (candidates, list->len, &request);
   g_free (candidates);
--- a/src/plc.c
+++ b/src/plc.c
@@ -2,6 +2,7 @@
 #include "plc.h"
 
 #define PERMILLE 1000u
+#define LIKELY_PERMILLE 400u
 
 /** struct Ranks - the best scores of one region's candidates, best first */
 typedef struct
@@ -37,7 +38,7 @@
   for (uint32_t r = 0; r < REGIONS_MAX; r++)
     ranks[r] = (Ranks){ 0 };
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].region < REGIONS_MAX)
+    if (candidates[i].listed && candidates[i].region < REGIONS_MAX)
       ranks_add (&ranks[candidates[i].region], score_of (key, candidates[i].hash));
 }
 
@@ -45,7 +46,7 @@
 static uint32_t
 warm_permille (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
 {
-  static const uint32_t by_rank[PLC_WARM_RANKS] = { 800, 400, 150 };
+  static const uint32_t by_rank[PLC_WARM_RANKS] = { 800, LIKELY_PERMILLE, 150 };
 
   if (request->key == 0 || candidate->region >= REGIONS_MAX)
     return 0;
@@ -58,21 +59,43 @@
   return 0;
 }
 
+static uint32_t
+work_ms (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm)
+{
+  uint64_t mixed
+      = (uint64_t) request->warm_ms * warm + (uint64_t) request->cold_ms * (PERMILLE - warm);
+
+  return (uint32_t) (mixed / PERMILLE * candidate->slowness_permille / PERMILLE);
+}
+
+static uint32_t
+wait_ms (const PlcCandidate *candidate, uint32_t work)
+{
+  if (candidate->in_flight < candidate->slots)
+    return 0;
+  return (candidate->in_flight - candidate->slots + 1) * work / candidate->slots;
+}
+
 static bool
-has_room (const PlcCandidate *candidate)
+may_take (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm)
 {
-  return candidate->usable && candidate->in_flight < candidate->slots;
+  if (!candidate->usable)
+    return false;
+  if (request->key == 0)
+    return candidate->in_flight < candidate->slots;
+  if (warm >= LIKELY_PERMILLE)
+    return wait_ms (candidate, work_ms (candidate, request, warm)) <= request->wait_max_ms;
+  return candidate->in_flight * 2 < candidate->slots;
 }
 
 static uint64_t
 cost_ms (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm)
 {
-  uint64_t mixed = (uint64_t) request->warm_ms * warm + (uint64_t) request->cold_ms * (PERMILLE - warm);
-  uint64_t work = mixed / PERMILLE * candidate->slowness_permille / PERMILLE;
+  uint64_t work = work_ms (candidate, request, warm);
   uint64_t load = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / candidate->slots;
 
   work += work * candidate->fault_permille / PERMILLE;
-  return candidate->rtt_ms + work + load;
+  return candidate->rtt_ms + work + wait_ms (candidate, (uint32_t) work) + load;
 }
 
 uint32_t
@@ -81,7 +104,7 @@
   uint32_t slots = 0;
 
   for (uint32_t i = 0; i < count; i++)
-    if (has_room (&candidates[i]))
+    if (candidates[i].usable && candidates[i].in_flight < candidates[i].slots)
       slots += candidates[i].slots - candidates[i].in_flight;
   return slots;
 }
@@ -98,9 +121,9 @@
   rank_regions (candidates, count, request->key, ranks);
   for (uint32_t i = 0; i < count; i++)
     {
-      if (!has_room (&candidates[i]))
-        continue;
       uint32_t warm = warm_permille (&candidates[i], request, ranks);
+      if (!may_take (&candidates[i], request, warm))
+        continue;
       uint64_t ms = cost_ms (&candidates[i], request, warm);
       if (ms >= best_ms)
         continue;
--- a/src/plc.h
+++ b/src/plc.h
@@ -8,6 +8,7 @@
 
 /**
  * struct PlcCandidate - what is known of one upstream
+ * @listed: it counts when objects are assigned, also while it is not usable for a moment
  * @region: index of its region
  * @in_flight: requests on it from all nodes
  * @rtt_ms: time to reach it and back
@@ -17,6 +18,7 @@
  */
 typedef struct
 {
+  bool listed;
   bool usable;
   uint32_t hash;
   uint32_t region;
@@ -33,6 +35,7 @@
  * @key: hash of the object, 0 when placement does not depend on one
  * @cold_ms: usual work time where the object is not known
  * @warm_ms: usual work time where it is
+ * @wait_max_ms: longest time that it may wait in an upstream's queue
  * @reserve: slots that must stay free in all candidates together
  */
 typedef struct
@@ -40,16 +43,19 @@
   uint32_t key;
   uint32_t cold_ms;
   uint32_t warm_ms;
+  uint32_t wait_max_ms;
   uint32_t reserve;
 } PlcRequest;
 
 #define PLC_NONE UINT32_MAX
 
 /**
- * plc_choose() - the candidate with a free slot that is expected to answer first
+ * plc_choose() - the candidate that is expected to answer first
  *
  * Each region's candidates are ranked by a hash of the object and the upstream, the same on all
- * nodes, so that few upstreams see each object and those are likely to know it.
+ * nodes, so that few upstreams see each object and those are likely to know it. A request may wait
+ * for an upstream that is likely to know its object; one that is not takes it only while less than
+ * half of its slots are in use, because work on an unknown object takes capacity from the others.
  * Return: its index, or PLC_NONE.
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
