One watcher of the platform's store in each region; the other nodes fetch changes from peers

Ruled out: longer waits (calls come from events, not from waits that end empty). Change: views carry revisions and who watches; the best node of a region watches, others step in one after the other, and fetch what a peer knows better.

--- a/src/lim.h
+++ b/src/lim.h
@@ -139,6 +139,9 @@
 #define PER_LOST_MS 3000
 #define PER_DATAGRAM_MAX_BYTES 16384
 #define PER_SENDS_PER_S 120
+#define PER_NEWS_MS 250
+#define PER_RECENT_MS 700
+#define PER_STEP_IN_MS 150
 
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
--- a/src/nod.c
+++ b/src/nod.c
@@ -37,6 +37,15 @@
   return nod_zone_index (user, zone);
 }
 
+static uint32_t
+region_of_zone (void *user, uint32_t zone)
+{
+  const Node *node = user;
+
+  return zone < node->set.zones->len ? g_array_index (node->set.zones, NodZone, zone).region
+                                     : ZONE_NONE;
+}
+
 NodService *
 nod_service (Node *node, const char *name)
 {
@@ -279,6 +288,7 @@
   self->incarnation = (uint64_t) g_get_real_time ();
   node->peers.log = &node->log;
   node->peers.zone_of = zone_of_peer;
+  node->peers.region_of = region_of_zone;
   node->peers.user = node;
   node->peers.upstreams = &node->upstreams;
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -43,6 +43,7 @@
 	u_int peer_port;
 	u_quad_t incarnation;
 	u_int state;
+	u_int watch;
 	struct {
 		u_int revisions_len;
 		peer_revision *revisions_val;
@@ -51,6 +52,10 @@
 		u_int loads_len;
 		peer_load *loads_val;
 	} loads;
+	struct {
+		u_int downs_len;
+		u_int *downs_val;
+	} downs;
 	struct {
 		u_int crashes_len;
 		peer_crash *crashes_val;
--- a/src/peer.x
+++ b/src/peer.x
@@ -21,7 +21,9 @@
   unsigned int age_ms;
 };
 
-/* State of a node: 0 starting, 1 serving, 2 stopping. */
+/* State of a node: 0 starting, 1 serving, 2 stopping.
+ * watch tells whether it hears of changes from the platform's store: 0 no, 1 yes, 2 in vain.
+ * downs names upstreams that do not answer it, by the hash of their ids. */
 struct peer_view {
   peer_name vm;
   peer_name zone;
@@ -30,8 +32,10 @@
   unsigned int peer_port;
   unsigned hyper incarnation;
   unsigned int state;
+  unsigned int watch;
   peer_revision revisions<16>;
   peer_load loads<1024>;
+  unsigned int downs<256>;
   peer_crash crashes<64>;
 };
 
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -82,12 +82,17 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->state))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->watch))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 			sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
 			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
 			sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 			 return FALSE;
@@ -115,12 +120,17 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->state))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->watch))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 			sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
 			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
 			sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 			 return FALSE;
@@ -141,12 +151,17 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->watch))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 		sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
 		sizeof (peer_load), (xdrproc_t) xdr_peer_load))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
 		sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 		 return FALSE;
--- a/src/per.c
+++ b/src/per.c
@@ -65,6 +65,14 @@
   return count;
 }
 
+static uint32_t
+send_period_ms (const Per *per)
+{
+  uint32_t peers = g_hash_table_size (per->peers);
+
+  return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
+}
+
 /* ---- Requests in flight elsewhere ---- */
 
 static void
@@ -146,7 +154,7 @@
             on_fetched, fetch);
 }
 
-/* The platform's own news usually arrives first, so a peer is asked only after a moment. */
+/* A node that watches the store usually hears of a change first, so it asks only after a moment. */
 static void
 compare_revisions (Per *per, PerPeer *peer, uint64_t now_ms)
 {
@@ -158,7 +166,7 @@
         continue;
       if (kind->behind_since_ms == 0)
         kind->behind_since_ms = now_ms;
-      else if (now_ms - kind->behind_since_ms >= BEHIND_MS)
+      if (per->self.watch != PER_WATCH_HEALTHY || now_ms - kind->behind_since_ms >= BEHIND_MS)
         fetch_from (per, peer, kind);
     }
 }
@@ -212,6 +220,67 @@
   { .number = 0 },
 };
 
+/* ---- Who watches the platform's store ---- */
+
+static bool
+is_recent (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  uint32_t limit_ms = MAX (PER_RECENT_MS, 3 * send_period_ms (per));
+
+  return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < limit_ms;
+}
+
+static bool
+is_better_neighbour (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  uint32_t own = ups_hash (per->self.vm);
+  uint32_t region = per->region_of (per->user, per->self.zone_index);
+
+  return is_recent (per, peer, now_ms) && peer->state != PER_STOPPING
+         && per->region_of (per->user, peer->zone) == region && ups_hash (peer->vm) > own;
+}
+
+uint32_t
+per_watch_rank (const Per *per, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t rank = 0;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_better_neighbour (per, value, now_ms))
+      rank++;
+  return rank;
+}
+
+static bool
+better_one_watches (const Per *per, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_better_neighbour (per, value, now_ms)
+        && ((PerPeer *) value)->watch == PER_WATCH_HEALTHY)
+      return true;
+  return false;
+}
+
+bool
+per_should_watch (Per *per, uint64_t now_ms)
+{
+  if (per->self.state == PER_STOPPING || better_one_watches (per, now_ms))
+    {
+      per->unwatched_since_ms = 0;
+      return false;
+    }
+  if (per->unwatched_since_ms == 0)
+    per->unwatched_since_ms = now_ms;
+  return now_ms - per->unwatched_since_ms >= per_watch_rank (per, now_ms) * PER_STEP_IN_MS;
+}
+
 /* ---- Receiving views ---- */
 
 static void
@@ -233,6 +302,7 @@
   peer->zone = per->zone_of (per->user, view->zone);
   peer->front = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->front_port };
   peer->addr = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->peer_port };
+  peer->watch = (PerWatch) MIN (view->watch, (u_int) PER_WATCH_FAILING);
   peer->state = (PerState) MIN (view->state, (u_int) PER_STOPPING);
   if (!per_alive (peer, now_ms))
     log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
@@ -324,7 +394,8 @@
                      .front_port = self->front.port,
                      .peer_port = self->addr.port,
                      .incarnation = self->incarnation,
-                     .state = self->state };
+                     .state = self->state,
+                     .watch = self->watch };
   XDR xdr;
 
   view.loads.loads_val = loads;
@@ -337,19 +408,14 @@
   return size;
 }
 
-static uint32_t
-send_period_ms (const Per *per)
-{
-  uint32_t peers = g_hash_table_size (per->peers);
-
-  return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
-}
-
 static bool
 is_due (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
   uint32_t period_ms = per_alive (peer, now_ms) ? send_period_ms (per) : PER_BEAT_MS;
 
+  if (per->self.watch == PER_WATCH_HEALTHY)
+    period_ms = MIN (period_ms, PER_NEWS_MS);
+
   return peer->addr.port != 0 && now_ms - peer->sent_at_ms + PER_TICK_MS / 4 >= period_ms;
 }
 
--- a/src/per.h
+++ b/src/per.h
@@ -16,6 +16,14 @@
   PER_STOPPING,
 } PerState;
 
+/** typedef PerWatch - whether a node hears of changes from the platform's store itself */
+typedef enum
+{
+  PER_WATCH_NONE,
+  PER_WATCH_HEALTHY,
+  PER_WATCH_FAILING,
+} PerWatch;
+
 /**
  * struct PerPeer - another node
  * @heard_at_ms: last view received, 0 for none yet
@@ -30,6 +38,7 @@
   NetAddr addr;
   uint64_t incarnation;
   PerState state;
+  PerWatch watch;
   uint64_t known_at_ms;
   uint64_t heard_at_ms;
   uint64_t sent_at_ms;
@@ -46,17 +55,22 @@
   NetAddr addr;
   uint64_t incarnation;
   PerState state;
+  PerWatch watch;
 } PerSelf;
 
 /** typedef PerZoneFn - index of a zone by name */
 typedef uint32_t (*PerZoneFn) (void *user, const char *zone);
 
+/** typedef PerRegionFn - index of a zone's region */
+typedef uint32_t (*PerRegionFn) (void *user, uint32_t zone);
+
 typedef struct
 {
   uv_loop_t *loop;
   Log *log;
   PerSelf self;
   PerZoneFn zone_of;
+  PerRegionFn region_of;
   void *user;
   UpsBook *upstreams;
   Rep rep;
@@ -67,6 +81,7 @@
   char *buffer;
   uint64_t ticked_at_ms;
   uint64_t summed_at_ms;
+  uint64_t unwatched_since_ms;
   uint64_t sent;
   uint64_t received;
   uint64_t fetches;
@@ -86,3 +101,14 @@
 
 /** per_count() - nodes that were heard lately, the own one included. */
 uint32_t per_count (const Per *per, uint64_t now_ms);
+
+/**
+ * per_should_watch() - the own node is to hear of changes from the platform's store itself
+ *
+ * In each region the node with the best score does so, and the others fetch from it and from those
+ * of the other regions. When no better one does, they step in one after the other.
+ */
+bool per_should_watch (Per *per, uint64_t now_ms);
+
+/** per_watch_rank() - nodes of the own region with a better score. */
+uint32_t per_watch_rank (const Per *per, uint64_t now_ms);
