--- a/src/fwd.c
+++ b/src/fwd.c
@@ -9,6 +9,7 @@
 
 #define SENDS_MAX 5
 #define DEADLINE_MARGIN_MS 20
+#define TIMEOUT_GRACE_MS 200
 #define RETURNED_MARGIN_MS 60
 #define USUAL_WEIGHT 16
 #define COLD_SHARE_PERMILLE 450
@@ -737,7 +738,7 @@
   fwd->ends_at_ms = fwd->at_ms
                     + MIN (deadline_ms > 2 * DEADLINE_MARGIN_MS ? deadline_ms - DEADLINE_MARGIN_MS
                                                                 : deadline_ms / 2,
-                           route->timeout_ms);
+                           route->timeout_ms + TIMEOUT_GRACE_MS);
   fill_admission (fwd, deadline_ms);
   fwd->waits_until_ms = fwd->at_ms + adm_wait_ms (&fwd->admission);
   uv_timer_init (node->loop, &fwd->timer);
