--- a/src/fwd.c
+++ b/src/fwd.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define SENDS_MAX 5
+#define MISDIRECTS_MAX 2
 #define DEADLINE_MARGIN_MS 20
 #define TIMEOUT_GRACE_MS 200
 #define RETURNED_MARGIN_MS 60
@@ -16,7 +17,6 @@
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
 #define QUEUE_SHARE 4
-#define UNLISTED_FAILURES 3
 #define MISDIRECTED 421
 
 /**
@@ -46,6 +46,7 @@
   uint64_t sent_at_ms;
   uint32_t sends;
   uint32_t runs;
+  uint32_t misdirects;
   bool may_have_run;
   bool waiting;
   bool sent_warm;
@@ -301,6 +302,8 @@
 {
   if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms)
     return false;
+  if (ups->misdirected || ups_is_doubted (ups, now_ms))
+    return false;
   if (ups->failures > 0 && ups->in_flight > 0)
     return false;
   return !was_tried (fwd, ups->hash) && cold_allows (fwd->node, fwd, ups, region, now_ms);
@@ -319,7 +322,7 @@
                             ? g_array_index (node->set.zones, NodZone, ups->zone).region
                             : 0;
       bool listed = is_listed (fwd, ups, region);
-      candidates[i] = (PlcCandidate){ .listed = listed && ups->failures < UNLISTED_FAILURES,
+      candidates[i] = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
                                       .usable = listed && is_usable (fwd, ups, region, now_ms),
                                       .hash = ups->hash,
                                       .region = region,
@@ -412,6 +415,8 @@
 
   if (fwd->may_have_run && !rtt_repeatable (fwd->route))
     return false;
+  if (fwd->misdirects >= MISDIRECTS_MAX)
+    return false;
   if (fwd->sends >= SENDS_MAX || fwd->runs >= MAX (fwd->route->attempts, 1))
     return false;
   if (nod_now_ms () + fwd->work->warm_ms >= fwd->ends_at_ms)
@@ -442,7 +447,8 @@
   if (answer->status == MISDIRECTED)
     {
       node->counters.misdirected++;
-      ups_failed (ups, nod_now_ms ());
+      fwd->misdirects++;
+      ups->misdirected = true;
     }
   else
     {
@@ -477,7 +483,7 @@
     }
   if (answer->status < 500)
     {
-      ups_succeeded (ups);
+      ups_succeeded (ups, nod_now_ms ());
       ups_took (ups, took_ms, expected_ms (fwd));
       learn_work (fwd, took_ms);
       if (fwd->key != 0)
--- a/src/per.c
+++ b/src/per.c
@@ -8,6 +8,7 @@
 #define BEHIND_MS 300
 #define RESUM_MS 1000
 #define LOADS_MAX 1024
+#define DOWNS_MAX 256
 
 /* ---- Peers ---- */
 
@@ -73,10 +74,10 @@
   return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
 }
 
-/* ---- Requests in flight elsewhere ---- */
+/* ---- What peers say of upstreams ---- */
 
 static void
-add_loads (Per *per, const peer_view *view)
+add_reports (Per *per, const peer_view *view)
 {
   for (u_int i = 0; i < view->loads.loads_len; i++)
     {
@@ -85,10 +86,16 @@
       if (ups != NULL)
         ups->others += load->in_flight;
     }
+  for (u_int i = 0; i < view->downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, view->downs.downs_val[i]);
+      if (ups != NULL)
+        ups->down_reports++;
+    }
 }
 
 static void
-take_loads (Per *per, const peer_view *view)
+take_back_reports (Per *per, const peer_view *view)
 {
   for (u_int i = 0; i < view->loads.loads_len; i++)
     {
@@ -97,21 +104,30 @@
       if (ups != NULL)
         ups->others -= MIN (ups->others, load->in_flight);
     }
+  for (u_int i = 0; i < view->downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, view->downs.downs_val[i]);
+      if (ups != NULL)
+        ups->down_reports -= MIN (ups->down_reports, 1);
+    }
 }
 
 static void
-sum_loads (Per *per, uint64_t now_ms)
+sum_reports (Per *per, uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, per->upstreams->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Ups *) value)->others = 0;
+    {
+      ((Ups *) value)->others = 0;
+      ((Ups *) value)->down_reports = 0;
+    }
   g_hash_table_iter_init (&iter, per->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (per_alive (value, now_ms))
-      add_loads (per, &((PerPeer *) value)->view);
+      add_reports (per, &((PerPeer *) value)->view);
 }
 
 /* ---- Fetching objects from a peer ---- */
@@ -294,10 +310,10 @@
       return;
     }
   if (per_alive (peer, now_ms))
-    take_loads (per, &peer->view);
+    take_back_reports (per, &peer->view);
   xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
   peer->view = *view;
-  add_loads (per, &peer->view);
+  add_reports (per, &peer->view);
   peer->incarnation = view->incarnation;
   peer->zone = per->zone_of (per->user, view->zone);
   peer->front = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->front_port };
@@ -369,6 +385,20 @@
   return count;
 }
 
+static u_int
+own_downs (const Per *per, u_int *downs)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int count = 0;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (count < DOWNS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((const Ups *) value)->gone && ups_is_down (value))
+      downs[count++] = ((const Ups *) value)->hash;
+  return count;
+}
+
 static u_int
 own_revisions (const Per *per, peer_revision *revisions, u_int room)
 {
@@ -387,6 +417,7 @@
 {
   peer_load loads[LOADS_MAX];
   peer_revision revisions[8];
+  u_int downs[DOWNS_MAX];
   const PerSelf *self = &per->self;
   peer_view view = { .vm = (char *) self->vm,
                      .zone = (char *) self->zone,
@@ -400,6 +431,8 @@
 
   view.loads.loads_val = loads;
   view.loads.loads_len = own_loads (per, loads);
+  view.downs.downs_val = downs;
+  view.downs.downs_len = own_downs (per, downs);
   view.revisions.revisions_val = revisions;
   view.revisions.revisions_len = own_revisions (per, revisions, G_N_ELEMENTS (revisions));
   xdrmem_create (&xdr, out, room, XDR_ENCODE);
@@ -468,7 +501,7 @@
   if (now_ms - per->summed_at_ms >= RESUM_MS)
     {
       per->summed_at_ms = now_ms;
-      sum_loads (per, now_ms);
+      sum_reports (per, now_ms);
     }
 }
 
--- a/src/ups.c
+++ b/src/ups.c
@@ -157,6 +157,7 @@
       ups->record = *record;
     }
   ups->gone = false;
+  ups->misdirected = false;
   ups->missing_since_ms = 0;
   ups->zone = zone;
   if (record->cold_ms > 0)
@@ -203,13 +204,27 @@
 }
 
 void
-ups_succeeded (Ups *ups)
+ups_succeeded (Ups *ups, uint64_t now_ms)
 {
+  ups->succeeded_at_ms = now_ms;
   ups->failures = 0;
   ups->down_until_ms = 0;
   ups->fault_permille -= ups->fault_permille / FAULT_WEIGHT;
 }
 
+bool
+ups_is_down (const Ups *ups)
+{
+  return ups->misdirected || ups->failures >= UPS_DOWN_FAILURES;
+}
+
+bool
+ups_is_doubted (const Ups *ups, uint64_t now_ms)
+{
+  return ups->down_reports >= UPS_DOUBT_REPORTS
+         && now_ms - ups->succeeded_at_ms > UPS_DOUBT_MS;
+}
+
 void
 ups_took (Ups *ups, uint32_t took_ms, uint32_t usual_ms)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -33,6 +33,8 @@
  * @others: requests in flight from other nodes
  * @down_until_ms: not tried before; @failures counts failures in a row
  * @full_until_ms: it refused work for load
+ * @misdirected: another upstream has its address; until its registration changes
+ * @down_reports: peers that say that it does not answer
  * @slowness_permille: its work times against what is usual for the route
  * @fault_permille: recent share of requests that it failed
  * @objects: hashes of the objects that it handled last for this node, newest first
@@ -51,6 +53,9 @@
   uint32_t failures;
   uint64_t down_until_ms;
   uint64_t full_until_ms;
+  uint64_t succeeded_at_ms;
+  uint32_t down_reports;
+  bool misdirected;
   uint32_t slowness_permille;
   uint32_t fault_permille;
   uint64_t cold_sent_ms[UPS_COLD_TIMES];
@@ -88,7 +93,13 @@
 
 /** ups_failed() - a connection or request failed; it rests for a time that doubles. */
 void ups_failed (Ups *ups, uint64_t now_ms);
-void ups_succeeded (Ups *ups);
+void ups_succeeded (Ups *ups, uint64_t now_ms);
+
+/** ups_is_down() - it does not answer this node. */
+bool ups_is_down (const Ups *ups);
+
+/** ups_is_doubted() - several peers say that it does not answer, and this node knows no better. */
+bool ups_is_doubted (const Ups *ups, uint64_t now_ms);
 
 /** ups_took() - learns from the time that a request took against the usual one. */
 void ups_took (Ups *ups, uint32_t took_ms, uint32_t usual_ms);
