A request goes to upstreams that are likely to know its object, and elsewhere only when none of them can serve

At 35 % of warm capacity the system stayed saturated. Ruled out: overload as such (warm work needs 33 of 96 slots). Change: first two ranks and known upstreams only; the wait there may take half of the objective.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -16,7 +16,7 @@
 #define COLD_SHARE_PERMILLE 450
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
-#define QUEUE_SHARE 4
+#define QUEUE_SHARE 2
 #define MISDIRECTED 421
 
 /**
--- a/src/plc.c
+++ b/src/plc.c
@@ -77,7 +77,7 @@
 }
 
 static bool
-may_take (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm)
+may_take (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm, bool any)
 {
   if (!candidate->usable)
     return false;
@@ -85,7 +85,7 @@
     return candidate->in_flight < candidate->slots;
   if (warm >= LIKELY_PERMILLE)
     return wait_ms (candidate, work_ms (candidate, request, warm)) <= request->wait_max_ms;
-  return candidate->in_flight * 2 < candidate->slots;
+  return any && candidate->in_flight * 2 < candidate->slots;
 }
 
 static uint64_t
@@ -109,6 +109,16 @@
   return slots;
 }
 
+static bool
+has_likely (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request,
+            const Ranks *ranks)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (candidates[i].usable && warm_permille (&candidates[i], request, ranks) >= LIKELY_PERMILLE)
+      return true;
+  return false;
+}
+
 uint32_t
 plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request)
 {
@@ -119,10 +129,11 @@
   if (request->reserve > 0 && plc_free_slots (candidates, count) <= request->reserve)
     return PLC_NONE;
   rank_regions (candidates, count, request->key, ranks);
+  bool any = !has_likely (candidates, count, request, ranks);
   for (uint32_t i = 0; i < count; i++)
     {
       uint32_t warm = warm_permille (&candidates[i], request, ranks);
-      if (!may_take (&candidates[i], request, warm))
+      if (!may_take (&candidates[i], request, warm, any))
         continue;
       uint64_t ms = cost_ms (&candidates[i], request, warm);
       if (ms >= best_ms)
