Cap on how fast a region's share of requests grows; an upstream that joined is tried

The platform's cap was not read at all. Kept: the last second against the three before, 0.55 of the cap. Moves away from what was lost are not capped (four seconds after a loss).

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -17,6 +17,7 @@
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
 #define QUEUE_SHARE 2
+#define SHIFT_USED_PCT 55
 #define MISDIRECTED 421
 
 /**
@@ -282,6 +283,15 @@
   return region == node->set.region_index ? PLC_NEAR_RTT_MS : PLC_REMOTE_RTT_MS;
 }
 
+/* Load moves between regions no faster than the cap; work may leave what was lost at once. */
+static bool
+shift_allows (const Node *node, uint32_t region, uint64_t now_ms)
+{
+  if (now_ms - node->disturbed_at_ms < SHR_CALM_MS)
+    return true;
+  return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100, now_ms);
+}
+
 /* Objects are assigned among these, whatever holds for a moment. */
 static bool
 is_listed (const Fwd *fwd, const Ups *ups, uint32_t region)
@@ -302,6 +312,8 @@
     return false;
   if (ups->misdirected || ups_is_doubted (ups, now_ms))
     return false;
+  if (!shift_allows (fwd->node, region, now_ms))
+    return false;
   if (ups->failures > 0 && ups->in_flight > 0)
     return false;
   return !was_tried (fwd, ups->hash) && cold_allows (fwd->node, fwd, ups, region, now_ms);
@@ -329,6 +341,8 @@
                                       .rtt_ms = rtt_to (node, ups, region),
                                       .slowness_permille = ups->slowness_permille,
                                       .fault_permille = ups->fault_permille,
+                                      .untried
+                                      = ups->objects[0] == 0 && region == node->set.region_index,
                                       .knows_object = fwd->key != 0 && ups_knows (ups, fwd->key) };
     }
   return candidates;
@@ -500,6 +514,7 @@
   Node *node = fwd->node;
 
   ups_failed (ups, nod_now_ms ());
+  nod_disturbed (node);
   release_upstream (fwd);
   if (outcome == UCN_NOT_SENT)
     {
@@ -565,6 +580,8 @@
   fwd->sent_at_ms = now_ms;
   fwd->sent_warm = fwd->key != 0 && ups_knows (ups, fwd->key);
   ups->in_flight++;
+  if (ups->zone < node->set.zones->len)
+    shr_note (&node->shares, g_array_index (node->set.zones, NodZone, ups->zone).region, now_ms);
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
--- a/src/lim.h
+++ b/src/lim.h
@@ -127,6 +127,13 @@
 #define PLC_REMOTE_RTT_MS 70
 #define PLC_NEAR_RTT_MS 3
 
+/* Shift of requests between regions. */
+#define SHR_SLOT_MS 250
+#define SHR_SLOTS 20
+#define SHR_NEW_SLOTS 4
+#define SHR_OLD_SLOTS 12
+#define SHR_CALM_MS 4000
+
 /* Admission and waiting. */
 #define ADM_WAIT_SHARE 8
 #define ADM_BACK_MIN_MS 150
--- a/src/nod.c
+++ b/src/nod.c
@@ -94,6 +94,12 @@
   ups_init (&node->upstreams, &node->ucn);
 }
 
+void
+nod_disturbed (Node *node)
+{
+  node->disturbed_at_ms = nod_now_ms ();
+}
+
 /* ---- What the platform says ---- */
 
 static void
@@ -140,6 +146,7 @@
       return;
     }
   log_event (&node->log, LOG_INFO, "upstream_gone", "upstream=%s", id);
+  nod_disturbed (node);
   ups_remove (&node->upstreams, id);
 }
 
@@ -175,6 +182,8 @@
     return;
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
+  if (record->draining || record->cold_ms > 0)
+    nod_disturbed (node);
   fwd_wake (node, nod_service (node, record->service));
 }
 
@@ -185,6 +194,7 @@
     g_hash_table_add (node->evacuated, g_strdup (zone));
   else
     g_hash_table_remove (node->evacuated, zone);
+  nod_disturbed (node);
   log_event (&node->log, LOG_INFO, "evacuation", "zone=%s on=%d", zone, evacuated);
 }
 
--- a/src/nod.h
+++ b/src/nod.h
@@ -7,6 +7,7 @@
 #include "per.h"
 #include "rbg.h"
 #include "rtt.h"
+#include "shr.h"
 #include "ucn.h"
 #include "ups.h"
 
@@ -44,7 +45,7 @@
  * struct NodSettings - settings of a node
  * @grace_ms: time between the request to stop and the forced end
  * @lookup_ttl_ms: how long callers may keep a look-up's answer
- * @cold_factor_permille: bound on a cold upstream's requests, against its declared rate
+ * @shift_permille: cap on the change of a region's share of requests within two seconds
  */
 typedef struct
 {
@@ -60,6 +61,7 @@
   uint32_t zone_index;
   uint32_t region_index;
   RbgLimits retry;
+  uint32_t shift_permille;
   uint32_t grace_ms;
   uint32_t lookup_ttl_ms;
 } NodSettings;
@@ -107,6 +109,7 @@
  * struct Node - central state
  * @clock_ms: time that also runs while the VM is suspended
  * @store_back_ms: when the platform's store was regained after no node could reach it
+ * @disturbed_at_ms: when something that the node relies on was last lost
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
  */
@@ -121,6 +124,8 @@
   uint64_t stopping_since_ms;
   uint64_t store_back_ms;
   bool store_lost;
+  uint64_t disturbed_at_ms;
+  ShrWindow shares;
   UcnCtx ucn;
   UpsBook upstreams;
   Per peers;
@@ -164,6 +169,9 @@
 /** nod_store_contact() - contact with the platform's store was lost or is there. */
 void nod_store_contact (Node *node, bool ok);
 
+/** nod_disturbed() - something that the node relies on was lost; moves away from it are not capped. */
+void nod_disturbed (Node *node);
+
 /** nod_zone_index() - index of a zone or ZONE_NONE. */
 uint32_t nod_zone_index (const Node *node, const char *zone);
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -42,6 +42,13 @@
       ranks_add (&ranks[candidates[i].region], score_of (key, candidates[i].hash));
 }
 
+static bool
+is_trial (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
+{
+  return candidate->untried && candidate->in_flight == 0
+         && score_of (request->key, candidate->hash) >= ranks[candidate->region].score[0];
+}
+
 /* Other nodes send an object to the same first ranks, so these are likely to know it. */
 static uint32_t
 warm_permille (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
@@ -53,6 +60,8 @@
   if (candidate->knows_object)
     return PERMILLE;
   uint32_t score = score_of (request->key, candidate->hash);
+  if (is_trial (candidate, request, ranks))
+    return PERMILLE;
   for (uint32_t i = 0; i < PLC_WARM_RANKS; i++)
     if (score >= ranks[candidate->region].score[i])
       return by_rank[i];
@@ -135,7 +144,8 @@
       uint32_t warm = warm_permille (&candidates[i], request, ranks);
       if (!may_take (&candidates[i], request, warm, any))
         continue;
-      uint64_t ms = cost_ms (&candidates[i], request, warm);
+      bool trial = warm > 0 && is_trial (&candidates[i], request, ranks);
+      uint64_t ms = trial ? 0 : cost_ms (&candidates[i], request, warm);
       if (ms >= best_ms)
         continue;
       best = i;
--- a/src/plc.h
+++ b/src/plc.h
@@ -15,6 +15,7 @@
  * @slowness_permille: its work times against the usual ones
  * @fault_permille: recent share of requests that it failed
  * @knows_object: this node sent it requests for the object lately
+ * @untried: this node has sent it nothing since it joined
  */
 typedef struct
 {
@@ -28,6 +29,7 @@
   uint32_t slowness_permille;
   uint32_t fault_permille;
   bool knows_object;
+  bool untried;
 } PlcCandidate;
 
 /**
@@ -56,6 +58,7 @@
  * nodes, so that few upstreams see each object and those are likely to know it. A request may wait
  * for an upstream that is likely to know its object; one that is not takes it only while less than
  * half of its slots are in use, because work on an unknown object takes capacity from the others.
+ * One that joined is tried with the first request for an object that is assigned to it.
  * Return: its index, or PLC_NONE.
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
--- a/tests/test_plc.cc
+++ b/tests/test_plc.cc
@@ -100,6 +100,24 @@
   EXPECT_EQ (Choose (all, Asks (3)), 1u);
 }
 
+// Load: an upstream joins while all objects are known elsewhere.
+TEST (Plc, OneThatJoinedIsTriedWithAnObjectThatIsAssignedToIt)
+{
+  std::vector<PlcCandidate> all = Region (4);
+  for (PlcCandidate &candidate : all)
+    candidate.knows_object = true;
+  all.push_back (Upstream (424242));
+  all.back ().untried = true;
+  int tried = 0;
+  for (uint32_t key = 1; key <= 100; key++)
+    tried += Choose (all, Asks (key)) == 4;
+  EXPECT_GT (tried, 5);
+  EXPECT_LT (tried, 50);
+  all.back ().in_flight = 1;
+  for (uint32_t key = 1; key <= 100; key++)
+    EXPECT_NE (Choose (all, Asks (key)), 4u);
+}
+
 TEST (Plc, ASlowUpstreamIsAvoided)
 {
   std::vector<PlcCandidate> all = Region (2);
