Objects are assigned to few upstreams; metrics, state dump and bounded logs of the node

Ruled out: fewer upstreams as such (before the loss 35 upstreams saw 20 objects each), learnt work times, stale loads (the state dump shows no resting or doubted upstream). Change: an object belongs to the first upstream of each region and to the second at home; a region with too few upstreams for all objects takes a part of them.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -289,7 +289,8 @@
 {
   if (now_ms - node->disturbed_at_ms < SHR_CALM_MS)
     return true;
-  return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100, now_ms);
+  return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100,
+                     now_ms);
 }
 
 /* Objects are assigned among these, whatever holds for a moment. */
@@ -332,18 +333,18 @@
                             ? g_array_index (node->set.zones, NodZone, ups->zone).region
                             : 0;
       bool listed = is_listed (fwd, ups, region);
-      candidates[i] = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
-                                      .usable = listed && is_usable (fwd, ups, region, now_ms),
-                                      .hash = ups->hash,
-                                      .region = region,
-                                      .slots = ups->record.slots,
-                                      .in_flight = ups->in_flight + ups->others,
-                                      .rtt_ms = rtt_to (node, ups, region),
-                                      .slowness_permille = ups->slowness_permille,
-                                      .fault_permille = ups->fault_permille,
-                                      .untried
-                                      = ups->objects[0] == 0 && region == node->set.region_index,
-                                      .knows_object = fwd->key != 0 && ups_knows (ups, fwd->key) };
+      candidates[i]
+          = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
+                            .usable = listed && is_usable (fwd, ups, region, now_ms),
+                            .hash = ups->hash,
+                            .region = region,
+                            .slots = ups->record.slots,
+                            .in_flight = ups->in_flight + ups->others,
+                            .rtt_ms = rtt_to (node, ups, region),
+                            .slowness_permille = ups->slowness_permille,
+                            .fault_permille = ups->fault_permille,
+                            .untried = ups->objects[0] == 0 && region == node->set.region_index,
+                            .knows_object = fwd->key != 0 && ups_knows (ups, fwd->key) };
     }
   return candidates;
 }
@@ -369,6 +370,8 @@
   PlcRequest request = { .key = fwd->key,
                          .cold_ms = fwd->work->cold_ms,
                          .warm_ms = fwd->work->warm_ms,
+                         .objects = g_hash_table_size (fwd->service->objects),
+                         .home_region = fwd->node->set.region_index,
                          .wait_max_ms = fwd->route->objective_ms / QUEUE_SHARE,
                          .reserve = adm_reserve (&fwd->admission, total_slots (list)) };
   uint32_t index = plc_choose (candidates, list->len, &request);
@@ -394,12 +397,25 @@
     }
 }
 
+/* The same requests are sampled on every node. */
+static bool
+is_sampled (const Fwd *fwd)
+{
+  return fwd->id != NULL && ups_hash (fwd->id) % LOG_SAMPLE == 0;
+}
+
 static void
 deliver (Fwd *fwd, const UcnAnswer *answer)
 {
   Node *node = fwd->node;
   uint64_t took_ms = nod_now_ms () - fwd->at_ms;
 
+  if (is_sampled (fwd))
+    log_event (&node->log, LOG_INFO, "request_answered",
+               "id=%s status=%d route=%s sends=%u age_ms=%llu config=%llu", fwd->id, answer->status,
+               fwd->route->name, fwd->sends, (unsigned long long) took_ms,
+               (unsigned long long) fwd->table->version);
+
   node->counters.answered++;
   met_observe (&node->latency, took_ms * 1000);
   pass_headers (fwd, answer);
@@ -585,6 +601,12 @@
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
+  if (fwd->sends > 1 || is_sampled (fwd))
+    log_event (&node->log, LOG_INFO, "request_sent",
+               "id=%s upstream=%s send=%u warm=%d in_flight=%u others=%u slots=%u left_ms=%llu",
+               fwd->id != NULL ? fwd->id : "-", ups->record.id, fwd->sends, fwd->sent_warm,
+               ups->in_flight, ups->others, ups->record.slots,
+               (unsigned long long) (fwd->ends_at_ms - now_ms));
   fwd->call = ucn_start (&ups->pool, &spec, on_done, fwd);
 }
 
@@ -755,6 +777,9 @@
   fwd->key = route->sticky ? read_key (node, h2o, route) : 0;
   msg_take (&fwd->message, h2o, dropped);
   fwd->at_ms = nod_now_ms ();
+  if (fwd->key != 0)
+    g_hash_table_insert (fwd->service->objects, GUINT_TO_POINTER (fwd->key),
+                         GUINT_TO_POINTER ((uint32_t) fwd->at_ms));
   fwd->ends_at_ms = fwd->at_ms
                     + MIN (deadline_ms > 2 * DEADLINE_MARGIN_MS ? deadline_ms - DEADLINE_MARGIN_MS
                                                                 : deadline_ms / 2,
--- a/src/lim.h
+++ b/src/lim.h
@@ -122,7 +122,8 @@
 #define UPS_OBJECTS_KEPT 24
 
 /* Placement. */
-#define PLC_WARM_RANKS 3
+#define PLC_OBJECTS_PER_UPSTREAM 24
+#define PLC_OBJECT_TTL_MS 15000
 #define PLC_LOAD_COST_MS 40
 #define PLC_REMOTE_RTT_MS 70
 #define PLC_NEAR_RTT_MS 3
@@ -155,3 +156,7 @@
 
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
+
+/* Logs of the node process. */
+#define LOG_LINES_PER_S 200
+#define LOG_SAMPLE 64
--- a/src/nod.c
+++ b/src/nod.c
@@ -2,11 +2,13 @@
 #include "nod.h"
 
 #include "fwd.h"
+#include "nst.h"
 
 #include <string.h>
 #include <time.h>
 
 #define TICK_MS 25
+#define FORGET_PERIOD_MS 1000
 #define STOP_MARGIN_MS 500
 #define STOP_LEAST_MS 4200
 #define WARM_SHARE_PCT 50
@@ -55,6 +57,7 @@
     return service;
   service = g_new0 (NodService, 1);
   g_strlcpy (service->name, name, sizeof service->name);
+  service->objects = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&service->waiting);
   g_hash_table_insert (node->services, service->name, service);
   return service;
@@ -84,6 +87,8 @@
 nod_init (Node *node, uv_loop_t *loop)
 {
   node->loop = loop;
+  node->log.load = &node->log_load;
+  log_set_nonblocking (&node->log);
   node->started_at_ms = nod_now_ms ();
   node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
@@ -170,6 +175,25 @@
   g_ptr_array_unref (ended);
 }
 
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer user)
+{
+  (void) key;
+  return GPOINTER_TO_UINT (value) + PLC_OBJECT_TTL_MS < GPOINTER_TO_UINT (user);
+}
+
+static void
+forget_objects (Node *node, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_hash_table_foreach_remove (((NodService *) value)->objects, is_forgotten,
+                                 GUINT_TO_POINTER ((uint32_t) now_ms));
+}
+
 void
 nod_upstream (Node *node, const char *id, const UpsRecord *record)
 {
@@ -266,6 +290,8 @@
     {
       per_tick (&node->peers, now_ms);
       remove_missing (node, now_ms);
+      if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
+        forget_objects (node, now_ms);
     }
   check_stop (node, now_ms);
 }
@@ -300,6 +326,19 @@
   node->peers.upstreams = &node->upstreams;
 }
 
+/* The node serves on without its status. */
+static void
+serve_status (Node *node)
+{
+  Err err = { 0 };
+
+  if (node->set.metrics.port == 0)
+    return;
+  node->metrics = hsv_start (node->loop, node->set.metrics, nst_serve, node, &err);
+  if (node->metrics == NULL)
+    log_event (&node->log, LOG_WARN, "status_not_served", "error=\"%s\"", err.text);
+}
+
 bool
 nod_start (Node *node, HsvHandler on_lookup, Err *err)
 {
@@ -313,6 +352,7 @@
       = node->ready != NULL ? hsv_start (node->loop, node->set.lookup, on_lookup, node, err) : NULL;
   if (node->lookup == NULL)
     return false;
+  serve_status (node);
   uv_timer_init (node->loop, &node->tick);
   node->tick.data = node;
   uv_timer_start (&node->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/nod.h
+++ b/src/nod.h
@@ -79,10 +79,14 @@
   uint32_t deadline_ms;
 } NodWork;
 
-/** struct NodService - what is kept of a service */
+/**
+ * struct NodService - what is kept of a service
+ * @objects: times at which its objects were last asked for, by hash
+ */
 typedef struct
 {
   char name[NAME_MAX_BYTES];
+  GHashTable *objects;
   RbgBudget retries;
   GQueue waiting;
 } NodService;
@@ -117,6 +121,7 @@
 {
   uv_loop_t *loop;
   Log log;
+  LogLoad log_load;
   NodSettings set;
   NodHeaders headers;
   NodState state;
@@ -169,7 +174,8 @@
 /** nod_store_contact() - contact with the platform's store was lost or is there. */
 void nod_store_contact (Node *node, bool ok);
 
-/** nod_disturbed() - something that the node relies on was lost; moves away from it are not capped. */
+/** nod_disturbed() - something that the node relies on was lost; moves away from it are not capped.
+ */
 void nod_disturbed (Node *node);
 
 /** nod_zone_index() - index of a zone or ZONE_NONE. */
--- /dev/null
+++ b/src/nst.c
@@ -0,0 +1,133 @@
+/* Status of a node: metrics in the text exposition format, and a dump of its state. */
+#include "nst.h"
+
+#include <string.h>
+
+#define PREFIX "cardamom_node_"
+
+/* ---- Metrics ---- */
+
+typedef struct
+{
+  const char *name;
+  size_t offset;
+} Counter;
+
+#define COUNTER(field)                                                                             \
+  {                                                                                                \
+    PREFIX #field "_total", offsetof (NodCounters, field)                                          \
+  }
+
+static const Counter counters[] = {
+  COUNTER (requests),       COUNTER (answered),    COUNTER (refused),
+  COUNTER (may_have_run),   COUNTER (no_route),    COUNTER (callers_gone),
+  COUNTER (timeouts),       COUNTER (sends),       COUNTER (retries),
+  COUNTER (sheds),          COUNTER (misdirected), COUNTER (connect_failures),
+  COUNTER (broken_answers), COUNTER (lookups),
+};
+
+char *
+nst_metrics (const Node *node)
+{
+  GString *out = g_string_new (NULL);
+  uint64_t now_ms = nod_now_ms ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
+    {
+      const char *field = (const char *) &node->counters + counters[i].offset;
+      met_write_value (out, counters[i].name, NULL, *(const uint64_t *) field);
+    }
+  met_write_value (out, PREFIX "log_lines_dropped_total", NULL, log_dropped (&node->log));
+  met_write_value (out, PREFIX "open_requests", NULL, node->open);
+  met_write_value (out, PREFIX "peers_heard", NULL, per_count (&node->peers, now_ms) - 1);
+  met_write_value (out, PREFIX "upstreams", NULL, g_hash_table_size (node->upstreams.by_id));
+  met_write_value (out, PREFIX "connections_opened_total", NULL, node->ucn.opened);
+  met_write_value (out, PREFIX "connections_reused_total", NULL, node->ucn.reused);
+  met_write_value (out, PREFIX "views_sent_total", NULL, node->peers.sent);
+  met_write_value (out, PREFIX "objects_fetched_total", NULL, node->peers.fetches);
+  met_write_value (out, PREFIX "configuration_version", NULL,
+                   node->table != NULL ? node->table->version : 0);
+  met_write_histogram (out, PREFIX "answer_seconds", &node->latency);
+  return g_string_free (out, FALSE);
+}
+
+/* ---- Dump ---- */
+
+static const char *const state_names[] = { "starting", "serving", "stopping" };
+static const char *const watch_names[] = { "none", "healthy", "failing" };
+
+static void
+dump_node (const Node *node, uint64_t now_ms, GString *out)
+{
+  g_string_append_printf (out, "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s\n",
+                          node->set.vm, node->set.zone, state_names[node->state],
+                          (unsigned long long) (node->table != NULL ? node->table->version : 0),
+                          node->open, node->store_lost ? "lost" : "ok",
+                          watch_names[node->peers.self.watch]);
+  (void) now_ms;
+}
+
+static void
+dump_peers (const Node *node, uint64_t now_ms, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->peers.peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PerPeer *peer = value;
+      g_string_append_printf (out, "peer=%s state=%s watch=%s heard_ms=%lld\n", peer->vm,
+                              state_names[peer->state], watch_names[peer->watch],
+                              peer->heard_at_ms != 0 ? (long long) (now_ms - peer->heard_at_ms)
+                                                     : -1LL);
+    }
+}
+
+static void
+dump_upstreams (const Node *node, uint64_t now_ms, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->upstreams.by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      g_string_append_printf (
+          out,
+          "upstream=%s service=%s zone=%s draining=%d gone=%d cold=%d in_flight=%u others=%u "
+          "slots=%u failures=%u resting=%d misdirected=%d doubted=%d slowness=%u faults=%u\n",
+          ups->record.id, ups->record.service, ups->record.zone, ups->record.draining, ups->gone,
+          ups_is_cold (ups, now_ms), ups->in_flight, ups->others, ups->record.slots, ups->failures,
+          now_ms < ups->down_until_ms, ups->misdirected, ups_is_doubted (ups, now_ms),
+          ups->slowness_permille, ups->fault_permille);
+    }
+}
+
+char *
+nst_dump (const Node *node)
+{
+  GString *out = g_string_new (NULL);
+  uint64_t now_ms = nod_now_ms ();
+
+  dump_node (node, now_ms, out);
+  dump_peers (node, now_ms, out);
+  dump_upstreams (node, now_ms, out);
+  return g_string_free (out, FALSE);
+}
+
+void
+nst_serve (void *user, h2o_req_t *h2o)
+{
+  char *path = hsv_path (h2o);
+  char *text = NULL;
+
+  if (strcmp (path, "/metrics") == 0)
+    text = nst_metrics (user);
+  else if (strcmp (path, "/state") == 0)
+    text = nst_dump (user);
+  hsv_reply (h2o, text != NULL ? 200 : 404, "text/plain", text != NULL ? text : "not found\n");
+  g_free (text);
+  g_free (path);
+}
--- a/src/plc.c
+++ b/src/plc.c
@@ -2,12 +2,16 @@
 #include "plc.h"
 
 #define PERMILLE 1000u
-#define LIKELY_PERMILLE 400u
 
-/** struct Ranks - the best scores of one region's candidates, best first */
+#define FIRST_PERMILLE 800u
+#define SECOND_PERMILLE 400u
+
+/** struct Ranks - the two best scores of one region's candidates, and how many there are */
 typedef struct
 {
-  uint32_t score[PLC_WARM_RANKS];
+  uint32_t first;
+  uint32_t second;
+  uint32_t count;
 } Ranks;
 
 static uint32_t
@@ -23,13 +27,14 @@
 static void
 ranks_add (Ranks *ranks, uint32_t score)
 {
-  for (uint32_t i = 0; i < PLC_WARM_RANKS; i++)
-    if (score > ranks->score[i])
-      {
-        uint32_t lower = ranks->score[i];
-        ranks->score[i] = score;
-        score = lower;
-      }
+  ranks->count++;
+  if (score > ranks->first)
+    {
+      ranks->second = ranks->first;
+      ranks->first = score;
+    }
+  else if (score > ranks->second)
+    ranks->second = score;
 }
 
 static void
@@ -42,30 +47,39 @@
       ranks_add (&ranks[candidates[i].region], score_of (key, candidates[i].hash));
 }
 
+/* The same part of the objects on every node. */
 static bool
-is_trial (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
+region_has_object (const Ranks *ranks, const PlcRequest *request)
 {
-  return candidate->untried && candidate->in_flight == 0
-         && score_of (request->key, candidate->hash) >= ranks[candidate->region].score[0];
+  uint64_t room = (uint64_t) ranks->count * PLC_OBJECTS_PER_UPSTREAM;
+
+  if (room >= request->objects)
+    return true;
+  return score_of (request->key, 0) % request->objects < room;
 }
 
-/* Other nodes send an object to the same first ranks, so these are likely to know it. */
+/* Likelihood that the candidate knows the object; 0 when the object is not assigned to it. */
 static uint32_t
 warm_permille (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
 {
-  static const uint32_t by_rank[PLC_WARM_RANKS] = { 800, LIKELY_PERMILLE, 150 };
-
   if (request->key == 0 || candidate->region >= REGIONS_MAX)
     return 0;
-  if (candidate->knows_object)
-    return PERMILLE;
+  const Ranks *region = &ranks[candidate->region];
   uint32_t score = score_of (request->key, candidate->hash);
-  if (is_trial (candidate, request, ranks))
+  bool first = score >= region->first;
+  bool second = score >= region->second && candidate->region == request->home_region;
+  if (!(first || second) || !region_has_object (region, request))
+    return 0;
+  if (candidate->knows_object)
     return PERMILLE;
-  for (uint32_t i = 0; i < PLC_WARM_RANKS; i++)
-    if (score >= ranks[candidate->region].score[i])
-      return by_rank[i];
-  return 0;
+  return first ? FIRST_PERMILLE : SECOND_PERMILLE;
+}
+
+static bool
+is_trial (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
+{
+  return candidate->untried && candidate->in_flight == 0
+         && score_of (request->key, candidate->hash) >= ranks[candidate->region].first;
 }
 
 static uint32_t
@@ -92,7 +106,7 @@
     return false;
   if (request->key == 0)
     return candidate->in_flight < candidate->slots;
-  if (warm >= LIKELY_PERMILLE)
+  if (warm > 0)
     return wait_ms (candidate, work_ms (candidate, request, warm)) <= request->wait_max_ms;
   return any && candidate->in_flight * 2 < candidate->slots;
 }
@@ -123,7 +137,7 @@
             const Ranks *ranks)
 {
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].usable && warm_permille (&candidates[i], request, ranks) >= LIKELY_PERMILLE)
+    if (candidates[i].usable && warm_permille (&candidates[i], request, ranks) > 0)
       return true;
   return false;
 }
--- a/src/plc.h
+++ b/src/plc.h
@@ -37,6 +37,8 @@
  * @key: hash of the object, 0 when placement does not depend on one
  * @cold_ms: usual work time where the object is not known
  * @warm_ms: usual work time where it is
+ * @objects: objects that the service has, as far as this node has seen
+ * @home_region: index of the region in which this node is
  * @wait_max_ms: longest time that it may wait in an upstream's queue
  * @reserve: slots that must stay free in all candidates together
  */
@@ -45,6 +47,8 @@
   uint32_t key;
   uint32_t cold_ms;
   uint32_t warm_ms;
+  uint32_t objects;
+  uint32_t home_region;
   uint32_t wait_max_ms;
   uint32_t reserve;
 } PlcRequest;
@@ -54,12 +58,13 @@
 /**
  * plc_choose() - the candidate that is expected to answer first
  *
- * Each region's candidates are ranked by a hash of the object and the upstream, the same on all
- * nodes, so that few upstreams see each object and those are likely to know it. A request may wait
- * for an upstream that is likely to know its object; one that is not takes it only while less than
- * half of its slots are in use, because work on an unknown object takes capacity from the others.
- * One that joined is tried with the first request for an object that is assigned to it.
- * Return: its index, or PLC_NONE.
+ * An upstream is fast for the few objects that it handled last, so each object is assigned to few:
+ * to the first of each region by a hash of object and upstream, the same on all nodes, and to the
+ * second of the home region. A region with too few upstreams for all objects is assigned a part of
+ * them. A request may wait for an upstream of its object; others take it only when none of those
+ * can serve, and only while less than half of their slots are in use, because work on an unknown
+ * object takes capacity from the others. One that joined is tried with the first request for an
+ * object of its own. Return: its index, or PLC_NONE.
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
 
--- a/src/shr.c
+++ b/src/shr.c
@@ -55,8 +55,8 @@
   if (region >= REGIONS_MAX)
     return true;
   Sums now = sums_between (window, region, now_ms, 0, SHR_NEW_SLOTS - 1);
-  Sums old = sums_between (window, region, now_ms, SHR_NEW_SLOTS,
-                           SHR_NEW_SLOTS + SHR_OLD_SLOTS - 1);
+  Sums old
+      = sums_between (window, region, now_ms, SHR_NEW_SLOTS, SHR_NEW_SLOTS + SHR_OLD_SLOTS - 1);
   if (old.total < FEWEST_OLD || now.total < FEWEST_NEW)
     return true;
   uint64_t old_permille = (uint64_t) old.region * PERMILLE / old.total;
--- a/tests/test_shr.cc
+++ b/tests/test_shr.cc
@@ -33,7 +33,8 @@
   EXPECT_GT (near.back (), near.front ());
 }
 
-// Property: whatever the load wants, no share grows by more than the cap from one window to the next.
+// Property: whatever the load wants, no share grows by more than the cap from one window to the
+// next.
 TEST (Shr, GeneratedLoadsKeepTheCap)
 {
   const uint32_t cap_permille = 80;
