--- a/src/fwd.c
+++ b/src/fwd.c
@@ -530,7 +530,8 @@
   Node *node = fwd->node;
 
   ups_failed (ups, nod_now_ms ());
-  nod_disturbed (node);
+  if (ups_is_down (ups))
+    nod_disturbed (node);
   release_upstream (fwd);
   if (outcome == UCN_NOT_SENT)
     {
--- a/src/nod.c
+++ b/src/nod.c
@@ -202,11 +202,13 @@
       upstream_missing (node, id);
       return;
     }
+  bool known = ups_get (&node->upstreams, id) != NULL;
+
   if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), nod_now_ms ()))
     return;
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
-  if (record->draining || record->cold_ms > 0)
+  if (record->draining || (known && record->cold_ms > 0))
     nod_disturbed (node);
   fwd_wake (node, nod_service (node, record->service));
 }
@@ -279,6 +281,34 @@
     end_loop (node);
 }
 
+/* Requests start out where the regions can carry them. */
+static void
+set_prior_shares (Node *node, uint64_t now_ms)
+{
+  uint32_t slots[REGIONS_MAX] = { 0 };
+  uint32_t nodes[REGIONS_MAX] = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->upstreams.by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      uint32_t region = region_of_zone (node, ups->zone);
+      if (region < REGIONS_MAX && !ups->gone && !ups->record.draining)
+        slots[region] += ups->record.slots;
+    }
+  nodes[MIN (node->set.region_index, REGIONS_MAX - 1)]++;
+  g_hash_table_iter_init (&iter, node->peers.peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      uint32_t region = region_of_zone (node, ((const PerPeer *) value)->zone);
+      if (region < REGIONS_MAX && per_alive (value, now_ms))
+        nodes[region]++;
+    }
+  shr_set_prior (&node->shares, node->set.region_index, slots, nodes);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -291,7 +321,10 @@
       per_tick (&node->peers, now_ms);
       remove_missing (node, now_ms);
       if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
-        forget_objects (node, now_ms);
+        {
+          forget_objects (node, now_ms);
+          set_prior_shares (node, now_ms);
+        }
     }
   check_stop (node, now_ms);
 }
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -712,6 +712,17 @@
   return reply;
 }
 
+void
+SendLine (const std::string &ip, int port, const std::string &line)
+{
+  sockaddr_in addr = Address (ip, port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
+    WriteAll (fd, line);
+  std::this_thread::sleep_for (std::chrono::milliseconds (20));
+  close (fd);
+}
+
 std::string
 Configuration (int version, const std::string &more_routes, const std::string &route_fields)
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -210,6 +210,9 @@
 Reply Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
              const Headers &headers, const std::string &body, int timeout_ms);
 
+// Sends a line on a connection of its own.
+void SendLine (const std::string &ip, int port, const std::string &line);
+
 int NowMs ();
 
 // Waits until the condition holds; false after the time.
--- a/tests/test_shr.cc
+++ b/tests/test_shr.cc
@@ -16,6 +16,27 @@
   EXPECT_TRUE (shr_allows (&window, 1, 80, 12100));
 }
 
+TEST (Shr, BeginsWithWhatTheRegionsCanCarry)
+{
+  ShrWindow window = {};
+  const uint32_t slots[REGIONS_MAX] = { 12, 60, 72 };
+  const uint32_t nodes[REGIONS_MAX] = { 3, 3, 3 };
+  shr_set_prior (&window, 0, slots, nodes);
+  EXPECT_EQ (window.prior_permille[0], 250u);
+  EXPECT_EQ (window.prior_permille[1], 340u);
+  EXPECT_EQ (window.prior_permille[2], 409u);
+  int home = 0;
+  for (int i = 0; i < 60; i++)
+    {
+      uint32_t region = shr_allows (&window, 0, 80, 10000 + i * 10) ? 0 : 1;
+      shr_note (&window, region, 10000 + i * 10);
+      home += region == 0;
+    }
+  EXPECT_LE (home, 60 * 35 / 100);
+  shr_set_prior (&window, 2, slots, nodes);
+  EXPECT_EQ (window.prior_permille[2], 1000u);
+}
+
 // Load: traffic begins while the near upstreams know nothing, so much of it runs far away.
 TEST (Shr, WorkThatBeganFarAwayComesBackUnderTheCap)
 {
