Requests that crash their upstreams are stopped on all nodes

Cause: the node had no count of crashes; a request that came again reached an upstream each time. Change: requests lost on an upstream that then refuses connections are suspects; counts travel in views; after three crashes the request is refused as not run, and not repeated. Test: ARequestThatCrashesItsUpstreamsIsStopped, 15 runs without, at most 7 with.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -39,6 +39,7 @@
   MsgRequest message;
   char *id;
   uint32_t key;
+  uint64_t fingerprint;
   AdmRequest admission;
   uint64_t at_ms;
   uint64_t ends_at_ms;
@@ -435,11 +436,19 @@
   *usual_ms = (uint32_t) (value + ((int64_t) took_ms - value) / USUAL_WEIGHT);
 }
 
+static bool
+is_poison (const Fwd *fwd)
+{
+  return poi_crashes (&fwd->node->poison, fwd->fingerprint, nod_now_ms ()) >= POISON_RUNS_MAX;
+}
+
 static bool
 may_send_again (Fwd *fwd)
 {
   Node *node = fwd->node;
 
+  if (is_poison (fwd))
+    return false;
   if (fwd->may_have_run && !rtt_repeatable (fwd->route))
     return false;
   if (fwd->misdirects >= MISDIRECTS_MAX)
@@ -511,6 +520,7 @@
   if (answer->status < 500)
     {
       ups_succeeded (ups, nod_now_ms ());
+      poi_clear_suspect (&fwd->node->poison, fwd->fingerprint);
       ups_took (ups, took_ms, expected_ms (fwd));
       learn_work (fwd, took_ms);
       if (fwd->key != 0)
@@ -524,11 +534,31 @@
   send_again_or (fwd, answer, "upstream_failed");
 }
 
+/* Requests that were lost on an upstream that then refuses connections may have crashed it. */
+static void
+suspect_lost (Node *node, Ups *ups)
+{
+  uint64_t fingerprints[UPS_LOST_KEPT];
+  uint64_t now_ms = nod_now_ms ();
+  uint32_t count = ups_take_lost (ups, fingerprints, now_ms);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const PoiSuspect *suspect = poi_crash (&node->poison, fingerprints[i], now_ms);
+      log_event (&node->log, LOG_WARN, "crash_suspected", "upstream=%s fingerprint=%llx crashes=%u",
+                 ups->record.id, (unsigned long long) fingerprints[i], suspect->crashes);
+    }
+}
+
 static void
 on_broken (Fwd *fwd, Ups *ups, UcnOutcome outcome)
 {
   Node *node = fwd->node;
 
+  if (outcome == UCN_NOT_SENT)
+    suspect_lost (node, ups);
+  else
+    ups_note_lost (ups, fwd->fingerprint, nod_now_ms ());
   ups_failed (ups, nod_now_ms ());
   if (ups_is_down (ups))
     nod_disturbed (node);
@@ -777,6 +807,8 @@
   fwd->id = hsv_header (h2o, names->request_id);
   fwd->key = route->sticky ? read_key (node, h2o, route) : 0;
   msg_take (&fwd->message, h2o, dropped);
+  fwd->fingerprint = poi_fingerprint (fwd->message.method, fwd->message.path,
+                                      fwd->message.body->data, fwd->message.body->len);
   fwd->at_ms = nod_now_ms ();
   if (fwd->key != 0)
     g_hash_table_insert (fwd->service->objects, GUINT_TO_POINTER (fwd->key),
@@ -829,7 +861,12 @@
       return;
     }
   Fwd *fwd = fwd_new (node, h2o, route, part);
-  if (adm_is_hopeless (&fwd->admission))
+  if (is_poison (fwd))
+    {
+      node->counters.poison_refused++;
+      answer_not_run (fwd, "crashes_upstreams");
+    }
+  else if (adm_is_hopeless (&fwd->admission))
     answer_not_run (fwd, "too_little_time");
   else
     dispatch (fwd);
--- a/src/lim.h
+++ b/src/lim.h
@@ -120,6 +120,9 @@
 #define UPS_MISSING_HOLD_MS 2000
 #define UPS_COLD_TIMES 24
 #define UPS_OBJECTS_KEPT 24
+#define UPS_LOST_KEPT 16
+#define UPS_LOST_MS 1500
+#define POISON_RUNS_MAX 3
 
 /* Placement. */
 #define PLC_OBJECTS_PER_UPSTREAM 24
--- a/src/nod.c
+++ b/src/nod.c
@@ -96,6 +96,7 @@
   for (uint32_t i = 0; i < ZONES_MAX; i++)
     node->zone_rtt_ms[i] = UINT32_MAX;
   ucn_ctx_init (&node->ucn, loop);
+  poi_init (&node->poison);
   ups_init (&node->upstreams, &node->ucn);
 }
 
@@ -324,6 +325,7 @@
         {
           forget_objects (node, now_ms);
           set_prior_shares (node, now_ms);
+          poi_expire (&node->poison, now_ms);
         }
     }
   check_stop (node, now_ms);
@@ -357,6 +359,7 @@
   node->peers.region_of = region_of_zone;
   node->peers.user = node;
   node->peers.upstreams = &node->upstreams;
+  node->peers.poison = &node->poison;
 }
 
 /* The node serves on without its status. */
--- a/src/nod.h
+++ b/src/nod.h
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "met.h"
 #include "per.h"
+#include "poi.h"
 #include "rbg.h"
 #include "rtt.h"
 #include "shr.h"
@@ -105,6 +106,7 @@
   uint64_t sheds;
   uint64_t misdirected;
   uint64_t connect_failures;
+  uint64_t poison_refused;
   uint64_t broken_answers;
   uint64_t lookups;
 } NodCounters;
@@ -134,6 +136,7 @@
   UcnCtx ucn;
   UpsBook upstreams;
   Per peers;
+  PoiTable poison;
   RttTable *table;
   GHashTable *evacuated;
   GHashTable *services;
--- a/src/nst.c
+++ b/src/nst.c
@@ -19,11 +19,11 @@
   }
 
 static const Counter counters[] = {
-  COUNTER (requests),       COUNTER (answered),    COUNTER (refused),
-  COUNTER (may_have_run),   COUNTER (no_route),    COUNTER (callers_gone),
-  COUNTER (timeouts),       COUNTER (sends),       COUNTER (retries),
-  COUNTER (sheds),          COUNTER (misdirected), COUNTER (connect_failures),
-  COUNTER (broken_answers), COUNTER (lookups),
+  COUNTER (requests),       COUNTER (answered),       COUNTER (refused),
+  COUNTER (may_have_run),   COUNTER (no_route),       COUNTER (callers_gone),
+  COUNTER (timeouts),       COUNTER (sends),          COUNTER (retries),
+  COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
+  COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
 };
 
 char *
--- a/src/per.c
+++ b/src/per.c
@@ -9,6 +9,7 @@
 #define RESUM_MS 1000
 #define LOADS_MAX 1024
 #define DOWNS_MAX 256
+#define CRASHES_MAX 64
 
 /* ---- Peers ---- */
 
@@ -324,6 +325,16 @@
 
 /* ---- Receiving views ---- */
 
+static void
+take_crashes (Per *per, const peer_view *view, uint64_t now_ms)
+{
+  for (u_int i = 0; i < view->crashes.crashes_len; i++)
+    {
+      const peer_crash *crash = &view->crashes.crashes_val[i];
+      poi_learn (per->poison, crash->fingerprint, crash->crashes, now_ms - crash->age_ms);
+    }
+}
+
 static void
 take_view (Per *per, peer_view *view, uint64_t now_ms)
 {
@@ -349,6 +360,7 @@
     log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
                (unsigned long long) peer->incarnation);
   peer->heard_at_ms = now_ms;
+  take_crashes (per, &peer->view, now_ms);
   compare_revisions (per, peer, now_ms);
 }
 
@@ -424,6 +436,24 @@
   return count;
 }
 
+static u_int
+own_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int count = 0;
+
+  g_hash_table_iter_init (&iter, per->poison->by_fingerprint);
+  while (count < room && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PoiSuspect *suspect = value;
+      crashes[count++] = (peer_crash){ .fingerprint = suspect->fingerprint,
+                                       .crashes = suspect->crashes,
+                                       .age_ms = (u_int) (now_ms - suspect->at_ms) };
+    }
+  return count;
+}
+
 static u_int
 own_revisions (const Per *per, peer_revision *revisions, u_int room)
 {
@@ -438,8 +468,9 @@
 }
 
 static u_int
-encode_view (const Per *per, char *out, u_int room)
+encode_view (const Per *per, char *out, u_int room, uint64_t now_ms)
 {
+  peer_crash crashes[CRASHES_MAX];
   peer_load loads[LOADS_MAX];
   peer_revision revisions[8];
   u_int downs[DOWNS_MAX];
@@ -457,6 +488,8 @@
 
   view.loads.loads_val = loads;
   view.loads.loads_len = own_loads (per, loads);
+  view.crashes.crashes_val = crashes;
+  view.crashes.crashes_len = own_crashes (per, crashes, CRASHES_MAX, now_ms);
   view.downs.downs_val = downs;
   view.downs.downs_len = own_downs (per, downs);
   view.revisions.revisions_val = revisions;
@@ -493,7 +526,7 @@
       if (!is_due (per, peer, now_ms))
         continue;
       if (size == 0)
-        size = encode_view (per, out, sizeof out);
+        size = encode_view (per, out, sizeof out, now_ms);
       struct sockaddr_in sin = net_addr_sockaddr (peer->addr);
       uv_buf_t buf = uv_buf_init (out, size);
       uv_udp_try_send (&per->udp, &buf, 1, (struct sockaddr *) &sin);
--- a/src/per.h
+++ b/src/per.h
@@ -5,6 +5,7 @@
 #include "net.h"
 #include "onc.h"
 #include "peer.h"
+#include "poi.h"
 #include "rep.h"
 #include "ups.h"
 
@@ -75,6 +76,7 @@
   void *user;
   UpsBook *upstreams;
   Rep rep;
+  PoiTable *poison;
   GHashTable *peers;
   OncClient *client;
   OncServer *server;
--- a/src/ups.c
+++ b/src/ups.c
@@ -277,3 +277,24 @@
   memmove (&ups->objects[1], &ups->objects[0], last * sizeof ups->objects[0]);
   ups->objects[0] = object;
 }
+
+void
+ups_note_lost (Ups *ups, uint64_t fingerprint, uint64_t now_ms)
+{
+  if (now_ms - ups->lost_at_ms > UPS_LOST_MS)
+    ups->lost_count = 0;
+  if (ups->lost_count == 0)
+    ups->lost_at_ms = now_ms;
+  if (ups->lost_count < UPS_LOST_KEPT)
+    ups->lost[ups->lost_count++] = fingerprint;
+}
+
+uint32_t
+ups_take_lost (Ups *ups, uint64_t *fingerprints, uint64_t now_ms)
+{
+  uint32_t count = now_ms - ups->lost_at_ms <= UPS_LOST_MS ? ups->lost_count : 0;
+
+  memcpy (fingerprints, ups->lost, count * sizeof fingerprints[0]);
+  ups->lost_count = 0;
+  return count;
+}
--- a/src/ups.h
+++ b/src/ups.h
@@ -38,6 +38,7 @@
  * @slowness_permille: its work times against what is usual for the route
  * @fault_permille: recent share of requests that it failed
  * @objects: hashes of the objects that it handled last for this node, newest first
+ * @lost: fingerprints of the requests that were lost on it since @lost_at_ms
  * @cold_sent_ms: times of the last requests sent while it is cold
  */
 typedef struct
@@ -61,6 +62,9 @@
   uint64_t cold_sent_ms[UPS_COLD_TIMES];
   uint32_t cold_cursor;
   uint32_t objects[UPS_OBJECTS_KEPT];
+  uint64_t lost[UPS_LOST_KEPT];
+  uint32_t lost_count;
+  uint64_t lost_at_ms;
   UcnPool pool;
 } Ups;
 
@@ -110,6 +114,15 @@
 bool ups_cold_room (const Ups *ups, uint32_t per_s, uint64_t now_ms);
 void ups_cold_note (Ups *ups, uint64_t now_ms);
 
+/** ups_note_lost() - a request that it was running was lost. */
+void ups_note_lost (Ups *ups, uint64_t fingerprint, uint64_t now_ms);
+
+/**
+ * ups_take_lost() - requests that were lost on it just before it refused a connection, so one of
+ * them may have crashed it; UPS_LOST_KEPT at most. Return: their number.
+ */
+uint32_t ups_take_lost (Ups *ups, uint64_t *fingerprints, uint64_t now_ms);
+
 /** ups_knows() - it handled the object for this node lately. */
 bool ups_knows (const Ups *ups, uint32_t object);
 void ups_note_object (Ups *ups, uint32_t object);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -153,6 +153,8 @@
 {
   int one = 1;
   sockaddr_in addr = Address ("127.0.0.1", port_);
+  if (accepting_.joinable () && !stopping_)
+    return;
   stopping_ = false;
   fd_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -378,6 +378,36 @@
   EXPECT_LE (Arrivals () - before - first, first / 5 + 60);
 }
 
+// Each upstream that runs the request ends; it comes back a moment later.
+TEST_F (NodeTest, ARequestThatCrashesItsUpstreamsIsStopped)
+{
+  Start (3);
+  for (const auto &upstream : upstreams_)
+    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
+      if (request.target == "/read/poison")
+        {
+          shutdown (fd, SHUT_RDWR);
+          std::thread ([&upstream] { upstream->Stop (); }).detach ();
+        }
+      else
+        WriteAll (fd, upstream->Whole (request, "ok"));
+    });
+  for (int i = 0; i < 12; i++)
+    {
+      node_->Call ("GET", "/read/poison", WithId ("poison-" + std::to_string (i)));
+      std::this_thread::sleep_for (400ms);
+      node_->Call ("GET", "/read/other", WithId ("other")); // finds what is down
+      for (const auto &upstream : upstreams_)
+        upstream->Restart ();
+    }
+  int runs = 0;
+  for (int i = 0; i < 12; i++)
+    runs += Runs ("poison-" + std::to_string (i));
+  EXPECT_LE (runs, 7);
+  EXPECT_TRUE (WaitUntil (
+      3000, [&] { return node_->Call ("GET", "/read/ok", WithId ("after")).status == 200; }));
+}
+
 TEST_F (NodeTest, APlannedStopCutsNothingAndEndsInTime)
 {
   Start ();
