--- /dev/null
+++ b/src/chs.c
@@ -0,0 +1,171 @@
+/* Choice of an upstream: turns what the node knows into candidates for placement. */
+#include "chs.h"
+
+#include "plc.h"
+
+#define COLD_SHARE_PERMILLE 450
+#define COLD_SETTLE_MS 2000
+#define PERMILLE 1000u
+#define QUEUE_SHARE 2
+#define SHIFT_USED_PCT 55
+
+static bool
+was_tried (const ChsRequest *request, uint32_t hash)
+{
+  for (uint32_t i = 0; i < request->tried_count; i++)
+    if (request->tried[i] == hash)
+      return true;
+  return false;
+}
+
+static uint32_t
+vm_score (const char *vm, uint32_t hash)
+{
+  return (ups_hash (vm) ^ hash) * 0x9e3779b1u;
+}
+
+/* A cold upstream is used by a few nodes only, near ones first, the same from every node's view. */
+static bool
+shares_cold (const Node *node, const Ups *ups, uint32_t region, uint64_t now_ms)
+{
+  const GArray *zones = node->set.zones;
+  uint32_t own = vm_score (node->set.vm, ups->hash);
+  uint32_t better = 0;
+  uint32_t near = node->set.region_index == region ? 1 : 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->peers.peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PerPeer *peer = value;
+      if (!per_alive (peer, now_ms) || peer->zone >= zones->len)
+        continue;
+      bool is_near = g_array_index (zones, NodZone, peer->zone).region == region;
+      near += is_near;
+      if (is_near == (node->set.region_index == region) && vm_score (peer->vm, ups->hash) > own)
+        better++;
+    }
+  return (near == 0 || node->set.region_index == region) && better < UPS_COLD_SHARERS;
+}
+
+static bool
+cold_allows (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t region,
+             uint64_t now_ms)
+{
+  const RttService *service = rtt_service (request->table, ups->record.service);
+  double rate = service != NULL ? service->cold_per_s : 0;
+
+  if (!ups_is_cold (ups, now_ms) || rate <= 0)
+    return true;
+  if (now_ms - node->started_at_ms < COLD_SETTLE_MS || !shares_cold (node, ups, region, now_ms))
+    return false;
+  uint32_t per_s = (uint32_t) (rate * COLD_SHARE_PERMILLE / PERMILLE);
+  return ups_cold_room (ups, MAX (per_s, 1), now_ms);
+}
+
+static uint32_t
+rtt_to (const Node *node, const Ups *ups, uint32_t region)
+{
+  uint32_t zone_ms = ups->zone < ZONES_MAX ? node->zone_rtt_ms[ups->zone] : UINT32_MAX;
+
+  if (ups->pool.connect_ms != UINT32_MAX)
+    return ups->pool.connect_ms;
+  if (zone_ms != UINT32_MAX)
+    return zone_ms;
+  return region == node->set.region_index ? PLC_NEAR_RTT_MS : PLC_REMOTE_RTT_MS;
+}
+
+/* Load moves between regions no faster than the cap; work may leave what was lost at once. */
+static bool
+shift_allows (const Node *node, uint32_t region, uint64_t now_ms)
+{
+  if (now_ms - node->disturbed_at_ms < SHR_CALM_MS)
+    return true;
+  return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100,
+                     now_ms);
+}
+
+/* Objects are assigned among these, whatever holds for a moment. */
+static bool
+is_listed (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t region)
+{
+  if (ups->gone || ups->record.draining || ups->zone == ZONE_NONE || ups->record.slots == 0)
+    return false;
+  if (g_hash_table_contains (node->evacuated, ups->record.zone))
+    return false;
+  return rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, region));
+}
+
+static bool
+is_usable (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t region,
+           uint64_t now_ms)
+{
+  if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms)
+    return false;
+  if (ups->misdirected || ups_is_doubted (ups, now_ms))
+    return false;
+  if (!shift_allows (node, region, now_ms))
+    return false;
+  if (ups->failures > 0 && ups->in_flight > 0)
+    return false;
+  return !was_tried (request, ups->hash) && cold_allows (node, request, ups, region, now_ms);
+}
+
+static PlcCandidate *
+candidates_of (const Node *node, const ChsRequest *request, const GPtrArray *list, uint64_t now_ms)
+{
+  PlcCandidate *candidates = g_new0 (PlcCandidate, MAX (list->len, 1));
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const Ups *ups = g_ptr_array_index (list, i);
+      uint32_t region = ups->zone < node->set.zones->len
+                            ? g_array_index (node->set.zones, NodZone, ups->zone).region
+                            : 0;
+      bool listed = is_listed (node, request, ups, region);
+      candidates[i]
+          = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
+                            .usable = listed && is_usable (node, request, ups, region, now_ms),
+                            .hash = ups->hash,
+                            .region = region,
+                            .slots = ups->record.slots,
+                            .in_flight = ups->in_flight + ups->others,
+                            .rtt_ms = rtt_to (node, ups, region),
+                            .slowness_permille = ups->slowness_permille,
+                            .fault_permille = ups->fault_permille,
+                            .untried = ups->objects[0] == 0 && region == node->set.region_index,
+                            .knows_object = request->key != 0 && ups_knows (ups, request->key) };
+    }
+  return candidates;
+}
+
+static uint32_t
+total_slots (const GPtrArray *list)
+{
+  uint32_t slots = 0;
+
+  for (guint i = 0; i < list->len; i++)
+    slots += ((const Ups *) g_ptr_array_index (list, i))->record.slots;
+  return slots;
+}
+
+Ups *
+chs_upstream (const Node *node, const ChsRequest *request)
+{
+  GPtrArray *list = ups_of (&node->upstreams, request->service->name);
+
+  if (list == NULL || list->len == 0)
+    return NULL;
+  PlcCandidate *candidates = candidates_of (node, request, list, nod_now_ms ());
+  PlcRequest placed = { .key = request->key,
+                        .cold_ms = request->work->cold_ms,
+                        .warm_ms = request->work->warm_ms,
+                        .objects = g_hash_table_size (request->service->objects),
+                        .home_region = node->set.region_index,
+                        .wait_max_ms = request->route->objective_ms / QUEUE_SHARE,
+                        .reserve = adm_reserve (request->admission, total_slots (list)) };
+  uint32_t index = plc_choose (candidates, list->len, &placed);
+  g_free (candidates);
+  return index != PLC_NONE ? g_ptr_array_index (list, index) : NULL;
+}
--- a/src/ups.c
+++ b/src/ups.c
@@ -193,6 +193,12 @@
   free_if_unused (book, ups);
 }
 
+void
+ups_answered_failure (Ups *ups)
+{
+  ups->fault_permille += (PERMILLE - ups->fault_permille) / FAULT_WEIGHT;
+}
+
 void
 ups_failed (Ups *ups, uint64_t now_ms)
 {
@@ -200,7 +206,7 @@
 
   ups->failures++;
   ups->down_until_ms = now_ms + MIN (rest_ms, UPS_DOWN_MAX_MS);
-  ups->fault_permille += (PERMILLE - ups->fault_permille) / FAULT_WEIGHT;
+  ups_answered_failure (ups);
 }
 
 void
--- a/src/ups.h
+++ b/src/ups.h
@@ -97,6 +97,9 @@
 
 /** ups_failed() - a connection or request failed; it rests for a time that doubles. */
 void ups_failed (Ups *ups, uint64_t now_ms);
+
+/** ups_answered_failure() - it answered with a failure of its own. */
+void ups_answered_failure (Ups *ups);
 void ups_succeeded (Ups *ups, uint64_t now_ms);
 
 /** ups_is_down() - it does not answer this node. */
