Non-idempotent requests go on no connection that was idle for long; body limit of the configuration

Cause: an upstream may forget an idle connection and reset what comes next; a posting sent there may have run and ends with 502. Bodies over 4 MB were refused whatever the configuration allowed. Change: kept connections idle for over a second are for repeatable requests only; the front's limit is the configuration's. Fields that nothing read are gone. Tests: ANonIdempotentRequestGoesOnNoConnectionThatWasIdleForLong (fails with 4 s), TakesABodyAsLargeAsTheConfigurationAllows.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -466,6 +466,7 @@
                    .id_header = fwd->id != NULL ? node->headers.request_id : NULL,
                    .id = fwd->id,
                    .method_is_head = strcmp (fwd->message.method, "HEAD") == 0,
+                   .idle_max_ms = rtt_repeatable (fwd->route) ? UPS_IDLE_MAX_MS : UPS_SAFE_IDLE_MS,
                    .connect_timeout_ms = UPS_CONNECT_TIMEOUT_MS };
 
   if (fwd->sends == 0)
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -136,10 +136,11 @@
 }
 
 void
-hsv_set_idle_timeout (HsvServer *server, uint32_t timeout_ms)
+hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes)
 {
-  server->config.http1.req_timeout = timeout_ms;
-  server->ctx.http1.req_timeout.timeout = timeout_ms;
+  server->config.max_request_entity_size = body_bytes;
+  server->config.http1.req_timeout = idle_ms;
+  server->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
 void
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -21,8 +21,8 @@
 /** hsv_stop_listening() - closes the listener; open connections end after their requests. */
 void hsv_stop_listening (HsvServer *server);
 
-/** hsv_set_idle_timeout() - longest time that a caller may stay idle or send a request's head. */
-void hsv_set_idle_timeout (HsvServer *server, uint32_t timeout_ms);
+/** hsv_set_limits() - longest idle time of a caller, and largest body of a request. */
+void hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes);
 
 /** hsv_announce_stop() - answers from now on say that their connection ends. */
 void hsv_announce_stop (HsvServer *server);
--- a/src/lim.h
+++ b/src/lim.h
@@ -106,6 +106,7 @@
 #define UCN_USER_TIMEOUT_MS 1500
 #define ANSWER_MAX_BYTES (32u * 1024u * 1024u)
 #define UPS_IDLE_MAX_MS 4000
+#define UPS_SAFE_IDLE_MS 1000
 #define UPS_CONNECT_TIMEOUT_MS 400
 
 /* Upstreams as the node process sees them. */
--- a/src/nod.c
+++ b/src/nod.c
@@ -130,7 +130,7 @@
   if (node->table != NULL)
     rtt_unref (node->table);
   node->table = table;
-  hsv_set_idle_timeout (node->front, table->idle_timeout_ms);
+  hsv_set_limits (node->front, table->idle_timeout_ms, table->body_max_bytes);
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
              (unsigned long long) table->version, table->routes->len);
   begin_serving (node);
--- a/src/nod.h
+++ b/src/nod.h
@@ -39,7 +39,6 @@
   const char *signature;
   const char *instance;
   const char *not_run;
-  const char *load;
 } NodHeaders;
 
 /**
--- a/src/rtt.c
+++ b/src/rtt.c
@@ -16,15 +16,6 @@
   g_free (route);
 }
 
-static void
-service_free (gpointer data)
-{
-  RttService *service = data;
-
-  g_free (service->health_path);
-  g_free (service);
-}
-
 static void
 table_clear (gpointer data)
 {
@@ -41,7 +32,7 @@
 
   table->version = version;
   table->routes = g_ptr_array_new_with_free_func (route_free);
-  table->services = g_ptr_array_new_with_free_func (service_free);
+  table->services = g_ptr_array_new_with_free_func (g_free);
   return table;
 }
 
--- a/src/rtt.h
+++ b/src/rtt.h
@@ -57,8 +57,6 @@
 typedef struct
 {
   char name[NAME_MAX_BYTES];
-  char *health_path;
-  uint32_t max_connections;
   double cold_per_s;
 } RttService;
 
@@ -69,7 +67,6 @@
   GPtrArray *routes;
   GPtrArray *services;
   uint32_t body_max_bytes;
-  uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
 } RttTable;
 
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -518,11 +518,15 @@
     }
 }
 
-bool
-ucn_has_idle (UcnPool *pool)
+/* The connection that was used last, unless even that one was idle for too long. */
+static Conn *
+take_kept (UcnPool *pool, uint32_t idle_max_ms)
 {
-  drop_expired (pool);
-  return !g_queue_is_empty (&pool->idle);
+  Conn *newest = g_queue_peek_head (&pool->idle);
+
+  if (newest == NULL || uv_now (pool->ctx->loop) - newest->idle_since_ms > idle_max_ms)
+    return NULL;
+  return g_queue_pop_head (&pool->idle);
 }
 
 UcnCall *
@@ -537,7 +541,7 @@
   call->id = g_strdup (spec->id);
   call->method_is_head = spec->method_is_head;
   drop_expired (pool);
-  Conn *conn = spec->new_connection ? NULL : g_queue_pop_head (&pool->idle);
+  Conn *conn = take_kept (pool, spec->idle_max_ms);
   if (conn == NULL)
     {
       connect_new (pool, call, spec->connect_timeout_ms);
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -76,7 +76,7 @@
  * struct UcnSpec - one request
  * @message: request line, headers and body; taken over
  * @id_header: header in which the peer repeats @id; an answer with another id is skipped. NULL: any
- * @new_connection: do not use a kept connection
+ * @idle_max_ms: a kept connection that was idle for longer is not used for this request
  */
 typedef struct
 {
@@ -84,7 +84,7 @@
   const char *id_header;
   const char *id;
   bool method_is_head;
-  bool new_connection;
+  uint32_t idle_max_ms;
   uint32_t connect_timeout_ms;
 } UcnSpec;
 
@@ -95,9 +95,6 @@
 /** ucn_pool_close() - closes idle connections and cuts the pool off from those in use. */
 void ucn_pool_close (UcnPool *pool);
 
-/** ucn_has_idle() - a kept connection could be used now. */
-bool ucn_has_idle (UcnPool *pool);
-
 /** ucn_start() - sends a request; @fn comes once from the loop unless the call is cancelled. */
 UcnCall *ucn_start (UcnPool *pool, const UcnSpec *spec, UcnDoneFn fn, void *user);
 
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -96,6 +96,36 @@
       }
 }
 
+TEST_F (NodeTest, TakesABodyAsLargeAsTheConfigurationAllows)
+{
+  Start (1);
+  std::string body (6 << 20, 'b');
+  EXPECT_EQ (node_->Call ("POST", "/post/a", WithId ("large"), body).status, 200);
+  for (const Request &request : upstreams_[0]->requests ())
+    EXPECT_TRUE (request.method != "POST" || request.body == body);
+}
+
+// The upstream forgets a connection that was idle for a while and resets what comes on it.
+TEST_F (NodeTest, ANonIdempotentRequestGoesOnNoConnectionThatWasIdleForLong)
+{
+  Start (1);
+  Behave ([&] (int fd, const Request &request) {
+    thread_local int served_ms = NowMs ();
+    bool forgotten = NowMs () - served_ms > 1200;
+    served_ms = NowMs ();
+    if (forgotten)
+      shutdown (fd, SHUT_RDWR);
+    else
+      WriteAll (fd, upstreams_[0]->Whole (request, "ok"));
+  });
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (node_->Call ("POST", "/post/a", WithId ("i" + std::to_string (i)), "x").status,
+                 200);
+      std::this_thread::sleep_for (1500ms);
+    }
+}
+
 TEST_F (NodeTest, RefusesAsNotRunWithoutAConfiguration)
 {
   NodeProcess node ("vm-2", "east-a", store_.address ());
