A waiting request does not hold up others with other objects

Cause: the queue of a service stopped at the first request that could not be placed, though placement goes by object and others' upstreams may have room. A request dispatched after its end (after a freeze) would have been given a deadline far in the future.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -13,6 +13,7 @@
 #define TIMEOUT_GRACE_MS 200
 #define RETURNED_MARGIN_MS 60
 #define USUAL_WEIGHT 16
+#define WAKE_TRIES_MAX 16
 #define MISDIRECTED 421
 
 /**
@@ -185,7 +186,7 @@
   NodService *service = fwd->service;
   Node *node = fwd->node;
   hsv_reply (detach (fwd), sent ? 504 : 503, "text/plain", "caller_gone");
-  fwd_wake (node, service);
+  fwd_wake (service);
 }
 
 static uint32_t
@@ -210,7 +211,7 @@
     }
   else
     answer_not_run (fwd, "timeout");
-  fwd_wake (node, service);
+  fwd_wake (service);
 }
 
 static Ups *
@@ -441,7 +442,7 @@
     on_whole_answer (fwd, ups, answer);
   else
     on_broken (fwd, ups, outcome);
-  fwd_wake (node, service);
+  fwd_wake (service);
 }
 
 /* ---- Sending ---- */
@@ -453,7 +454,8 @@
   char extra[256];
 
   g_snprintf (extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", names->deadline_ms,
-              (unsigned long long) (fwd->ends_at_ms - now_ms), names->instance, ups->record.id);
+              (unsigned long long) (fwd->ends_at_ms - MIN (now_ms, fwd->ends_at_ms - 1)),
+              names->instance, ups->record.id);
   return msg_build (&fwd->message, extra);
 }
 
@@ -537,22 +539,21 @@
 }
 
 void
-fwd_wake (Node *node, NodService *service)
+fwd_wake (NodService *service)
 {
   uint64_t now_ms = nod_now_ms ();
-  (void) node;
 
   if (g_queue_is_empty (&service->waiting))
     return;
   g_queue_sort (&service->waiting, compare_waiting, &now_ms);
   GList *item = service->waiting.head;
-  while (item != NULL)
+  for (uint32_t tries = 0; item != NULL && tries < WAKE_TRIES_MAX; tries++)
     {
       Fwd *fwd = item->data;
       item = item->next;
-      Ups *ups = choose_upstream (fwd);
+      Ups *ups = now_ms < fwd->ends_at_ms ? choose_upstream (fwd) : NULL;
       if (ups == NULL)
-        break;
+        continue;
       stop_waiting (fwd);
       send_to (fwd, ups);
     }
@@ -569,7 +570,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       NodService *service = value;
-      fwd_wake (node, service);
+      fwd_wake (service);
       GList *item = service->waiting.head;
       while (item != NULL)
         {
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -7,7 +7,7 @@
 void fwd_request (Node *node, h2o_req_t *h2o);
 
 /** fwd_wake() - places waiting requests of a service, as far as there is room. */
-void fwd_wake (Node *node, NodService *service);
+void fwd_wake (NodService *service);
 
 /** fwd_tick() - refuses requests that have waited long enough, and places others. */
 void fwd_tick (Node *node);
--- a/src/nod.c
+++ b/src/nod.c
@@ -211,7 +211,7 @@
              id, record->service, record->zone, record->draining, record->cold_ms);
   if (record->draining || (known && record->cold_ms > 0))
     nod_disturbed (node);
-  fwd_wake (node, nod_service (node, record->service));
+  fwd_wake (nod_service (node, record->service));
 }
 
 void
