--- a/src/fwd.c
+++ b/src/fwd.c
@@ -179,12 +179,11 @@
 on_caller_gone (void *user)
 {
   Fwd *fwd = user;
+  NodService *service = fwd->service;
   bool sent = fwd->sends > 0;
 
   fwd->gone_key = NULL;
   fwd->node->counters.callers_gone++;
-  NodService *service = fwd->service;
-  Node *node = fwd->node;
   hsv_reply (detach (fwd), sent ? 504 : 503, "text/plain", "caller_gone");
   fwd_wake (service);
 }
