--- a/src/lim.h
+++ b/src/lim.h
@@ -156,7 +156,7 @@
 #define PER_SENDS_PER_S 120
 #define PER_NEWS_MS 250
 #define PER_RECENT_MS 700
-#define PER_STEP_IN_MS 150
+#define PER_STEP_IN_MS 100
 
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -229,7 +229,8 @@
 
 // ---- Store ----
 
-FakeStore::FakeStore () : listener_ (std::make_unique<Listener> ([this] (int fd) { Serve (fd); }))
+FakeStore::FakeStore ()
+    : listener_ (std::make_unique<Listener> ([this] (int fd) { Serve (fd, false); }))
 {
 }
 
@@ -237,6 +238,7 @@
 {
   ending_ = true;
   changed_.notify_all ();
+  path_.reset ();
   listener_.reset ();
 }
 
@@ -246,6 +248,19 @@
   return listener_->address ();
 }
 
+std::string
+FakeStore::AddPath ()
+{
+  path_ = std::make_unique<Listener> ([this] (int fd) { Serve (fd, true); });
+  return path_->address ();
+}
+
+void
+FakeStore::SilencePath (bool silent)
+{
+  path_silent_ = silent;
+}
+
 int
 FakeStore::calls () const
 {
@@ -294,7 +309,7 @@
 }
 
 void
-FakeStore::Serve (int fd)
+FakeStore::Serve (int fd, bool on_path)
 {
   Request request;
   while (ReadRequest (fd, &request))
@@ -305,7 +320,7 @@
         WriteAll (fd, Json (503, "{}"));
       else if (mode_ == Mode::kReset)
         return;
-      else if (mode_ == Mode::kUp && !answer.empty ())
+      else if (mode_ == Mode::kUp && !answer.empty () && !(on_path && path_silent_))
         WriteAll (fd, answer);
     }
 }
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -93,6 +93,9 @@
   // Watches that start from an earlier revision are answered 410.
   void ForgetHistory ();
   std::string address () const;
+  // A further address of the same store, and whether its answers are lost without a word.
+  std::string AddPath ();
+  void SilencePath (bool silent);
   int calls () const;
   // Watches that wait for a change now.
   int watches () const;
@@ -111,7 +114,7 @@
     long revision;
     bool deleted;
   };
-  void Serve (int fd);
+  void Serve (int fd, bool on_path);
   std::string Answer (const Request &request);
   std::string List (const std::string &kind);
   std::string Watch (const std::string &kind, long from, int wait_ms);
@@ -127,7 +130,9 @@
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
   std::atomic<bool> ending_{ false };
+  std::atomic<bool> path_silent_{ false };
   std::unique_ptr<Listener> listener_;
+  std::unique_ptr<Listener> path_;
 };
 
 // An upstream. Its behaviour writes the bytes of an answer; the default answers whole and signed.
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -572,6 +572,29 @@
         2500, [&] { return node->Call ("GET", "/many1399/a", WithId ("many")).status == 200; }));
 }
 
+// Two nodes, each with a path of its own to the store; whichever watches for both, it loses its
+// path without a word, and the other must step in in time.
+TEST_F (NodeTest, ASilentPathToTheStoreIsNoticedInTime)
+{
+  Start ();
+  NodeProcess first ("vm-2", "west-a", store_.AddPath (), 2);
+  NodeProcess second ("vm-3", "west-a", store_.address (), 3);
+  ASSERT_TRUE (first.WaitReady (4000));
+  ASSERT_TRUE (second.WaitReady (4000));
+  node_->Signal (SIGKILL);              // its region would hear of changes for them
+  std::this_thread::sleep_for (3500ms); // until one of them watches for both
+  std::string added
+      = ",\"v\":{\"host\":\"host.example\",\"path-prefix\":\"/v/\",\"kind\":\"idempotent\","
+        "\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,\"service\":\"desk\",\"attempts\":2}";
+  store_.SilencePath (true);
+  store_.Put ("config", "main", Configuration (9, added));
+  int end_ms = NowMs () + 2500;
+  for (NodeProcess *node : { &first, &second })
+    EXPECT_TRUE (WaitUntil (std::max (end_ms - NowMs (), 1), [&] {
+      return node->Call ("GET", "/v/a", WithId ("s")).status == 200;
+    }));
+}
+
 // Two nodes; the one that is killed is named by no look-up some seconds later.
 TEST_F (NodeTest, ALookupDoesNotNameADeadNode)
 {
