What holds for a region is worked out once for each choice of an upstream

The node's log has gaps of 0.65 s (0.1 of a core, 657 upstreams): each choice summed the shift cap's windows and looked up limits for each of 621 candidates, some 0.2 ms, and a waiting queue chose several times each 25 ms. Ruled out: the caller's close (it arrived late because the loop stood), the link.

--- a/src/chs.c
+++ b/src/chs.c
@@ -53,10 +53,11 @@
 cold_allows (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t region,
              uint64_t now_ms)
 {
+  if (!ups_is_cold (ups, now_ms))
+    return true;
   const RttService *service = rtt_service (request->table, ups->record.service);
   double rate = service != NULL ? service->cold_per_s : 0;
-
-  if (!ups_is_cold (ups, now_ms) || rate <= 0)
+  if (rate <= 0)
     return true;
   if (now_ms - node->started_at_ms < COLD_SETTLE_MS || !shares_cold (node, ups, region, now_ms))
     return false;
@@ -76,6 +77,17 @@
   return region == node->set.region_index ? PLC_NEAR_RTT_MS : PLC_REMOTE_RTT_MS;
 }
 
+/**
+ * struct Regions - what holds for all upstreams of a region
+ * @allowed: the route may be served there
+ * @may_grow: the cap on shift lets its share grow
+ */
+typedef struct
+{
+  bool allowed[REGIONS_MAX];
+  bool may_grow[REGIONS_MAX];
+} Regions;
+
 /* Load moves between regions no faster than the cap; work may leave what was lost at once. */
 static bool
 shift_allows (const Node *node, uint32_t region, uint64_t now_ms)
@@ -86,15 +98,30 @@
                      now_ms);
 }
 
+static Regions
+regions_for (const Node *node, const ChsRequest *request, uint64_t now_ms)
+{
+  Regions regions = { 0 };
+
+  for (uint32_t r = 0; r < MIN (node->set.regions->len, REGIONS_MAX); r++)
+    {
+      regions.allowed[r]
+          = rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, r));
+      regions.may_grow[r] = shift_allows (node, r, now_ms);
+    }
+  return regions;
+}
+
 /* Objects are assigned among these, whatever holds for a moment. */
 static bool
-is_listed (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t region)
+is_listed (const Node *node, const Regions *regions, const Ups *ups, uint32_t region)
 {
   if (ups->gone || ups->record.draining || ups->zone == ZONE_NONE || ups->record.slots == 0)
     return false;
-  if (g_hash_table_contains (node->evacuated, ups->record.zone))
+  if (g_hash_table_size (node->evacuated) > 0
+      && g_hash_table_contains (node->evacuated, ups->record.zone))
     return false;
-  return rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, region));
+  return regions->allowed[region];
 }
 
 static bool
@@ -105,8 +132,6 @@
     return false;
   if (ups->misdirected || ups_is_doubted (ups, now_ms))
     return false;
-  if (!shift_allows (node, region, now_ms))
-    return false;
   if (ups->failures > 0 && ups->in_flight > 0)
     return false;
   return !was_tried (request, ups->hash) && cold_allows (node, request, ups, region, now_ms);
@@ -116,17 +141,21 @@
 candidates_of (const Node *node, const ChsRequest *request, const GPtrArray *list, uint64_t now_ms)
 {
   PlcCandidate *candidates = g_new0 (PlcCandidate, MAX (list->len, 1));
+  Regions regions = regions_for (node, request, now_ms);
 
   for (guint i = 0; i < list->len; i++)
     {
       const Ups *ups = g_ptr_array_index (list, i);
       uint32_t region = ups->zone < node->set.zones->len
                             ? g_array_index (node->set.zones, NodZone, ups->zone).region
-                            : 0;
-      bool listed = is_listed (node, request, ups, region);
+                            : REGIONS_MAX;
+      if (region >= REGIONS_MAX)
+        continue;
+      bool listed = is_listed (node, &regions, ups, region);
       candidates[i]
           = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
-                            .usable = listed && is_usable (node, request, ups, region, now_ms),
+                            .usable = listed && regions.may_grow[region]
+                                      && is_usable (node, request, ups, region, now_ms),
                             .hash = ups->hash,
                             .region = region,
                             .slots = ups->record.slots,
@@ -135,7 +164,8 @@
                             .slowness_permille = ups->slowness_permille,
                             .fault_permille = ups->fault_permille,
                             .untried = ups->objects[0] == 0 && region == node->set.region_index,
-                            .knows_object = request->key != 0 && ups_knows (ups, request->key) };
+                            .objects = ups->objects,
+                            .object_count = UPS_OBJECTS_KEPT };
     }
   return candidates;
 }
--- a/src/plc.c
+++ b/src/plc.c
@@ -58,6 +58,15 @@
   return score_of (request->key, 0) % request->objects < room;
 }
 
+static bool
+knows_object (const PlcCandidate *candidate, uint32_t key)
+{
+  for (uint32_t i = 0; i < candidate->object_count; i++)
+    if (candidate->objects[i] == key)
+      return true;
+  return false;
+}
+
 /* Likelihood that the candidate knows the object; 0 when the object is not assigned to it. */
 static uint32_t
 warm_permille (const PlcCandidate *candidate, const PlcRequest *request, const Ranks *ranks)
@@ -70,7 +79,7 @@
   bool second = score >= region->second && candidate->region == request->home_region;
   if (!(first || second) || !region_has_object (region, request))
     return 0;
-  if (candidate->knows_object)
+  if (knows_object (candidate, request->key))
     return PERMILLE;
   return first ? FIRST_PERMILLE : SECOND_PERMILLE;
 }
--- a/src/plc.h
+++ b/src/plc.h
@@ -14,7 +14,7 @@
  * @rtt_ms: time to reach it and back
  * @slowness_permille: its work times against the usual ones
  * @fault_permille: recent share of requests that it failed
- * @knows_object: this node sent it requests for the object lately
+ * @objects: hashes of the objects for which this node sent it requests lately
  * @untried: this node has sent it nothing since it joined
  */
 typedef struct
@@ -28,7 +28,8 @@
   uint32_t rtt_ms;
   uint32_t slowness_permille;
   uint32_t fault_permille;
-  bool knows_object;
+  const uint32_t *objects;
+  uint32_t object_count;
   bool untried;
 } PlcCandidate;
 
--- a/tests/test_plc.cc
+++ b/tests/test_plc.cc
@@ -34,6 +34,13 @@
   return all;
 }
 
+void
+Know (PlcCandidate *candidate, const uint32_t *objects, uint32_t count = 1)
+{
+  candidate->objects = objects;
+  candidate->object_count = count;
+}
+
 PlcRequest
 Asks (uint32_t key)
 {
@@ -113,7 +120,8 @@
 TEST (Plc, AFarUpstreamThatKnowsTheObjectIsBetterThanANearOneThatDoesNot)
 {
   std::vector<PlcCandidate> all = { Upstream (1, 0), Upstream (2, 1) };
-  all[1].knows_object = true;
+  const uint32_t known = 3;
+  Know (&all[1], &known);
   PlcRequest request = Asks (3);
   request.warm_ms = 100;
   request.cold_ms = 900;
@@ -124,8 +132,11 @@
 TEST (Plc, OneThatJoinedIsTriedWithAnObjectThatIsAssignedToIt)
 {
   std::vector<PlcCandidate> all = Region (4);
+  std::vector<uint32_t> known;
+  for (uint32_t key = 1; key <= 100; key++)
+    known.push_back (key);
   for (PlcCandidate &candidate : all)
-    candidate.knows_object = true;
+    Know (&candidate, known.data (), 100);
   all.push_back (Upstream (424242));
   all.back ().untried = true;
   int tried = 0;
@@ -165,17 +176,18 @@
   for (int round = 0; round < 3000; round++)
     {
       std::vector<PlcCandidate> all;
+      uint32_t key = round % 2 == 0 ? 0 : random () | 1u;
       int count = 1 + static_cast<int> (random () % 12);
       bool room = false;
       for (int i = 0; i < count; i++)
         {
           PlcCandidate candidate = Upstream (random (), random () % 3, random () % 7);
           candidate.usable = random () % 3 != 0;
-          candidate.knows_object = random () % 4 == 0;
+          if (random () % 4 == 0)
+            Know (&candidate, &key);
           room = room || (candidate.usable && candidate.in_flight < candidate.slots);
           all.push_back (candidate);
         }
-      uint32_t key = round % 2 == 0 ? 0 : random () | 1u;
       uint32_t index = Choose (all, Asks (key));
       EXPECT_TRUE (key != 0 || room == (index != PLC_NONE));
       if (index == PLC_NONE)
