One clock module; test ports outside the range of outgoing connections

Cause: the node's and the peers' modules each read the boot clock; some fields and parameters had no reader. NodeTest.DoesNotKeepAConnectionWithBytesBeyondTheAnswer failed once in a parallel run: the node was not ready in 5 s. Its log was not kept; a port taken in between is suspected, not shown. Change: clk_now_ms(); ports for tests come from below the kernel's range. Assertions are unchanged.

--- a/src/chs.c
+++ b/src/chs.c
@@ -187,7 +187,7 @@
 
   if (list == NULL || list->len == 0)
     return NULL;
-  PlcCandidate *candidates = candidates_of (node, request, list, nod_now_ms ());
+  PlcCandidate *candidates = candidates_of (node, request, list, clk_now_ms ());
   PlcRequest placed = { .key = request->key,
                         .cold_ms = request->work->cold_ms,
                         .warm_ms = request->work->warm_ms,
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -147,7 +147,7 @@
              "id=%s status=%d reason=%s route=%s sends=%u upstream=%s age_ms=%llu config=%llu",
              fwd->id != NULL ? fwd->id : "-", status, reason, fwd->route->name, fwd->sends,
              fwd->sends > 0 ? fwd->last_upstream : "-",
-             (unsigned long long) (nod_now_ms () - fwd->at_ms),
+             (unsigned long long) (clk_now_ms () - fwd->at_ms),
              (unsigned long long) fwd->table->version);
   hsv_reply (detach (fwd), status, "text/plain", reason);
 }
@@ -157,7 +157,7 @@
 answer_not_run (Fwd *fwd, const char *reason)
 {
   Node *node = fwd->node;
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
   char seconds[32];
 
   if (fwd->may_have_run)
@@ -204,7 +204,7 @@
   node->counters.timeouts++;
   if (fwd->call != NULL && ucn_was_sent (fwd->call))
     {
-      ups_took (fwd->ups, (uint32_t) (nod_now_ms () - fwd->sent_at_ms), expected_ms (fwd));
+      ups_took (fwd->ups, (uint32_t) (clk_now_ms () - fwd->sent_at_ms), expected_ms (fwd));
       node->counters.may_have_run++;
       answer_own (fwd, 504, "timeout");
     }
@@ -257,7 +257,7 @@
 deliver (Fwd *fwd, const UcnAnswer *answer)
 {
   Node *node = fwd->node;
-  uint64_t took_ms = nod_now_ms () - fwd->at_ms;
+  uint64_t took_ms = clk_now_ms () - fwd->at_ms;
 
   if (is_sampled (fwd))
     log_event (&node->log, LOG_INFO, "request_answered",
@@ -287,7 +287,7 @@
 static bool
 is_poison (const Fwd *fwd)
 {
-  return poi_crashes (&fwd->node->poison, fwd->fingerprint, nod_now_ms ()) >= POISON_RUNS_MAX;
+  return poi_crashes (&fwd->node->poison, fwd->fingerprint, clk_now_ms ()) >= POISON_RUNS_MAX;
 }
 
 static bool
@@ -303,9 +303,9 @@
     return false;
   if (fwd->sends >= SENDS_MAX || fwd->runs >= MAX (fwd->route->attempts, 1))
     return false;
-  if (nod_now_ms () + fwd->work->warm_ms >= fwd->ends_at_ms)
+  if (clk_now_ms () + fwd->work->warm_ms >= fwd->ends_at_ms)
     return false;
-  return rbg_take (&fwd->service->retries, &node->set.retry, nod_nodes (node), nod_now_ms ());
+  return rbg_take (&fwd->service->retries, &node->set.retry, nod_nodes (node), clk_now_ms ());
 }
 
 static void
@@ -314,7 +314,7 @@
   if (may_send_again (fwd))
     {
       fwd->node->counters.retries++;
-      fwd->waits_until_ms = nod_now_ms () + adm_wait_ms (&fwd->admission);
+      fwd->waits_until_ms = clk_now_ms () + adm_wait_ms (&fwd->admission);
       dispatch (fwd);
     }
   else if (answer != NULL)
@@ -337,7 +337,7 @@
   else
     {
       node->counters.sheds++;
-      ups->full_until_ms = nod_now_ms () + UPS_SHED_PAUSE_MS;
+      ups->full_until_ms = clk_now_ms () + UPS_SHED_PAUSE_MS;
     }
   release_upstream (fwd);
   send_again_or (fwd, NULL, "no_room");
@@ -347,7 +347,7 @@
 on_whole_answer (Fwd *fwd, Ups *ups, const UcnAnswer *answer)
 {
   const NodHeaders *names = &fwd->node->headers;
-  uint32_t took_ms = (uint32_t) (nod_now_ms () - fwd->sent_at_ms);
+  uint32_t took_ms = (uint32_t) (clk_now_ms () - fwd->sent_at_ms);
   bool success = answer->status >= 200 && answer->status < 300;
 
   if (answer->status == MISDIRECTED || ucn_header (answer, names->not_run) != NULL)
@@ -360,14 +360,14 @@
   if (success && ucn_header (answer, names->signature) == NULL)
     {
       fwd->node->counters.broken_answers++;
-      ups_failed (ups, nod_now_ms ());
+      ups_failed (ups, clk_now_ms ());
       release_upstream (fwd);
       send_again_or (fwd, NULL, "answer_unsigned");
       return;
     }
   if (answer->status < 500)
     {
-      ups_succeeded (ups, nod_now_ms ());
+      ups_succeeded (ups, clk_now_ms ());
       poi_clear_suspect (&fwd->node->poison, fwd->fingerprint);
       ups_took (ups, took_ms, expected_ms (fwd));
       learn_work (fwd, took_ms);
@@ -387,7 +387,7 @@
 suspect_lost (Node *node, Ups *ups)
 {
   uint64_t fingerprints[UPS_LOST_KEPT];
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
   uint32_t count = ups_take_lost (ups, fingerprints, now_ms);
 
   for (uint32_t i = 0; i < count; i++)
@@ -406,15 +406,15 @@
   if (outcome == UCN_NOT_SENT)
     suspect_lost (node, ups);
   else
-    ups_note_lost (ups, fwd->fingerprint, nod_now_ms ());
-  ups_failed (ups, nod_now_ms ());
+    ups_note_lost (ups, fwd->fingerprint, clk_now_ms ());
+  ups_failed (ups, clk_now_ms ());
   if (ups_is_down (ups))
     nod_disturbed (node);
   release_upstream (fwd);
   if (outcome == UCN_NOT_SENT)
     {
       node->counters.connect_failures++;
-      if (fwd->sends < SENDS_MAX && nod_now_ms () < fwd->ends_at_ms)
+      if (fwd->sends < SENDS_MAX && clk_now_ms () < fwd->ends_at_ms)
         dispatch (fwd);
       else
         answer_not_run (fwd, "no_connection");
@@ -462,7 +462,7 @@
 send_to (Fwd *fwd, Ups *ups)
 {
   Node *node = fwd->node;
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
   UcnSpec spec = { .message = message_to (fwd, ups, now_ms),
                    .id_header = fwd->id != NULL ? node->headers.request_id : NULL,
                    .id = fwd->id,
@@ -510,7 +510,7 @@
 static void
 dispatch (Fwd *fwd)
 {
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
   Ups *ups = now_ms < fwd->ends_at_ms ? choose_upstream (fwd) : NULL;
 
   if (ups == NULL)
@@ -540,7 +540,7 @@
 void
 fwd_wake (NodService *service)
 {
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
 
   if (g_queue_is_empty (&service->waiting))
     return;
@@ -561,7 +561,7 @@
 void
 fwd_tick (Node *node)
 {
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
   GHashTableIter iter;
   gpointer value;
 
@@ -659,7 +659,7 @@
   msg_take (&fwd->message, h2o, dropped);
   fwd->fingerprint = poi_fingerprint (fwd->message.method, fwd->message.path,
                                       fwd->message.body->data, fwd->message.body->len);
-  fwd->at_ms = nod_now_ms ();
+  fwd->at_ms = clk_now_ms ();
   if (fwd->key != 0)
     g_hash_table_insert (fwd->service->objects, GUINT_TO_POINTER (fwd->key),
                          GUINT_TO_POINTER ((uint32_t) fwd->at_ms));
@@ -681,7 +681,7 @@
 is_too_late_to_start (const Node *node)
 {
   return node->state == NOD_STOPPING
-         && nod_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
+         && clk_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
 }
 
 static void
--- a/src/nod.c
+++ b/src/nod.c
@@ -5,7 +5,6 @@
 #include "nst.h"
 
 #include <string.h>
-#include <time.h>
 
 #define TICK_MS 25
 #define FORGET_PERIOD_MS 1000
@@ -13,15 +12,6 @@
 #define STOP_LEAST_MS 4200
 #define WARM_SHARE_PCT 50
 
-uint64_t
-nod_now_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_BOOTTIME, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
-}
-
 /* ---- State ---- */
 
 uint32_t
@@ -89,7 +79,7 @@
   node->loop = loop;
   node->log.load = &node->log_load;
   log_set_nonblocking (&node->log);
-  node->started_at_ms = nod_now_ms ();
+  node->started_at_ms = clk_now_ms ();
   node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   node->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -103,7 +93,7 @@
 void
 nod_disturbed (Node *node)
 {
-  node->disturbed_at_ms = nod_now_ms ();
+  node->disturbed_at_ms = clk_now_ms ();
 }
 
 /* ---- What the platform says ---- */
@@ -142,7 +132,7 @@
 upstream_missing (Node *node, const char *id)
 {
   Ups *ups = ups_get (&node->upstreams, id);
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
 
   if (ups == NULL)
     return;
@@ -205,7 +195,7 @@
     }
   bool known = ups_get (&node->upstreams, id) != NULL;
 
-  if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), nod_now_ms ()))
+  if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), clk_now_ms ()))
     return;
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
@@ -231,13 +221,13 @@
   if (ok != node->store_lost)
     return;
   node->store_lost = !ok;
-  if (ok && !per_store_is_heard (&node->peers, nod_now_ms ()))
+  if (ok && !per_store_is_heard (&node->peers, clk_now_ms ()))
     {
-      node->store_back_ms = nod_now_ms ();
+      node->store_back_ms = clk_now_ms ();
       node->peers.self.settling = true;
     }
   log_event (&node->log, ok ? LOG_INFO : LOG_WARN, ok ? "store_regained" : "store_lost", "peers=%u",
-             per_count (&node->peers, nod_now_ms ()));
+             per_count (&node->peers, clk_now_ms ()));
 }
 
 /* ---- Other listeners ---- */
@@ -314,7 +304,7 @@
 on_tick (uv_timer_t *timer)
 {
   Node *node = timer->data;
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
 
   fwd_tick (node);
   if (now_ms - node->peers.ticked_at_ms + TICK_MS / 2 >= PER_TICK_MS)
@@ -338,7 +328,7 @@
     return;
   node->state = NOD_STOPPING;
   node->peers.self.state = PER_STOPPING;
-  node->stopping_since_ms = nod_now_ms ();
+  node->stopping_since_ms = clk_now_ms ();
   hsv_announce_stop (node->front);
   log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
 }
--- a/src/nod.h
+++ b/src/nod.h
@@ -1,6 +1,7 @@
 /* State of a node process: one on each entry VM, which takes requests and answers look-ups. */
 #pragma once
 
+#include "clk.h"
 #include "hsv.h"
 #include "log.h"
 #include "met.h"
@@ -161,9 +162,6 @@
 /** nod_stop() - begins a graceful stop; the loop ends when it is over. */
 void nod_stop (Node *node);
 
-/** nod_now_ms() - milliseconds on a clock that is never set. */
-uint64_t nod_now_ms (void);
-
 /** nod_configure() - puts a newer configuration in force; takes over the reference. */
 bool nod_configure (Node *node, RttTable *table);
 
--- a/src/nst.c
+++ b/src/nst.c
@@ -30,7 +30,7 @@
 nst_metrics (const Node *node)
 {
   GString *out = g_string_new (NULL);
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
 
   for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
     {
@@ -57,14 +57,13 @@
 static const char *const watch_names[] = { "none", "healthy", "failing" };
 
 static void
-dump_node (const Node *node, uint64_t now_ms, GString *out)
+dump_node (const Node *node, GString *out)
 {
   g_string_append_printf (out, "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s\n",
                           node->set.vm, node->set.zone, state_names[node->state],
                           (unsigned long long) (node->table != NULL ? node->table->version : 0),
                           node->open, node->store_lost ? "lost" : "ok",
                           watch_names[node->peers.self.watch]);
-  (void) now_ms;
 }
 
 static void
@@ -109,9 +108,9 @@
 nst_dump (const Node *node)
 {
   GString *out = g_string_new (NULL);
-  uint64_t now_ms = nod_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
 
-  dump_node (node, now_ms, out);
+  dump_node (node, out);
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
   return g_string_free (out, FALSE);
--- a/src/per.c
+++ b/src/per.c
@@ -1,6 +1,8 @@
 /* Peers: the views that nodes send each other, who is alive, and objects fetched from peers. */
 #include "per.h"
 
+#include "clk.h"
+
 #include <string.h>
 
 #define PROC_FETCH 101
@@ -25,7 +27,7 @@
 }
 
 static PerPeer *
-peer_get (Per *per, const char *vm, uint64_t now_ms)
+peer_get (Per *per, const char *vm)
 {
   PerPeer *peer = g_hash_table_lookup (per->peers, vm);
 
@@ -34,17 +36,16 @@
   peer = g_new0 (PerPeer, 1);
   g_strlcpy (peer->vm, vm, sizeof peer->vm);
   peer->zone = ZONE_NONE;
-  peer->known_at_ms = now_ms;
   g_hash_table_insert (per->peers, peer->vm, peer);
   return peer;
 }
 
 void
-per_name (Per *per, const char *vm, NetAddr addr, uint64_t now_ms)
+per_name (Per *per, const char *vm, NetAddr addr)
 {
   if (strcmp (vm, per->self.vm) == 0)
     return;
-  PerPeer *peer = peer_get (per, vm, now_ms);
+  PerPeer *peer = peer_get (per, vm);
   if (peer->heard_at_ms == 0)
     peer->addr = addr;
 }
@@ -367,7 +368,7 @@
 static void
 take_view (Per *per, peer_view *view, uint64_t now_ms)
 {
-  PerPeer *peer = peer_get (per, view->vm, now_ms);
+  PerPeer *peer = peer_get (per, view->vm);
 
   if (view->incarnation < peer->incarnation)
     {
@@ -393,15 +394,6 @@
   compare_revisions (per, peer, now_ms);
 }
 
-static uint64_t
-boot_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_BOOTTIME, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
-}
-
 static void
 on_view (uv_udp_t *udp, ssize_t size, const uv_buf_t *buf, const struct sockaddr *from,
          unsigned int flags)
@@ -417,7 +409,7 @@
   per->received++;
   xdrmem_create (&xdr, buf->base, (u_int) size, XDR_DECODE);
   if (xdr_peer_view (&xdr, &view) && strcmp (view.vm, per->self.vm) != 0)
-    take_view (per, &view, boot_ms ());
+    take_view (per, &view, clk_now_ms ());
   else
     xdr_free ((xdrproc_t) xdr_peer_view, &view);
   xdr_destroy (&xdr);
--- a/src/per.h
+++ b/src/per.h
@@ -28,7 +28,6 @@
 /**
  * struct PerPeer - another node
  * @heard_at_ms: last view received, 0 for none yet
- * @known_at_ms: when it was first named
  * @view: its last view
  */
 typedef struct
@@ -40,7 +39,6 @@
   uint64_t incarnation;
   PerState state;
   PerWatch watch;
-  uint64_t known_at_ms;
   uint64_t heard_at_ms;
   uint64_t sent_at_ms;
   peer_view view;
@@ -102,7 +100,7 @@
 void per_tick (Per *per, uint64_t now_ms);
 
 /** per_name() - names a node that may be alive. */
-void per_name (Per *per, const char *vm, NetAddr addr, uint64_t now_ms);
+void per_name (Per *per, const char *vm, NetAddr addr);
 
 /** per_alive() - it was heard within PER_LOST_MS. */
 bool per_alive (const PerPeer *peer, uint64_t now_ms);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -121,16 +121,21 @@
   return condition ();
 }
 
+// Ports below those that the kernel gives to outgoing connections; each process begins elsewhere.
 int
 FreePort ()
 {
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  sockaddr_in addr = Address ("127.0.0.1", 0);
-  socklen_t size = sizeof addr;
-  bind (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr);
-  getsockname (fd, reinterpret_cast<sockaddr *> (&addr), &size);
-  close (fd);
-  return ntohs (addr.sin_port);
+  static std::atomic<int> next{ getpid () * 37 % 20000 };
+  while (true)
+    {
+      int port = 10000 + next++ % 20000;
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      sockaddr_in addr = Address ("127.0.0.1", port);
+      bool taken = bind (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) != 0;
+      close (fd);
+      if (!taken)
+        return port;
+    }
 }
 
 // ---- Listener ----
