News of a leaving entry is pushed at once, and the entry waits for it

A steer told others that its entry leaves only in its once-a-second exchange with one peer in turn, but the entry ended 0.5 s after the time to live of look-up answers. Answers of other entries named it up to some 3 s after it began to leave, so callers met its closed port or the joining process after it (503 'unknown service', which no log line showed). Ruled out: a joining entry that is named too early (it states incarnation 0 until it serves); lost budget. Change: the steer pushes a change of its own entry at once, those that learn of a member push it on, and the entry waits MEMBER_NEWS_MS (1 s) instead of 0.5 s beyond the time to live. Conclusion: a planned stop now waits for what must be known, and that is known within a synchronisation.

--- a/src/entry.c
+++ b/src/entry.c
@@ -8,7 +8,6 @@
 #include <time.h>
 
 #define DRAIN_POLL_MS 50
-#define DRAIN_MARGIN_MS 500
 #define LAST_SYNC_MS 300
 
 static const SetSpec settings_specs[] = {
@@ -82,7 +81,7 @@
   Entry *entry = timer->data;
   uint64_t since_ms = entry_now_ms (entry) - entry->draining_since_ms;
 
-  if (since_ms < LOOKUP_TTL_MS + DRAIN_MARGIN_MS || entry->open_requests > 0)
+  if (since_ms < LOOKUP_TTL_MS + MEMBER_NEWS_MS || entry->open_requests > 0)
     return;
   if (entry->state == ENTRY_STOPPED)
     {
--- a/src/gsp.c
+++ b/src/gsp.c
@@ -159,7 +159,8 @@
     switch (items[i].kind)
       {
       case WIRE_ITEM_MEMBER:
-        mem_learn (&steer->members, &items[i].wire_item_u.member, steer_now_ms (steer));
+        urgent = mem_learn (&steer->members, &items[i].wire_item_u.member, steer_now_ms (steer))
+                 || urgent;
         break;
       case WIRE_ITEM_UPSTREAM:
         urgent = take_upstream (steer, &items[i].wire_item_u.upstream) || urgent;
--- a/src/lim.h
+++ b/src/lim.h
@@ -28,6 +28,9 @@
 /* Membership. */
 #define MEMBER_SUSPECT_MS 3000
 #define MEMBER_DEAD_MS 10000
+
+/* All entries know by then what is new about one: pushes between steers and a synchronisation. */
+#define MEMBER_NEWS_MS (2 * SYNC_PERIOD_MS + 400)
 #define WATCHERS_PER_REGION 2
 #define PROBERS_PER_REGION 2
 
--- a/src/mem.c
+++ b/src/mem.c
@@ -53,17 +53,18 @@
   return mem_get (table, table->self);
 }
 
-void
+bool
 mem_set_self (MemTable *table, int32_t state, uint64_t entry_incarnation)
 {
   MemMember *self = mem_self (table);
 
   if (self->state == state && self->entry_incarnation == entry_incarnation)
-    return;
+    return false;
   self->state = state;
   self->entry_incarnation = entry_incarnation;
   self->refutation++;
   mark_changed (table, self);
+  return true;
 }
 
 void
--- a/src/mem.h
+++ b/src/mem.h
@@ -51,8 +51,8 @@
 MemMember *mem_get (const MemTable *table, const char *vm);
 MemMember *mem_self (const MemTable *table);
 
-/** mem_set_self() - states a new state and entry process of the own VM. */
-void mem_set_self (MemTable *table, int32_t state, uint64_t entry_incarnation);
+/** mem_set_self() - states the state and entry process of the own VM; true when either is new. */
+bool mem_set_self (MemTable *table, int32_t state, uint64_t entry_incarnation);
 
 /** mem_set_entry_ended() - the own VM's entry process is known to have ended. */
 void mem_set_entry_ended (MemTable *table, uint64_t incarnation);
--- a/src/steer.c
+++ b/src/steer.c
@@ -216,7 +216,8 @@
   const MemMember *peer;
 
   steer->counters.gossip_received++;
-  mem_learn (&steer->members, &in->from, steer_now_ms (steer));
+  if (mem_learn (&steer->members, &in->from, steer_now_ms (steer)))
+    gsp_push (steer);
   mem_heard (&steer->members, in->from.vm, steer_now_ms (steer));
   gsp_take_items (steer, in->items.items_val, in->items.items_len);
   peer = mem_get (&steer->members, in->from.vm);
@@ -297,7 +298,9 @@
   if (in->local && strcmp (in->vm, steer->vm) == 0)
     {
       steer->local_sync_at_ms = steer_now_ms (steer);
-      mem_set_self (&steer->members, in->leaving ? MEM_LEAVING : MEM_ALIVE, in->entry_incarnation);
+      if (mem_set_self (&steer->members, in->leaving ? MEM_LEAVING : MEM_ALIVE,
+                        in->entry_incarnation))
+        gsp_push (steer);
     }
   known = g_hash_table_lookup (steer->reports, in->report.vm);
   if (known != NULL)
--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -298,6 +298,29 @@
   EXPECT_EQ (report["requests"], report["ok"]);
 }
 
+// A caller may keep an answer for its whole time to live, so naming ends well before the entry
+// does.
+TEST (RequestPath, LookupsOfOtherEntriesSoonNameNoLeavingEntry)
+{
+  Options options;
+  options.entries = 5;
+  Cluster cluster (options);
+  ASSERT_TRUE (cluster.WaitServing ());
+  for (const std::string leaving : { "e0", "e1", "e2" })
+    {
+      std::string addr = cluster.EntryAddr (leaving);
+      cluster.Signal ("entry-" + leaving, SIGTERM);
+      SleepMs (1000); // MEMBER_NEWS_MS
+      for (const std::string vm : { "e3", "e4" })
+        EXPECT_EQ (
+            std::string::npos,
+            cluster.Http ("GET", cluster.EntryAddr (vm), "/lookup?service=desk&addr=10.2.0.9")
+                .body.find (addr))
+            << leaving << " is named by " << vm;
+      ASSERT_EQ (0, cluster.WaitExit ("entry-" + leaving, 15000));
+    }
+}
+
 TEST (RequestPath, EveryEntryReplacedInTurnUnderLoad)
 {
   Cluster cluster ({});
