An entry spreads its budget over a zone's upstreams, and what was not run waits for room

Cause: RequestPath.FalseIdleReportOverloadsNothing failed when the machine was busy: the load tool stalled and then sent what was due at once. Upstreams that falsely reported themselves idle were filled by all entries; those shed, and a shed request was refused at once when the retry budget was still empty, or waited its two seconds out because it may not go to an upstream that it was tried on. Ruled out: loans (spare budget was left in the log of each refusal); a larger or prefilled retry budget (its bound is tested and stays). Change: an entry uses of each upstream only its part of the zone's budget (pck_share), so false reports move at most one request an entry too many; an upstream that shed rests for SHED_PAUSE_MS; a request that was not run waits for room and budget in its waiting time, after which any upstream may take it.

--- a/src/bud.c
+++ b/src/bud.c
@@ -199,12 +199,19 @@
 /* ---- Entry's side ---- */
 
 uint32_t
-bud_spare (const BudHold *hold)
+bud_held (const BudHold *hold)
 {
   uint64_t held = (uint64_t) hold->plan + hold->borrowed;
-  uint64_t used = (uint64_t) hold->lent + hold->in_flight;
 
-  return held > used ? (uint32_t) (held - used) : 0;
+  return held > hold->lent ? (uint32_t) (held - hold->lent) : 0;
+}
+
+uint32_t
+bud_spare (const BudHold *hold)
+{
+  uint32_t held = bud_held (hold);
+
+  return held > hold->in_flight ? held - hold->in_flight : 0;
 }
 
 uint32_t
--- a/src/bud.h
+++ b/src/bud.h
@@ -76,6 +76,9 @@
   uint32_t in_flight;
 } BudHold;
 
+/** bud_held() - requests in flight that this entry may have. */
+uint32_t bud_held (const BudHold *hold);
+
 /** bud_spare() - requests that may start now; 0 when the budget is used or overdrawn. */
 uint32_t bud_spare (const BudHold *hold);
 
--- a/src/esv.c
+++ b/src/esv.c
@@ -101,20 +101,39 @@
          && upstream->suspects == 0 && (!suspect || upstream->in_flight == 0);
 }
 
+static uint32_t
+serving_slots (const EntryService *service, uint32_t zone, bool drained)
+{
+  uint32_t slots = 0;
+
+  for (uint32_t i = 0; i < service->upstreams->len; i++)
+    {
+      const EntryUpstream *upstream = service->upstreams->pdata[i];
+      if (upstream->zone == zone && can_serve (upstream) && upstream->drained == drained)
+        slots += upstream->slots;
+    }
+  return slots;
+}
+
 EntryUpstream *
 esv_pick (Entry *entry, EntryService *service, uint32_t zone, const GPtrArray *tried, bool suspect)
 {
   PckUpstream *candidates = g_new0 (PckUpstream, service->upstreams->len + 1);
   uint64_t now_ms = entry_now_ms (entry);
   bool drained = zone_needs_drained (service, zone);
+  uint32_t zone_slots = serving_slots (service, zone, drained);
+  uint32_t held = bud_held (&service->holds[zone]);
 
   for (uint32_t i = 0; i < service->upstreams->len; i++)
     {
       const EntryUpstream *upstream = service->upstreams->pdata[i];
       candidates[i] = (PckUpstream){
-        .eligible = is_eligible (upstream, zone, drained, suspect) && !was_tried (tried, upstream),
+        .eligible = is_eligible (upstream, zone, drained, suspect) && !was_tried (tried, upstream)
+                    && !hlt_is_full (&upstream->health, now_ms),
         .slots = upstream->slots,
-        .usable_slots = usable_slots (upstream, now_ms),
+        .usable_slots = entry->baseline ? usable_slots (upstream, now_ms)
+                                        : MIN (usable_slots (upstream, now_ms),
+                                               pck_share (upstream->slots, held, zone_slots)),
         .in_flight = upstream->in_flight,
         .load_permille = hlt_load_permille (&upstream->health, now_ms),
       };
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -337,7 +337,7 @@
   else
     {
       node->counters.sheds++;
-      ups->full_until_ms = clk_now_ms () + UPS_SHED_PAUSE_MS;
+      ups->full_until_ms = clk_now_ms () + SHED_PAUSE_MS;
     }
   release_upstream (fwd);
   send_again_or (fwd, NULL, "no_room");
--- a/src/hlt.c
+++ b/src/hlt.c
@@ -83,6 +83,12 @@
   hlt->contradicted_at_ms = now_ms;
 }
 
+bool
+hlt_is_full (const Hlt *hlt, uint64_t now_ms)
+{
+  return hlt->contradicted_at_ms != 0 && now_ms - hlt->contradicted_at_ms < SHED_PAUSE_MS;
+}
+
 uint32_t
 hlt_load_permille (const Hlt *hlt, uint64_t now_ms)
 {
--- a/src/hlt.h
+++ b/src/hlt.h
@@ -66,6 +66,9 @@
 /** hlt_shed() - the upstream refused a request for load. */
 void hlt_shed (Hlt *hlt, uint64_t now_ms);
 
+/** hlt_is_full() - it refused a request for load within the last SHED_PAUSE_MS. */
+bool hlt_is_full (const Hlt *hlt, uint64_t now_ms);
+
 /** hlt_load_permille() - load to reckon with: the report, aged, and full after a contradiction. */
 uint32_t hlt_load_permille (const Hlt *hlt, uint64_t now_ms);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -73,6 +73,7 @@
 #define CONNECT_TIMEOUT_MS 500
 #define HEAD_TIMEOUT_MS 10000
 #define REUSED_HEAD_SHARE 3
+#define SHED_PAUSE_MS 100
 #define PROGRESS_TIMEOUT_MS 5000
 #define DEADLINE_DEFAULT_MS 15000
 #define DEADLINE_MAX_MS 600000
@@ -115,7 +116,6 @@
 /* Upstreams as the node process sees them. */
 #define UPS_DOWN_FIRST_MS 300
 #define UPS_DOWN_MAX_MS 2000
-#define UPS_SHED_PAUSE_MS 100
 #define UPS_DOWN_FAILURES 3
 #define UPS_DOUBT_REPORTS 2
 #define UPS_DOUBT_MS 2000
--- a/src/pck.c
+++ b/src/pck.c
@@ -81,6 +81,14 @@
   return chosen;
 }
 
+uint32_t
+pck_share (uint32_t slots, uint32_t held, uint32_t zone_slots)
+{
+  if (zone_slots == 0)
+    return 0;
+  return (uint32_t) (((uint64_t) slots * held + zone_slots - 1) / zone_slots);
+}
+
 uint32_t
 pck_zone (const uint32_t *shares_ppm, int64_t *credit)
 {
--- a/src/pck.h
+++ b/src/pck.h
@@ -35,6 +35,17 @@
 uint32_t pck_upstream (const PckUpstream *candidates, uint32_t count, PckPolicy policy,
                        GRand *random, uint32_t *cursor);
 
+/**
+ * pck_share() - requests in flight that an entry may have on one upstream
+ * @slots: slots of the upstream
+ * @held: the entry's budget for the zone, requests in flight
+ * @zone_slots: slots of all upstreams that serve in the zone
+ *
+ * All entries together exceed the slots by less than one for each entry, whatever upstreams report;
+ * over the zone's upstreams an entry may use all of its budget. Return: the part, rounded up.
+ */
+uint32_t pck_share (uint32_t slots, uint32_t held, uint32_t zone_slots);
+
 /**
  * pck_zone() - spreads requests over zones so that each gets its share of any run of requests
  * @credit: state kept for each group, ZONES_MAX values
--- a/src/req.c
+++ b/src/req.c
@@ -75,6 +75,9 @@
   EntryUsage *usage;
   GPtrArray *tried;
   uint32_t attempts;
+  uint32_t sheds;
+  bool owes_retry;
+  uint64_t waits_until_ms;
   uint32_t crashes;
   HclCall *call;
   Clm *claim;
@@ -258,13 +261,27 @@
   return req->may_have_run ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN;
 }
 
+/* The inputs that decided a refusal. */
+static void
+log_refusal (const Req *req, const char *reason)
+{
+  const EntryService *service = req->service;
+  uint32_t spare = req->zone != ZONE_NONE ? bud_spare (&service->holds[req->zone]) : 0;
+
+  log_event (&req->entry->log, LOG_DEBUG, "request_refused",
+             "service=%s reason=\"%s\" run=%s zone=%u attempts=%u sheds=%u owes_retry=%d "
+             "retries_pct=%u spare=%u waiting=%u",
+             service->name, reason, run_name (run_so_far (req)), req->zone, req->attempts,
+             req->sheds, req->owes_retry, service->retries.tokens_pct, spare,
+             service->waiting_count);
+}
+
 static void
 refuse (Req *req, const char *reason)
 {
   if (req->usage == NULL && req->service != NULL && req->zone != ZONE_NONE)
     req->service->usage[req->group][req->zone].refused++;
-  log_event (&req->entry->log, LOG_DEBUG, "request_refused", "service=%s reason=\"%s\" run=%s",
-             req->service->name, reason, run_name (run_so_far (req)));
+  log_refusal (req, reason);
   answer_own (req, 503, run_so_far (req), reason);
 }
 
@@ -371,19 +388,25 @@
   return entry_now_ms (req->entry) >= req->deadline_at_ms;
 }
 
+/* Attempts that upstreams refused for load are bounded by the retry budget and the waiting time. */
+static bool
+has_attempts_left (const Req *req)
+{
+  return req->attempts - req->sheds < ATTEMPTS_MAX;
+}
+
+/* A request that may have run is repeated only within the budget of the moment. */
 static void
-try_again (Req *req, ReqEvent event, const char *reason)
+try_again_elsewhere (Req *req)
 {
-  step (req, event);
+  step (req, REQ_FAILED_IDEMPOTENT);
+  req->waits_until_ms = 0;
   if (req->h2o == NULL)
-    {
-      maybe_free (req);
-      return;
-    }
-  if (deadline_passed (req))
+    maybe_free (req);
+  else if (deadline_passed (req))
     answer_own (req, 504, run_so_far (req), "deadline passed\n");
-  else if (req->attempts >= ATTEMPTS_MAX || !rty_take (&req->service->retries))
-    refuse (req, reason);
+  else if (!has_attempts_left (req) || !rty_take (&req->service->retries))
+    refuse (req, "upstreams failed\n");
   else
     {
       req->entry->counters.retries++;
@@ -391,6 +414,22 @@
     }
 }
 
+/* A request that has not run waits for room and for the retry budget. */
+static void
+wait_after_not_run (Req *req, const char *reason)
+{
+  step (req, REQ_NOT_RUN);
+  req->owes_retry = true;
+  if (req->h2o == NULL)
+    maybe_free (req);
+  else if (deadline_passed (req))
+    answer_own (req, 504, run_so_far (req), "deadline passed\n");
+  else if (!has_attempts_left (req))
+    refuse (req, reason);
+  else
+    dispatch (req);
+}
+
 static void
 on_hold_over (uv_timer_t *timer)
 {
@@ -425,7 +464,7 @@
   req->may_have_run = true;
   if (req->idempotent && !(outcome == HCL_LOST && is_poison (req)))
     {
-      try_again (req, REQ_FAILED_IDEMPOTENT, "upstreams failed\n");
+      try_again_elsewhere (req);
       return;
     }
   if (req->h2o != NULL && is_poison (req))
@@ -526,6 +565,7 @@
   if (head->status == 503 && has_header (head, "x-request-not-run"))
     {
       req->entry->counters.sheds++;
+      req->sheds++;
       hlt_shed (&req->upstream->health, entry_now_ms (req->entry));
       return;
     }
@@ -576,9 +616,9 @@
   else if (outcome == HCL_LOST || outcome == HCL_TIMEOUT)
     fail_before_head (req, outcome);
   else if (outcome == HCL_NOT_SENT)
-    try_again (req, REQ_NOT_RUN, "no upstream could be reached\n");
+    wait_after_not_run (req, "no upstream could be reached\n");
   else
-    try_again (req, REQ_NOT_RUN, "upstreams are full\n");
+    wait_after_not_run (req, "upstreams are full\n");
 }
 
 static void
@@ -708,6 +748,18 @@
   return req->entry->baseline || bud_spare (&req->service->holds[zone]) > 0;
 }
 
+static bool
+pay_retry (Req *req)
+{
+  if (!req->owes_retry)
+    return true;
+  if (!rty_take (&req->service->retries))
+    return false;
+  req->owes_retry = false;
+  req->entry->counters.retries++;
+  return true;
+}
+
 static bool
 start_now (Req *req)
 {
@@ -717,8 +769,9 @@
 
   if (!may_start (req, req->zone))
     return false;
-  upstream = esv_pick (entry, req->service, req->zone, req->tried, suspect);
-  if (upstream == NULL)
+  /* After a wait, the upstreams that refused it may have room. */
+  upstream = esv_pick (entry, req->service, req->zone, req->queued ? NULL : req->tried, suspect);
+  if (upstream == NULL || !pay_retry (req))
     return false;
   if (req->state == REQ_WAITING)
     step (req, REQ_DISPATCHED);
@@ -760,8 +813,10 @@
 enter_queue (Req *req)
 {
   EntryService *service = req->service;
-  uint64_t left_ms = req->deadline_at_ms - entry_now_ms (req->entry);
+  uint64_t now_ms = entry_now_ms (req->entry);
 
+  if (req->waits_until_ms == 0)
+    req->waits_until_ms = MIN (now_ms + service->cfg->queue_wait_ms, req->deadline_at_ms);
   if (service->waiting_count >= QUEUE_MAX
       || waiting_of_caller (service, req->caller_ip) >= QUEUE_MAX / CALLER_QUEUE_SHARE)
     {
@@ -775,7 +830,8 @@
   req->entry->counters.queued++;
   service->waiting_count++;
   g_queue_push_tail (&service->waiting[req->zone], req);
-  uv_timer_start (req->timer, on_wait_over, MIN (service->cfg->queue_wait_ms, left_ms), 0);
+  uv_timer_start (req->timer, on_wait_over, req->waits_until_ms - MIN (now_ms, req->waits_until_ms),
+                  0);
 }
 
 static void
--- a/tests/test_hlt.cc
+++ b/tests/test_hlt.cc
@@ -100,4 +100,13 @@
   EXPECT_FALSE (hlt_request (&hlt_, true));
 }
 
+TEST (Hlt, GetsNoWorkForAMomentAfterItRefusedSome)
+{
+  Hlt hlt = {};
+  EXPECT_FALSE (hlt_is_full (&hlt, 50));
+  hlt_shed (&hlt, 1000);
+  EXPECT_TRUE (hlt_is_full (&hlt, 1000 + SHED_PAUSE_MS - 1));
+  EXPECT_FALSE (hlt_is_full (&hlt, 1000 + SHED_PAUSE_MS));
+}
+
 } // namespace
--- a/tests/test_pck.cc
+++ b/tests/test_pck.cc
@@ -75,4 +75,23 @@
   EXPECT_FALSE (pck_policy_parse ("best", &policy));
 }
 
+TEST (Pck, SharesOfAllEntriesFitAnUpstreamWhateverItReports)
+{
+  for (uint32_t slots = 1; slots <= 8; slots++)
+    for (uint32_t upstreams = 1; upstreams <= 6; upstreams++)
+      for (uint32_t entries = 1; entries <= 5; entries++)
+        {
+          uint32_t zone_slots = slots * upstreams;
+          uint32_t on_one = 0;
+          for (uint32_t e = 0; e < entries; e++)
+            {
+              uint32_t held = zone_slots / entries + (e < zone_slots % entries ? 1 : 0);
+              uint32_t share = pck_share (slots, held, zone_slots);
+              EXPECT_GE (share * upstreams, held);
+              on_one += share;
+            }
+          EXPECT_LT (on_one, slots + entries);
+        }
+}
+
 } // namespace
--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -375,6 +375,32 @@
     EXPECT_LE (cluster.Count (id, "max_in_flight"), 4);
 }
 
+// Requests that arrive together meet upstreams that other entries have filled in the same moment.
+TEST (RequestPath, RequestsThatArriveTogetherWaitForRoom)
+{
+  Options options;
+  options.upstreams_per_zone = 2;
+  options.slots = 4;
+  options.service_ms = 20;
+  Cluster cluster (options);
+  ASSERT_TRUE (cluster.WaitServing ());
+  for (const std::string &id : cluster.Upstreams ())
+    cluster.Control (id, id.back () == '0' ? "false_load=0&service_ms=80" : "false_load=1000");
+  cluster.StartLoad ("load", { "--rate=80", "--seconds=5", "--posts-pct=0", "--downloads-pct=0" });
+  for (int i = 0; i < 4; i++)
+    {
+      SleepMs (500);
+      cluster.Signal ("load", SIGSTOP);
+      SleepMs (500);
+      cluster.Signal ("load", SIGCONT);
+    }
+  Report report = cluster.FinishLoad ("load");
+  ExpectPromises (report);
+  EXPECT_EQ (report["requests"], report["ok"]);
+  for (const std::string &id : cluster.Upstreams ())
+    EXPECT_LE (cluster.Count (id, "max_in_flight"), 4);
+}
+
 TEST (RequestPath, BadRequestsAreRefusedClearly)
 {
   Cluster cluster ({});
