Changes are fetched from a peer in parts, oldest first, instead of listing the store anew

An answer to a fetch over 48 KB (200 registrations) was left out whole, and the node that asked listed all 657 registrations from the store, which also cost calls and bytes between regions. Ruled out: one fetch at a time (views arrive each 8 ms at that size, and each starts the next). Change: obj_part_since() gives what changed after a revision, oldest first, up to the limit and never within one revision, so that nothing is missing up to the revision that the answer names; only one change that alone is over the limit (a large configuration) still comes from the store.

--- a/src/obj.c
+++ b/src/obj.c
@@ -103,6 +103,50 @@
       fn (user, value);
 }
 
+static int
+compare_revisions (const void *a, const void *b)
+{
+  uint64_t x = (*(const Obj *const *) a)->revision;
+  uint64_t y = (*(const Obj *const *) b)->revision;
+
+  return x < y ? -1 : x > y;
+}
+
+static size_t
+value_bytes (const Obj *obj)
+{
+  return obj->value != NULL ? strlen (obj->value) : 0;
+}
+
+static void
+add_found (void *user, const Obj *obj)
+{
+  g_ptr_array_add (user, (gpointer) obj);
+}
+
+uint64_t
+obj_part_since (const ObjTable *table, uint64_t revision, size_t most_bytes, ObjFn fn, void *user)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  uint64_t last = revision;
+  size_t bytes = 0;
+
+  obj_since (table, revision, add_found, found);
+  if (found->len > 0)
+    qsort (found->pdata, found->len, sizeof (gpointer), compare_revisions);
+  for (uint32_t i = 0; i < found->len; i++)
+    {
+      const Obj *obj = found->pdata[i];
+      bytes += value_bytes (obj);
+      if (bytes > most_bytes && obj->revision != last)
+        break;
+      fn (user, obj);
+      last = obj->revision;
+    }
+  g_ptr_array_free (found, TRUE);
+  return last;
+}
+
 void
 obj_reconcile (ObjTable *table, GHashTable *listed, uint64_t revision)
 {
--- a/src/obj.h
+++ b/src/obj.h
@@ -49,6 +49,15 @@
 /** obj_since() - visits all changes after @revision, deleted objects included. */
 void obj_since (const ObjTable *table, uint64_t revision, ObjFn fn, void *user);
 
+/**
+ * obj_part_since() - calls @fn for what changed after @revision, oldest first
+ *
+ * Ends before the values exceed @most_bytes, but never within one revision. Return: the revision up
+ * to which nothing is missing; @revision when the first change alone is larger.
+ */
+uint64_t obj_part_since (const ObjTable *table, uint64_t revision, size_t most_bytes, ObjFn fn,
+                         void *user);
+
 /**
  * obj_reconcile() - marks as deleted what a complete list at @revision does not name
  * @listed: set of paths
--- a/src/peer.x
+++ b/src/peer.x
@@ -41,7 +41,7 @@
   peer_crash crashes<64>;
 };
 
-/* Asks for what changed after a revision; an answer over most_bytes is left out. */
+/* Asks for what changed after a revision, oldest first; an answer ends before most_bytes. */
 struct peer_fetch_args {
   peer_name kind;
   unsigned hyper since;
@@ -55,6 +55,7 @@
   string value<1048576>;
 };
 
+/* Nothing is missing up to revision. too_large tells that the first change alone is over the limit. */
 struct peer_fetch_reply {
   unsigned hyper revision;
   bool too_large;
--- a/src/per.c
+++ b/src/per.c
@@ -205,33 +205,18 @@
     }
 }
 
-typedef struct
-{
-  GArray *objects;
-  size_t bytes;
-} Collect;
-
 static void
 collect_object (void *user, const Obj *obj)
 {
-  Collect *collect = user;
   peer_object object = { .name = strdup (obj->path),
                          .revision = obj->revision,
                          .deleted = obj->deleted,
                          .value = strdup (obj->value != NULL ? obj->value : "") };
 
-  g_array_append_val (collect->objects, object);
-  collect->bytes += strlen (object.value);
-}
-
-static void
-drop_collected (GArray *objects)
-{
-  for (guint i = 0; i < objects->len; i++)
-    xdr_free ((xdrproc_t) xdr_peer_object, &g_array_index (objects, peer_object, i));
-  g_array_set_size (objects, 0);
+  g_array_append_val ((GArray *) user, object);
 }
 
+/* What is not told now is asked for next; one change that is too large comes from the store. */
 static bool
 run_fetch (void *user, const void *args, void *result)
 {
@@ -239,21 +224,17 @@
   const peer_fetch_args *wanted = args;
   peer_fetch_reply *reply = result;
   RepKind *kind = rep_find (&per->rep, wanted->kind);
-  Collect collect = { .objects = g_array_new (FALSE, FALSE, sizeof (peer_object)) };
+  GArray *objects = g_array_new (FALSE, FALSE, sizeof (peer_object));
 
   if (kind != NULL)
-    {
-      obj_since (&kind->table, wanted->since, collect_object, &collect);
-      reply->revision = kind->changed;
-    }
-  reply->too_large = collect.bytes > wanted->most_bytes;
-  if (reply->too_large)
-    drop_collected (collect.objects);
-  reply->objects.objects_len = collect.objects->len;
-  reply->objects.objects_val = malloc (MAX (collect.objects->len, 1) * sizeof (peer_object));
-  memcpy (reply->objects.objects_val, collect.objects->data,
-          collect.objects->len * sizeof (peer_object));
-  g_array_unref (collect.objects);
+    reply->revision
+        = obj_part_since (&kind->table, wanted->since, wanted->most_bytes, collect_object, objects);
+  reply->too_large
+      = kind != NULL && kind->changed > wanted->since && reply->revision == wanted->since;
+  reply->objects.objects_len = objects->len;
+  reply->objects.objects_val = malloc (MAX (objects->len, 1) * sizeof (peer_object));
+  memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
+  g_array_unref (objects);
   return true;
 }
 
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -278,12 +278,27 @@
   return watches_;
 }
 
+int
+FakeStore::lists () const
+{
+  return lists_;
+}
+
 void
 FakeStore::Put (const std::string &kind, const std::string &name, const std::string &spec)
+{
+  PutAll (kind, { { name, spec } });
+}
+
+void
+FakeStore::PutAll (const std::string &kind, const std::map<std::string, std::string> &specs)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  objects_[kind][name] = { spec, ++revision_ };
-  events_.push_back ({ kind, name, spec, revision_, false });
+  for (const auto &[name, spec] : specs)
+    {
+      objects_[kind][name] = { spec, ++revision_ };
+      events_.push_back ({ kind, name, spec, revision_, false });
+    }
   changed_.notify_all ();
 }
 
@@ -343,6 +358,7 @@
 std::string
 FakeStore::List (const std::string &kind)
 {
+  lists_++;
   std::lock_guard<std::mutex> lock (mutex_);
   std::string items;
   for (const auto &[name, object] : objects_[kind])
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -88,6 +88,8 @@
   FakeStore ();
   ~FakeStore ();
   void Put (const std::string &kind, const std::string &name, const std::string &spec);
+  // Changes that a reader sees all at once.
+  void PutAll (const std::string &kind, const std::map<std::string, std::string> &specs);
   void Delete (const std::string &kind, const std::string &name);
   void SetMode (Mode mode);
   // Watches that start from an earlier revision are answered 410.
@@ -99,6 +101,8 @@
   int calls () const;
   // Watches that wait for a change now.
   int watches () const;
+  // Lists answered so far.
+  int lists () const;
 
 private:
   struct Object
@@ -129,6 +133,7 @@
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
+  std::atomic<int> lists_{ 0 };
   std::atomic<bool> ending_{ false };
   std::atomic<bool> path_silent_{ false };
   std::unique_ptr<Listener> listener_;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -572,6 +572,36 @@
         2500, [&] { return node->Call ("GET", "/many1399/a", WithId ("many")).status == 200; }));
 }
 
+// Many upstreams that change together come from a peer, in parts, and cost the store no list.
+TEST_F (NodeTest, ManyChangedRegistrationsComeFromAPeerInParts)
+{
+  Start ();
+  NodeProcess other ("vm-2", "east-b", store_.address (), 2);
+  ASSERT_TRUE (other.WaitReady (4000));
+  std::this_thread::sleep_for (2500ms); // until one of them watches for both
+  store_.Put ("servers", "i-first", upstreams_[0]->Record ("other", "east-a"));
+  std::this_thread::sleep_for (1000ms); // until the other's last watch has ended
+  int lists = store_.lists ();
+  FakeUpstream last ("i-last");
+  std::map<std::string, std::string> many;
+  for (int i = 0; i < 600; i++)
+    many["i-" + std::to_string (i)] = upstreams_[0]->Record (
+        "other", "east-a", "ready", ",\"note\":\"" + std::string (100, 'v') + "\"");
+  many[last.id ()] = last.Record ("desk", "east-a");
+  store_.PutAll ("servers", many);
+  for (const auto &upstream : upstreams_)
+    store_.Delete ("servers", upstream->id ());
+  for (NodeProcess *node : { node_.get (), &other })
+    {
+      int before = last.arrivals ();
+      EXPECT_TRUE (WaitUntil (3000, [&] {
+        node->Call ("GET", "/read/a", WithId ("many"));
+        return last.arrivals () > before;
+      }));
+    }
+  EXPECT_EQ (lists, store_.lists ());
+}
+
 // Two nodes, each with a path of its own to the store; whichever watches for both, it loses its
 // path without a word, and the other must step in in time.
 TEST_F (NodeTest, ASilentPathToTheStoreIsNoticedInTime)
--- a/tests/test_obj.cc
+++ b/tests/test_obj.cc
@@ -95,4 +95,51 @@
     }
 }
 
+void
+Collect (void *user, const Obj *obj)
+{
+  static_cast<std::vector<std::string> *> (user)->push_back (obj->path);
+}
+
+// A reader that takes part after part has everything, in order, and no part is larger than asked.
+TEST (Obj, PartsSinceARevisionLeaveNothingOut)
+{
+  ObjTable table;
+  obj_init (&table);
+  std::string value (100, 'v');
+  for (int i = 0; i < 50; i++)
+    obj_apply (&table, ("o" + std::to_string (i)).c_str (), 1000 - i, false, value.c_str ());
+  for (int i = 0; i < 5; i++)
+    obj_apply (&table, ("gone" + std::to_string (i)).c_str (), 2000, true, nullptr);
+  std::vector<std::string> all;
+  uint64_t revision = 1;
+  for (int parts = 0; parts < 30; parts++)
+    {
+      std::vector<std::string> part;
+      uint64_t next = obj_part_since (&table, revision, 450, Collect, &part);
+      EXPECT_LE (part.size (), 4u + 5u);
+      if (next == revision)
+        break;
+      revision = next;
+      all.insert (all.end (), part.begin (), part.end ());
+    }
+  ASSERT_EQ (55u, all.size ());
+  EXPECT_EQ ("o49", all[0]);
+  EXPECT_EQ (2000u, revision);
+  obj_clear (&table);
+}
+
+TEST (Obj, AChangeLargerThanAPartIsLeftOut)
+{
+  ObjTable table;
+  obj_init (&table);
+  std::vector<std::string> part;
+  obj_apply (&table, "large", 7, false, std::string (1000, 'v').c_str ());
+  EXPECT_EQ (3u, obj_part_since (&table, 3, 999, Collect, &part));
+  EXPECT_TRUE (part.empty ());
+  EXPECT_EQ (7u, obj_part_since (&table, 3, 1000, Collect, &part));
+  EXPECT_EQ (1u, part.size ());
+  obj_clear (&table);
+}
+
 } // namespace
