--- /dev/null
+++ b/tools/mdl.c
@@ -0,0 +1,710 @@
+/* Model of upstreams, nodes and callers in which the node's decisions are replayed. */
+#include "mdl.h"
+
+#include "adm.h"
+
+#include <math.h>
+#include <string.h>
+
+#define STEP_MS 5
+#define KEEPS_MAX 64
+#define PERMILLE 1000u
+#define WAVE_MS 36000.0
+#define LOST_MS 4000
+#define SLOW_FACTOR 5
+#define SPREAD_PERMILLE 150
+#define LATE_CREDIT_PERMILLE 200u
+#define WAKE_TRIES 8
+#define NEAR_RTT_MS 2
+#define USUAL_WEIGHT 16
+#define HOT_OBJECT 1u
+
+/** struct Up - an upstream; @known: objects that it is fast for, newest first */
+typedef struct
+{
+  uint32_t hash;
+  uint32_t region;
+  bool slow;
+  uint64_t lost_until_ms;
+  uint32_t known[KEEPS_MAX];
+  GQueue running;
+  GQueue queue;
+} Up;
+
+/** struct Vm - a node; @views: requests in flight on each upstream, as all nodes last told */
+typedef struct
+{
+  uint32_t region;
+  Ups *ups;
+  uint32_t *views;
+  Cen objects;
+  uint32_t cold_ms;
+  uint32_t warm_ms;
+  GQueue waiting;
+} Vm;
+
+typedef struct
+{
+  Vm *vm;
+  uint32_t object;
+  uint64_t asked_at_ms;
+  uint64_t waits_since_ms;
+  uint64_t waits_until_ms;
+  uint64_t arrives_at_ms;
+  uint64_t sent_at_ms;
+  uint64_t ends_at_ms;
+  uint32_t up;
+  uint32_t rtt_ms;
+  bool sent_warm;
+  AdmRequest admission;
+} Job;
+
+typedef struct
+{
+  const MdlLoad *load;
+  MdlPolicy policy;
+  GRand *random;
+  uint64_t now_ms;
+  Up *ups;
+  uint32_t up_count;
+  Vm *vms;
+  uint32_t vm_count;
+  GQueue travelling;
+  GQueue returning;
+  uint64_t runs;
+  uint64_t warm_runs;
+  double owed;
+  MdlReport report;
+} Model;
+
+static const MdlLoad loads[] = {
+  { "steady", { 8, 8, 8 }, { 3, 3, 3 }, 6,    18, 24,  96,          0, 280, 300,
+    640,      200,         500,         2000, 70, 100, REGIONS_MAX, 0, 0,   40 },
+  { "overload", { 8, 8, 8 }, { 3, 3, 3 }, 6,    18, 24,  96,          0, 800, 550,
+    640,        200,         500,         2000, 70, 100, REGIONS_MAX, 0, 0,   40 },
+  { "scarce-region",
+    { 2, 11, 11 },
+    { 3, 3, 3 },
+    6,
+    18,
+    24,
+    96,
+    0,
+    380,
+    550,
+    640,
+    200,
+    500,
+    2000,
+    70,
+    100,
+    REGIONS_MAX,
+    0,
+    0,
+    40 },
+  { "many-objects",
+    { 26, 60, 60 },
+    { 12, 12, 12 },
+    6,
+    18,
+    21,
+    480,
+    0,
+    1300,
+    550,
+    1248,
+    312,
+    800,
+    3000,
+    70,
+    300,
+    REGIONS_MAX,
+    0,
+    0,
+    40 },
+  { "hot-object", { 8, 8, 8 }, { 3, 3, 3 }, 6,    18, 24,  96,          250, 200, 300,
+    640,          200,         500,         2000, 70, 100, REGIONS_MAX, 0,   0,   40 },
+  { "region-lost", { 8, 8, 8 }, { 3, 3, 3 }, 6,    18, 24,  96, 0,  280, 300,
+    640,           200,         500,         2000, 70, 100, 1,  12, 0,   40 },
+  { "slow-upstreams",
+    { 8, 8, 8 },
+    { 3, 3, 3 },
+    6,
+    18,
+    24,
+    96,
+    0,
+    260,
+    300,
+    640,
+    200,
+    500,
+    2000,
+    70,
+    100,
+    REGIONS_MAX,
+    0,
+    125,
+    40 },
+  { .name = NULL },
+};
+
+const MdlLoad *
+mdl_loads (void)
+{
+  return loads;
+}
+
+const MdlLoad *
+mdl_load (const char *name)
+{
+  for (uint32_t i = 0; loads[i].name != NULL; i++)
+    if (strcmp (loads[i].name, name) == 0)
+      return &loads[i];
+  return NULL;
+}
+
+/* ---- Upstreams ---- */
+
+static bool
+is_lost (const Model *model, const Up *up)
+{
+  return model->now_ms < up->lost_until_ms;
+}
+
+/* Whether the upstream knows the object; from now on it does. */
+static bool
+handle_object (const Model *model, Up *up, uint32_t object)
+{
+  uint32_t last = 0;
+
+  while (last < model->load->keeps - 1 && up->known[last] != object)
+    last++;
+  bool warm = up->known[last] == object;
+  memmove (&up->known[1], &up->known[0], last * sizeof up->known[0]);
+  up->known[0] = object;
+  return warm;
+}
+
+static void
+run_job (Model *model, Up *up, Job *job)
+{
+  bool warm = handle_object (model, up, job->object);
+  uint32_t work_ms = warm ? model->load->warm_ms : model->load->cold_ms;
+  int32_t spread = g_rand_int_range (model->random, -SPREAD_PERMILLE, SPREAD_PERMILLE + 1);
+
+  work_ms = (uint32_t) ((int64_t) work_ms * (int32_t) (PERMILLE + spread) / (int32_t) PERMILLE);
+  if (up->slow)
+    work_ms *= SLOW_FACTOR;
+  model->runs++;
+  model->warm_runs += warm;
+  job->ends_at_ms = model->now_ms + work_ms;
+  g_queue_push_tail (&up->running, job);
+}
+
+static uint32_t
+jobs_in (const Up *up)
+{
+  return up->running.length + up->queue.length;
+}
+
+/* ---- Ends of requests ---- */
+
+static MdlSecond *
+second_of (Model *model, const Job *job)
+{
+  return &model->report.seconds[job->asked_at_ms / 1000];
+}
+
+static void
+refuse (Model *model, Job *job)
+{
+  AdmRequest *admission = &job->admission;
+  uint64_t end_ms = job->asked_at_ms + model->load->timeout_ms;
+
+  admission->left_ms = end_ms > model->now_ms ? (uint32_t) (end_ms - model->now_ms) : 0;
+  if (admission->returned || admission->left_ms == 0)
+    {
+      second_of (model, job)->refused++;
+      g_free (job);
+      return;
+    }
+  admission->returned = true;
+  job->arrives_at_ms = model->now_ms + adm_back_ms (admission, g_rand_int (model->random));
+  g_queue_push_tail (&model->returning, job);
+}
+
+static void
+finish (Model *model, Job *job)
+{
+  uint64_t age_ms = model->now_ms + job->rtt_ms / 2 - job->asked_at_ms;
+  uint32_t took_ms = (uint32_t) (model->now_ms + job->rtt_ms / 2 - job->sent_at_ms);
+  Ups *ups = &job->vm->ups[job->up];
+  uint32_t *usual_ms = job->sent_warm ? &job->vm->warm_ms : &job->vm->cold_ms;
+
+  ups->in_flight--;
+  ups_took (ups, took_ms, *usual_ms);
+  *usual_ms = (uint32_t) ((int64_t) *usual_ms + ((int64_t) took_ms - *usual_ms) / USUAL_WEIGHT);
+  ups_note_object (ups, job->object);
+  if (age_ms <= model->load->objective_ms)
+    second_of (model, job)->in_objective++;
+  else if (age_ms <= model->load->timeout_ms)
+    second_of (model, job)->late++;
+  else
+    second_of (model, job)->refused++;
+  g_free (job);
+}
+
+/* A request that was lost with its upstream, or that the upstream shed, comes back to its node. */
+static void
+give_back (Model *model, Job *job, bool shed)
+{
+  Ups *ups = &job->vm->ups[job->up];
+
+  ups->in_flight--;
+  if (shed)
+    {
+      model->report.sheds++;
+      ups->full_until_ms = model->now_ms + SHED_PAUSE_MS;
+    }
+  else
+    ups_failed (ups, model->now_ms);
+  refuse (model, job);
+}
+
+/* ---- Decisions ---- */
+
+static bool
+is_usable (const Model *model, const Ups *ups)
+{
+  return model->now_ms >= ups->down_until_ms && model->now_ms >= ups->full_until_ms
+         && !(ups->failures > 0 && ups->in_flight > 0);
+}
+
+static uint32_t
+in_flight_on (const Vm *vm, uint32_t up)
+{
+  return vm->ups[up].in_flight + vm->views[up];
+}
+
+static PlcCandidate *
+candidates_of (const Model *model, const Vm *vm)
+{
+  PlcCandidate *candidates = g_new0 (PlcCandidate, model->up_count);
+
+  for (uint32_t i = 0; i < model->up_count; i++)
+    {
+      const Ups *ups = &vm->ups[i];
+      bool near = model->ups[i].region == vm->region;
+      candidates[i] = (PlcCandidate){ .listed = !ups_is_down (ups),
+                                      .usable = is_usable (model, ups),
+                                      .hash = model->ups[i].hash,
+                                      .region = model->ups[i].region,
+                                      .slots = model->load->slots,
+                                      .in_flight = in_flight_on (vm, i),
+                                      .rtt_ms = near ? NEAR_RTT_MS : model->load->remote_rtt_ms,
+                                      .slowness_permille = ups->slowness_permille,
+                                      .untried = ups->objects[0] == 0 && near,
+                                      .objects = ups->objects,
+                                      .object_count = UPS_OBJECTS_KEPT };
+    }
+  return candidates;
+}
+
+static uint32_t
+choose_by_product (const Model *model, const Job *job)
+{
+  const Vm *vm = job->vm;
+  PlcCandidate *candidates = candidates_of (model, vm);
+  PlcRequest request
+      = { .key = job->object,
+          .cold_ms = vm->cold_ms,
+          .warm_ms = vm->warm_ms,
+          .objects = cen_objects (&vm->objects),
+          .home_region = vm->region,
+          .wait_max_ms = model->load->objective_ms / PLC_QUEUE_SHARE,
+          .reserve = adm_reserve (&job->admission, model->up_count * model->load->slots) };
+  uint32_t chosen = plc_choose (candidates, model->up_count, &request);
+
+  g_free (candidates);
+  return chosen;
+}
+
+static uint32_t
+choose_at_random (const Model *model, const Job *job)
+{
+  uint32_t found = 0;
+  uint32_t chosen = PLC_NONE;
+
+  for (uint32_t i = 0; i < model->up_count; i++)
+    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (job->vm, i) < model->load->slots
+        && g_rand_int_range (model->random, 0, (gint32) ++found) == 0)
+      chosen = i;
+  return chosen;
+}
+
+static uint32_t
+choose_least_loaded (const Model *model, const Job *job)
+{
+  uint32_t chosen = PLC_NONE;
+  uint32_t least = model->load->slots;
+
+  for (uint32_t i = 0; i < model->up_count; i++)
+    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (job->vm, i) < least)
+      {
+        least = in_flight_on (job->vm, i);
+        chosen = i;
+      }
+  return chosen;
+}
+
+static uint32_t
+choose (const Model *model, const Job *job)
+{
+  switch (model->policy)
+    {
+    case MDL_PRODUCT:
+      return choose_by_product (model, job);
+    case MDL_RANDOM_FIFO:
+      return choose_at_random (model, job);
+    case MDL_REFUSE_WHEN_FULL:
+      return choose_least_loaded (model, job);
+    }
+  return PLC_NONE;
+}
+
+static uint32_t
+longest_wait_ms (const Model *model, const Job *job)
+{
+  switch (model->policy)
+    {
+    case MDL_PRODUCT:
+      return adm_wait_ms (&job->admission);
+    case MDL_RANDOM_FIFO:
+      return job->admission.left_ms;
+    case MDL_REFUSE_WHEN_FULL:
+      return 0;
+    }
+  return 0;
+}
+
+static bool
+try_to_send (Model *model, Job *job)
+{
+  uint32_t chosen = choose (model, job);
+
+  if (chosen == PLC_NONE)
+    return false;
+  Ups *ups = &job->vm->ups[chosen];
+  job->up = chosen;
+  job->rtt_ms
+      = model->ups[chosen].region == job->vm->region ? NEAR_RTT_MS : model->load->remote_rtt_ms;
+  job->sent_at_ms = model->now_ms;
+  job->arrives_at_ms = model->now_ms + job->rtt_ms / 2;
+  job->sent_warm = ups_knows (ups, job->object);
+  ups->in_flight++;
+  g_queue_push_tail (&model->travelling, job);
+  return true;
+}
+
+static void
+take_request (Model *model, Job *job)
+{
+  uint64_t end_ms = job->asked_at_ms + model->load->timeout_ms;
+
+  job->admission.left_ms = end_ms > model->now_ms ? (uint32_t) (end_ms - model->now_ms) : 0;
+  job->admission.usual_ms = job->vm->warm_ms;
+  job->waits_since_ms = model->now_ms;
+  job->waits_until_ms = model->now_ms + longest_wait_ms (model, job);
+  cen_note (&job->vm->objects, job->object, model->now_ms);
+  if (try_to_send (model, job))
+    return;
+  if (job->waits_until_ms > model->now_ms)
+    g_queue_push_tail (&job->vm->waiting, job);
+  else
+    refuse (model, job);
+}
+
+/* ---- Steps of the simulated time ---- */
+
+static gint
+compare_waiting (gconstpointer a, gconstpointer b, gpointer user)
+{
+  const Model *model = user;
+  const Job *x = a;
+  const Job *y = b;
+
+  if (model->policy != MDL_PRODUCT)
+    return x->waits_since_ms < y->waits_since_ms ? -1 : x->waits_since_ms > y->waits_since_ms;
+  return adm_is_before (&x->admission, (uint32_t) (model->now_ms - x->waits_since_ms),
+                        &y->admission, (uint32_t) (model->now_ms - y->waits_since_ms))
+             ? -1
+             : 1;
+}
+
+static void
+step_waiting (Model *model, Vm *vm)
+{
+  uint32_t tries = 0;
+
+  g_queue_sort (&vm->waiting, compare_waiting, model);
+  for (GList *item = vm->waiting.head; item != NULL;)
+    {
+      GList *next = item->next;
+      Job *job = item->data;
+      bool sent = tries++ < WAKE_TRIES && try_to_send (model, job);
+      bool over = !sent && model->now_ms >= job->waits_until_ms;
+      if (sent || over)
+        g_queue_delete_link (&vm->waiting, item);
+      if (over)
+        refuse (model, job);
+      item = next;
+    }
+}
+
+static void
+step_travelling (Model *model)
+{
+  for (uint32_t left = model->travelling.length; left > 0; left--)
+    {
+      Job *job = g_queue_pop_head (&model->travelling);
+      Up *up = &model->ups[job->up];
+      if (job->arrives_at_ms > model->now_ms)
+        g_queue_push_tail (&model->travelling, job);
+      else if (is_lost (model, up))
+        give_back (model, job, false);
+      else if (jobs_in (up) >= model->load->slots + model->load->queue)
+        give_back (model, job, true);
+      else if (up->running.length < model->load->slots)
+        run_job (model, up, job);
+      else
+        g_queue_push_tail (&up->queue, job);
+      model->report.most_in_upstream = MAX (model->report.most_in_upstream, jobs_in (up));
+    }
+}
+
+static void
+step_upstream (Model *model, Up *up)
+{
+  for (uint32_t left = up->running.length; left > 0; left--)
+    {
+      Job *job = g_queue_pop_head (&up->running);
+      if (job->ends_at_ms > model->now_ms)
+        g_queue_push_tail (&up->running, job);
+      else
+        finish (model, job);
+    }
+  while (up->running.length < model->load->slots && !g_queue_is_empty (&up->queue))
+    run_job (model, up, g_queue_pop_head (&up->queue));
+}
+
+static void
+lose_upstream (Model *model, Up *up)
+{
+  up->lost_until_ms = model->now_ms + LOST_MS;
+  memset (up->known, 0, sizeof up->known);
+  while (!g_queue_is_empty (&up->running))
+    give_back (model, g_queue_pop_head (&up->running), false);
+  while (!g_queue_is_empty (&up->queue))
+    give_back (model, g_queue_pop_head (&up->queue), false);
+}
+
+static void
+step_faults (Model *model)
+{
+  const MdlLoad *load = model->load;
+
+  if (load->lost_region == REGIONS_MAX || model->now_ms != (uint64_t) load->lost_at_s * 1000)
+    return;
+  for (uint32_t i = 0; i < model->up_count; i++)
+    if (model->ups[i].region == load->lost_region)
+      lose_upstream (model, &model->ups[i]);
+}
+
+/* All nodes hear what the others have in flight, at once and only now and then. */
+static void
+step_views (Model *model)
+{
+  if (model->now_ms % model->load->view_ms >= STEP_MS)
+    return;
+  for (uint32_t i = 0; i < model->up_count; i++)
+    {
+      uint32_t all = 0;
+      for (uint32_t v = 0; v < model->vm_count; v++)
+        all += model->vms[v].ups[i].in_flight;
+      for (uint32_t v = 0; v < model->vm_count; v++)
+        model->vms[v].views[i] = all - model->vms[v].ups[i].in_flight;
+    }
+}
+
+static void
+step_census (Model *model)
+{
+  if (model->now_ms % 1000 != 0)
+    return;
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    cen_forget (&model->vms[v].objects, model->now_ms);
+}
+
+static uint32_t
+draw_object (Model *model)
+{
+  if (g_rand_int_range (model->random, 0, PERMILLE) < (gint32) model->load->hot_permille)
+    return HOT_OBJECT;
+  return HOT_OBJECT + 1
+         + (uint32_t) g_rand_int_range (model->random, 0, (gint32) model->load->objects);
+}
+
+static double
+rate_now (const Model *model)
+{
+  double swing = model->load->swing_permille / (double) PERMILLE;
+
+  return model->load->rate_per_s
+         * (1.0 + swing * sin (2.0 * G_PI * (double) model->now_ms / WAVE_MS));
+}
+
+static void
+ask (Model *model)
+{
+  Job *job = g_new0 (Job, 1);
+
+  job->vm = &model->vms[g_rand_int_range (model->random, 0, (gint32) model->vm_count)];
+  job->object = draw_object (model);
+  job->asked_at_ms = model->now_ms;
+  job->admission.objective_ms = model->load->objective_ms;
+  second_of (model, job)->asked++;
+  model->report.asked++;
+  take_request (model, job);
+}
+
+static void
+step_callers (Model *model)
+{
+  for (uint32_t left = model->returning.length; left > 0; left--)
+    {
+      Job *job = g_queue_pop_head (&model->returning);
+      if (job->arrives_at_ms > model->now_ms)
+        g_queue_push_tail (&model->returning, job);
+      else
+        take_request (model, job);
+    }
+  if (model->now_ms >= (uint64_t) model->load->seconds * 1000)
+    return;
+  model->owed += rate_now (model) * STEP_MS / 1000.0;
+  for (; model->owed >= 1.0; model->owed -= 1.0)
+    ask (model);
+}
+
+/* ---- Replay ---- */
+
+static void
+build (Model *model)
+{
+  const MdlLoad *load = model->load;
+  uint32_t slow_every = load->slow_permille > 0 ? PERMILLE / load->slow_permille : 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      model->up_count += load->upstreams[r];
+      model->vm_count += load->nodes[r];
+    }
+  model->ups = g_new0 (Up, model->up_count);
+  model->vms = g_new0 (Vm, model->vm_count);
+  for (uint32_t r = 0, at = 0; r < REGIONS_MAX; r++)
+    for (uint32_t i = 0; i < load->upstreams[r]; i++, at++)
+      model->ups[at] = (Up){ .hash = g_rand_int (model->random),
+                             .region = r,
+                             .slow = slow_every > 0 && at % slow_every == 0 };
+  for (uint32_t r = 0, at = 0; r < REGIONS_MAX; r++)
+    for (uint32_t i = 0; i < load->nodes[r]; i++, at++)
+      {
+        Vm *vm = &model->vms[at];
+        vm->region = r;
+        vm->ups = g_new0 (Ups, model->up_count);
+        vm->views = g_new0 (uint32_t, model->up_count);
+        vm->cold_ms = load->objective_ms;
+        vm->warm_ms = load->objective_ms / 2;
+        cen_init (&vm->objects);
+        for (uint32_t u = 0; u < model->up_count; u++)
+          vm->ups[u].slowness_permille = PERMILLE;
+      }
+}
+
+static void
+take_down (Model *model)
+{
+  for (uint32_t i = 0; i < model->up_count; i++)
+    {
+      g_queue_clear_full (&model->ups[i].running, g_free);
+      g_queue_clear_full (&model->ups[i].queue, g_free);
+    }
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    {
+      g_queue_clear_full (&model->vms[v].waiting, g_free);
+      cen_clear (&model->vms[v].objects);
+      g_free (model->vms[v].ups);
+      g_free (model->vms[v].views);
+    }
+  g_queue_clear_full (&model->travelling, g_free);
+  g_queue_clear_full (&model->returning, g_free);
+  g_free (model->ups);
+  g_free (model->vms);
+  g_rand_free (model->random);
+}
+
+/* Work that does not fit a second's slots may be done in the next, within the objective. */
+static uint32_t
+bound_permille (const Model *model)
+{
+  double per_s = (double) model->up_count * model->load->slots * 1000.0 / model->load->warm_ms;
+  double carried = 0;
+  double done = 0;
+
+  for (uint32_t s = 0; s < model->load->seconds; s++)
+    {
+      double wanted = model->report.seconds[s].asked + carried;
+      double now = MIN (wanted, per_s);
+      done += now;
+      carried = MIN (wanted - now, per_s * model->load->objective_ms / 1000.0);
+    }
+  return (uint32_t) (done * PERMILLE / MAX (model->report.asked, 1));
+}
+
+static void
+sum_up (Model *model)
+{
+  MdlReport *report = &model->report;
+  uint64_t credit = 0;
+
+  for (uint32_t s = 0; s < model->load->seconds; s++)
+    credit += (uint64_t) report->seconds[s].in_objective * PERMILLE
+              + (uint64_t) report->seconds[s].late * LATE_CREDIT_PERMILLE;
+  report->credit_permille = (uint32_t) (credit / MAX (report->asked, 1));
+  report->warm_permille = (uint32_t) (model->warm_runs * PERMILLE / MAX (model->runs, 1));
+  report->bound_permille = bound_permille (model);
+}
+
+MdlReport
+mdl_replay (const MdlLoad *load, MdlPolicy policy, uint32_t seed)
+{
+  Model model = { .load = load, .policy = policy, .random = g_rand_new_with_seed (seed) };
+  uint64_t end_ms = (uint64_t) load->seconds * 1000 + load->timeout_ms;
+
+  build (&model);
+  for (; model.now_ms < end_ms; model.now_ms += STEP_MS)
+    {
+      step_faults (&model);
+      step_views (&model);
+      step_census (&model);
+      for (uint32_t i = 0; i < model.up_count; i++)
+        step_upstream (&model, &model.ups[i]);
+      step_travelling (&model);
+      for (uint32_t v = 0; v < model.vm_count; v++)
+        step_waiting (&model, &model.vms[v]);
+      step_callers (&model);
+    }
+  sum_up (&model);
+  take_down (&model);
+  return model.report;
+}
--- /dev/null
+++ b/tools/mdl.h
@@ -0,0 +1,91 @@
+/* Model of upstreams, nodes and callers in which the node's decisions are replayed. */
+#pragma once
+
+#include "cen.h"
+#include "plc.h"
+#include "ups.h"
+
+#define MDL_SECONDS_MAX 120
+
+/** typedef MdlPolicy - who decides where a request goes */
+typedef enum
+{
+  MDL_PRODUCT,
+  MDL_RANDOM_FIFO,
+  MDL_REFUSE_WHEN_FULL,
+} MdlPolicy;
+
+/**
+ * struct MdlLoad - a load pattern
+ * @upstreams: upstreams of each region
+ * @nodes: nodes of each region; callers are spread evenly over the nodes
+ * @slots: requests that an upstream runs at a time
+ * @queue: requests that wait at an upstream before it sheds
+ * @keeps: objects that an upstream is fast for, the last ones it handled
+ * @hot_permille: share of the requests that concern one object
+ * @swing_permille: how far the rate rises and falls around its mean, over 36 s
+ * @lost_region: region whose upstreams end at @lost_at_s and are back, knowing nothing, 4 s later;
+ *   REGIONS_MAX for none
+ * @slow_permille: share of the upstreams whose work takes five times as long
+ * @view_ms: age that views of other nodes reach
+ */
+typedef struct
+{
+  const char *name;
+  uint32_t upstreams[REGIONS_MAX];
+  uint32_t nodes[REGIONS_MAX];
+  uint32_t slots;
+  uint32_t queue;
+  uint32_t keeps;
+  uint32_t objects;
+  uint32_t hot_permille;
+  uint32_t rate_per_s;
+  uint32_t swing_permille;
+  uint32_t cold_ms;
+  uint32_t warm_ms;
+  uint32_t objective_ms;
+  uint32_t timeout_ms;
+  uint32_t remote_rtt_ms;
+  uint32_t view_ms;
+  uint32_t lost_region;
+  uint32_t lost_at_s;
+  uint32_t slow_permille;
+  uint32_t seconds;
+} MdlLoad;
+
+/** struct MdlSecond - requests by the second in which their callers first sent them */
+typedef struct
+{
+  uint32_t asked;
+  uint32_t in_objective;
+  uint32_t late;
+  uint32_t refused;
+} MdlSecond;
+
+/**
+ * struct MdlReport - what came of a replay
+ * @credit_permille: credit earned of the credit owed; a late answer earns a fifth
+ * @bound_permille: credit when each object were known everywhere and no slot ever idle in need
+ * @warm_permille: runs on an upstream that knew the object
+ * @sheds: requests that an upstream refused for load
+ * @most_in_upstream: most requests that one upstream had at once, running and waiting
+ */
+typedef struct
+{
+  MdlSecond seconds[MDL_SECONDS_MAX];
+  uint32_t asked;
+  uint32_t credit_permille;
+  uint32_t bound_permille;
+  uint32_t warm_permille;
+  uint32_t sheds;
+  uint32_t most_in_upstream;
+} MdlReport;
+
+/** mdl_loads() - the load patterns, ended by one without a name. */
+const MdlLoad *mdl_loads (void);
+
+/** mdl_load() - a load pattern by name or NULL. */
+const MdlLoad *mdl_load (const char *name);
+
+/** mdl_replay() - replays a load; the same for the same seed. */
+MdlReport mdl_replay (const MdlLoad *load, MdlPolicy policy, uint32_t seed);
