The entry's request path in four modules: state, answers, dispatch, start

src/req.c had 1,077 lines with several jobs. rqs holds a request's state and the entry's own answers, ans streams upstreams' answers, dsp makes attempts and lets requests wait, req starts them and handles claims. Moved only, but for the names of what is now shared and a field that nothing read.

--- /dev/null
+++ b/src/ans.c
@@ -0,0 +1,123 @@
+/* Answers of upstreams, streamed to callers as they come. */
+#include "ans.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CONTENT_RANGE_PREFIX "bytes "
+
+void
+ans_send (Req *req)
+{
+  h2o_iovec_t buf;
+
+  if (req->h2o == NULL || req->sending || req->response_ended)
+    return;
+  if (req->out->len == 0 && !req->upstream_done && !req->answer_failed)
+    return;
+  GByteArray *swap = req->in_flight_out;
+  req->in_flight_out = req->out;
+  req->out = swap;
+  g_byte_array_set_size (req->out, 0);
+  buf = h2o_iovec_init (req->in_flight_out->data, req->in_flight_out->len);
+  req->sending = true;
+  if (req->answer_failed || req->upstream_done)
+    rqs_end (req);
+  h2o_send (req->h2o, &buf, buf.len > 0 ? 1 : 0,
+            req->answer_failed   ? H2O_SEND_STATE_ERROR
+            : req->upstream_done ? H2O_SEND_STATE_FINAL
+                                 : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+/* The last piece may end the connection and with it the request, so nothing may follow. */
+void
+ans_send_or_free (Req *req)
+{
+  if (req->h2o != NULL)
+    ans_send (req);
+  else
+    rqs_free_if_done (req);
+}
+
+static void
+on_proceed (h2o_generator_t *generator, h2o_req_t *h2o)
+{
+  Req *req = (Req *) generator;
+  (void) h2o;
+
+  req->sending = false;
+  if (req->call != NULL && req->out->len < STREAM_BUFFER_MAX_BYTES)
+    hcl_resume (req->call);
+  ans_send (req);
+}
+
+static void
+on_stop (h2o_generator_t *generator, h2o_req_t *h2o)
+{
+  (void) generator;
+  (void) h2o;
+}
+
+static bool
+is_hop_header (const h2o_header_t *header)
+{
+  static const char *const names[]
+      = { "connection", "content-length",     "transfer-encoding", "keep-alive", "date",
+          "server",     "x-upstream-leaving", "x-request-not-run", NULL };
+
+  for (uint32_t i = 0; names[i] != NULL; i++)
+    if (h2o_memis (header->name->base, header->name->len, names[i], strlen (names[i])))
+      return true;
+  return false;
+}
+
+void
+ans_start (Req *req, const HclHead *head)
+{
+  req->response_started = true;
+  req->status = head->status;
+  req->content_type = hcl_header (head, "content-type");
+  req->etag = hcl_header (head, "etag");
+  req->has_length = head->has_length;
+  req->content_length = head->content_length;
+  if (req->h2o == NULL)
+    return;
+  req->h2o->res.status = head->status;
+  req->h2o->res.reason = "-";
+  req->h2o->res.content_length = head->has_length ? head->content_length : SIZE_MAX;
+  for (size_t i = 0; i < head->header_count; i++)
+    if (!is_hop_header (&head->headers[i]))
+      {
+        char *name = g_strndup (head->headers[i].name->base, head->headers[i].name->len);
+        char *value = g_strndup (head->headers[i].value.base, head->headers[i].value.len);
+        hsv_add_header (req->h2o, name, value);
+        g_free (name);
+        g_free (value);
+      }
+  hsv_add_header (req->h2o, "x-cardamom-run", "ran");
+  req->generator = (h2o_generator_t){ on_proceed, on_stop };
+  h2o_start_response (req->h2o, &req->generator);
+}
+
+/* The part must start where the answer was interrupted and belong to the same version. */
+bool
+ans_continues (const Req *req, const HclHead *head)
+{
+  char *range = hcl_header (head, "content-range");
+  char *etag = hcl_header (head, "etag");
+  bool ok = head->status == 206 && range != NULL && etag != NULL && strcmp (etag, req->etag) == 0
+            && g_str_has_prefix (range, CONTENT_RANGE_PREFIX)
+            && strtoull (range + strlen (CONTENT_RANGE_PREFIX), NULL, 10) == req->received;
+
+  g_free (range);
+  g_free (etag);
+  return ok;
+}
+
+bool
+ans_is_complete (const Req *req)
+{
+  return !req->answer_failed
+         && (!req->has_length || strcmp (req->method, "HEAD") == 0
+             || req->received == req->content_length);
+}
--- /dev/null
+++ b/src/dsp.c
@@ -0,0 +1,467 @@
+/* Dispatch of requests: attempts on upstreams, what follows from their ends, and waiting for room.
+ */
+#include "dsp.h"
+
+#include "ans.h"
+#include "crs.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define CALLER_QUEUE_SHARE 4
+
+/* ---- Ends of attempts ---- */
+
+/* Attempts that upstreams refused for load are bounded by the retry budget and the waiting time. */
+static bool
+has_attempts_left (const Req *req)
+{
+  return req->attempts - req->sheds < ATTEMPTS_MAX;
+}
+
+/* A request that may have run is repeated only within the budget of the moment. */
+static void
+try_again_elsewhere (Req *req)
+{
+  rqs_step (req, REQ_FAILED_IDEMPOTENT);
+  req->waits_until_ms = 0;
+  if (req->h2o == NULL)
+    rqs_free_if_done (req);
+  else if (rqs_deadline_passed (req))
+    rqs_answer (req, 504, rqs_run_so_far (req), "deadline passed\n");
+  else if (!has_attempts_left (req) || !rty_take (&req->service->retries))
+    rqs_refuse (req, "upstreams failed\n");
+  else
+    {
+      req->entry->counters.retries++;
+      dsp_request (req);
+    }
+}
+
+/* A request that has not run waits for room and for the retry budget. */
+static void
+wait_after_not_run (Req *req, const char *reason)
+{
+  rqs_step (req, REQ_NOT_RUN);
+  req->owes_retry = true;
+  if (req->h2o == NULL)
+    rqs_free_if_done (req);
+  else if (rqs_deadline_passed (req))
+    rqs_answer (req, 504, rqs_run_so_far (req), "deadline passed\n");
+  else if (!has_attempts_left (req))
+    rqs_refuse (req, reason);
+  else
+    dsp_request (req);
+}
+
+static void
+on_hold_over (uv_timer_t *timer)
+{
+  Req *req = timer->data;
+
+  req->entry->counters.poison_refused++;
+  rqs_answer (req, 422, RUN_MAY_HAVE_RUN, "request crashes upstreams\n");
+}
+
+static void
+fail_before_head (Req *req, HclOutcome outcome)
+{
+  req->may_have_run = true;
+  if (req->idempotent && !(outcome == HCL_LOST && rqs_is_poison (req)))
+    {
+      try_again_elsewhere (req);
+      return;
+    }
+  if (req->h2o != NULL && rqs_is_poison (req))
+    uv_timer_start (req->timer, on_hold_over, POISON_SPREAD_MS, 0);
+  else
+    rqs_answer (req, 502, RUN_MAY_HAVE_RUN, "upstream gave no answer\n");
+}
+
+static bool
+can_resume (const Req *req)
+{
+  return req->h2o != NULL && strcmp (req->method, "GET") == 0 && req->status == 200
+         && req->etag != NULL && req->etag[0] == '"' && req->has_length
+         && req->attempts < ATTEMPTS_MAX && !rqs_deadline_passed (req);
+}
+
+static void
+fail_within_body (Req *req)
+{
+  if (can_resume (req) && !rqs_is_poison (req) && rty_take (&req->service->retries))
+    {
+      rqs_step (req, REQ_INTERRUPTED);
+      req->entry->counters.resumed_downloads++;
+      dsp_request (req);
+      return;
+    }
+  req->entry->counters.cut_answers++;
+  rqs_step (req, REQ_CUT);
+  req->answer_failed = true;
+  ans_send_or_free (req);
+}
+
+static void
+finish_answer (Req *req)
+{
+  Entry *entry = req->entry;
+
+  rqs_step (req, REQ_FINISHED);
+  entry->counters.answered++;
+  met_observe (&entry->latency, (uint64_t) g_get_monotonic_time () - req->started_us);
+  if (req->claim != NULL)
+    {
+      ClmAnswer answer
+          = { .status = req->status,
+              .content_type = req->content_type,
+              .body
+              = req->received <= CLAIM_ANSWER_MAX_BYTES ? (const char *) req->kept->data : NULL,
+              .size = req->kept->len };
+      if (answer.body == NULL && req->received == 0)
+        answer.body = "";
+      clm_finish (req->claim, &answer);
+      req->claim = NULL;
+    }
+  req->upstream_done = true;
+  ans_send_or_free (req);
+}
+
+/* ---- Callbacks of the upstream's call ---- */
+
+static bool
+has_header (const HclHead *head, const char *name)
+{
+  char *value = hcl_header (head, name);
+  bool found = value != NULL;
+
+  g_free (value);
+  return found;
+}
+
+static void
+on_head (void *user, HclCall *call, const HclHead *head)
+{
+  Req *req = user;
+
+  if (has_header (head, "x-upstream-leaving"))
+    esv_saw_leaving (req->entry, req->upstream);
+  if (req->response_started)
+    {
+      if (!ans_continues (req, head))
+        req->answer_failed = true;
+      return;
+    }
+  if (head->status == 503 && has_header (head, "x-request-not-run"))
+    {
+      req->entry->counters.sheds++;
+      req->sheds++;
+      hlt_shed (&req->upstream->health, entry_now_ms (req->entry));
+      return;
+    }
+  rqs_step (req, REQ_HEAD);
+  uv_timer_stop (req->timer);
+  ans_start (req, head);
+  (void) call;
+}
+
+static void
+on_body (void *user, HclCall *call, const char *data, size_t size)
+{
+  Req *req = user;
+
+  if (!req->response_started || req->answer_failed)
+    return;
+  req->received += size;
+  req->usage->bytes += size;
+  if (req->claim != NULL && req->received <= CLAIM_ANSWER_MAX_BYTES)
+    g_byte_array_append (req->kept, (const guint8 *) data, (guint) size);
+  if (req->h2o == NULL)
+    return;
+  g_byte_array_append (req->out, (const guint8 *) data, (guint) size);
+  ans_send (req);
+  if (req->out->len >= STREAM_BUFFER_MAX_BYTES)
+    hcl_pause (call);
+}
+
+static void
+judge_end (Req *req, HclOutcome outcome)
+{
+  if (outcome == HCL_DONE && req->response_started && ans_is_complete (req))
+    {
+      if (req->crashes == 0)
+        poi_clear_suspect (&req->entry->poison, req->fingerprint);
+      finish_answer (req);
+    }
+  else if (req->response_started)
+    fail_within_body (req);
+  else if (outcome == HCL_LOST || outcome == HCL_TIMEOUT)
+    fail_before_head (req, outcome);
+  else if (outcome == HCL_NOT_SENT)
+    wait_after_not_run (req, "no upstream could be reached\n");
+  else
+    wait_after_not_run (req, "upstreams are full\n");
+}
+
+static void
+on_checked (void *user, bool crashed)
+{
+  Req *req = user;
+
+  req->checking = false;
+  if (crashed)
+    rqs_note_crash (req);
+  if (req->h2o == NULL && req->claim == NULL)
+    rqs_free_if_done (req);
+  else
+    judge_end (req, req->outcome);
+}
+
+/* A lost connection counts against the request only when the upstream's process has ended. */
+static void
+check_crash (Req *req, HclOutcome outcome, NetAddr addr)
+{
+  req->checking = true;
+  req->outcome = outcome;
+  crs_check (req->entry->loop, addr, on_checked, req);
+}
+
+static void
+on_end (void *user, HclCall *call, HclOutcome outcome)
+{
+  Req *req = user;
+  Entry *entry = req->entry;
+  EntryService *service = req->service;
+  uint32_t zone = req->zone;
+  EntryUpstream *upstream = req->upstream;
+  NetAddr addr = upstream->addr;
+  (void) call;
+
+  req->call = NULL;
+  if (outcome == HCL_DONE)
+    hlt_request (&upstream->health, true);
+  else
+    esv_upstream_failed (entry, service, upstream);
+  rqs_free_upstream (req);
+  if (outcome == HCL_LOST || outcome == HCL_TRUNCATED)
+    check_crash (req, outcome, addr);
+  else
+    judge_end (req, outcome);
+  dsp_wake (entry, service, zone);
+}
+
+static const HclOps upstream_ops = { .on_head = on_head, .on_body = on_body, .on_end = on_end };
+
+/* ---- Dispatch ---- */
+
+static char *
+head_text (const Req *req)
+{
+  GString *head = g_string_new (NULL);
+  char text[32];
+  uint64_t left_ms = req->deadline_at_ms - entry_now_ms (req->entry);
+
+  g_string_append_printf (head, "%s %s HTTP/1.1\r\nhost: %s\r\n", req->method, req->rest,
+                          net_addr_text (req->upstream->addr, text));
+  g_string_append (head, req->headers->str);
+  g_string_append_printf (head, "x-deadline-ms: %" PRIu64 "\r\n", left_ms);
+  if (!req->idempotent)
+    g_string_append (head, "connection: close\r\n");
+  if (req->response_started)
+    g_string_append_printf (head, "range: bytes=%" PRIu64 "-\r\nif-range: %s\r\n", req->received,
+                            req->etag);
+  if (req->body->len > 0 || !req->idempotent)
+    g_string_append_printf (head, "content-length: %u\r\n", req->body->len);
+  g_string_append (head, "\r\n");
+  return g_string_free (head, FALSE);
+}
+
+/* A kept connection may have gone silent, so only a first, idempotent attempt goes on one. */
+static bool
+reuses_connection (const Req *req)
+{
+  return req->idempotent && req->attempts <= 1;
+}
+
+/* The first attempt on a kept connection leaves time for another on a new one, if one is allowed.
+ */
+static uint32_t
+head_timeout_ms (const Req *req, uint64_t left_ms)
+{
+  bool leave_time = reuses_connection (req) && rty_available (&req->service->retries);
+  uint64_t timeout_ms = leave_time ? left_ms / REUSED_HEAD_SHARE : left_ms;
+
+  return (uint32_t) CLAMP (timeout_ms, 1, HEAD_TIMEOUT_MS);
+}
+
+static void
+run_on (Req *req, EntryUpstream *upstream)
+{
+  Entry *entry = req->entry;
+  uint64_t left_ms = req->deadline_at_ms - entry_now_ms (entry);
+
+  req->upstream = upstream;
+  req->suspect = poi_crashes (&entry->poison, req->fingerprint, entry_now_ms (entry)) > 0;
+  req->attempts++;
+  g_ptr_array_add (req->tried, upstream);
+  upstream->in_flight++;
+  upstream->suspects += req->suspect;
+  req->service->holds[req->zone].in_flight++;
+  req->usage = &req->service->usage[req->group][req->zone];
+  req->usage->requests++;
+  esv_count (entry, req->usage, 1);
+  char *head = head_text (req);
+  HclSpec spec = { .addr = upstream->addr,
+                   .pool = reuses_connection (req) ? &upstream->pool : NULL,
+                   .head = head,
+                   .body = req->body->data,
+                   .body_size = req->body->len,
+                   .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                   .head_timeout_ms = head_timeout_ms (req, left_ms),
+                   .progress_timeout_ms = PROGRESS_TIMEOUT_MS,
+                   .method_is_head = strcmp (req->method, "HEAD") == 0 };
+  req->call = hcl_start (&entry->http, &spec, &upstream_ops, req);
+  g_free (head);
+}
+
+static bool
+may_start (const Req *req, uint32_t zone)
+{
+  return req->entry->baseline || bud_spare (&req->service->holds[zone]) > 0;
+}
+
+static bool
+pay_retry (Req *req)
+{
+  if (!req->owes_retry)
+    return true;
+  if (!rty_take (&req->service->retries))
+    return false;
+  req->owes_retry = false;
+  req->entry->counters.retries++;
+  return true;
+}
+
+static bool
+start_now (Req *req)
+{
+  Entry *entry = req->entry;
+  bool suspect = poi_crashes (&entry->poison, req->fingerprint, entry_now_ms (entry)) > 0;
+  EntryUpstream *upstream;
+
+  if (!may_start (req, req->zone))
+    return false;
+  /* After a wait, the upstreams that refused it may have room. */
+  upstream = esv_pick (entry, req->service, req->zone, req->queued ? NULL : req->tried, suspect);
+  if (upstream == NULL || !pay_retry (req))
+    return false;
+  if (req->state == REQ_WAITING)
+    rqs_step (req, REQ_DISPATCHED);
+  uv_timer_stop (req->timer);
+  run_on (req, upstream);
+  return true;
+}
+
+static uint32_t
+waiting_of_caller (const EntryService *service, uint32_t ip)
+{
+  uint32_t count = 0;
+
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    for (GList *item = service->waiting[z].head; item != NULL; item = item->next)
+      count += ((Req *) item->data)->caller_ip == ip;
+  return count;
+}
+
+static void
+on_wait_over (uv_timer_t *timer)
+{
+  Req *req = timer->data;
+
+  req->entry->counters.queue_timeouts++;
+  rqs_leave_queue (req);
+  if (req->response_started)
+    {
+      fail_within_body (req);
+      return;
+    }
+  if (rqs_deadline_passed (req))
+    rqs_answer (req, 504, rqs_run_so_far (req), "deadline passed\n");
+  else
+    rqs_refuse (req, "no capacity within the waiting time\n");
+}
+
+static void
+enter_queue (Req *req)
+{
+  EntryService *service = req->service;
+  uint64_t now_ms = entry_now_ms (req->entry);
+
+  if (req->waits_until_ms == 0)
+    req->waits_until_ms = MIN (now_ms + service->cfg->queue_wait_ms, req->deadline_at_ms);
+  if (service->waiting_count >= QUEUE_MAX
+      || waiting_of_caller (service, req->caller_ip) >= QUEUE_MAX / CALLER_QUEUE_SHARE)
+    {
+      if (req->response_started)
+        fail_within_body (req);
+      else
+        rqs_refuse (req, "queue is full\n");
+      return;
+    }
+  req->queued = true;
+  req->entry->counters.queued++;
+  service->waiting_count++;
+  g_queue_push_tail (&service->waiting[req->zone], req);
+  uv_timer_start (req->timer, on_wait_over, req->waits_until_ms - MIN (now_ms, req->waits_until_ms),
+                  0);
+}
+
+void
+dsp_request (Req *req)
+{
+  EntryService *service = req->service;
+  PlnGroup *group = &service->groups[req->group];
+
+  if (service->cfg == NULL)
+    {
+      rqs_refuse (req, "service is no longer declared\n");
+      return;
+    }
+  if (!group->present)
+    {
+      req->zone = ZONE_NONE;
+      rqs_refuse (req, "no plan is in force yet\n");
+      return;
+    }
+  if (rqs_is_poison (req) && !req->response_started)
+    {
+      req->entry->counters.poison_refused++;
+      rqs_answer (req, 422, rqs_run_so_far (req), "request crashes upstreams\n");
+      return;
+    }
+  req->zone = pck_zone (group->state.shares_ppm, service->credit[req->group]);
+  if (!g_queue_is_empty (&service->waiting[req->zone]) || !start_now (req))
+    enter_queue (req);
+}
+
+void
+dsp_wake (Entry *entry, EntryService *service, uint32_t zone)
+{
+  GList *item = service->waiting[zone].head;
+  (void) entry;
+
+  while (item != NULL)
+    {
+      Req *req = item->data;
+      GList *next = item->next;
+      if (!may_start (req, zone))
+        return;
+      if (start_now (req))
+        {
+          req->queued = false;
+          g_queue_delete_link (&service->waiting[zone], item);
+          service->waiting_count--;
+        }
+      item = next;
+    }
+}
--- a/src/entry.h
+++ b/src/entry.h
@@ -184,8 +184,8 @@
 /* Requests. */
 void req_start (Entry *entry, h2o_req_t *req, const char *path);
 
-/** req_wake() - dispatches waiting requests of a zone whose budget or upstreams changed. */
-void req_wake (Entry *entry, EntryService *service, uint32_t zone);
+/** dsp_wake() - dispatches waiting requests of a zone whose budget or upstreams changed. */
+void dsp_wake (Entry *entry, EntryService *service, uint32_t zone);
 
 /* Synchronisation with the steer. */
 void syn_start (Entry *entry);
--- a/src/esv.c
+++ b/src/esv.c
@@ -393,7 +393,7 @@
       for (uint32_t g = 0; g < entry->cfg->zones->len; g++)
         advance_group (entry, service, g, failed, region_of);
       for (uint32_t z = 0; z < entry->cfg->zones->len; z++)
-        req_wake (entry, service, z);
+        dsp_wake (entry, service, z);
     }
 }
 
--- a/src/lot.c
+++ b/src/lot.c
@@ -99,7 +99,7 @@
       loan->used_at_ms = entry_now_ms (ask->entry);
       ask->service->holds[loan->zone].borrowed += reply->slots;
       ask->entry->counters.loans_received += reply->slots;
-      req_wake (ask->entry, ask->service, loan->zone);
+      dsp_wake (ask->entry, ask->service, loan->zone);
     }
   g_free (ask);
 }
