--- a/src/nod.c
+++ b/src/nod.c
@@ -39,6 +39,16 @@
                                      : ZONE_NONE;
 }
 
+static void
+service_free (gpointer data)
+{
+  NodService *service = data;
+
+  cen_clear (&service->objects);
+  g_queue_clear (&service->waiting);
+  g_free (service);
+}
+
 NodService *
 nod_service (Node *node, const char *name)
 {
@@ -82,7 +92,7 @@
   log_set_nonblocking (&node->log);
   node->started_at_ms = clk_now_ms ();
   node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   node->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (uint32_t i = 0; i < ZONES_MAX; i++)
     node->zone_rtt_ms[i] = UINT32_MAX;
@@ -424,3 +434,18 @@
   log_event (&node->log, LOG_INFO, "started", "zone=%s", node->set.zone);
   return true;
 }
+
+void
+nod_clear (Node *node)
+{
+  if (node->peers.client != NULL)
+    per_clear (&node->peers);
+  ups_clear (&node->upstreams);
+  poi_clear (&node->poison);
+  ucn_ctx_clear (&node->ucn);
+  g_hash_table_unref (node->evacuated);
+  g_hash_table_unref (node->services);
+  g_hash_table_unref (node->work);
+  if (node->table != NULL)
+    rtt_unref (node->table);
+}
--- a/src/nod.h
+++ b/src/nod.h
@@ -160,6 +160,9 @@
  * address cannot be used. */
 bool nod_start (Node *node, HsvHandler on_lookup, Err *err);
 
+/** nod_clear() - releases the state after the loop has ended. */
+void nod_clear (Node *node);
+
 /** nod_stop() - begins a graceful stop; the loop ends when it is over. */
 void nod_stop (Node *node);
 
--- a/src/onc.c
+++ b/src/onc.c
@@ -463,6 +463,13 @@
   return client;
 }
 
+void
+onc_client_free (OncClient *client)
+{
+  g_hash_table_unref (client->conns);
+  g_free (client);
+}
+
 static bool
 encode_call (char *data, size_t room, uint32_t xid, uint32_t number, xdrproc_t xdr_args, void *args,
              uint32_t *size)
--- a/src/onc.h
+++ b/src/onc.h
@@ -38,6 +38,9 @@
 /** onc_client_new() - a set of connections, one for each peer that is called. */
 OncClient *onc_client_new (uv_loop_t *loop);
 
+/** onc_client_free() - releases the set after the loop has ended. */
+void onc_client_free (OncClient *client);
+
 /**
  * onc_call() - calls a procedure; connections are kept and closed after RPC_IDLE_MS unused
  *
--- a/src/per.c
+++ b/src/per.c
@@ -589,3 +589,12 @@
   uv_udp_recv_start (&per->udp, on_alloc, on_view);
   return true;
 }
+
+void
+per_clear (Per *per)
+{
+  g_hash_table_unref (per->peers);
+  rep_clear (&per->rep);
+  onc_client_free (per->client);
+  g_free (per->buffer);
+}
--- a/src/per.h
+++ b/src/per.h
@@ -96,6 +96,9 @@
 /** per_start() - listens for views and fetches on the own address. */
 bool per_start (Per *per, uv_loop_t *loop, Err *err);
 
+/** per_clear() - releases the state after the loop has ended. */
+void per_clear (Per *per);
+
 /** per_tick() - sends views that are due and fetches what a peer knows better. */
 void per_tick (Per *per, uint64_t now_ms);
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -9,5 +9,4 @@
   echo "known red:"; cat KNOWN-RED.txt
   exclude=(-E "^($(tr '\n' '|' <<<"$known" | sed 's/|$//'))$")
 fi
-export ASAN_OPTIONS=detect_leaks=0
 ctest --test-dir "$build" --output-on-failure -j "${TEST_JOBS:-4}" "${exclude[@]}"
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -32,7 +32,7 @@
     node_->log.out = fopen ("/dev/null", "w");
     node_->log.level = LOG_ERROR;
     node_->set.zones = g_array_new (FALSE, TRUE, sizeof (NodZone));
-    node_->set.regions = g_ptr_array_new ();
+    node_->set.regions = g_ptr_array_new_with_free_func (g_free);
     g_strlcpy (node_->set.vm, "vm-self", sizeof node_->set.vm);
     for (uint32_t r = 0; r < 3; r++)
       {
@@ -44,7 +44,7 @@
       }
     nod_init (node_, &loop_);
     node_->started_at_ms = 1;
-    node_->peers.peers = g_hash_table_new (g_str_hash, g_str_equal);
+    node_->peers.peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
     node_->table = rtt_new (1);
     route_ = rtt_add_route (node_->table, "route");
     route_->objective_ms = 600;
@@ -52,6 +52,19 @@
     AddPeers ();
   }
 
+  void
+  TearDown () override
+  {
+    g_hash_table_unref (node_->peers.peers);
+    nod_clear (node_);
+    g_array_unref (node_->set.zones);
+    g_ptr_array_unref (node_->set.regions);
+    fclose (node_->log.out);
+    g_free (node_);
+    uv_run (&loop_, UV_RUN_DEFAULT);
+    uv_loop_close (&loop_);
+  }
+
   void
   AddPeers ()
   {
