--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -285,12 +285,14 @@
     caller.join ();
   EXPECT_TRUE (WaitUntil (15000, [this] { return ServedAtEnd () >= 0.9; })) << "seed " << seed_;
   int answered = 0;
+  int unreached = 0; // at nodes that were down, which callers ask again at once
   for (const auto &[name, status] : ledger_.statuses)
     {
       bool post = name[0] == 'p';
       auto found = ledger_.runs.find (name.substr (1));
       int runs = found != ledger_.runs.end () ? found->second : 0;
       answered += status == 200;
+      unreached += status == 0;
       EXPECT_TRUE (!post || runs <= 1) << name << " ran " << runs << " times, seed " << seed_;
       EXPECT_TRUE (!post || status != 503 || runs == 0)
           << name << " was refused but ran, seed " << seed_;
@@ -299,5 +301,6 @@
     ADD_FAILURE () << wrong << ", seed " << seed_;
   EXPECT_GT (answered, static_cast<int> (ledger_.statuses.size ()) / 2) << "seed " << seed_;
   RecordProperty ("requests", static_cast<int> (ledger_.statuses.size ()));
-  printf ("soak: seed %u, %zu requests, %d answered\n", seed_, ledger_.statuses.size (), answered);
+  printf ("soak: seed %u, %zu requests, %d answered, %d unreached\n", seed_,
+          ledger_.statuses.size (), answered, unreached);
 }
