--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -34,6 +34,21 @@
   return sum;
 }
 
+// The first upstream of each zone is slow and says that it is idle, the others that they are full.
+void
+ReportFalsely (Cluster &cluster)
+{
+  for (const std::string &id : cluster.Upstreams ())
+    cluster.Control (id, id.back () == '0' ? "false_load=0&service_ms=80" : "false_load=1000");
+}
+
+void
+ExpectAtMostInFlight (Cluster &cluster, long most)
+{
+  for (const std::string &id : cluster.Upstreams ())
+    EXPECT_LE (cluster.Count (id, "max_in_flight"), most);
+}
+
 TEST (RequestPath, ServesEverythingWhenNothingFails)
 {
   Cluster cluster ({});
@@ -366,13 +381,11 @@
   options.service_ms = 20;
   Cluster cluster (options);
   ASSERT_TRUE (cluster.WaitServing ());
-  for (const std::string &id : cluster.Upstreams ())
-    cluster.Control (id, id.back () == '0' ? "false_load=0&service_ms=80" : "false_load=1000");
+  ReportFalsely (cluster);
   Report report = cluster.Load ({ "--rate=80", "--seconds=5", "--downloads-pct=0" });
   ExpectPromises (report);
   EXPECT_EQ (report["requests"], report["ok"]);
-  for (const std::string &id : cluster.Upstreams ())
-    EXPECT_LE (cluster.Count (id, "max_in_flight"), 4);
+  ExpectAtMostInFlight (cluster, 4);
 }
 
 // Requests that arrive together meet upstreams that other entries have filled in the same moment.
@@ -384,8 +397,7 @@
   options.service_ms = 20;
   Cluster cluster (options);
   ASSERT_TRUE (cluster.WaitServing ());
-  for (const std::string &id : cluster.Upstreams ())
-    cluster.Control (id, id.back () == '0' ? "false_load=0&service_ms=80" : "false_load=1000");
+  ReportFalsely (cluster);
   cluster.StartLoad ("load", { "--rate=80", "--seconds=5", "--posts-pct=0", "--downloads-pct=0" });
   for (int i = 0; i < 4; i++)
     {
@@ -397,8 +409,7 @@
   Report report = cluster.FinishLoad ("load");
   ExpectPromises (report);
   EXPECT_EQ (report["requests"], report["ok"]);
-  for (const std::string &id : cluster.Upstreams ())
-    EXPECT_LE (cluster.Count (id, "max_in_flight"), 4);
+  ExpectAtMostInFlight (cluster, 4);
 }
 
 TEST (RequestPath, BadRequestsAreRefusedClearly)
