--- a/src/plc.c
+++ b/src/plc.c
@@ -94,6 +94,8 @@
     return 0;
   const Ranks *region = &ranks[candidate->region];
   uint32_t score = score_of (request->key, candidate->hash);
+  if (score < region->second)
+    return 0;
   bool known = knows_object (candidate, request->key);
   bool first = score >= region->first;
   bool deputy = score >= region->second && candidate->region == request->home_region
