--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -34,6 +34,16 @@
   return sum;
 }
 
+Options
+FewSlots ()
+{
+  Options options;
+  options.upstreams_per_zone = 2;
+  options.slots = 4;
+  options.service_ms = 20;
+  return options;
+}
+
 // The first upstream of each zone is slow and says that it is idle, the others that they are full.
 void
 ReportFalsely (Cluster &cluster)
@@ -375,11 +385,7 @@
 
 TEST (RequestPath, FalseIdleReportOverloadsNothing)
 {
-  Options options;
-  options.upstreams_per_zone = 2;
-  options.slots = 4;
-  options.service_ms = 20;
-  Cluster cluster (options);
+  Cluster cluster (FewSlots ());
   ASSERT_TRUE (cluster.WaitServing ());
   ReportFalsely (cluster);
   Report report = cluster.Load ({ "--rate=80", "--seconds=5", "--downloads-pct=0" });
@@ -391,11 +397,7 @@
 // Requests that arrive together meet upstreams that other entries have filled in the same moment.
 TEST (RequestPath, RequestsThatArriveTogetherWaitForRoom)
 {
-  Options options;
-  options.upstreams_per_zone = 2;
-  options.slots = 4;
-  options.service_ms = 20;
-  Cluster cluster (options);
+  Cluster cluster (FewSlots ());
   ASSERT_TRUE (cluster.WaitServing ());
   ReportFalsely (cluster);
   cluster.StartLoad ("load", { "--rate=80", "--seconds=5", "--posts-pct=0", "--downloads-pct=0" });
