--- /dev/null
+++ b/src/exc.c
@@ -0,0 +1,56 @@
+/* Exchange between nodes: takes messages and sends what is due. */
+#include "exc.h"
+
+#include "nws.h"
+#include "sum.h"
+#include "vws.h"
+
+#define RESUM_MS 1000
+
+static void
+take_message (Per *per, peer_message *message, NetAddr from, uint64_t now_ms)
+{
+  switch (message->kind)
+    {
+    case PEER_VIEW:
+      vws_take (per, &message->peer_message_u.view, from, now_ms);
+      break;
+    case PEER_SUMMARY:
+      sum_take (per, &message->peer_message_u.summary, from, now_ms);
+      break;
+    case PEER_NEWS:
+      nws_take (per, &message->peer_message_u.news, from, now_ms);
+      break;
+    }
+}
+
+void
+exc_take (Per *per, const char *data, uint32_t size, NetAddr from, uint64_t now_ms)
+{
+  peer_message message = { 0 };
+  XDR xdr;
+
+  per->received++;
+  per->received_bytes += size;
+  xdrmem_create (&xdr, (char *) data, size, XDR_DECODE);
+  if (xdr_peer_message (&xdr, &message))
+    take_message (per, &message, from, now_ms);
+  else
+    per->garbled++;
+  xdr_free ((xdrproc_t) xdr_peer_message, (char *) &message);
+  xdr_destroy (&xdr);
+}
+
+void
+exc_tick (Per *per, uint64_t now_ms)
+{
+  per_forgive_pause (per, now_ms);
+  per_arrange (per, now_ms);
+  vws_tick (per, now_ms);
+  sum_tick (per, now_ms);
+  if (now_ms - per->summed_at_ms < RESUM_MS)
+    return;
+  per->summed_at_ms = now_ms;
+  vws_sum (per, now_ms);
+  sum_add_all (per, now_ms);
+}
--- a/src/lim.h
+++ b/src/lim.h
@@ -152,15 +152,37 @@
 #define RBG_SLOT_MS 1000
 #define RBG_SLOTS 16
 
+/* Overlay of the nodes: up to OVL_FLAT_MAX nodes send each other views; more do so within a zone.
+ */
+#define OVL_FLAT_MAX 100
+#define OVL_FANOUT 4
+#define OVL_HEADS 2
+
 /* Views exchanged between nodes. */
 #define PER_TICK_MS 100
 #define PER_BEAT_MS 500
 #define PER_LOST_MS 3000
+#define PER_FAR_LOST_MS 4000
+#define PER_FORGOTTEN_MS 30000
+#define PER_FORGOTTEN_BEAT_MS 5000
 #define PER_DATAGRAM_MAX_BYTES 16384
 #define PER_SENDS_PER_S 120
 #define PER_NEWS_MS 250
 #define PER_RECENT_MS 700
 #define PER_STEP_IN_MS 100
+#define PER_SETTLING_HEARD_MS 700
+
+/* Summaries of a zone. */
+#define SUM_PERIOD_MS 500
+#define SUM_LOST_MS 4000
+#define SUM_MEMBERS_MAX 128
+
+/* News of changes. */
+#define NWS_DATAGRAM_BYTES (8u * 1024u)
+#define NWS_DATAGRAMS_MAX 8
+#define NWS_WAIT_MS 80
+#define NWS_WATCHER_WAIT_MS 300
+#define NWS_NEXT_FETCH_MS 300
 
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
--- a/src/nod.c
+++ b/src/nod.c
@@ -2,8 +2,10 @@
 #include "nod.h"
 
 #include "cld.h"
+#include "exc.h"
 #include "fwd.h"
 #include "nst.h"
+#include "wch.h"
 
 #include <string.h>
 
@@ -269,7 +271,7 @@
   if (ok != node->store_lost)
     return;
   node->store_lost = !ok;
-  if (ok && !per_store_is_heard (&node->peers, clk_now_ms ()))
+  if (ok && !wch_store_is_heard (&node->peers, clk_now_ms ()))
     {
       node->store_back_ms = clk_now_ms ();
       node->peers.self.settling = true;
@@ -357,7 +359,7 @@
   fwd_tick (node);
   if (now_ms - node->peers.ticked_at_ms + TICK_MS / 2 >= PER_TICK_MS)
     {
-      per_tick (&node->peers, now_ms);
+      exc_tick (&node->peers, now_ms);
       remove_missing (node, now_ms);
       nod_share_cold (node, now_ms);
       if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
@@ -392,6 +394,7 @@
   self->zone_index = node->set.zone_index;
   self->front = node->set.front;
   self->addr = node->set.peer;
+  self->capacity = node->set.capacity;
   self->incarnation = (uint64_t) g_get_real_time ();
   node->peers.log = &node->log;
   node->peers.zone_of = zone_of_peer;
@@ -418,7 +421,8 @@
 nod_start (Node *node, HsvHandler on_lookup, Err *err)
 {
   name_self (node);
-  if (!per_start (&node->peers, node->loop, err))
+  per_init (&node->peers);
+  if (!ptr_start (&node->transport, &node->peers, node->loop, err))
     return false;
   node->front = hsv_start (node->loop, node->set.front, on_front, node, err);
   node->ready
@@ -438,8 +442,8 @@
 void
 nod_clear (Node *node)
 {
-  if (node->peers.client != NULL)
-    per_clear (&node->peers);
+  ptr_clear (&node->transport);
+  per_clear (&node->peers);
   ups_clear (&node->upstreams);
   poi_clear (&node->poison);
   ucn_ctx_clear (&node->ucn);
--- a/src/nod.h
+++ b/src/nod.h
@@ -8,6 +8,7 @@
 #include "met.h"
 #include "per.h"
 #include "poi.h"
+#include "ptr.h"
 #include "rbg.h"
 #include "rtt.h"
 #include "shr.h"
@@ -45,6 +46,7 @@
 
 /**
  * struct NodSettings - settings of a node
+ * @capacity: processors of the VM in thousandths of a core
  * @grace_ms: time between the request to stop and the forced end
  * @lookup_ttl_ms: how long callers may keep a look-up's answer
  * @shift_permille: cap on the change of a region's share of requests within two seconds
@@ -64,6 +66,7 @@
   uint32_t region_index;
   RbgLimits retry;
   uint32_t shift_permille;
+  uint32_t capacity;
   uint32_t grace_ms;
   uint32_t lookup_ttl_ms;
 } NodSettings;
@@ -137,6 +140,7 @@
   UcnCtx ucn;
   UpsBook upstreams;
   Per peers;
+  Ptr transport;
   PoiTable poison;
   RttTable *table;
   GHashTable *evacuated;
--- a/src/nst.c
+++ b/src/nst.c
@@ -43,7 +43,13 @@
   met_write_value (out, PREFIX "upstreams", NULL, g_hash_table_size (node->upstreams.by_id));
   met_write_value (out, PREFIX "connections_opened_total", NULL, node->ucn.opened);
   met_write_value (out, PREFIX "connections_reused_total", NULL, node->ucn.reused);
-  met_write_value (out, PREFIX "views_sent_total", NULL, node->peers.sent);
+  met_write_value (out, PREFIX "messages_sent_total", NULL, node->peers.sent);
+  met_write_value (out, PREFIX "message_bytes_sent_total", NULL, node->peers.sent_bytes);
+  met_write_value (out, PREFIX "messages_received_total", NULL, node->peers.received);
+  met_write_value (out, PREFIX "message_bytes_received_total", NULL, node->peers.received_bytes);
+  met_write_value (out, PREFIX "messages_garbled_total", NULL, node->peers.garbled);
+  met_write_value (out, PREFIX "message_send_failures_total", NULL, node->peers.send_failures);
+  met_write_value (out, PREFIX "news_sent_total", NULL, node->peers.news_sent);
   met_write_value (out, PREFIX "objects_fetched_total", NULL, node->peers.fetches);
   met_write_value (out, PREFIX "configuration_version", NULL,
                    node->table != NULL ? node->table->version : 0);
--- /dev/null
+++ b/src/nws.c
@@ -0,0 +1,249 @@
+/* News of changed objects: pushed from node to node, fetched from a peer where some are missing. */
+#include "nws.h"
+
+#include <string.h>
+
+#define FETCH_TIMEOUT_MS 1000
+#define FETCH_LARGE_TIMEOUT_MS 4000
+#define FETCH_MOST_BYTES (48u * 1024u)
+#define TARGETS_MAX (OVL_FANOUT + OVL_HEADS * (ZONES_MAX + 1))
+
+/* ---- Objects on the wire ---- */
+
+static void
+collect_object (void *user, const Obj *obj)
+{
+  peer_object object = { .name = strdup (obj->path),
+                         .revision = obj->revision,
+                         .deleted = obj->deleted,
+                         .value = strdup (obj->value != NULL ? obj->value : "") };
+
+  g_array_append_val ((GArray *) user, object);
+}
+
+static void
+take_objects (Per *per, RepKind *kind, const peer_object *objects, u_int count)
+{
+  for (u_int i = 0; i < count; i++)
+    rep_take (&per->rep, kind, objects[i].name, objects[i].revision, objects[i].deleted,
+              objects[i].value);
+}
+
+/* ---- Fetching objects from a peer ---- */
+
+typedef struct
+{
+  Per *per;
+  RepKind *kind;
+} Fetch;
+
+/* Large objects come from the store, whose link is wide; from a peer only when there is no store.
+ */
+static void
+read_large (Per *per, RepKind *kind)
+{
+  kind->any_size = per->read_store == NULL || !per->read_store (per->reader, kind->name);
+}
+
+static void
+on_fetched (void *user, const void *result)
+{
+  Fetch *fetch = user;
+  const peer_fetch_reply *reply = result;
+
+  fetch->kind->fetched_at_ms = 0;
+  fetch->kind->behind_since_ms = 0;
+  if (reply != NULL && reply->too_large)
+    read_large (fetch->per, fetch->kind);
+  else if (reply != NULL)
+    {
+      take_objects (fetch->per, fetch->kind, reply->objects.objects_val,
+                    reply->objects.objects_len);
+      nws_push (fetch->per, false);
+    }
+  g_free (fetch);
+}
+
+static void
+fetch_from (Per *per, NetAddr peer, RepKind *kind, uint64_t now_ms)
+{
+  uint32_t timeout_ms = kind->any_size ? FETCH_LARGE_TIMEOUT_MS : FETCH_TIMEOUT_MS;
+  peer_fetch_args args = { .kind = kind->name,
+                           .since = kind->changed,
+                           .most_bytes = kind->any_size ? UINT32_MAX : FETCH_MOST_BYTES };
+  Fetch *fetch = g_new (Fetch, 1);
+
+  *fetch = (Fetch){ .per = per, .kind = kind };
+  kind->fetched_at_ms = now_ms;
+  kind->any_size = false;
+  per->fetches++;
+  per->transport.fetch (per->transport.user, peer, &args, timeout_ms, on_fetched, fetch);
+}
+
+/* A peer that does not answer at once is not waited for. */
+static bool
+is_fetching (const RepKind *kind, uint64_t now_ms)
+{
+  return kind->fetched_at_ms != 0 && now_ms - kind->fetched_at_ms < NWS_NEXT_FETCH_MS;
+}
+
+/* News come by themselves as a rule, and a node that watches the store hears of them there. */
+void
+nws_compare (Per *per, const peer_revision *revisions, u_int count, NetAddr from, uint64_t now_ms)
+{
+  uint32_t wait_ms = per->self.watch == PER_WATCH_HEALTHY ? NWS_WATCHER_WAIT_MS : NWS_WAIT_MS;
+
+  for (u_int i = 0; i < count; i++)
+    {
+      RepKind *kind = rep_find (&per->rep, revisions[i].kind);
+      if (kind == NULL || revisions[i].revision <= kind->changed || is_fetching (kind, now_ms))
+        continue;
+      if (kind->behind_since_ms == 0)
+        kind->behind_since_ms = now_ms;
+      if (now_ms - kind->behind_since_ms >= wait_ms)
+        fetch_from (per, from, kind, now_ms);
+    }
+}
+
+/* What is not told now is asked for next; one change that is too large comes from the store. */
+void
+nws_answer (const Per *per, const peer_fetch_args *wanted, peer_fetch_reply *reply)
+{
+  RepKind *kind = rep_find (&per->rep, wanted->kind);
+  GArray *objects = g_array_new (FALSE, FALSE, sizeof (peer_object));
+
+  if (kind != NULL)
+    reply->revision
+        = obj_part_since (&kind->table, wanted->since, wanted->most_bytes, collect_object, objects);
+  reply->too_large
+      = kind != NULL && kind->changed > wanted->since && reply->revision == wanted->since;
+  reply->objects.objects_len = objects->len;
+  reply->objects.objects_val = malloc (MAX (objects->len, 1) * sizeof (peer_object));
+  memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
+  g_array_unref (objects);
+}
+
+/* ---- Pushing ---- */
+
+static void
+add_target (PerPeer **targets, uint32_t *count, PerPeer *peer)
+{
+  for (uint32_t i = 0; i < *count; i++)
+    if (targets[i] == peer)
+      return;
+  if (*count < TARGETS_MAX)
+    targets[(*count)++] = peer;
+}
+
+/* Position of a node in its cell's order, which counts the own one as well. */
+static PerPeer *
+at_position (const Per *per, uint32_t position)
+{
+  if (position == per->rank)
+    return NULL;
+  return g_ptr_array_index (per->near, position > per->rank ? position - 1 : position);
+}
+
+static uint32_t
+find_targets (const Per *per, bool from_store, PerPeer **targets)
+{
+  uint32_t positions[OVL_FANOUT + OVL_HEADS];
+  uint32_t cell = per->near->len + 1;
+  uint32_t found = ovl_children (per->rank, cell, positions);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; from_store && i < MIN (OVL_HEADS, cell); i++)
+    positions[found++] = i;
+  for (uint32_t i = 0; i < found; i++)
+    {
+      PerPeer *peer = at_position (per, positions[i]);
+      if (peer != NULL)
+        add_target (targets, &count, peer);
+    }
+  for (guint i = 0; from_store && i < per->heads->len; i++)
+    add_target (targets, &count, g_ptr_array_index (per->heads, i));
+  return count;
+}
+
+static void
+free_objects (GArray *objects)
+{
+  for (guint i = 0; i < objects->len; i++)
+    xdr_free ((xdrproc_t) xdr_peer_object, &g_array_index (objects, peer_object, i));
+  g_array_unref (objects);
+}
+
+static bool
+send_news (Per *per, const RepKind *kind, uint64_t revision, const GArray *objects,
+           PerPeer *const *targets, uint32_t count)
+{
+  peer_message message = { .kind = PEER_NEWS };
+  peer_news *news = &message.peer_message_u.news;
+
+  news->kind = (char *) kind->name;
+  news->since = kind->pushed;
+  news->revision = revision;
+  news->settling = per_any_settling (per, per->ticked_at_ms);
+  news->told = objects != NULL;
+  news->objects.objects_val = objects != NULL ? (peer_object *) (void *) objects->data : NULL;
+  news->objects.objects_len = objects != NULL ? objects->len : 0;
+  per->news_sent += count;
+  return per_send (per, &message, targets, count);
+}
+
+/* Sends what changed after what was pushed, as far as it fits; false when nothing does. */
+static bool
+push_part (Per *per, RepKind *kind, PerPeer *const *targets, uint32_t count)
+{
+  GArray *objects = g_array_new (FALSE, FALSE, sizeof (peer_object));
+  uint64_t revision
+      = obj_part_since (&kind->table, kind->pushed, NWS_DATAGRAM_BYTES, collect_object, objects);
+  bool sent = revision > kind->pushed && send_news (per, kind, revision, objects, targets, count);
+
+  if (sent)
+    kind->pushed = revision;
+  free_objects (objects);
+  return sent;
+}
+
+/* What does not fit is fetched by those who hear of the revision. */
+static void
+push_kind (Per *per, RepKind *kind, PerPeer *const *targets, uint32_t count)
+{
+  bool is_first = kind->pushed == 0;
+  bool sent = !is_first && count > 0;
+
+  for (uint32_t part = 0; sent && part < NWS_DATAGRAMS_MAX && kind->pushed < kind->changed; part++)
+    sent = push_part (per, kind, targets, count);
+  if (!is_first && count > 0 && kind->pushed < kind->changed)
+    send_news (per, kind, kind->changed, NULL, targets, count);
+  kind->pushed = kind->changed;
+}
+
+void
+nws_push (Per *per, bool from_store)
+{
+  PerPeer *targets[TARGETS_MAX];
+  uint32_t count = find_targets (per, from_store, targets);
+
+  for (guint i = 0; i < per->rep.kinds->len; i++)
+    push_kind (per, g_ptr_array_index (per->rep.kinds, i), targets, count);
+}
+
+void
+nws_take (Per *per, const peer_news *news, NetAddr from, uint64_t now_ms)
+{
+  RepKind *kind = rep_find (&per->rep, news->kind);
+
+  per_heard_settling (per, news->settling, now_ms);
+  if (kind == NULL || news->revision <= kind->changed)
+    return;
+  if (news->told && news->since <= kind->changed)
+    {
+      kind->behind_since_ms = 0;
+      take_objects (per, kind, news->objects.objects_val, news->objects.objects_len);
+      nws_push (per, false);
+    }
+  else if (!is_fetching (kind, now_ms))
+    fetch_from (per, from, kind, now_ms);
+}
--- a/src/obj.c
+++ b/src/obj.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* Revision, lengths and padding of an object in a message. */
+#define OBJ_HEAD_BYTES 32u
+
 void
 obj_free (gpointer data)
 {
@@ -113,9 +116,9 @@
 }
 
 static size_t
-value_bytes (const Obj *obj)
+object_bytes (const Obj *obj)
 {
-  return obj->value != NULL ? strlen (obj->value) : 0;
+  return OBJ_HEAD_BYTES + strlen (obj->path) + (obj->value != NULL ? strlen (obj->value) : 0);
 }
 
 static void
@@ -137,7 +140,7 @@
   for (uint32_t i = 0; i < found->len; i++)
     {
       const Obj *obj = found->pdata[i];
-      bytes += value_bytes (obj);
+      bytes += object_bytes (obj);
       if (bytes > most_bytes && obj->revision != last)
         break;
       fn (user, obj);
--- a/src/obj.h
+++ b/src/obj.h
@@ -52,8 +52,8 @@
 /**
  * obj_part_since() - calls @fn for what changed after @revision, oldest first
  *
- * Ends before the values exceed @most_bytes, but never within one revision. Return: the revision up
- * to which nothing is missing; @revision when the first change alone is larger.
+ * Ends before the objects exceed @most_bytes, but never within one revision. Return: the revision
+ * up to which nothing is missing; @revision when the first change alone is larger.
  */
 uint64_t obj_part_since (const ObjTable *table, uint64_t revision, size_t most_bytes, ObjFn fn,
                          void *user);
--- a/src/peer.h
+++ b/src/peer.h
@@ -22,11 +22,11 @@
 };
 typedef struct peer_revision peer_revision;
 
-struct peer_load {
+struct peer_count {
 	u_int upstream;
-	u_int in_flight;
+	u_int count;
 };
-typedef struct peer_load peer_load;
+typedef struct peer_count peer_count;
 
 struct peer_crash {
 	u_quad_t fingerprint;
@@ -35,15 +35,21 @@
 };
 typedef struct peer_crash peer_crash;
 
-struct peer_view {
+struct peer_member {
 	peer_name vm;
 	peer_name zone;
 	u_int ip;
 	u_int front_port;
 	u_int peer_port;
 	u_quad_t incarnation;
+	u_int capacity;
 	u_int state;
 	u_int watch;
+};
+typedef struct peer_member peer_member;
+
+struct peer_view {
+	peer_member self;
 	bool_t settling;
 	struct {
 		u_int revisions_len;
@@ -51,7 +57,7 @@
 	} revisions;
 	struct {
 		u_int loads_len;
-		peer_load *loads_val;
+		peer_count *loads_val;
 	} loads;
 	struct {
 		u_int downs_len;
@@ -64,12 +70,38 @@
 };
 typedef struct peer_view peer_view;
 
-struct peer_fetch_args {
-	peer_name kind;
-	u_quad_t since;
-	u_int most_bytes;
+struct peer_heard {
+	peer_member member;
+	u_int age_ms;
 };
-typedef struct peer_fetch_args peer_fetch_args;
+typedef struct peer_heard peer_heard;
+
+struct peer_summary {
+	peer_name zone;
+	bool_t relay;
+	bool_t settling;
+	struct {
+		u_int revisions_len;
+		peer_revision *revisions_val;
+	} revisions;
+	struct {
+		u_int members_len;
+		peer_heard *members_val;
+	} members;
+	struct {
+		u_int loads_len;
+		peer_count *loads_val;
+	} loads;
+	struct {
+		u_int downs_len;
+		peer_count *downs_val;
+	} downs;
+	struct {
+		u_int crashes_len;
+		peer_crash *crashes_val;
+	} crashes;
+};
+typedef struct peer_summary peer_summary;
 
 struct peer_object {
 	char *name;
@@ -79,6 +111,43 @@
 };
 typedef struct peer_object peer_object;
 
+struct peer_news {
+	peer_name kind;
+	u_quad_t since;
+	u_quad_t revision;
+	bool_t told;
+	bool_t settling;
+	struct {
+		u_int objects_len;
+		peer_object *objects_val;
+	} objects;
+};
+typedef struct peer_news peer_news;
+
+enum peer_kind {
+	PEER_VIEW = 1,
+	PEER_SUMMARY = 2,
+	PEER_NEWS = 3,
+};
+typedef enum peer_kind peer_kind;
+
+struct peer_message {
+	peer_kind kind;
+	union {
+		peer_view view;
+		peer_summary summary;
+		peer_news news;
+	} peer_message_u;
+};
+typedef struct peer_message peer_message;
+
+struct peer_fetch_args {
+	peer_name kind;
+	u_quad_t since;
+	u_int most_bytes;
+};
+typedef struct peer_fetch_args peer_fetch_args;
+
 struct peer_fetch_reply {
 	u_quad_t revision;
 	bool_t too_large;
@@ -94,21 +163,33 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_name (XDR *, peer_name*);
 extern  bool_t xdr_peer_revision (XDR *, peer_revision*);
-extern  bool_t xdr_peer_load (XDR *, peer_load*);
+extern  bool_t xdr_peer_count (XDR *, peer_count*);
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
+extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_view (XDR *, peer_view*);
-extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
+extern  bool_t xdr_peer_heard (XDR *, peer_heard*);
+extern  bool_t xdr_peer_summary (XDR *, peer_summary*);
 extern  bool_t xdr_peer_object (XDR *, peer_object*);
+extern  bool_t xdr_peer_news (XDR *, peer_news*);
+extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
+extern  bool_t xdr_peer_message (XDR *, peer_message*);
+extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_fetch_reply (XDR *, peer_fetch_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_name ();
 extern bool_t xdr_peer_revision ();
-extern bool_t xdr_peer_load ();
+extern bool_t xdr_peer_count ();
 extern bool_t xdr_peer_crash ();
+extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_view ();
-extern bool_t xdr_peer_fetch_args ();
+extern bool_t xdr_peer_heard ();
+extern bool_t xdr_peer_summary ();
 extern bool_t xdr_peer_object ();
+extern bool_t xdr_peer_news ();
+extern bool_t xdr_peer_kind ();
+extern bool_t xdr_peer_message ();
+extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_fetch_reply ();
 
 #endif /* K&R C */
--- a/src/peer.x
+++ b/src/peer.x
@@ -1,4 +1,4 @@
-/* Views that nodes send each other in datagrams, and objects that they fetch from each other. */
+/* Messages that nodes send each other in datagrams, and objects that they fetch from each other. */
 
 typedef string peer_name<64>;
 
@@ -8,10 +8,10 @@
   unsigned hyper revision;
 };
 
-/* Requests in flight on one upstream, named by the hash of its id. */
-struct peer_load {
+/* A number for one upstream, which is named by the hash of its id. */
+struct peer_count {
   unsigned int upstream;
-  unsigned int in_flight;
+  unsigned int count;
 };
 
 /* A request that was lost with the upstream that ran it. */
@@ -21,31 +21,50 @@
   unsigned int age_ms;
 };
 
-/* State of a node: 0 starting, 1 serving, 2 stopping.
+/* What a node is. state: 0 starting, 1 serving, 2 stopping.
  * watch tells whether it hears of changes from the platform's store: 0 no, 1 yes, 2 in vain.
- * settling tells that it regained a store that no node could reach a moment ago.
- * downs names upstreams that do not answer it, by the hash of their ids. */
-struct peer_view {
+ * capacity is its share of processors in thousandths of a core. */
+struct peer_member {
   peer_name vm;
   peer_name zone;
   unsigned int ip;
   unsigned int front_port;
   unsigned int peer_port;
   unsigned hyper incarnation;
+  unsigned int capacity;
   unsigned int state;
   unsigned int watch;
+};
+
+/* A node's own view.
+ * settling tells that it regained a store that no node could reach a moment ago.
+ * loads are its requests in flight.
+ * downs names upstreams that do not answer it, by the hash of their ids. */
+struct peer_view {
+  peer_member self;
   bool settling;
   peer_revision revisions<16>;
-  peer_load loads<1024>;
+  peer_count loads<1024>;
   unsigned int downs<256>;
   peer_crash crashes<64>;
 };
 
-/* Asks for what changed after a revision, oldest first; an answer ends before most_bytes. */
-struct peer_fetch_args {
-  peer_name kind;
-  unsigned hyper since;
-  unsigned int most_bytes;
+/* A node that another one heard of itself, age_ms ago. */
+struct peer_heard {
+  peer_member member;
+  unsigned int age_ms;
+};
+
+/* Sums over the nodes of a zone, made by one of them. A relay passes it on in its own zone. */
+struct peer_summary {
+  peer_name zone;
+  bool relay;
+  bool settling;
+  peer_revision revisions<16>;
+  peer_heard members<256>;
+  peer_count loads<1024>;
+  peer_count downs<256>;
+  peer_crash crashes<64>;
 };
 
 struct peer_object {
@@ -55,6 +74,38 @@
   string value<1048576>;
 };
 
+/* Changes of a kind after since and up to revision; none of them when only the revision is told. */
+struct peer_news {
+  peer_name kind;
+  unsigned hyper since;
+  unsigned hyper revision;
+  bool told;
+  bool settling;
+  peer_object objects<>;
+};
+
+enum peer_kind {
+  PEER_VIEW = 1,
+  PEER_SUMMARY = 2,
+  PEER_NEWS = 3
+};
+
+union peer_message switch (peer_kind kind) {
+case PEER_VIEW:
+  peer_view view;
+case PEER_SUMMARY:
+  peer_summary summary;
+case PEER_NEWS:
+  peer_news news;
+};
+
+/* Asks for what changed after a revision, oldest first; an answer ends before most_bytes. */
+struct peer_fetch_args {
+  peer_name kind;
+  unsigned hyper since;
+  unsigned int most_bytes;
+};
+
 /* Nothing is missing up to revision. too_large tells that the first change alone is over the limit. */
 struct peer_fetch_reply {
   unsigned hyper revision;
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -28,13 +28,13 @@
 }
 
 bool_t
-xdr_peer_load (XDR *xdrs, peer_load *objp)
+xdr_peer_count (XDR *xdrs, peer_count *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_int (xdrs, &objp->upstream))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->in_flight))
+	 if (!xdr_u_int (xdrs, &objp->count))
 		 return FALSE;
 	return TRUE;
 }
@@ -54,7 +54,7 @@
 }
 
 bool_t
-xdr_peer_view (XDR *xdrs, peer_view *objp)
+xdr_peer_member (XDR *xdrs, peer_member *objp)
 {
 	register int32_t *buf;
 
@@ -82,30 +82,17 @@
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->state))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->watch))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->settling))
-				 return FALSE;
-
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->state);
-		IXDR_PUT_U_LONG(buf, objp->watch);
-		IXDR_PUT_BOOL(buf, objp->settling);
+			IXDR_PUT_U_LONG(buf, objp->capacity);
+			IXDR_PUT_U_LONG(buf, objp->state);
+			IXDR_PUT_U_LONG(buf, objp->watch);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
-			sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
-			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
-			sizeof (u_int), (xdrproc_t) xdr_u_int))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
-			sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
-			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_peer_name (xdrs, &objp->vm))
@@ -130,30 +117,17 @@
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->capacity))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->state))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->watch))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->settling))
-				 return FALSE;
-
 		} else {
-		objp->state = IXDR_GET_U_LONG(buf);
-		objp->watch = IXDR_GET_U_LONG(buf);
-		objp->settling = IXDR_GET_BOOL(buf);
+			objp->capacity = IXDR_GET_U_LONG(buf);
+			objp->state = IXDR_GET_U_LONG(buf);
+			objp->watch = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
-			sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
-			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
-			sizeof (u_int), (xdrproc_t) xdr_u_int))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
-			sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
-			 return FALSE;
 	 return TRUE;
 	}
 
@@ -169,17 +143,29 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->watch))
 		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_view (XDR *xdrs, peer_view *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_member (xdrs, &objp->self))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->settling))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 		sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
-		sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+		sizeof (peer_count), (xdrproc_t) xdr_peer_count))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -191,15 +177,42 @@
 }
 
 bool_t
-xdr_peer_fetch_args (XDR *xdrs, peer_fetch_args *objp)
+xdr_peer_heard (XDR *xdrs, peer_heard *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_peer_name (xdrs, &objp->kind))
+	 if (!xdr_peer_member (xdrs, &objp->member))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->since))
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->most_bytes))
+	return TRUE;
+}
+
+bool_t
+xdr_peer_summary (XDR *xdrs, peer_summary *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->zone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->relay))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->settling))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
+		sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, 256,
+		sizeof (peer_heard), (xdrproc_t) xdr_peer_heard))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 1024,
+		sizeof (peer_count), (xdrproc_t) xdr_peer_count))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->downs.downs_val, (u_int *) &objp->downs.downs_len, 256,
+		sizeof (peer_count), (xdrproc_t) xdr_peer_count))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
+		sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 		 return FALSE;
 	return TRUE;
 }
@@ -220,6 +233,77 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_news (XDR *xdrs, peer_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->told))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->settling))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->objects.objects_val, (u_int *) &objp->objects.objects_len, ~0,
+		sizeof (peer_object), (xdrproc_t) xdr_peer_object))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_kind (XDR *xdrs, peer_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_message (XDR *xdrs, peer_message *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case PEER_VIEW:
+		 if (!xdr_peer_view (xdrs, &objp->peer_message_u.view))
+			 return FALSE;
+		break;
+	case PEER_SUMMARY:
+		 if (!xdr_peer_summary (xdrs, &objp->peer_message_u.summary))
+			 return FALSE;
+		break;
+	case PEER_NEWS:
+		 if (!xdr_peer_news (xdrs, &objp->peer_message_u.news))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_peer_fetch_args (XDR *xdrs, peer_fetch_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_bytes))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_fetch_reply (XDR *xdrs, peer_fetch_reply *objp)
 {
--- a/src/per.c
+++ b/src/per.c
@@ -1,19 +1,9 @@
-/* Peers: the views that nodes send each other, who is alive, and objects fetched from peers. */
+/* Peers: the nodes that are known, who is alive, their and their cells. */
 #include "per.h"
 
-#include "clk.h"
-
 #include <string.h>
 
-#define PROC_FETCH 101
-#define FETCH_TIMEOUT_MS 1000
-#define FETCH_LARGE_TIMEOUT_MS 4000
-#define FETCH_MOST_BYTES (48u * 1024u)
-#define BEHIND_MS 300
-#define RESUM_MS 1000
-#define LOADS_MAX 1024
-#define DOWNS_MAX 256
-#define CRASHES_MAX 64
+#define FAR_RECENT_MS 2000
 
 /* ---- Peers ---- */
 
@@ -27,7 +17,7 @@
 }
 
 static PerPeer *
-peer_get (Per *per, const char *vm)
+peer_get (Per *per, const char *vm, uint64_t now_ms)
 {
   PerPeer *peer = g_hash_table_lookup (per->peers, vm);
 
@@ -35,25 +25,39 @@
     return peer;
   peer = g_new0 (PerPeer, 1);
   g_strlcpy (peer->vm, vm, sizeof peer->vm);
+  peer->hash = ups_hash (vm);
   peer->zone = ZONE_NONE;
+  peer->named_at_ms = now_ms;
   g_hash_table_insert (per->peers, peer->vm, peer);
   return peer;
 }
 
 void
-per_name (Per *per, const char *vm, NetAddr addr)
+per_name (Per *per, const char *vm, NetAddr addr, uint32_t zone, uint32_t capacity, uint64_t now_ms)
 {
   if (strcmp (vm, per->self.vm) == 0)
     return;
-  PerPeer *peer = peer_get (per, vm);
-  if (peer->heard_at_ms == 0)
-    peer->addr = addr;
+  PerPeer *peer = peer_get (per, vm, now_ms);
+  if (peer->heard_at_ms != 0)
+    return;
+  peer->addr = addr;
+  peer->zone = zone;
+  peer->capacity = capacity;
 }
 
 bool
 per_alive (const PerPeer *peer, uint64_t now_ms)
 {
-  return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < PER_LOST_MS;
+  uint32_t lost_ms = peer->by_summary ? PER_FAR_LOST_MS : PER_LOST_MS;
+
+  return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < lost_ms;
+}
+
+/* It has not been heard yet, but was named a moment ago. */
+static bool
+is_expected (const PerPeer *peer, uint64_t now_ms)
+{
+  return peer->heard_at_ms == 0 && now_ms - peer->named_at_ms < PER_FORGOTTEN_MS;
 }
 
 uint32_t
@@ -70,376 +74,239 @@
   return count;
 }
 
-static uint32_t
-send_period_ms (const Per *per)
-{
-  uint32_t peers = g_hash_table_size (per->peers);
-
-  return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
+PerPeer *
+per_member (Per *per, const peer_member *member, uint64_t heard_at_ms, uint64_t now_ms)
+{
+  if (strcmp (member->vm, per->self.vm) == 0)
+    return NULL;
+  PerPeer *peer = peer_get (per, member->vm, now_ms);
+  if (member->incarnation < peer->incarnation)
+    return NULL;
+  bool was_alive = per_alive (peer, now_ms);
+  if (heard_at_ms < peer->heard_at_ms && member->incarnation == peer->incarnation)
+    return NULL;
+  peer->incarnation = member->incarnation;
+  peer->zone = per->zone_of (per->user, member->zone);
+  peer->front = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->front_port };
+  peer->addr = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->peer_port };
+  peer->capacity = member->capacity;
+  peer->watch = (PerWatch) MIN (member->watch, (u_int) PER_WATCH_FAILING);
+  peer->state = (PerState) MIN (member->state, (u_int) PER_STOPPING);
+  peer->heard_at_ms = heard_at_ms;
+  if (!was_alive)
+    log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
+               (unsigned long long) peer->incarnation);
+  return peer;
 }
 
-/* ---- What peers say of upstreams ---- */
-
-static void
-add_reports (Per *per, const peer_view *view)
+peer_member
+per_own_member (const Per *per)
 {
-  for (u_int i = 0; i < view->loads.loads_len; i++)
-    {
-      const peer_load *load = &view->loads.loads_val[i];
-      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
-      if (ups != NULL)
-        ups->others += load->in_flight;
-    }
-  for (u_int i = 0; i < view->downs.downs_len; i++)
-    {
-      Ups *ups = ups_by_hash (per->upstreams, view->downs.downs_val[i]);
-      if (ups != NULL)
-        ups->down_reports++;
-    }
-}
+  const PerSelf *self = &per->self;
 
-static void
-take_back_reports (Per *per, const peer_view *view)
-{
-  for (u_int i = 0; i < view->loads.loads_len; i++)
-    {
-      const peer_load *load = &view->loads.loads_val[i];
-      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
-      if (ups != NULL)
-        ups->others -= MIN (ups->others, load->in_flight);
-    }
-  for (u_int i = 0; i < view->downs.downs_len; i++)
-    {
-      Ups *ups = ups_by_hash (per->upstreams, view->downs.downs_val[i]);
-      if (ups != NULL)
-        ups->down_reports -= MIN (ups->down_reports, 1);
-    }
+  return (peer_member){ .vm = (char *) self->vm,
+                        .zone = (char *) self->zone,
+                        .ip = self->front.ip,
+                        .front_port = self->front.port,
+                        .peer_port = self->addr.port,
+                        .incarnation = self->incarnation,
+                        .capacity = self->capacity,
+                        .state = self->state,
+                        .watch = self->watch };
 }
 
-static void
-sum_reports (Per *per, uint64_t now_ms)
+peer_member
+per_of_peer (const PerPeer *peer)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      ((Ups *) value)->others = 0;
-      ((Ups *) value)->down_reports = 0;
-    }
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (per_alive (value, now_ms))
-      add_reports (per, &((PerPeer *) value)->view);
+  return (peer_member){ .vm = (char *) peer->vm,
+                        .zone = peer->view.self.zone,
+                        .ip = peer->front.ip,
+                        .front_port = peer->front.port,
+                        .peer_port = peer->addr.port,
+                        .incarnation = peer->incarnation,
+                        .capacity = peer->capacity,
+                        .state = peer->state,
+                        .watch = peer->watch };
 }
 
-/* ---- Fetching objects from a peer ---- */
-
-typedef struct
-{
-  Per *per;
-  RepKind *kind;
-} Fetch;
-
-/* Large objects come from the store, whose link is wide; from a peer only when there is no store.
- */
-static void
-read_large (Per *per, RepKind *kind)
-{
-  kind->any_size = per->read_store == NULL || !per->read_store (per->reader, kind->name);
-}
+/* ---- Cells ---- */
 
-static void
-on_fetched (void *user, const void *result)
+OvlNode
+per_order (const PerPeer *peer)
 {
-  Fetch *fetch = user;
-  const peer_fetch_reply *reply = result;
-
-  fetch->kind->fetching = false;
-  fetch->kind->behind_since_ms = 0;
-  if (reply != NULL && reply->too_large)
-    read_large (fetch->per, fetch->kind);
-  else if (reply != NULL)
-    for (u_int i = 0; i < reply->objects.objects_len; i++)
-      {
-        const peer_object *object = &reply->objects.objects_val[i];
-        rep_take (&fetch->per->rep, fetch->kind, object->name, object->revision, object->deleted,
-                  object->value);
-      }
-  g_free (fetch);
+  return (OvlNode){ .hash = peer->hash,
+                    .capacity = peer->capacity,
+                    .serving = peer->state == PER_SERVING };
 }
 
-static void
-fetch_from (Per *per, PerPeer *peer, RepKind *kind)
+OvlNode
+per_own_order (const Per *per)
 {
-  uint32_t timeout_ms = kind->any_size ? FETCH_LARGE_TIMEOUT_MS : FETCH_TIMEOUT_MS;
-  peer_fetch_args args = { .kind = kind->name,
-                           .since = kind->changed,
-                           .most_bytes = kind->any_size ? UINT32_MAX : FETCH_MOST_BYTES };
-  Fetch *fetch = g_new (Fetch, 1);
-
-  *fetch = (Fetch){ .per = per, .kind = kind };
-  kind->fetching = true;
-  kind->any_size = false;
-  per->fetches++;
-  onc_call (per->client, peer->addr, PROC_FETCH, (xdrproc_t) xdr_peer_fetch_args, &args,
-            (xdrproc_t) xdr_peer_fetch_reply, sizeof (peer_fetch_reply), timeout_ms, on_fetched,
-            fetch);
+  return (OvlNode){ .hash = ups_hash (per->self.vm),
+                    .capacity = per->self.capacity,
+                    .serving = per->self.state == PER_SERVING };
 }
 
-/* A node that watches the store usually hears of a change first, so it asks only after a moment. */
-static void
-compare_revisions (Per *per, PerPeer *peer, uint64_t now_ms)
-{
-  for (u_int i = 0; i < peer->view.revisions.revisions_len; i++)
-    {
-      const peer_revision *revision = &peer->view.revisions.revisions_val[i];
-      RepKind *kind = rep_find (&per->rep, revision->kind);
-      if (kind == NULL || revision->revision <= kind->changed || kind->fetching)
-        continue;
-      if (kind->behind_since_ms == 0)
-        kind->behind_since_ms = now_ms;
-      if (per->self.watch != PER_WATCH_HEALTHY || now_ms - kind->behind_since_ms >= BEHIND_MS)
-        fetch_from (per, peer, kind);
-    }
-}
-
-static void
-collect_object (void *user, const Obj *obj)
-{
-  peer_object object = { .name = strdup (obj->path),
-                         .revision = obj->revision,
-                         .deleted = obj->deleted,
-                         .value = strdup (obj->value != NULL ? obj->value : "") };
-
-  g_array_append_val ((GArray *) user, object);
-}
-
-/* What is not told now is asked for next; one change that is too large comes from the store. */
-static bool
-run_fetch (void *user, const void *args, void *result)
+static uint32_t
+cell_of (const Per *per, uint32_t zone)
 {
-  Per *per = user;
-  const peer_fetch_args *wanted = args;
-  peer_fetch_reply *reply = result;
-  RepKind *kind = rep_find (&per->rep, wanted->kind);
-  GArray *objects = g_array_new (FALSE, FALSE, sizeof (peer_object));
-
-  if (kind != NULL)
-    reply->revision
-        = obj_part_since (&kind->table, wanted->since, wanted->most_bytes, collect_object, objects);
-  reply->too_large
-      = kind != NULL && kind->changed > wanted->since && reply->revision == wanted->since;
-  reply->objects.objects_len = objects->len;
-  reply->objects.objects_val = malloc (MAX (objects->len, 1) * sizeof (peer_object));
-  memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
-  g_array_unref (objects);
-  return true;
+  return per->zoned ? zone : per->region_of (per->user, zone);
 }
 
-static const OncProc procs[] = {
-  { .number = PROC_FETCH,
-    .xdr_args = (xdrproc_t) xdr_peer_fetch_args,
-    .args_size = sizeof (peer_fetch_args),
-    .xdr_result = (xdrproc_t) xdr_peer_fetch_reply,
-    .result_size = sizeof (peer_fetch_reply),
-    .fn = run_fetch },
-  { .number = 0 },
-};
-
-/* ---- Who watches the platform's store ---- */
-
-static bool
-is_recent (const Per *per, const PerPeer *peer, uint64_t now_ms)
+static gint
+compare_peers (gconstpointer a, gconstpointer b)
 {
-  uint32_t limit_ms = MAX (PER_RECENT_MS, 3 * send_period_ms (per));
+  OvlNode x = per_order (*(const PerPeer *const *) a);
+  OvlNode y = per_order (*(const PerPeer *const *) b);
 
-  return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < limit_ms;
+  return ovl_compare (&x, &y);
 }
 
-static bool
-is_better_neighbour (const Per *per, const PerPeer *peer, uint64_t now_ms)
+/* The best of each other cell; those that were only named count where none is alive. */
+static void
+add_heads (Per *per, GPtrArray *sorted, uint64_t now_ms)
 {
-  uint32_t own = ups_hash (per->self.vm);
-  uint32_t region = per->region_of (per->user, per->self.zone_index);
+  uint32_t found[ZONES_MAX] = { 0 };
 
-  return is_recent (per, peer, now_ms) && peer->state != PER_STOPPING
-         && per->region_of (per->user, peer->zone) == region && ups_hash (peer->vm) > own;
+  for (int expected = 0; expected <= 1; expected++)
+    for (guint i = 0; i < sorted->len; i++)
+      {
+        PerPeer *peer = g_ptr_array_index (sorted, i);
+        uint32_t cell = cell_of (per, peer->zone);
+        if (peer->near || cell >= ZONES_MAX || found[cell] >= OVL_HEADS)
+          continue;
+        if (per_alive (peer, now_ms) == (expected == 1))
+          continue;
+        found[cell]++;
+        peer->is_head = true;
+        g_ptr_array_add (per->heads, peer);
+      }
 }
 
-uint32_t
-per_watch_rank (const Per *per, uint64_t now_ms)
+static GPtrArray *
+live_peers (Per *per, uint64_t now_ms)
 {
+  GPtrArray *live = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
-  uint32_t rank = 0;
 
   g_hash_table_iter_init (&iter, per->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_better_neighbour (per, value, now_ms))
-      rank++;
-  return rank;
+    {
+      PerPeer *peer = value;
+      peer->is_head = false;
+      if (per_alive (peer, now_ms) || is_expected (peer, now_ms))
+        g_ptr_array_add (live, peer);
+    }
+  return live;
 }
 
-static bool
-better_one_watches (const Per *per, uint64_t now_ms)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_better_neighbour (per, value, now_ms) && ((PerPeer *) value)->watch == PER_WATCH_HEALTHY)
-      return true;
-  return false;
+void
+per_arrange (Per *per, uint64_t now_ms)
+{
+  uint32_t own_cell;
+  OvlNode own = per_own_order (per);
+  GPtrArray *live = live_peers (per, now_ms);
+
+  per->live = live->len;
+  per->zoned = live->len + 1 > OVL_FLAT_MAX;
+  own_cell = cell_of (per, per->self.zone_index);
+  g_ptr_array_sort (live, compare_peers);
+  g_ptr_array_set_size (per->near, 0);
+  g_ptr_array_set_size (per->heads, 0);
+  per->rank = 0;
+  for (guint i = 0; i < live->len; i++)
+    {
+      PerPeer *peer = g_ptr_array_index (live, i);
+      OvlNode other = per_order (peer);
+      peer->near = cell_of (per, peer->zone) == own_cell;
+      peer->by_summary = per->zoned && !peer->near;
+      if (!peer->near || !per_alive (peer, now_ms))
+        continue;
+      g_ptr_array_add (per->near, peer);
+      if (ovl_is_better (&other, &own))
+        per->rank++;
+    }
+  add_heads (per, live, now_ms);
+  g_ptr_array_unref (live);
 }
 
-bool
-per_store_is_heard (const Per *per, uint64_t now_ms)
+/* ---- Who was heard ---- */
+
+uint32_t
+per_period_ms (const Per *per)
 {
-  GHashTableIter iter;
-  gpointer value;
+  uint32_t peers = per->zoned ? per->near->len : per->live;
 
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_recent (per, value, now_ms) && ((PerPeer *) value)->watch == PER_WATCH_HEALTHY)
-      return true;
-  return false;
+  return MAX (PER_TICK_MS, peers * 1000 / PER_SENDS_PER_S);
 }
 
 bool
-per_any_settling (const Per *per, uint64_t now_ms)
+per_is_head (const Per *per)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_recent (per, value, now_ms) && ((PerPeer *) value)->view.settling)
-      return true;
-  return per->self.settling;
+  return per->rank < OVL_HEADS;
 }
 
 bool
-per_should_watch (Per *per, uint64_t now_ms)
+per_is_recent (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  if (per->self.state == PER_STOPPING || better_one_watches (per, now_ms))
-    {
-      per->unwatched_since_ms = 0;
-      return false;
-    }
-  if (per->unwatched_since_ms == 0)
-    per->unwatched_since_ms = now_ms;
-  return now_ms - per->unwatched_since_ms >= per_watch_rank (per, now_ms) * PER_STEP_IN_MS;
-}
-
-/* ---- Receiving views ---- */
+  uint32_t limit_ms = MAX (PER_RECENT_MS, 3 * per_period_ms (per));
 
-static void
-take_crashes (Per *per, const peer_view *view, uint64_t now_ms)
-{
-  for (u_int i = 0; i < view->crashes.crashes_len; i++)
-    {
-      const peer_crash *crash = &view->crashes.crashes_val[i];
-      poi_learn (per->poison, crash->fingerprint, crash->crashes, now_ms - crash->age_ms);
-    }
+  if (peer->watch == PER_WATCH_HEALTHY)
+    limit_ms = PER_RECENT_MS;
+  if (peer->by_summary && !(peer->is_head && per_is_head (per)))
+    return peer->heard_at_ms != 0 && now_ms - peer->heard_at_ms < FAR_RECENT_MS;
+  return peer->direct_at_ms != 0 && now_ms - peer->direct_at_ms < limit_ms;
 }
 
-static void
-take_view (Per *per, peer_view *view, uint64_t now_ms)
+bool
+per_any_settling (const Per *per, uint64_t now_ms)
 {
-  PerPeer *peer = peer_get (per, view->vm);
-
-  if (view->incarnation < peer->incarnation)
-    {
-      xdr_free ((xdrproc_t) xdr_peer_view, view);
-      return;
-    }
-  if (per_alive (peer, now_ms))
-    take_back_reports (per, &peer->view);
-  xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
-  peer->view = *view;
-  add_reports (per, &peer->view);
-  peer->incarnation = view->incarnation;
-  peer->zone = per->zone_of (per->user, view->zone);
-  peer->front = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->front_port };
-  peer->addr = (NetAddr){ .ip = view->ip, .port = (uint16_t) view->peer_port };
-  peer->watch = (PerWatch) MIN (view->watch, (u_int) PER_WATCH_FAILING);
-  peer->state = (PerState) MIN (view->state, (u_int) PER_STOPPING);
-  if (!per_alive (peer, now_ms))
-    log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
-               (unsigned long long) peer->incarnation);
-  peer->heard_at_ms = now_ms;
-  take_crashes (per, &peer->view, now_ms);
-  compare_revisions (per, peer, now_ms);
+  return per->self.settling || now_ms < per->settling_until_ms;
 }
 
-static void
-on_view (uv_udp_t *udp, ssize_t size, const uv_buf_t *buf, const struct sockaddr *from,
-         unsigned int flags)
+void
+per_heard_settling (Per *per, bool settling, uint64_t now_ms)
 {
-  Per *per = udp->data;
-  peer_view view = { 0 };
-  XDR xdr;
-  (void) from;
-  (void) flags;
-
-  if (size <= 0)
-    return;
-  per->received++;
-  xdrmem_create (&xdr, buf->base, (u_int) size, XDR_DECODE);
-  if (xdr_peer_view (&xdr, &view) && strcmp (view.vm, per->self.vm) != 0)
-    take_view (per, &view, clk_now_ms ());
-  else
-    xdr_free ((xdrproc_t) xdr_peer_view, &view);
-  xdr_destroy (&xdr);
+  if (settling)
+    per->settling_until_ms = now_ms + PER_SETTLING_HEARD_MS;
 }
 
-static void
-on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+void
+per_take_crashes (Per *per, const peer_crash *crashes, u_int count, uint64_t now_ms)
 {
-  Per *per = handle->data;
-  (void) suggested;
-
-  *buf = uv_buf_init (per->buffer, PER_DATAGRAM_MAX_BYTES);
+  for (u_int i = 0; i < count; i++)
+    poi_learn (per->poison, crashes[i].fingerprint, crashes[i].crashes, now_ms - crashes[i].age_ms);
 }
 
-/* ---- Sending views ---- */
+/* ---- Sending ---- */
 
-static u_int
-own_loads (const Per *per, peer_load *loads)
+bool
+per_send (Per *per, const peer_message *message, PerPeer *const *peers, uint32_t count)
 {
-  GHashTableIter iter;
-  gpointer value;
-  u_int count = 0;
+  XDR xdr;
 
-  g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (count < LOADS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+  xdrmem_create (&xdr, per->out, PER_DATAGRAM_MAX_BYTES, XDR_ENCODE);
+  u_int size = xdr_peer_message (&xdr, (peer_message *) message) ? xdr_getpos (&xdr) : 0;
+  xdr_destroy (&xdr);
+  if (size == 0)
     {
-      const Ups *ups = value;
-      if (ups->in_flight > 0)
-        loads[count++] = (peer_load){ .upstream = ups->hash, .in_flight = ups->in_flight };
+      per->send_failures += count;
+      log_event (per->log, LOG_WARN, "message_too_large", "kind=%d", (int) message->kind);
+      return false;
     }
-  return count;
-}
-
-static u_int
-own_downs (const Per *per, u_int *downs)
-{
-  GHashTableIter iter;
-  gpointer value;
-  u_int count = 0;
-
-  g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (count < DOWNS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
-    if (!((const Ups *) value)->gone && ups_is_down (value))
-      downs[count++] = ((const Ups *) value)->hash;
-  return count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (!per->transport.send (per->transport.user, per->out, size, peers[i]->addr))
+        per->send_failures++;
+      per->sent++;
+      per->sent_bytes += size;
+    }
+  return true;
 }
 
-static u_int
-own_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms)
+u_int
+per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
@@ -456,8 +323,8 @@
   return count;
 }
 
-static u_int
-own_revisions (const Per *per, peer_revision *revisions, u_int room)
+u_int
+per_revisions (const Per *per, peer_revision *revisions, u_int room)
 {
   u_int count = 0;
 
@@ -469,77 +336,8 @@
   return count;
 }
 
-static u_int
-encode_view (const Per *per, char *out, u_int room, uint64_t now_ms)
-{
-  peer_crash crashes[CRASHES_MAX];
-  peer_load loads[LOADS_MAX];
-  peer_revision revisions[8];
-  u_int downs[DOWNS_MAX];
-  const PerSelf *self = &per->self;
-  peer_view view = { .vm = (char *) self->vm,
-                     .zone = (char *) self->zone,
-                     .ip = self->front.ip,
-                     .front_port = self->front.port,
-                     .peer_port = self->addr.port,
-                     .incarnation = self->incarnation,
-                     .state = self->state,
-                     .watch = self->watch,
-                     .settling = self->settling };
-  XDR xdr;
-
-  view.loads.loads_val = loads;
-  view.loads.loads_len = own_loads (per, loads);
-  view.crashes.crashes_val = crashes;
-  view.crashes.crashes_len = own_crashes (per, crashes, CRASHES_MAX, now_ms);
-  view.downs.downs_val = downs;
-  view.downs.downs_len = own_downs (per, downs);
-  view.revisions.revisions_val = revisions;
-  view.revisions.revisions_len = own_revisions (per, revisions, G_N_ELEMENTS (revisions));
-  xdrmem_create (&xdr, out, room, XDR_ENCODE);
-  u_int size = xdr_peer_view (&xdr, &view) ? xdr_getpos (&xdr) : 0;
-  xdr_destroy (&xdr);
-  return size;
-}
-
-static bool
-is_due (const Per *per, const PerPeer *peer, uint64_t now_ms)
-{
-  uint32_t period_ms = per_alive (peer, now_ms) ? send_period_ms (per) : PER_BEAT_MS;
-
-  if (per->self.watch == PER_WATCH_HEALTHY)
-    period_ms = MIN (period_ms, PER_NEWS_MS);
-
-  return peer->addr.port != 0 && now_ms - peer->sent_at_ms + PER_TICK_MS / 4 >= period_ms;
-}
-
-static void
-send_views (Per *per, uint64_t now_ms)
-{
-  char out[PER_DATAGRAM_MAX_BYTES];
-  u_int size = 0;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      PerPeer *peer = value;
-      if (!is_due (per, peer, now_ms))
-        continue;
-      if (size == 0)
-        size = encode_view (per, out, sizeof out, now_ms);
-      struct sockaddr_in sin = net_addr_sockaddr (peer->addr);
-      uv_buf_t buf = uv_buf_init (out, size);
-      uv_udp_try_send (&per->udp, &buf, 1, (struct sockaddr *) &sin);
-      peer->sent_at_ms = now_ms;
-      per->sent++;
-    }
-}
-
-/* After a pause of the own process, silence of the others says nothing. */
-static void
-forgive_pause (Per *per, uint64_t now_ms)
+void
+per_forgive_pause (Per *per, uint64_t now_ms)
 {
   uint64_t gap_ms = per->ticked_at_ms != 0 ? now_ms - per->ticked_at_ms : 0;
   GHashTableIter iter;
@@ -550,51 +348,35 @@
     return;
   g_hash_table_iter_init (&iter, per->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((PerPeer *) value)->heard_at_ms != 0)
-      ((PerPeer *) value)->heard_at_ms += MIN (gap_ms, now_ms - ((PerPeer *) value)->heard_at_ms);
-}
-
-void
-per_tick (Per *per, uint64_t now_ms)
-{
-  forgive_pause (per, now_ms);
-  send_views (per, now_ms);
-  if (now_ms - per->summed_at_ms >= RESUM_MS)
     {
-      per->summed_at_ms = now_ms;
-      sum_reports (per, now_ms);
+      PerPeer *peer = value;
+      if (peer->heard_at_ms != 0)
+        peer->heard_at_ms += MIN (gap_ms, now_ms - peer->heard_at_ms);
+      if (peer->direct_at_ms != 0)
+        peer->direct_at_ms += MIN (gap_ms, now_ms - peer->direct_at_ms);
     }
 }
 
-bool
-per_start (Per *per, uv_loop_t *loop, Err *err)
-{
-  struct sockaddr_in sin = net_addr_sockaddr (per->self.addr);
+/* ---- Life ---- */
 
-  per->loop = loop;
+void
+per_init (Per *per)
+{
   per->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
-  per->buffer = g_malloc (PER_DATAGRAM_MAX_BYTES);
-  per->client = onc_client_new (loop);
-  per->server = onc_serve (loop, per->self.addr, procs, per, err);
-  if (per->server == NULL)
-    return false;
-  uv_udp_init (loop, &per->udp);
-  per->udp.data = per;
-  int rc = uv_udp_bind (&per->udp, (struct sockaddr *) &sin, 0);
-  if (rc != 0)
-    {
-      err_set (err, ERR_LAYER_RPC, rc, "cannot bind datagrams: %s", uv_strerror (rc));
-      return false;
-    }
-  uv_udp_recv_start (&per->udp, on_alloc, on_view);
-  return true;
+  per->near = g_ptr_array_new ();
+  per->heads = g_ptr_array_new ();
+  per->out = g_malloc (PER_DATAGRAM_MAX_BYTES);
 }
 
 void
 per_clear (Per *per)
 {
+  if (per->peers == NULL)
+    return;
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    xdr_free ((xdrproc_t) xdr_peer_summary, (char *) &per->summaries[z]);
+  g_ptr_array_unref (per->near);
+  g_ptr_array_unref (per->heads);
   g_hash_table_unref (per->peers);
-  rep_clear (&per->rep);
-  onc_client_free (per->client);
-  g_free (per->buffer);
+  g_free (per->out);
 }
--- /dev/null
+++ b/src/ptr.c
@@ -0,0 +1,101 @@
+/* Transport between nodes: datagrams, and calls that fetch objects. */
+#include "ptr.h"
+
+#include "clk.h"
+#include "exc.h"
+#include "nws.h"
+
+#define PROC_FETCH 101
+
+static bool
+run_fetch (void *user, const void *args, void *result)
+{
+  nws_answer (user, args, result);
+  return true;
+}
+
+static const OncProc procs[] = {
+  { .number = PROC_FETCH,
+    .xdr_args = (xdrproc_t) xdr_peer_fetch_args,
+    .args_size = sizeof (peer_fetch_args),
+    .xdr_result = (xdrproc_t) xdr_peer_fetch_reply,
+    .result_size = sizeof (peer_fetch_reply),
+    .fn = run_fetch },
+  { .number = 0 },
+};
+
+static void
+fetch (void *user, NetAddr peer, peer_fetch_args *args, uint32_t timeout_ms, PerFetchedFn fn,
+       void *fn_user)
+{
+  Ptr *transport = user;
+
+  onc_call (transport->client, peer, PROC_FETCH, (xdrproc_t) xdr_peer_fetch_args, args,
+            (xdrproc_t) xdr_peer_fetch_reply, sizeof (peer_fetch_reply), timeout_ms, fn, fn_user);
+}
+
+static bool
+send_datagram (void *user, const char *data, uint32_t size, NetAddr to)
+{
+  Ptr *transport = user;
+  struct sockaddr_in sin = net_addr_sockaddr (to);
+  uv_buf_t buf = uv_buf_init ((char *) data, size);
+
+  return uv_udp_try_send (&transport->udp, &buf, 1, (struct sockaddr *) &sin) >= 0;
+}
+
+static void
+on_datagram (uv_udp_t *udp, ssize_t size, const uv_buf_t *buf, const struct sockaddr *from,
+             unsigned int flags)
+{
+  Ptr *transport = udp->data;
+  const struct sockaddr_in *sin = (const struct sockaddr_in *) from;
+  (void) flags;
+
+  if (size <= 0 || from == NULL)
+    return;
+  NetAddr addr = { .ip = ntohl (sin->sin_addr.s_addr), .port = ntohs (sin->sin_port) };
+  exc_take (transport->per, buf->base, (uint32_t) size, addr, clk_now_ms ());
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  Ptr *transport = handle->data;
+  (void) suggested;
+
+  *buf = uv_buf_init (transport->buffer, PER_DATAGRAM_MAX_BYTES);
+}
+
+bool
+ptr_start (Ptr *transport, Per *per, uv_loop_t *loop, Err *err)
+{
+  struct sockaddr_in sin = net_addr_sockaddr (per->self.addr);
+
+  transport->per = per;
+  per->transport = (PerTransport){ .send = send_datagram, .fetch = fetch, .user = transport };
+  transport->buffer = g_malloc (PER_DATAGRAM_MAX_BYTES);
+  transport->client = onc_client_new (loop);
+  transport->server = onc_serve (loop, per->self.addr, procs, per, err);
+  if (transport->server == NULL)
+    return false;
+  uv_udp_init (loop, &transport->udp);
+  transport->udp.data = transport;
+  int rc = uv_udp_bind (&transport->udp, (struct sockaddr *) &sin, 0);
+  if (rc != 0)
+    {
+      err_set (err, ERR_LAYER_RPC, rc, "cannot bind datagrams: %s", uv_strerror (rc));
+      return false;
+    }
+  uv_udp_recv_start (&transport->udp, on_alloc, on_datagram);
+  return true;
+}
+
+void
+ptr_clear (Ptr *transport)
+{
+  if (transport->client == NULL)
+    return;
+  onc_client_free (transport->client);
+  g_free (transport->buffer);
+}
--- a/src/rep.h
+++ b/src/rep.h
@@ -10,7 +10,8 @@
 /**
  * struct RepKind - objects of one kind
  * @changed: revision of the newest change known
- * @fetching: a peer was asked for news
+ * @pushed: revision up to which changes were passed on to other nodes
+ * @fetched_at_ms: when a peer was last asked for news, 0 when none is being asked
  * @any_size: a peer is asked for news of any size, because the store cannot be asked
  */
 typedef struct
@@ -18,8 +19,9 @@
   char name[NAME_MAX_BYTES];
   ObjTable table;
   uint64_t changed;
+  uint64_t pushed;
   uint64_t behind_since_ms;
-  bool fetching;
+  uint64_t fetched_at_ms;
   bool any_size;
 } RepKind;
 
--- /dev/null
+++ b/src/sum.c
@@ -0,0 +1,225 @@
+/* Summaries: what the nodes of a zone say, added up by one of them for the other zones. */
+#include "sum.h"
+
+#include "nws.h"
+
+#include <string.h>
+
+#define LOADS_MAX 1024
+#define DOWNS_MAX 256
+#define CRASHES_MAX 64
+#define REVISIONS_MAX 8
+
+/* ---- What zones say of upstreams ---- */
+
+static void
+add_counts (const Per *per, const peer_summary *summary)
+{
+  for (u_int i = 0; i < summary->loads.loads_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, summary->loads.loads_val[i].upstream);
+      if (ups != NULL)
+        ups->others += summary->loads.loads_val[i].count;
+    }
+  for (u_int i = 0; i < summary->downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, summary->downs.downs_val[i].upstream);
+      if (ups != NULL)
+        ups->down_reports += summary->downs.downs_val[i].count;
+    }
+}
+
+static void
+take_back_counts (const Per *per, const peer_summary *summary)
+{
+  for (u_int i = 0; i < summary->loads.loads_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, summary->loads.loads_val[i].upstream);
+      if (ups != NULL)
+        ups->others -= MIN (ups->others, summary->loads.loads_val[i].count);
+    }
+  for (u_int i = 0; i < summary->downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, summary->downs.downs_val[i].upstream);
+      if (ups != NULL)
+        ups->down_reports -= MIN (ups->down_reports, summary->downs.downs_val[i].count);
+    }
+}
+
+static bool
+is_counted (const Per *per, uint32_t zone, uint64_t now_ms)
+{
+  return per->zoned && zone != per->self.zone_index && per->summary_at_ms[zone] != 0
+         && now_ms - per->summary_at_ms[zone] < SUM_LOST_MS;
+}
+
+void
+sum_add_all (const Per *per, uint64_t now_ms)
+{
+  for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
+    if (is_counted (per, zone, now_ms))
+      add_counts (per, &per->summaries[zone]);
+}
+
+/* ---- Taking ---- */
+
+static void
+take_members (Per *per, const peer_summary *summary, uint64_t now_ms)
+{
+  for (u_int i = 0; i < summary->members.members_len; i++)
+    {
+      const peer_heard *heard = &summary->members.members_val[i];
+      per_member (per, &heard->member, now_ms - MIN (heard->age_ms, now_ms), now_ms);
+    }
+}
+
+static void
+pass_on (Per *per, const peer_summary *summary)
+{
+  peer_message message = { .kind = PEER_SUMMARY };
+
+  message.peer_message_u.summary = *summary;
+  message.peer_message_u.summary.relay = false;
+  if (per->near->len > 0)
+    per_send (per, &message, (PerPeer *const *) per->near->pdata, per->near->len);
+}
+
+void
+sum_take (Per *per, peer_summary *summary, NetAddr from, uint64_t now_ms)
+{
+  uint32_t zone = per->zone_of (per->user, summary->zone);
+
+  if (zone >= ZONES_MAX || zone == per->self.zone_index)
+    return;
+  if (summary->relay)
+    {
+      pass_on (per, summary);
+      nws_compare (per, summary->revisions.revisions_val, summary->revisions.revisions_len, from,
+                   now_ms);
+    }
+  per_heard_settling (per, summary->settling, now_ms);
+  take_members (per, summary, now_ms);
+  per_take_crashes (per, summary->crashes.crashes_val, summary->crashes.crashes_len, now_ms);
+  if (is_counted (per, zone, now_ms))
+    take_back_counts (per, &per->summaries[zone]);
+  xdr_free ((xdrproc_t) xdr_peer_summary, &per->summaries[zone]);
+  per->summaries[zone] = *summary;
+  memset (summary, 0, sizeof *summary);
+  per->summary_at_ms[zone] = now_ms;
+  if (is_counted (per, zone, now_ms))
+    add_counts (per, &per->summaries[zone]);
+}
+
+/* ---- Sending ---- */
+
+static u_int
+zone_members (const Per *per, peer_heard *members, uint64_t now_ms)
+{
+  u_int count = 0;
+
+  members[count++] = (peer_heard){ .member = per_own_member (per), .age_ms = 0 };
+  for (guint i = 0; i < per->near->len && count < SUM_MEMBERS_MAX; i++)
+    {
+      const PerPeer *peer = g_ptr_array_index (per->near, i);
+      if (peer->direct_at_ms == 0)
+        continue;
+      members[count++] = (peer_heard){ .member = per_of_peer (peer),
+                                       .age_ms = (u_int) (now_ms - peer->heard_at_ms) };
+    }
+  return count;
+}
+
+static void
+zone_counts (const Per *per, peer_summary *summary)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      uint32_t load = ups->others_near + ups->in_flight;
+      uint32_t downs = ups->down_near + (!ups->gone && ups_is_down (ups) ? 1 : 0);
+      if (load > 0 && summary->loads.loads_len < LOADS_MAX)
+        summary->loads.loads_val[summary->loads.loads_len++]
+            = (peer_count){ .upstream = ups->hash, .count = load };
+      if (downs > 0 && summary->downs.downs_len < DOWNS_MAX)
+        summary->downs.downs_val[summary->downs.downs_len++]
+            = (peer_count){ .upstream = ups->hash, .count = downs };
+    }
+}
+
+/* A node of each other zone, another one each time. */
+static uint32_t
+find_relays (const Per *per, PerPeer **relays, uint64_t now_ms)
+{
+  PerPeer *live[ZONES_MAX][SUM_MEMBERS_MAX];
+  uint32_t counts[ZONES_MAX] = { 0 };
+  uint32_t found = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      if (peer->near || peer->zone >= ZONES_MAX || counts[peer->zone] >= SUM_MEMBERS_MAX)
+        continue;
+      if (per_alive (peer, now_ms) || peer->is_head)
+        live[peer->zone][counts[peer->zone]++] = peer;
+    }
+  for (uint32_t z = 0; z < ZONES_MAX; z++)
+    if (counts[z] > 0)
+      relays[found++] = live[z][ovl_relay (z, per->summary_number, counts[z])];
+  return found;
+}
+
+/* The first node of the zone's order that was heard lately. */
+static bool
+speaks_for_zone (const Per *per, uint64_t now_ms)
+{
+  for (guint i = 0; i < per->near->len && i < per->rank; i++)
+    if (per_is_recent (per, g_ptr_array_index (per->near, i), now_ms))
+      return false;
+  return true;
+}
+
+static void
+send_summary (Per *per, uint64_t now_ms)
+{
+  peer_heard members[SUM_MEMBERS_MAX];
+  peer_count loads[LOADS_MAX];
+  peer_count downs[DOWNS_MAX];
+  peer_crash crashes[CRASHES_MAX];
+  peer_revision revisions[REVISIONS_MAX];
+  PerPeer *relays[ZONES_MAX];
+  peer_message message = { .kind = PEER_SUMMARY };
+  peer_summary *summary = &message.peer_message_u.summary;
+
+  summary->zone = (char *) per->self.zone;
+  summary->relay = true;
+  summary->settling = per_any_settling (per, now_ms);
+  summary->loads.loads_val = loads;
+  summary->downs.downs_val = downs;
+  zone_counts (per, summary);
+  summary->members.members_val = members;
+  summary->members.members_len = zone_members (per, members, now_ms);
+  summary->crashes.crashes_val = crashes;
+  summary->crashes.crashes_len = per_crashes (per, crashes, CRASHES_MAX, now_ms);
+  summary->revisions.revisions_val = revisions;
+  summary->revisions.revisions_len = per_revisions (per, revisions, REVISIONS_MAX);
+  per_send (per, &message, relays, find_relays (per, relays, now_ms));
+  per->summary_number++;
+}
+
+void
+sum_tick (Per *per, uint64_t now_ms)
+{
+  if (!per->zoned || now_ms - per->summed_up_at_ms < SUM_PERIOD_MS)
+    return;
+  if (!speaks_for_zone (per, now_ms))
+    return;
+  per->summed_up_at_ms = now_ms;
+  send_summary (per, now_ms);
+}
--- a/src/ups.h
+++ b/src/ups.h
@@ -30,11 +30,12 @@
 /**
  * struct Ups - one upstream
  * @gone: no longer registered; kept while requests are in flight
- * @others: requests in flight from other nodes
+ * @others: requests in flight from other nodes, of which @others_near from those whose views
+ *   this node gets
  * @down_until_ms: not tried before; @failures counts failures in a row
  * @full_until_ms: it refused work for load
  * @misdirected: another upstream has its address; until its registration changes
- * @down_reports: peers that say that it does not answer
+ * @down_reports: peers that say that it does not answer, of which @down_near as above
  * @slowness_permille: its work times against what is usual for the route
  * @fault_permille: recent share of requests that it failed
  * @objects: hashes of the objects that it handled last for this node, newest first
@@ -52,11 +53,13 @@
   uint64_t cold_until_ms;
   uint32_t in_flight;
   uint32_t others;
+  uint32_t others_near;
   uint32_t failures;
   uint64_t down_until_ms;
   uint64_t full_until_ms;
   uint64_t succeeded_at_ms;
   uint32_t down_reports;
+  uint32_t down_near;
   bool misdirected;
   uint32_t slowness_permille;
   uint32_t fault_permille;
--- /dev/null
+++ b/src/vws.c
@@ -0,0 +1,228 @@
+/* Views: what nodes send each other of themselves, and what they say of upstreams. */
+#include "vws.h"
+
+#include "nws.h"
+
+#include <string.h>
+
+#define LOADS_MAX 1024
+#define DOWNS_MAX 256
+#define CRASHES_MAX 64
+#define REVISIONS_MAX 8
+
+/* ---- What peers say of upstreams ---- */
+
+static void
+add_reports (const Per *per, PerPeer *peer)
+{
+  peer->counted = true;
+  for (u_int i = 0; i < peer->view.loads.loads_len; i++)
+    {
+      const peer_count *load = &peer->view.loads.loads_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
+      if (ups == NULL)
+        continue;
+      ups->others += load->count;
+      ups->others_near += load->count;
+    }
+  for (u_int i = 0; i < peer->view.downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, peer->view.downs.downs_val[i]);
+      if (ups == NULL)
+        continue;
+      ups->down_reports++;
+      ups->down_near++;
+    }
+}
+
+static void
+take_back_reports (const Per *per, PerPeer *peer)
+{
+  if (!peer->counted)
+    return;
+  peer->counted = false;
+  for (u_int i = 0; i < peer->view.loads.loads_len; i++)
+    {
+      const peer_count *load = &peer->view.loads.loads_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
+      if (ups == NULL)
+        continue;
+      ups->others -= MIN (ups->others, load->count);
+      ups->others_near -= MIN (ups->others_near, load->count);
+    }
+  for (u_int i = 0; i < peer->view.downs.downs_len; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, peer->view.downs.downs_val[i]);
+      if (ups == NULL)
+        continue;
+      ups->down_reports -= MIN (ups->down_reports, 1);
+      ups->down_near -= MIN (ups->down_near, 1);
+    }
+}
+
+static void
+clear_sums (const Per *per)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Ups *ups = value;
+      ups->others = 0;
+      ups->others_near = 0;
+      ups->down_reports = 0;
+      ups->down_near = 0;
+    }
+}
+
+static bool
+is_counted (const PerPeer *peer)
+{
+  return !peer->by_summary;
+}
+
+void
+vws_sum (const Per *per, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  clear_sums (per);
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      peer->counted = false;
+      if (per_alive (peer, now_ms) && is_counted (peer))
+        add_reports (per, peer);
+    }
+}
+
+/* ---- Receiving ---- */
+
+void
+vws_take (Per *per, peer_view *view, NetAddr from, uint64_t now_ms)
+{
+  PerPeer *peer = per_member (per, &view->self, now_ms, now_ms);
+
+  if (peer == NULL)
+    return;
+  peer->direct_at_ms = now_ms;
+  take_back_reports (per, peer);
+  xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
+  peer->view = *view;
+  memset (view, 0, sizeof *view);
+  if (is_counted (peer))
+    add_reports (per, peer);
+  per_heard_settling (per, peer->view.settling, now_ms);
+  per_take_crashes (per, peer->view.crashes.crashes_val, peer->view.crashes.crashes_len, now_ms);
+  nws_compare (per, peer->view.revisions.revisions_val, peer->view.revisions.revisions_len, from,
+               now_ms);
+}
+
+/* ---- Sending ---- */
+
+static u_int
+own_loads (const Per *per, peer_count *loads)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int found = 0;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (found < LOADS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      if (ups->in_flight > 0)
+        loads[found++] = (peer_count){ .upstream = ups->hash, .count = ups->in_flight };
+    }
+  return found;
+}
+
+static u_int
+own_downs (const Per *per, u_int *downs)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int found = 0;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (found < DOWNS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+    if (!((const Ups *) value)->gone && ups_is_down (value))
+      downs[found++] = ((const Ups *) value)->hash;
+  return found;
+}
+
+/* Nodes of other cells hear the loads in summaries, so a view for them is without. */
+static void
+send_view (Per *per, bool with_loads, GPtrArray *peers, uint64_t now_ms)
+{
+  peer_crash crashes[CRASHES_MAX];
+  peer_count loads[LOADS_MAX];
+  peer_revision revisions[REVISIONS_MAX];
+  u_int downs[DOWNS_MAX];
+  peer_message message = { .kind = PEER_VIEW };
+  peer_view *view = &message.peer_message_u.view;
+
+  if (peers->len == 0)
+    return;
+  view->self = per_own_member (per);
+  view->settling = per->self.settling;
+  view->loads.loads_val = loads;
+  view->loads.loads_len = with_loads ? own_loads (per, loads) : 0;
+  view->crashes.crashes_val = crashes;
+  view->crashes.crashes_len = per_crashes (per, crashes, CRASHES_MAX, now_ms);
+  view->downs.downs_val = downs;
+  view->downs.downs_len = with_loads ? own_downs (per, downs) : 0;
+  view->revisions.revisions_val = revisions;
+  view->revisions.revisions_len = per_revisions (per, revisions, REVISIONS_MAX);
+  per_send (per, &message, (PerPeer *const *) peers->pdata, peers->len);
+}
+
+/* Period of views to a peer, or 0 for none. */
+static uint32_t
+view_period_ms (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  bool is_news = per->self.watch == PER_WATCH_HEALTHY || (peer->is_head && per_is_head (per));
+  uint64_t silent_ms = now_ms - MAX (peer->heard_at_ms, peer->named_at_ms);
+
+  if (peer->by_summary && !(peer->is_head && per_is_head (per)))
+    return 0;
+  if (!per_alive (peer, now_ms))
+    return silent_ms < PER_FORGOTTEN_MS ? PER_BEAT_MS : PER_FORGOTTEN_BEAT_MS;
+  return is_news ? MIN (per_period_ms (per), PER_NEWS_MS) : per_period_ms (per);
+}
+
+static bool
+is_due (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  uint32_t period_ms = view_period_ms (per, peer, now_ms);
+
+  return period_ms > 0 && peer->addr.port != 0
+         && now_ms - peer->sent_at_ms + PER_TICK_MS / 4 >= period_ms;
+}
+
+void
+vws_tick (Per *per, uint64_t now_ms)
+{
+  GPtrArray *whole = g_ptr_array_new ();
+  GPtrArray *light = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      if (!is_due (per, peer, now_ms))
+        continue;
+      g_ptr_array_add (is_counted (peer) ? whole : light, peer);
+      peer->sent_at_ms = now_ms;
+    }
+  send_view (per, true, whole, now_ms);
+  send_view (per, false, light, now_ms);
+  g_ptr_array_unref (whole);
+  g_ptr_array_unref (light);
+}
--- /dev/null
+++ b/tests/fleet.cc
@@ -0,0 +1,251 @@
+#include "fleet.h"
+
+#include <cstdlib>
+#include <cstring>
+
+namespace
+{
+constexpr uint32_t kFirstIp = 0x0a000001;
+constexpr uint16_t kPort = 7720;
+constexpr uint64_t kWatchMs = 50;
+
+uint32_t
+ZoneOf (void *, const char *zone)
+{
+  return (uint32_t) atoi (zone + strlen ("zone-"));
+}
+
+uint32_t
+RegionOf (void *, uint32_t zone)
+{
+  return zone < Fleet::kZones ? zone % Fleet::kRegions : ZONE_NONE;
+}
+
+void
+OnChanged (void *, const char *, const Obj *)
+{
+}
+
+bool
+Send (void *user, const char *data, uint32_t size, NetAddr to)
+{
+  auto *node = static_cast<FleetNode *> (user);
+  return node->fleet->Deliver (node->index, data, size, to);
+}
+
+void
+StartFetch (void *user, NetAddr to, peer_fetch_args *args, uint32_t timeout_ms, PerFetchedFn fn,
+            void *fn_user)
+{
+  auto *node = static_cast<FleetNode *> (user);
+  node->fleet->Fetch (node->index, to, args, timeout_ms, fn, fn_user);
+}
+}
+
+Fleet::Fleet (uint32_t nodes, uint32_t seed, uint32_t loss_permille)
+    : loss_permille_ (loss_permille), random_ (seed), nowhere_ (fopen ("/dev/null", "w"))
+{
+  for (uint32_t i = 0; i < nodes; i++)
+    {
+      auto node = std::make_unique<FleetNode> ();
+      node->fleet = this;
+      node->index = i;
+      node->zone = i % kZones;
+      node->log.out = nowhere_;
+      node->log.level = LOG_ERROR;
+      node->log.load = &node->load;
+      PerSelf &self = node->per.self;
+      g_snprintf (self.vm, sizeof self.vm, "edge-%u", i);
+      g_snprintf (self.zone, sizeof self.zone, "zone-%u", node->zone);
+      self.zone_index = node->zone;
+      self.addr = NetAddr{ kFirstIp + i, kPort };
+      self.front = NetAddr{ kFirstIp + i, 8000 };
+      self.incarnation = 1;
+      self.capacity = i % 11 == 0 ? 500 : 100;
+      self.state = PER_SERVING;
+      ups_init (&node->upstreams, &node->connections);
+      poi_init (&node->poison);
+      rep_init (&node->per.rep, OnChanged, nullptr);
+      node->kind = rep_kind (&node->per.rep, "servers");
+      rep_take (&node->per.rep, node->kind, "first", 1, false, "{}");
+      node->per.log = &node->log;
+      node->per.zone_of = ZoneOf;
+      node->per.region_of = RegionOf;
+      node->per.upstreams = &node->upstreams;
+      node->per.poison = &node->poison;
+      node->per.transport = PerTransport{ Send, StartFetch, node.get () };
+      per_init (&node->per);
+      nws_push (&node->per, false);
+      nodes_.push_back (std::move (node));
+    }
+  for (auto &node : nodes_)
+    {
+      for (auto &other : nodes_)
+        per_name (&node->per, other->per.self.vm, other->per.self.addr, other->zone,
+                  other->per.self.capacity, now_ms_);
+      FleetNode *one = node.get ();
+      At (now_ms_ + random_ () % PER_TICK_MS, [this, one] { Tick (one); });
+      At (now_ms_ + random_ () % kWatchMs, [this, one] { Watch (one); });
+    }
+}
+
+Fleet::~Fleet ()
+{
+  for (auto &node : nodes_)
+    {
+      per_clear (&node->per);
+      rep_clear (&node->per.rep);
+      poi_clear (&node->poison);
+      ups_clear (&node->upstreams);
+    }
+  fclose (nowhere_);
+}
+
+void
+Fleet::At (uint64_t at_ms, std::function<void ()> fn)
+{
+  events_.push (Event{ at_ms, events_made_++, std::move (fn) });
+}
+
+void
+Fleet::Run (uint64_t for_ms)
+{
+  uint64_t end_ms = now_ms_ + for_ms;
+  while (!events_.empty () && events_.top ().at_ms <= end_ms)
+    {
+      Event event = events_.top ();
+      events_.pop ();
+      now_ms_ = event.at_ms;
+      event.fn ();
+    }
+  now_ms_ = end_ms;
+}
+
+void
+Fleet::Tick (FleetNode *node)
+{
+  At (now_ms_ + PER_TICK_MS, [this, node] { Tick (node); });
+  if (!node->alive || now_ms_ < node->paused_until_ms)
+    return;
+  exc_tick (&node->per, now_ms_);
+}
+
+void
+Fleet::Watch (FleetNode *node)
+{
+  At (now_ms_ + kWatchMs, [this, node] { Watch (node); });
+  if (!node->alive || now_ms_ < node->paused_until_ms)
+    return;
+  Per *per = &node->per;
+  bool should = wch_should (per, now_ms_);
+  per->self.watch = !should                ? PER_WATCH_NONE
+                    : node->cut_from_store ? PER_WATCH_FAILING
+                                           : PER_WATCH_HEALTHY;
+  if (per->self.watch != PER_WATCH_HEALTHY)
+    return;
+  uint64_t known = node->kind->changed;
+  for (const Stored &stored : stored_)
+    if (stored.revision > known)
+      rep_take (&per->rep, node->kind, stored.name.c_str (), stored.revision, false, "{}");
+  nws_push (per, true);
+}
+
+uint64_t
+Fleet::Change (const std::string &name)
+{
+  stored_.push_back (Stored{ name, ++revision_ });
+  return revision_;
+}
+
+std::vector<uint32_t>
+Fleet::Behind (uint64_t revision) const
+{
+  std::vector<uint32_t> behind;
+  for (const auto &node : nodes_)
+    if (node->alive && now_ms_ >= node->paused_until_ms && !node->deaf
+        && node->kind->changed < revision)
+      behind.push_back (node->index);
+  return behind;
+}
+
+uint64_t
+Fleet::TimeUntilAllKnow (uint64_t revision)
+{
+  uint64_t since_ms = now_ms_;
+  while (now_ms_ - since_ms < 60000 && !Behind (revision).empty ())
+    Run (10);
+  return now_ms_ - since_ms;
+}
+
+std::vector<uint32_t>
+Fleet::Watchers () const
+{
+  std::vector<uint32_t> watchers;
+  for (const auto &node : nodes_)
+    if (node->alive && node->per.self.watch == PER_WATCH_HEALTHY)
+      watchers.push_back (node->index);
+  return watchers;
+}
+
+uint64_t
+Fleet::DelayMs (const FleetNode &from, const FleetNode &to)
+{
+  bool same_region = RegionOf (nullptr, from.zone) == RegionOf (nullptr, to.zone);
+  return (same_region ? 1 : 35) + random_ () % 4;
+}
+
+FleetNode *
+Fleet::Find (NetAddr addr)
+{
+  uint32_t index = addr.ip - kFirstIp;
+  return index < nodes_.size () ? nodes_[index].get () : nullptr;
+}
+
+bool
+Fleet::Deliver (uint32_t from, const char *data, uint32_t size, NetAddr to)
+{
+  FleetNode *sender = nodes_[from].get ();
+  FleetNode *target = Find (to);
+  if (target == nullptr || sender->mute || random_ () % 1000 < loss_permille_)
+    return true;
+  std::string bytes (data, size);
+  At (now_ms_ + DelayMs (*sender, *target), [this, sender, target, bytes] {
+    if (target->alive && !target->deaf && now_ms_ >= target->paused_until_ms)
+      exc_take (&target->per, bytes.data (), (uint32_t) bytes.size (), sender->per.self.addr,
+                now_ms_);
+  });
+  return true;
+}
+
+// The answer is made when the call arrives, and is back a way later; a cut on the way loses it.
+void
+Fleet::Fetch (uint32_t from, NetAddr to, const peer_fetch_args *args, uint32_t timeout_ms,
+              PerFetchedFn fn, void *user)
+{
+  FleetNode *caller = nodes_[from].get ();
+  FleetNode *target = Find (to);
+  std::string kind = args->kind;
+  uint64_t since = args->since;
+  uint32_t most_bytes = args->most_bytes;
+  uint64_t way_ms = DelayMs (*caller, *target);
+
+  At (now_ms_ + way_ms, [=] {
+    bool reached = target->alive && !target->deaf && !target->mute && !caller->mute && !caller->deaf
+                   && now_ms_ >= target->paused_until_ms;
+    auto *reply = g_new0 (peer_fetch_reply, 1);
+    peer_fetch_args wanted = {};
+    wanted.kind = const_cast<char *> (kind.c_str ());
+    wanted.since = since;
+    wanted.most_bytes = most_bytes;
+    if (reached)
+      nws_answer (&target->per, &wanted, reply);
+    At (now_ms_ + (reached ? way_ms : timeout_ms), [=] {
+      if (caller->alive)
+        fn (user, reached ? reply : nullptr);
+      else
+        g_free (user);
+      xdr_free ((xdrproc_t) xdr_peer_fetch_reply, (char *) reply);
+      g_free (reply);
+    });
+  });
+}
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,123 @@
+// Many nodes' exchange in one process, on a network and a clock of its own: the same for each seed.
+#pragma once
+
+#include <glib.h>
+
+extern "C"
+{
+#include "exc.h"
+#include "nws.h"
+#include "wch.h"
+}
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+class Fleet;
+
+// One node: what it knows, and how it is reached.
+struct FleetNode
+{
+  Per per = {};
+  UpsBook upstreams = {};
+  UcnCtx connections = {};
+  PoiTable poison = {};
+  Log log = {};
+  LogLoad load = {};
+  Fleet *fleet = nullptr;
+  uint32_t index = 0;
+  uint32_t zone = 0;
+  RepKind *kind = nullptr;
+  bool alive = true;
+  bool deaf = false;
+  bool mute = false;
+  bool cut_from_store = false;
+  uint64_t paused_until_ms = 0;
+};
+
+class Fleet
+{
+public:
+  static constexpr uint32_t kZones = 9;
+  static constexpr uint32_t kRegions = 3;
+
+  Fleet (uint32_t nodes, uint32_t seed, uint32_t loss_permille);
+  ~Fleet ();
+
+  uint64_t
+  now_ms () const
+  {
+    return now_ms_;
+  }
+
+  FleetNode &
+  node (uint32_t index)
+  {
+    return *nodes_[index];
+  }
+
+  uint32_t
+  size () const
+  {
+    return (uint32_t) nodes_.size ();
+  }
+
+  void Run (uint64_t for_ms);
+
+  // The store accepts a change; its revision.
+  uint64_t Change (const std::string &name);
+
+  // Nodes that live and do not know of a revision.
+  std::vector<uint32_t> Behind (uint64_t revision) const;
+
+  // Time until all live nodes know of a revision, or a minute.
+  uint64_t TimeUntilAllKnow (uint64_t revision);
+
+  // Nodes that watch the store now.
+  std::vector<uint32_t> Watchers () const;
+
+  bool Deliver (uint32_t from, const char *data, uint32_t size, NetAddr to);
+  void Fetch (uint32_t from, NetAddr to, const peer_fetch_args *args, uint32_t timeout_ms,
+              PerFetchedFn fn, void *user);
+
+private:
+  struct Event
+  {
+    uint64_t at_ms;
+    uint64_t number;
+    std::function<void ()> fn;
+    bool
+    operator<(const Event &other) const
+    {
+      return at_ms != other.at_ms ? at_ms > other.at_ms : number > other.number;
+    }
+  };
+
+  struct Stored
+  {
+    std::string name;
+    uint64_t revision;
+  };
+
+  void At (uint64_t at_ms, std::function<void ()> fn);
+  void Tick (FleetNode *node);
+  void Watch (FleetNode *node);
+  uint64_t DelayMs (const FleetNode &from, const FleetNode &to);
+  FleetNode *Find (NetAddr addr);
+
+  uint64_t now_ms_ = 100000;
+  uint64_t events_made_ = 0;
+  uint32_t loss_permille_;
+  uint64_t revision_ = 1;
+  std::mt19937 random_;
+  FILE *nowhere_;
+  std::vector<Stored> stored_;
+  std::vector<std::unique_ptr<FleetNode>> nodes_;
+  std::priority_queue<Event> events_;
+};
--- /dev/null
+++ b/tests/test_exc.cc
@@ -0,0 +1,174 @@
+// Exchange between nodes at the sizes of the deployments: news, who is alive, what it costs.
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+constexpr uint64_t kKnownMs = 1000;
+constexpr uint64_t kSettleMs = 6000;
+constexpr uint32_t kLossPermille = 10;
+
+class Exchange : public testing::TestWithParam<uint32_t>
+{
+protected:
+  void
+  SetUp () override
+  {
+    fleet_ = std::make_unique<Fleet> (GetParam (), 7 + GetParam (), kLossPermille);
+    fleet_->Run (kSettleMs);
+  }
+
+  std::unique_ptr<Fleet> fleet_;
+};
+
+std::string
+Indexes (const std::vector<uint32_t> &nodes)
+{
+  std::string text;
+  for (uint32_t node : nodes)
+    text += std::to_string (node) + " ";
+  return text;
+}
+}
+
+INSTANTIATE_TEST_SUITE_P (Sizes, Exchange, testing::Values (9, 30, 99, 300));
+
+TEST_P (Exchange, OneNodeOfEachRegionWatches)
+{
+  std::vector<uint32_t> watchers = fleet_->Watchers ();
+  EXPECT_EQ (watchers.size (), Fleet::kRegions) << Indexes (watchers);
+}
+
+TEST_P (Exchange, EveryNodeKnowsOfAChangeWithinASecond)
+{
+  for (int i = 0; i < 8; i++)
+    {
+      uint64_t revision = fleet_->Change ("up-" + std::to_string (i));
+      EXPECT_LE (fleet_->TimeUntilAllKnow (revision), kKnownMs) << "change " << i;
+      fleet_->Run (130);
+    }
+}
+
+TEST_P (Exchange, ManyChangesAtOnceReachEveryNodeWithinASecond)
+{
+  uint64_t revision = 0;
+  for (int i = 0; i < 400; i++)
+    revision = fleet_->Change ("up-of-a-large-deployment-" + std::to_string (i));
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), kKnownMs);
+}
+
+// The nodes that watch, and with them whoever passes news on first, die at the moment of a change.
+TEST_P (Exchange, NewsArriveWhenTheWatchersDie)
+{
+  for (uint32_t watcher : fleet_->Watchers ())
+    fleet_->node (watcher).alive = false;
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+TEST_P (Exchange, NewsArriveWhenATenthOfTheNodesDies)
+{
+  for (uint32_t i = 0; i < fleet_->size (); i += 10)
+    fleet_->node (i).alive = false;
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+TEST_P (Exchange, NewsArriveWhenAZoneDies)
+{
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    if (fleet_->node (i).zone == 0)
+      fleet_->node (i).alive = false;
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+TEST_P (Exchange, NewsArriveWhenWatchersAreNotHeard)
+{
+  for (uint32_t watcher : fleet_->Watchers ())
+    fleet_->node (watcher).mute = true;
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+TEST_P (Exchange, NewsArriveWhenWatchersFreeze)
+{
+  for (uint32_t watcher : fleet_->Watchers ())
+    fleet_->node (watcher).paused_until_ms = fleet_->now_ms () + 5000;
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+// Only some nodes of one region reach the store.
+TEST_P (Exchange, NewsArriveWhenMostAreCutFromTheStore)
+{
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    fleet_->node (i).cut_from_store = fleet_->node (i).zone % Fleet::kRegions != 0;
+  fleet_->Run (1000);
+  uint64_t revision = fleet_->Change ("up");
+  EXPECT_LE (fleet_->TimeUntilAllKnow (revision), 2 * kKnownMs);
+}
+
+TEST_P (Exchange, NoLiveNodeIsTakenForDead)
+{
+  for (int second = 0; second < 5; second++)
+    {
+      fleet_->Run (1000);
+      for (uint32_t i = 0; i < fleet_->size (); i++)
+        EXPECT_EQ (per_count (&fleet_->node (i).per, fleet_->now_ms ()), fleet_->size ())
+            << "node " << i;
+    }
+}
+
+// Look-ups must not name a node that died over seven seconds ago.
+TEST_P (Exchange, DeadNodesAreNoticedByAllInTime)
+{
+  uint32_t dead = 0;
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    if (i % 3 == 0 || fleet_->node (i).zone == 4)
+      {
+        fleet_->node (i).alive = false;
+        dead++;
+      }
+  fleet_->Run (6000);
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    {
+      if (!fleet_->node (i).alive)
+        continue;
+      EXPECT_EQ (per_count (&fleet_->node (i).per, fleet_->now_ms ()), fleet_->size () - dead)
+          << "node " << i;
+    }
+}
+
+// What a node sends does not grow with the fleet; no node sends much more than the others.
+TEST_P (Exchange, NoNodeIsOverburdened)
+{
+  std::vector<uint64_t> before;
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    before.push_back (fleet_->node (i).per.sent);
+  for (int i = 0; i < 50; i++)
+    {
+      fleet_->Change ("up-" + std::to_string (i % 20));
+      fleet_->Run (100);
+    }
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    EXPECT_LE ((fleet_->node (i).per.sent - before[i]) / 5, 650u)
+        << "messages a second, node " << i;
+}
+
+TEST (LargestExchange, NewsReachAllWithinASecondAndDeathsAreNoticed)
+{
+  Fleet fleet (640, 11, kLossPermille);
+  fleet.Run (kSettleMs);
+  for (uint32_t i = 0; i < fleet.size (); i++)
+    EXPECT_EQ (per_count (&fleet.node (i).per, fleet.now_ms ()), fleet.size ()) << "node " << i;
+  EXPECT_LE (fleet.TimeUntilAllKnow (fleet.Change ("up")), kKnownMs);
+  uint64_t revision = 0;
+  for (int i = 0; i < 400; i++)
+    revision = fleet.Change ("up-of-a-large-deployment-" + std::to_string (i));
+  EXPECT_LE (fleet.TimeUntilAllKnow (revision), kKnownMs);
+  for (uint32_t watcher : fleet.Watchers ())
+    fleet.node (watcher).alive = false;
+  EXPECT_LE (fleet.TimeUntilAllKnow (fleet.Change ("up")), 2 * kKnownMs);
+}
--- /dev/null
+++ b/tests/test_ovl.cc
@@ -0,0 +1,45 @@
+// Order of a cell's nodes, and the tree along which news pass.
+#include <cstdint>
+
+extern "C"
+{
+#include "ovl.h"
+}
+
+#include <gtest/gtest.h>
+#include <set>
+
+TEST (Overlay, ServingNodesComeFirstThenTheLargerOnes)
+{
+  OvlNode small = { 9, 100, true };
+  OvlNode large = { 3, 500, true };
+  OvlNode starting = { 8, 900, false };
+  EXPECT_TRUE (ovl_is_better (&large, &small));
+  EXPECT_TRUE (ovl_is_better (&small, &starting));
+  EXPECT_FALSE (ovl_is_better (&small, &small));
+}
+
+TEST (Overlay, TheTreeReachesEveryNodeOnce)
+{
+  for (uint32_t count : { 1u, 2u, 5u, 33u, 58u, 160u, 640u })
+    {
+      std::multiset<uint32_t> reached = { 0 };
+      for (uint32_t rank = 0; rank < count; rank++)
+        {
+          uint32_t children[OVL_FANOUT];
+          uint32_t found = ovl_children (rank, count, children);
+          reached.insert (children, children + found);
+        }
+      EXPECT_EQ (reached.size (), count);
+      EXPECT_EQ (std::set<uint32_t> (reached.begin (), reached.end ()).size (), count);
+    }
+}
+
+TEST (Overlay, RelaysTakeTurns)
+{
+  std::set<uint32_t> relays;
+  for (uint32_t number = 0; number < 33; number++)
+    relays.insert (ovl_relay (7, number, 33));
+  EXPECT_EQ (relays.size (), 33u);
+  EXPECT_EQ (ovl_relay (7, 1, 0), 0u);
+}
