First lists may be seconds old; look-ups name a random choice of a region's nodes

A list that may be stale costs a tenth, and a node that starts catches up by its watch or from its peers, as after any pause. A list after lost history is still a current one. Look-ups named the first 64 nodes in a hash table's order, much the same on all nodes, so that a third of the 98 nodes of a region got hardly any callers. Tests: AStartFromOldListsEndsWithWhatIsInForce, LookUp.AnswersTogetherNameEveryNode (failed before).

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -320,6 +320,14 @@
   changed_.notify_all ();
 }
 
+void
+FakeStore::FreezeStaleLists ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  stale_objects_ = objects_;
+  stale_revision_ = revision_;
+}
+
 void
 FakeStore::ForgetHistory ()
 {
@@ -356,15 +364,16 @@
 }
 
 std::string
-FakeStore::List (const std::string &kind)
+FakeStore::List (const std::string &kind, bool may_be_stale)
 {
   lists_++;
   std::lock_guard<std::mutex> lock (mutex_);
+  bool is_stale = may_be_stale && stale_revision_ > 0;
   std::string items;
-  for (const auto &[name, object] : objects_[kind])
+  for (const auto &[name, object] : is_stale ? stale_objects_[kind] : objects_[kind])
     items += (items.empty () ? "" : ",") + ObjectText (name, object.spec, object.revision);
-  return Json (200, "{\"items\":[" + items
-                        + "],\"more\":false,\"as-of\":" + std::to_string (revision_) + "}");
+  return Json (200, "{\"items\":[" + items + "],\"more\":false,\"as-of\":"
+                        + std::to_string (is_stale ? stale_revision_ : revision_) + "}");
 }
 
 std::string
@@ -424,7 +433,7 @@
     return Write (request, kind, name);
   std::string watch = QueryValue (request.target, "watch");
   if (watch.empty ())
-    return List (kind);
+    return List (kind, QueryValue (request.target, "allow-stale") == "1");
   return Watch (kind, atol (watch.c_str ()),
                 atoi (QueryValue (request.target, "wait-ms").c_str ()));
 }
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -94,6 +94,8 @@
   void SetMode (Mode mode);
   // Watches that start from an earlier revision are answered 410.
   void ForgetHistory ();
+  // From now on, lists that may be stale show what there is at this moment.
+  void FreezeStaleLists ();
   std::string address () const;
   // A further address of the same store, and whether its answers are lost without a word.
   std::string AddPath ();
@@ -120,7 +122,7 @@
   };
   void Serve (int fd, bool on_path);
   std::string Answer (const Request &request);
-  std::string List (const std::string &kind);
+  std::string List (const std::string &kind, bool may_be_stale);
   std::string Watch (const std::string &kind, long from, int wait_ms);
   std::string Write (const Request &request, const std::string &kind, const std::string &name);
 
@@ -129,6 +131,8 @@
   long revision_ = 1;
   long forgotten_ = 0;
   std::map<std::string, std::map<std::string, Object>> objects_;
+  std::map<std::string, std::map<std::string, Object>> stale_objects_;
+  long stale_revision_ = 0;
   std::vector<Event> events_;
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
--- /dev/null
+++ b/tests/test_dir.cc
@@ -0,0 +1,79 @@
+// Look-ups: which nodes they name.
+#include <glib.h>
+
+extern "C"
+{
+#include "dir.h"
+}
+
+#include <gtest/gtest.h>
+#include <set>
+#include <string>
+
+namespace
+{
+constexpr uint32_t kPeers = 98;
+constexpr uint32_t kAddressesMax = 64;
+
+// A node whose region has more nodes than an answer names.
+class LookUp : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    node_ = g_new0 (Node, 1);
+    node_->set.zones = g_array_new (FALSE, TRUE, sizeof (NodZone));
+    NodZone zone = {};
+    g_array_append_val (node_->set.zones, zone);
+    node_->state = NOD_SERVING;
+    node_->set.front = NetAddr{ 1, 1 };
+    per_init (&node_->peers);
+    for (uint32_t i = 0; i < kPeers; i++)
+      {
+        PerPeer *peer = g_new0 (PerPeer, 1);
+        g_snprintf (peer->vm, sizeof peer->vm, "edge-%u", i);
+        peer->state = PER_SERVING;
+        peer->front = NetAddr{ 100 + i, 1 };
+        peer->heard_at_ms = 1000;
+        g_hash_table_insert (node_->peers.peers, peer->vm, peer);
+      }
+  }
+
+  void
+  TearDown () override
+  {
+    per_clear (&node_->peers);
+    g_array_unref (node_->set.zones);
+    g_free (node_);
+  }
+
+  std::set<std::string>
+  Ask ()
+  {
+    GPtrArray *found = dir_addresses (node_, 0, 1100);
+    std::set<std::string> addresses;
+    for (guint i = 0; i < found->len; i++)
+      addresses.insert ((const char *) g_ptr_array_index (found, i));
+    EXPECT_EQ (addresses.size (), found->len);
+    g_ptr_array_unref (found);
+    return addresses;
+  }
+
+  Node *node_ = nullptr;
+};
+}
+
+TEST_F (LookUp, NamesAsManyAsFit) { EXPECT_EQ (Ask ().size (), kAddressesMax); }
+
+// A node that no answer names gets no callers, and the others get too many.
+TEST_F (LookUp, AnswersTogetherNameEveryNode)
+{
+  std::set<std::string> all;
+  for (int i = 0; i < 40; i++)
+    {
+      std::set<std::string> some = Ask ();
+      all.insert (some.begin (), some.end ());
+    }
+  EXPECT_EQ (all.size (), kPeers + 1);
+}
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -464,6 +464,23 @@
   EXPECT_NE (reply.body.find ("\"ttl-s\":"), std::string::npos);
 }
 
+// The first lists may be some seconds old; what changed since then holds a moment later.
+TEST_F (NodeTest, AStartFromOldListsEndsWithWhatIsInForce)
+{
+  FakeUpstream left ("up-left");
+  store_.Put ("config", "main", Configuration (6));
+  store_.Put ("servers", left.id (), left.Record ("desk", "east-a"));
+  store_.FreezeStaleLists ();
+  store_.Delete ("servers", left.id ());
+  Start ();
+  ASSERT_TRUE (
+      WaitUntil (3000, [&] { return node_->Call ("GET", "/read/a", WithId ("a")).status == 200; }));
+  int before = left.arrivals ();
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (node_->Call ("GET", "/read/b", WithId ("b" + std::to_string (i))).status, 200);
+  EXPECT_EQ (left.arrivals (), before);
+}
+
 TEST_F (NodeTest, ServesOnWhileTheStoreIsDown)
 {
   Start ();
