--- a/src/lim.h
+++ b/src/lim.h
@@ -154,7 +154,7 @@
 
 /* Overlay of the nodes: up to OVL_FLAT_MAX nodes send each other views; more do so within a zone.
  */
-#define OVL_FLAT_MAX 100
+#define OVL_FLAT_MAX 24
 #define OVL_FANOUT 4
 #define OVL_HEADS 2
 
