Answers that never end are bounded over all connections; stalls of the loop are counted

Cause: an answer is collected before it is passed on, up to 32 MB each, with no bound over all of them. Ten upstreams that send chunks without end took a node over 150 MB, on VMs of 160 MB (test AnswersThatNeverEndDoNotFillTheMemory failed before). Now 64 MB together. Endless heads, interim answers and bytes that are no answer were given up in time before as well (AnAnswerThatNeverEndsIsGivenUp). A histogram of the loop's turns, a counter and a log line for those over 250 ms (lag).

--- /dev/null
+++ b/src/lag.c
@@ -0,0 +1,58 @@
+/* Stalls of the event loop: how long each of its turns takes. */
+#include "lag.h"
+
+#include "lim.h"
+
+#define NS_PER_US 1000u
+#define US_PER_MS 1000u
+#define LOG_EVERY_NS 1000000000ull
+
+void
+lag_turn (Lag *lag, uint64_t took_us, uint64_t now_ns)
+{
+  met_observe (&lag->turns, took_us);
+  if (took_us > lag->worst_us)
+    lag->worst_us = took_us;
+  if (took_us < LAG_STALL_MS * US_PER_MS)
+    return;
+  lag->stalls++;
+  if (lag->logged_ns != 0 && now_ns - lag->logged_ns < LOG_EVERY_NS)
+    return;
+  lag->logged_ns = now_ns;
+  log_event (lag->log, LOG_WARN, "loop_stalled", "took_ms=%llu limit_ms=%u stalls=%llu",
+             (unsigned long long) (took_us / US_PER_MS), LAG_STALL_MS,
+             (unsigned long long) lag->stalls);
+}
+
+static void
+on_check (uv_check_t *check)
+{
+  Lag *lag = check->data;
+
+  lag->begun_ns = uv_hrtime ();
+}
+
+static void
+on_prepare (uv_prepare_t *prepare)
+{
+  Lag *lag = prepare->data;
+  uint64_t now_ns = uv_hrtime ();
+
+  if (lag->begun_ns != 0)
+    lag_turn (lag, (now_ns - lag->begun_ns) / NS_PER_US, now_ns);
+  lag->begun_ns = 0;
+}
+
+void
+lag_start (Lag *lag, uv_loop_t *loop, const Log *log)
+{
+  lag->log = log;
+  uv_check_init (loop, &lag->check);
+  uv_prepare_init (loop, &lag->prepare);
+  lag->check.data = lag;
+  lag->prepare.data = lag;
+  uv_check_start (&lag->check, on_check);
+  uv_prepare_start (&lag->prepare, on_prepare);
+  uv_unref ((uv_handle_t *) &lag->check);
+  uv_unref ((uv_handle_t *) &lag->prepare);
+}
--- a/src/lim.h
+++ b/src/lim.h
@@ -109,6 +109,7 @@
 #define UCN_READ_BYTES (64u * 1024u)
 #define UCN_USER_TIMEOUT_MS 1500
 #define ANSWER_MAX_BYTES (32u * 1024u * 1024u)
+#define ANSWERS_MAX_BYTES (64u * 1024u * 1024u)
 #define UPS_IDLE_MAX_MS 4000
 #define UPS_SAFE_IDLE_MS 1000
 #define UPS_CONNECT_TIMEOUT_MS 400
@@ -184,6 +185,9 @@
 #define NWS_WATCHER_WAIT_MS 300
 #define NWS_NEXT_FETCH_MS 300
 
+/* Turns of the event loop. */
+#define LAG_STALL_MS 250u
+
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
 
--- a/src/met.c
+++ b/src/met.c
@@ -9,10 +9,19 @@
   return (uint64_t) (8.0 * pow (2.0, (double) (index + 1) / 4.0));
 }
 
+/* A bucket at or just before the one that holds the value. */
+static uint32_t
+bucket_near (uint64_t value_us)
+{
+  double index = value_us > 8 ? floor (4.0 * log2 ((double) value_us / 8.0)) - 2.0 : 0.0;
+
+  return (uint32_t) CLAMP (index, 0.0, MET_BUCKETS - 1.0);
+}
+
 void
 met_observe (MetHistogram *histogram, uint64_t value_us)
 {
-  uint32_t index = 0;
+  uint32_t index = bucket_near (value_us);
 
   while (index + 1 < MET_BUCKETS && bucket_upper_us (index) < value_us)
     index++;
--- a/src/nod.c
+++ b/src/nod.c
@@ -432,6 +432,7 @@
   if (node->lookup == NULL)
     return false;
   serve_status (node);
+  lag_start (&node->lag, node->loop, &node->log);
   uv_timer_init (node->loop, &node->tick);
   node->tick.data = node;
   uv_timer_start (&node->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/nod.h
+++ b/src/nod.h
@@ -4,6 +4,7 @@
 #include "cen.h"
 #include "clk.h"
 #include "hsv.h"
+#include "lag.h"
 #include "log.h"
 #include "met.h"
 #include "per.h"
@@ -154,6 +155,7 @@
   uv_timer_t tick;
   uint32_t open;
   MetHistogram latency;
+  Lag lag;
   NodCounters counters;
 } Node;
 
--- a/src/nst.c
+++ b/src/nst.c
@@ -42,6 +42,7 @@
   met_write_value (out, PREFIX "peers_heard", NULL, per_count (&node->peers, now_ms) - 1);
   met_write_value (out, PREFIX "upstreams", NULL, g_hash_table_size (node->upstreams.by_id));
   met_write_value (out, PREFIX "connections_opened_total", NULL, node->ucn.opened);
+  met_write_value (out, PREFIX "buffered_answer_bytes", NULL, node->ucn.buffered_bytes);
   met_write_value (out, PREFIX "connections_reused_total", NULL, node->ucn.reused);
   met_write_value (out, PREFIX "messages_sent_total", NULL, node->peers.sent);
   met_write_value (out, PREFIX "message_bytes_sent_total", NULL, node->peers.sent_bytes);
@@ -53,7 +54,9 @@
   met_write_value (out, PREFIX "objects_fetched_total", NULL, node->peers.fetches);
   met_write_value (out, PREFIX "configuration_version", NULL,
                    node->table != NULL ? node->table->version : 0);
+  met_write_value (out, PREFIX "loop_stalls_total", NULL, node->lag.stalls);
   met_write_histogram (out, PREFIX "answer_seconds", &node->latency);
+  met_write_histogram (out, PREFIX "loop_turn_seconds", &node->lag.turns);
   return g_string_free (out, FALSE);
 }
 
@@ -65,11 +68,14 @@
 static void
 dump_node (const Node *node, GString *out)
 {
-  g_string_append_printf (out, "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s\n",
+  g_string_append_printf (out, "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
+                          "rank=%u zoned=%d stalls=%llu worst_turn_us=%llu\n",
                           node->set.vm, node->set.zone, state_names[node->state],
                           (unsigned long long) (node->table != NULL ? node->table->version : 0),
                           node->open, node->store_lost ? "lost" : "ok",
-                          watch_names[node->peers.self.watch]);
+                          watch_names[node->peers.self.watch], node->peers.rank,
+                          node->peers.zoned, (unsigned long long) node->lag.stalls,
+                          (unsigned long long) node->lag.worst_us);
 }
 
 static void
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -67,11 +67,18 @@
   g_free (header);
 }
 
+static void
+drop_body (Conn *conn)
+{
+  conn->ctx->buffered_bytes -= conn->answer.body->len;
+  g_byte_array_set_size (conn->answer.body, 0);
+}
+
 static void
 answer_reset (Conn *conn)
 {
   g_ptr_array_set_size (conn->answer.headers, 0);
-  g_byte_array_set_size (conn->answer.body, 0);
+  drop_body (conn);
   g_string_truncate (conn->field, 0);
   g_string_truncate (conn->value, 0);
   conn->answer.status = 0;
@@ -116,6 +123,7 @@
       conn->pool->open--;
     }
   conn->state = CONN_CLOSING;
+  drop_body (conn);
   uv_close ((uv_handle_t *) &conn->tcp, on_handle_closed);
   uv_close ((uv_handle_t *) &conn->timer, on_handle_closed);
 }
@@ -240,8 +248,10 @@
 {
   Conn *conn = parser->data;
 
-  if (conn->answer.body->len + size > ANSWER_MAX_BYTES)
+  if (conn->answer.body->len + size > ANSWER_MAX_BYTES
+      || conn->ctx->buffered_bytes + size > ANSWERS_MAX_BYTES)
     return 1;
+  conn->ctx->buffered_bytes += size;
   g_byte_array_append (conn->answer.body, (const guint8 *) at, (guint) size);
   return 0;
 }
@@ -280,6 +290,7 @@
       conn_close (conn);
       return;
     }
+  drop_body (conn);
   g_queue_remove (&pool->busy, conn);
   g_queue_push_head (&pool->idle, conn);
   conn->state = CONN_IDLE;
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -45,13 +45,14 @@
 
 typedef void (*UcnDoneFn) (void *user, UcnOutcome outcome, const UcnAnswer *answer);
 
-/** struct UcnCtx - what all connections of a loop share */
+/** struct UcnCtx - what all connections of a loop share; @buffered_bytes: bodies being collected */
 typedef struct
 {
   uv_loop_t *loop;
   char *buffer;
   uint64_t opened;
   uint64_t reused;
+  uint64_t buffered_bytes;
 } UcnCtx;
 
 /**
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -652,6 +652,17 @@
   return Fetch (ip_, front_, method, path, headers, body, timeout_ms);
 }
 
+long
+NodeProcess::PeakMemoryKb () const
+{
+  std::ifstream status ("/proc/" + std::to_string (pid_) + "/status");
+  std::string line;
+  while (std::getline (status, line))
+    if (line.rfind ("VmHWM:", 0) == 0)
+      return atol (line.c_str () + strlen ("VmHWM:"));
+  return -1;
+}
+
 std::string
 NodeProcess::Log () const
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -203,6 +203,8 @@
   Reply Ready ();
   Reply Lookup (const std::string &region);
   std::string Log () const;
+  // The most memory that it has had so far.
+  long PeakMemoryKb () const;
   std::string front () const;
   // Where it hears its peers.
   std::string peer () const;
--- /dev/null
+++ b/tests/test_lag.cc
@@ -0,0 +1,99 @@
+// Stalls of the event loop are counted, and logged once a second at most.
+#include <cstdio>
+#include <string>
+
+extern "C"
+{
+#include "lag.h"
+#include "lim.h"
+}
+
+#include <gtest/gtest.h>
+
+namespace
+{
+constexpr uint64_t kSecondNs = 1000000000ull;
+
+class Stalls : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    log_.out = open_memstream (&text_, &size_);
+    log_.level = LOG_INFO;
+    log_.process = "node";
+    log_.vm = "vm-1";
+    lag_.log = &log_;
+  }
+
+  void
+  TearDown () override
+  {
+    fclose (log_.out);
+    free (text_);
+  }
+
+  int
+  Lines ()
+  {
+    fflush (log_.out);
+    std::string text (text_, size_);
+    int lines = 0;
+    for (size_t at = text.find ("loop_stalled"); at != std::string::npos;
+         at = text.find ("loop_stalled", at + 1))
+      lines++;
+    return lines;
+  }
+
+  Log log_ = {};
+  Lag lag_ = {};
+  char *text_ = nullptr;
+  size_t size_ = 0;
+};
+}
+
+TEST_F (Stalls, AShortTurnIsOnlyCounted)
+{
+  lag_turn (&lag_, LAG_STALL_MS * 1000 - 1, kSecondNs);
+  EXPECT_EQ (lag_.turns.count, 1u);
+  EXPECT_EQ (lag_.stalls, 0u);
+  EXPECT_EQ (Lines (), 0);
+}
+
+TEST_F (Stalls, LongTurnsAreLoggedOnceASecond)
+{
+  for (uint64_t i = 0; i < 5; i++)
+    lag_turn (&lag_, LAG_STALL_MS * 1000 + i, 3 * kSecondNs + i);
+  EXPECT_EQ (lag_.stalls, 5u);
+  EXPECT_EQ (lag_.worst_us, LAG_STALL_MS * 1000 + 4);
+  EXPECT_EQ (Lines (), 1);
+  lag_turn (&lag_, LAG_STALL_MS * 1000, 5 * kSecondNs);
+  EXPECT_EQ (Lines (), 2);
+}
+
+// Waiting is no turn; a callback that computes is.
+TEST_F (Stalls, ALoopThatComputesIsSeen)
+{
+  uv_loop_t loop;
+  uv_timer_t timer;
+  uv_loop_init (&loop);
+  lag_start (&lag_, &loop, &log_);
+  uv_timer_init (&loop, &timer);
+  uv_timer_start (
+      &timer,
+      [] (uv_timer_t *) {
+        uint64_t until = uv_hrtime () + (uint64_t) (LAG_STALL_MS + 20) * 1000000;
+        while (uv_hrtime () < until)
+          ;
+      },
+      400, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  EXPECT_EQ (lag_.stalls, 1u);
+  EXPECT_LT (lag_.worst_us, 400u * 1000);
+  uv_close ((uv_handle_t *) &timer, nullptr);
+  uv_close ((uv_handle_t *) &lag_.check, nullptr);
+  uv_close ((uv_handle_t *) &lag_.prepare, nullptr);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -2,6 +2,7 @@
 #include "fakes.h"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -214,6 +215,76 @@
   EXPECT_EQ (Runs ("unsigned"), 1);
 }
 
+namespace
+{
+// Sends the piece again and again until the other side closes; tells when it did.
+FakeUpstream::Behaviour
+Endless (const std::string &head, const std::string &piece, std::atomic<int> *closed)
+{
+  return [=] (int fd, const Request &) {
+    std::string bytes = head;
+    while (send (fd, bytes.data (), bytes.size (), MSG_NOSIGNAL) > 0)
+      bytes = piece;
+    (*closed)++;
+  };
+}
+}
+
+TEST_F (NodeTest, AnAnswerThatNeverEndsIsGivenUp)
+{
+  std::string line = "X-Fill: " + std::string (1000, 'x') + "\r\n";
+  std::string chunk = "10000\r\n" + std::string (0x10000, 'x') + "\r\n";
+  std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  std::atomic<int> closed{ 0 };
+  Start (1);
+  const std::pair<std::string, std::string> answers[] = {
+    { "HTTP/1.1 200 OK\r\n", line },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk },
+    { "HTTP/1.1 200 OK\r\n\r\n", chunk },
+    { interim, interim },
+    { std::string (1000, 'x'), std::string (1000, 'x') },
+  };
+  int expected = 0;
+  for (const auto &[head, piece] : answers)
+    {
+      Behave (Endless (head, piece, &closed));
+      int begun_ms = NowMs ();
+      Reply reply = node_->Call ("POST", "/post/a", WithId ("e" + std::to_string (expected)), "x");
+      EXPECT_GE (reply.status, 500) << "answer " << expected;
+      EXPECT_LE (NowMs () - begun_ms, 2500) << "answer " << expected;
+      expected++;
+      EXPECT_TRUE (WaitUntil (2000, [&] { return closed == expected; })) << "answer " << expected;
+      std::this_thread::sleep_for (2100ms);
+    }
+}
+
+// A node on a VM of 160 MB must live through several of them at a time.
+TEST_F (NodeTest, AnswersThatNeverEndDoNotFillTheMemory)
+{
+#ifdef __SANITIZE_ADDRESS__
+  constexpr long kMostKb = 1000 * 1024;
+#else
+  constexpr long kMostKb = 150 * 1024;
+#endif
+  std::string chunk = "10000\r\n" + std::string (0x10000, 'x') + "\r\n";
+  std::atomic<int> closed{ 0 };
+  Start (10);
+  Behave (Endless ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunk, &closed));
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 10; i++)
+    callers.emplace_back ([this, i] {
+      Reply reply = node_->Call ("POST", "/post/a", WithId ("m" + std::to_string (i)), "x");
+      EXPECT_GE (reply.status, 500);
+    });
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_LE (node_->PeakMemoryKb (), kMostKb);
+  Behave ([&] (int fd, const Request &request) {
+    WriteAll (fd, upstreams_[0]->Whole (request, "ok"));
+  });
+  EXPECT_TRUE (WaitUntil (5000, [&] { return Served (); }));
+}
+
 TEST_F (NodeTest, ANonIdempotentRequestWhoseAnswerIsLostIsNotRepeatedNorCalledNotRun)
 {
   Start ();
