--- a/src/nst.c
+++ b/src/nst.c
@@ -68,13 +68,14 @@
 static void
 dump_node (const Node *node, GString *out)
 {
-  g_string_append_printf (out, "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
+  g_string_append_printf (out,
+                          "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
                           "rank=%u zoned=%d stalls=%llu worst_turn_us=%llu\n",
                           node->set.vm, node->set.zone, state_names[node->state],
                           (unsigned long long) (node->table != NULL ? node->table->version : 0),
                           node->open, node->store_lost ? "lost" : "ok",
-                          watch_names[node->peers.self.watch], node->peers.rank,
-                          node->peers.zoned, (unsigned long long) node->lag.stalls,
+                          watch_names[node->peers.self.watch], node->peers.rank, node->peers.zoned,
+                          (unsigned long long) node->lag.stalls,
                           (unsigned long long) node->lag.worst_us);
 }
 
