--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -284,6 +284,12 @@
   return lists_;
 }
 
+int
+FakeStore::writes () const
+{
+  return writes_;
+}
+
 void
 FakeStore::Put (const std::string &kind, const std::string &name, const std::string &spec)
 {
@@ -406,6 +412,7 @@
 std::string
 FakeStore::Write (const Request &request, const std::string &kind, const std::string &name)
 {
+  writes_++;
   size_t at = request.body.find ("\"spec\":");
   std::string spec = request.body.substr (at + 7, request.body.size () - at - 8);
   std::string target = name;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -105,6 +105,8 @@
   int watches () const;
   // Lists answered so far.
   int lists () const;
+  // Objects that nodes created or replaced so far, refused ones included.
+  int writes () const;
 
 private:
   struct Object
@@ -138,6 +140,7 @@
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
   std::atomic<int> lists_{ 0 };
+  std::atomic<int> writes_{ 0 };
   std::atomic<bool> ending_{ false };
   std::atomic<bool> path_silent_{ false };
   std::unique_ptr<Listener> listener_;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -552,6 +552,18 @@
   EXPECT_EQ (left.arrivals (), before);
 }
 
+TEST_F (NodeTest, ANodeThatStartsAgainDoesNotWriteItsObjectAnew)
+{
+  Start ();
+  EXPECT_EQ (store_.writes (), 1);
+  node_->Signal (SIGKILL);
+  node_->WaitExit (2000);
+  node_->Start ();
+  ASSERT_TRUE (node_->WaitReady (5000));
+  ASSERT_TRUE (WaitUntil (4000, [&] { return store_.watches () == 4; }));
+  EXPECT_EQ (store_.writes (), 1);
+}
+
 TEST_F (NodeTest, ServesOnWhileTheStoreIsDown)
 {
   Start ();
