Candidates are worked out once for all waiting requests of a route

Cause: each of up to eight waiting requests that are tried on each wake, 40 times a second and after each answer, worked out all upstreams of the service anew (1,000 of them, 88 KB). They are the same for a route until a request is sent; only what a request has tried itself is taken out of the choice. Test: Choice.ASetOfCandidatesServesManyRequests.

--- a/src/chs.c
+++ b/src/chs.c
@@ -7,15 +7,7 @@
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
 #define SHIFT_USED_PCT 55
-
-static bool
-was_tried (const ChsRequest *request, uint32_t hash)
-{
-  for (uint32_t i = 0; i < request->tried_count; i++)
-    if (request->tried[i] == hash)
-      return true;
-  return false;
-}
+#define TRIED_MAX 8
 
 /* Requests a second that this node may send to a cold upstream; 0 when there is no limit. */
 static uint32_t
@@ -98,8 +90,7 @@
 }
 
 static bool
-is_usable (const Node *node, const ChsRequest *request, const Ups *ups, uint32_t cold_per_s,
-           uint64_t now_ms)
+is_usable (const Node *node, const Ups *ups, uint32_t cold_per_s, uint64_t now_ms)
 {
   if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms)
     return false;
@@ -107,7 +98,7 @@
     return false;
   if (ups->failures > 0 && ups->in_flight > 0)
     return false;
-  return !was_tried (request, ups->hash) && cold_allows (node, ups, cold_per_s, now_ms);
+  return cold_allows (node, ups, cold_per_s, now_ms);
 }
 
 static PlcCandidate *
@@ -129,7 +120,7 @@
       candidates[i]
           = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
                             .usable = listed && regions.may_grow[region]
-                                      && is_usable (node, request, ups, cold_per_s, now_ms),
+                                      && is_usable (node, ups, cold_per_s, now_ms),
                             .hash = ups->hash,
                             .region = region,
                             .slots = ups->record.slots,
@@ -154,22 +145,80 @@
   return slots;
 }
 
-Ups *
-chs_upstream (const Node *node, const ChsRequest *request)
+ChsSet *
+chs_set_new (const Node *node, const ChsRequest *request)
 {
   GPtrArray *list = ups_of (&node->upstreams, request->service->name);
+  ChsSet *set = g_new0 (ChsSet, 1);
 
+  set->node = node;
+  set->list = list;
   if (list == NULL || list->len == 0)
+    return set;
+  set->candidates = candidates_of (node, request, list, clk_now_ms ());
+  set->slots = total_slots (list);
+  return set;
+}
+
+void
+chs_set_free (ChsSet *set)
+{
+  g_free (set->candidates);
+  g_free (set);
+}
+
+static bool
+was_tried (const ChsRequest *request, uint32_t hash)
+{
+  for (uint32_t i = 0; i < request->tried_count; i++)
+    if (request->tried[i] == hash)
+      return true;
+  return false;
+}
+
+/* Takes the upstreams that were tried out of the choice; returns them in @hidden. */
+static uint32_t
+hide_tried (ChsSet *set, const ChsRequest *request, uint32_t *hidden, uint32_t room)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; request->tried_count > 0 && i < set->list->len && count < room; i++)
+    {
+      if (!set->candidates[i].usable || !was_tried (request, set->candidates[i].hash))
+        continue;
+      set->candidates[i].usable = false;
+      hidden[count++] = i;
+    }
+  return count;
+}
+
+Ups *
+chs_choose (ChsSet *set, const ChsRequest *request)
+{
+  uint32_t hidden[TRIED_MAX];
+
+  if (set->candidates == NULL)
     return NULL;
-  PlcCandidate *candidates = candidates_of (node, request, list, clk_now_ms ());
   PlcRequest placed = { .key = request->key,
                         .cold_ms = request->work->cold_ms,
                         .warm_ms = request->work->warm_ms,
                         .objects = cen_objects (&request->service->objects),
-                        .home_region = node->set.region_index,
+                        .home_region = set->node->set.region_index,
                         .wait_max_ms = request->route->objective_ms / PLC_QUEUE_SHARE,
-                        .reserve = adm_reserve (request->admission, total_slots (list)) };
-  uint32_t index = plc_choose (candidates, list->len, &placed);
-  g_free (candidates);
-  return index != PLC_NONE ? g_ptr_array_index (list, index) : NULL;
+                        .reserve = adm_reserve (request->admission, set->slots) };
+  uint32_t count = hide_tried (set, request, hidden, TRIED_MAX);
+  uint32_t index = plc_choose (set->candidates, set->list->len, &placed);
+  for (uint32_t i = 0; i < count; i++)
+    set->candidates[hidden[i]].usable = true;
+  return index != PLC_NONE ? g_ptr_array_index (set->list, index) : NULL;
+}
+
+Ups *
+chs_upstream (const Node *node, const ChsRequest *request)
+{
+  ChsSet *set = chs_set_new (node, request);
+  Ups *ups = chs_choose (set, request);
+
+  chs_set_free (set);
+  return ups;
 }
--- a/src/chs.h
+++ b/src/chs.h
@@ -21,5 +21,21 @@
   uint32_t tried_count;
 } ChsRequest;
 
+/** struct ChsSet - the candidates of a route at one moment; holds until something is sent */
+typedef struct
+{
+  const Node *node;
+  const GPtrArray *list;
+  struct PlcCandidate *candidates;
+  uint32_t slots;
+} ChsSet;
+
+/** chs_set_new() - works out the candidates for requests of @request's route. */
+ChsSet *chs_set_new (const Node *node, const ChsRequest *request);
+void chs_set_free (ChsSet *set);
+
+/** chs_choose() - the upstream that takes the request now, or NULL when none has room. */
+Ups *chs_choose (ChsSet *set, const ChsRequest *request);
+
 /** chs_upstream() - the upstream that takes the request now, or NULL when none has room. */
 Ups *chs_upstream (const Node *node, const ChsRequest *request);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -213,17 +213,23 @@
   fwd_wake (service);
 }
 
+static ChsRequest
+choice_of (const Fwd *fwd)
+{
+  return (ChsRequest){ .table = fwd->table,
+                       .route = fwd->route,
+                       .service = fwd->service,
+                       .work = fwd->work,
+                       .admission = &fwd->admission,
+                       .key = fwd->key,
+                       .tried = fwd->tried,
+                       .tried_count = MIN (fwd->sends, SENDS_MAX) };
+}
+
 static Ups *
 choose_upstream (const Fwd *fwd)
 {
-  ChsRequest request = { .table = fwd->table,
-                         .route = fwd->route,
-                         .service = fwd->service,
-                         .work = fwd->work,
-                         .admission = &fwd->admission,
-                         .key = fwd->key,
-                         .tried = fwd->tried,
-                         .tried_count = MIN (fwd->sends, SENDS_MAX) };
+  ChsRequest request = choice_of (fwd);
 
   return chs_upstream (fwd->node, &request);
 }
@@ -537,6 +543,21 @@
              : 1;
 }
 
+/* Candidates are the same for all requests of a route until one is sent. */
+static Ups *
+choose_from_sets (GHashTable *sets, const Fwd *fwd)
+{
+  ChsRequest request = choice_of (fwd);
+  ChsSet *set = g_hash_table_lookup (sets, fwd->route);
+
+  if (set == NULL)
+    {
+      set = chs_set_new (fwd->node, &request);
+      g_hash_table_insert (sets, fwd->route, set);
+    }
+  return chs_choose (set, &request);
+}
+
 void
 fwd_wake (NodService *service)
 {
@@ -544,18 +565,22 @@
 
   if (g_queue_is_empty (&service->waiting))
     return;
+  GHashTable *sets
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) chs_set_free);
   g_queue_sort (&service->waiting, compare_waiting, &now_ms);
   GList *item = service->waiting.head;
   for (uint32_t tries = 0; item != NULL && tries < WAKE_TRIES_MAX; tries++)
     {
       Fwd *fwd = item->data;
       item = item->next;
-      Ups *ups = now_ms < fwd->ends_at_ms ? choose_upstream (fwd) : NULL;
+      Ups *ups = now_ms < fwd->ends_at_ms ? choose_from_sets (sets, fwd) : NULL;
       if (ups == NULL)
         continue;
       stop_waiting (fwd);
       send_to (fwd, ups);
+      g_hash_table_remove_all (sets);
     }
+  g_hash_table_unref (sets);
 }
 
 void
--- a/src/plc.h
+++ b/src/plc.h
@@ -17,7 +17,7 @@
  * @objects: hashes of the objects for which this node sent it requests lately
  * @untried: this node has sent it nothing since it joined
  */
-typedef struct
+typedef struct PlcCandidate
 {
   bool listed;
   bool usable;
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -44,7 +44,7 @@
       }
     nod_init (node_, &loop_);
     node_->started_at_ms = 1;
-    node_->peers.peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+    per_init (&node_->peers);
     node_->table = rtt_new (1);
     route_ = rtt_add_route (node_->table, "route");
     route_->objective_ms = 600;
@@ -55,7 +55,6 @@
   void
   TearDown () override
   {
-    g_hash_table_unref (node_->peers.peers);
     nod_clear (node_);
     g_array_unref (node_->set.zones);
     g_ptr_array_unref (node_->set.regions);
@@ -145,6 +144,31 @@
     }
 }
 
+// Waiting requests of a route are tried on the same candidates; each is kept from what it tried.
+TEST_F (Choice, ASetOfCandidatesServesManyRequests)
+{
+  AddUpstreams (0);
+  AdmRequest admission = {};
+  ChsRequest request = {};
+  request.table = node_->table;
+  request.route = route_;
+  request.service = nod_service (node_, "service");
+  request.work = nod_work (node_, route_);
+  request.admission = &admission;
+  ChsSet *set = chs_set_new (node_, &request);
+  for (uint32_t key = 1; key < 50; key++)
+    {
+      request.key = key;
+      request.tried_count = 0;
+      Ups *first = chs_choose (set, &request);
+      ASSERT_EQ (first, Choose (key));
+      request.tried = &first->hash;
+      request.tried_count = 1;
+      EXPECT_NE (first, chs_choose (set, &request));
+    }
+  chs_set_free (set);
+}
+
 // A node on a tenth of a core chooses some 340 times a second while requests wait; 1.9 % of a core
 // is what control may use.
 TEST_F (Choice, StaysCheapWhileAllUpstreamsAreCold)
