An answer with further requests behind it closes its connection

Cause: answers go out in the order of requests, and the server reads the next request of a connection only when the one before is answered. A request behind an answer that closes the connection counts as not read, and its caller sends it at once on a new one. Test: ARequestBehindAnotherIsLeftToBeSentAnew (failed before).

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -134,6 +134,7 @@
 
   if (fwd->id != NULL)
     hsv_add_header (h2o, fwd->node->headers.request_id, fwd->id);
+  hsv_close_if_more (h2o);
   fwd_free (fwd);
   return h2o;
 }
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -197,6 +197,28 @@
 
 /* ---- Requests ---- */
 
+/* Bytes beyond the request's head and body, which h2o keeps until the answer. */
+static bool
+has_more (h2o_req_t *req)
+{
+  static const char end[] = "\r\n\r\n";
+  const h2o_buffer_t *input = req->conn->callbacks->get_socket (req->conn)->input;
+  const char *head_end = g_strstr_len (input->bytes, (gssize) input->size, end);
+  bool is_chunked = h2o_find_header (&req->headers, H2O_TOKEN_TRANSFER_ENCODING, SIZE_MAX) != -1;
+
+  if (head_end == NULL || is_chunked)
+    return false;
+  size_t head_size = (size_t) (head_end - input->bytes) + strlen (end);
+  return input->size > head_size + req->entity.len;
+}
+
+void
+hsv_close_if_more (h2o_req_t *req)
+{
+  if (req->version < 0x200 && has_more (req))
+    req->http1_is_persistent = 0;
+}
+
 static void
 send_body (h2o_req_t *req, int status, const void *body, size_t size, size_t declared)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -41,6 +41,13 @@
 /** hsv_send_until_close() - as hsv_send(), but the end is marked only by closing the connection. */
 void hsv_send_until_close (h2o_req_t *req, int status, const void *body, size_t size);
 
+/**
+ * hsv_close_if_more() - the answer says that its connection ends if a further request waits behind
+ *
+ * Its caller then sends that request anew at once, and it is not held up by the order of answers.
+ */
+void hsv_close_if_more (h2o_req_t *req);
+
 /** hsv_reply() - sends a whole answer; @type may be NULL. */
 void hsv_reply (h2o_req_t *req, int status, const char *type, const char *body);
 
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -777,6 +777,37 @@
   return reply;
 }
 
+std::string
+Exchange (const std::string &ip, int port, const std::vector<std::string> &pieces, int pause_ms,
+          int timeout_ms)
+{
+  sockaddr_in addr = Address (ip, port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  timeval timeout = { timeout_ms / 1000, timeout_ms % 1000 * 1000 };
+  std::string answer;
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
+    {
+      for (const std::string &piece : pieces)
+        {
+          WriteAll (fd, piece);
+          std::this_thread::sleep_for (std::chrono::milliseconds (pause_ms));
+        }
+      char bytes[4096];
+      for (ssize_t n = 1; n > 0;)
+        if ((n = recv (fd, bytes, sizeof bytes, 0)) > 0)
+          answer.append (bytes, (size_t) n);
+    }
+  close (fd);
+  return answer;
+}
+
+std::string
+NodeProcess::Raw (const std::vector<std::string> &pieces, int pause_ms, int timeout_ms)
+{
+  return Exchange (ip_, front_, pieces, pause_ms, timeout_ms);
+}
+
 void
 SendLine (const std::string &ip, int port, const std::string &line)
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -205,6 +205,8 @@
               const std::string &body = "", int timeout_ms = 5000);
   Reply Ready ();
   Reply Lookup (const std::string &region);
+  // Sends pieces to the front on one connection, with a pause between; what comes back.
+  std::string Raw (const std::vector<std::string> &pieces, int pause_ms, int timeout_ms);
   std::string Log () const;
   // The most memory that it has had so far.
   long PeakMemoryKb () const;
@@ -229,6 +231,10 @@
 Reply Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
              const Headers &headers, const std::string &body, int timeout_ms);
 
+// Sends some bytes on a connection of its own; all that comes back until it closes or in time.
+std::string Exchange (const std::string &ip, int port, const std::vector<std::string> &pieces,
+                      int pause_ms, int timeout_ms);
+
 // Sends a line on a connection of its own.
 void SendLine (const std::string &ip, int port, const std::string &line);
 
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -97,6 +97,48 @@
       }
 }
 
+// A request behind another one waits for that one's answer, so its caller does better to send it on
+// a new connection, which it does when the answer closes this one.
+TEST_F (NodeTest, ARequestBehindAnotherIsLeftToBeSentAnew)
+{
+  Start ();
+  auto request = [] (const std::string &id, const std::string &body) {
+    std::string head = body.empty () ? "GET /read/a" : "POST /post/a";
+    return head + " HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + id
+           + "\r\nX-Deadline-Ms: 4000\r\nContent-Length: " + std::to_string (body.size ())
+           + "\r\n\r\n" + body;
+  };
+  for (const auto &upstream : upstreams_)
+    upstream->SetWork (300);
+  const std::vector<std::string> sent[] = {
+    { request ("first-0", "") + request ("behind-0", "") },
+    { request ("first-1", ""), request ("behind-1", "") },
+    { request ("first-2", "body") + request ("behind-2", "") },
+    { request ("first-3", "body"), request ("behind-3", "") },
+  };
+  for (size_t i = 0; i < std::size (sent); i++)
+    {
+      std::string answer = node_->Raw (sent[i], 50, 2000);
+      std::string n = std::to_string (i);
+      EXPECT_EQ (answer.rfind ("HTTP/1.1 200", 0), 0u) << n << answer;
+      EXPECT_NE (answer.find ("onnection: close"), std::string::npos) << n << answer;
+      EXPECT_NE (answer.find ("first-" + n), std::string::npos) << n;
+      EXPECT_EQ (Runs ("first-" + n), 1);
+      EXPECT_EQ (Runs ("behind-" + n), 0);
+    }
+}
+
+// Requests that come one after the other keep their connection.
+TEST_F (NodeTest, RequestsThatWaitForAnswersKeepTheirConnection)
+{
+  Start ();
+  std::string request = "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: r\r\n"
+                        "X-Deadline-Ms: 4000\r\n\r\n";
+  std::string answer = node_->Raw ({ request, request, request }, 300, 500);
+  EXPECT_EQ (answer.find ("onnection: close"), std::string::npos) << answer;
+  EXPECT_EQ (Runs ("r"), 3);
+}
+
 TEST_F (NodeTest, TakesABodyAsLargeAsTheConfigurationAllows)
 {
   Start (1);
