Holding of vanished registrations ends on all nodes

Cause: a node that regains a store that no node could reach says so for two seconds, and the others hold vanished registrations as long as they hear it. Summaries and news passed on what was heard as if it were said anew, so that in cells of zones nodes told each other for ever: after one outage no vanished registration ended. Ruled out: the watch (the event came), the order of incarnations, the tree. Now the time that is left is told, less by more than a message takes. Test: Exchange.HoldingEndsOnAllNodes (failed before).

--- a/src/lim.h
+++ b/src/lim.h
@@ -171,7 +171,7 @@
 #define PER_NEWS_MS 250
 #define PER_RECENT_MS 700
 #define PER_STEP_IN_MS 100
-#define PER_SETTLING_HEARD_MS 700
+#define PER_HOP_MS 80u
 
 /* Summaries of a zone. */
 #define SUM_PERIOD_MS 500
--- a/src/nod.c
+++ b/src/nod.c
@@ -195,7 +195,7 @@
 
   if (ups == NULL)
     return;
-  if (per_any_settling (&node->peers, now_ms) && !ups->record.draining)
+  if (per_settling_ms (&node->peers, now_ms) > 0 && !ups->record.draining)
     {
       ups->missing_since_ms = now_ms;
       return;
@@ -211,9 +211,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  node->peers.self.settling
-      = node->store_back_ms != 0 && now_ms - node->store_back_ms < UPS_MISSING_HOLD_MS;
-  if (per_any_settling (&node->peers, now_ms))
+  if (per_settling_ms (&node->peers, now_ms) > 0)
     return;
   GPtrArray *ended = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_iter_init (&iter, node->upstreams.by_id);
@@ -273,8 +271,7 @@
   node->store_lost = !ok;
   if (ok && !wch_store_is_heard (&node->peers, clk_now_ms ()))
     {
-      node->store_back_ms = clk_now_ms ();
-      node->peers.self.settling = true;
+      per_settle (&node->peers, UPS_MISSING_HOLD_MS, clk_now_ms ());
     }
   log_event (&node->log, ok ? LOG_INFO : LOG_WARN, ok ? "store_regained" : "store_lost", "peers=%u",
              per_count (&node->peers, clk_now_ms ()));
--- a/src/nod.h
+++ b/src/nod.h
@@ -119,7 +119,6 @@
 /**
  * struct Node - central state
  * @clock_ms: time that also runs while the VM is suspended
- * @store_back_ms: when the platform's store was regained after no node could reach it
  * @disturbed_at_ms: when something that the node relies on was last lost
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
@@ -134,7 +133,6 @@
   NodState state;
   uint64_t started_at_ms;
   uint64_t stopping_since_ms;
-  uint64_t store_back_ms;
   bool store_lost;
   uint64_t disturbed_at_ms;
   ShrWindow shares;
--- a/src/nws.c
+++ b/src/nws.c
@@ -183,7 +183,7 @@
   news->kind = (char *) kind->name;
   news->since = kind->pushed;
   news->revision = revision;
-  news->settling = per_any_settling (per, per->ticked_at_ms);
+  news->settling_ms = per_settling_to_tell_ms (per, per->ticked_at_ms);
   news->told = objects != NULL;
   news->objects.objects_val = objects != NULL ? (peer_object *) (void *) objects->data : NULL;
   news->objects.objects_len = objects != NULL ? objects->len : 0;
@@ -235,7 +235,7 @@
 {
   RepKind *kind = rep_find (&per->rep, news->kind);
 
-  per_heard_settling (per, news->settling, now_ms);
+  per_settle (per, news->settling_ms, now_ms);
   if (kind == NULL || news->revision <= kind->changed)
     return;
   if (news->told && news->since <= kind->changed)
--- a/src/peer.h
+++ b/src/peer.h
@@ -50,7 +50,7 @@
 
 struct peer_view {
 	peer_member self;
-	bool_t settling;
+	u_int settling_ms;
 	struct {
 		u_int revisions_len;
 		peer_revision *revisions_val;
@@ -79,7 +79,7 @@
 struct peer_summary {
 	peer_name zone;
 	bool_t relay;
-	bool_t settling;
+	u_int settling_ms;
 	struct {
 		u_int revisions_len;
 		peer_revision *revisions_val;
@@ -116,7 +116,7 @@
 	u_quad_t since;
 	u_quad_t revision;
 	bool_t told;
-	bool_t settling;
+	u_int settling_ms;
 	struct {
 		u_int objects_len;
 		peer_object *objects_val;
--- a/src/peer.x
+++ b/src/peer.x
@@ -37,12 +37,13 @@
 };
 
 /* A node's own view.
- * settling tells that it regained a store that no node could reach a moment ago.
+ * settling_ms is how much longer registrations that vanished are held, because a node regained a store
+ * that no node could reach.
  * loads are its requests in flight.
  * downs names upstreams that do not answer it, by the hash of their ids. */
 struct peer_view {
   peer_member self;
-  bool settling;
+  unsigned int settling_ms;
   peer_revision revisions<16>;
   peer_count loads<1024>;
   unsigned int downs<256>;
@@ -59,7 +60,7 @@
 struct peer_summary {
   peer_name zone;
   bool relay;
-  bool settling;
+  unsigned int settling_ms;
   peer_revision revisions<16>;
   peer_heard members<256>;
   peer_count loads<1024>;
@@ -80,7 +81,7 @@
   unsigned hyper since;
   unsigned hyper revision;
   bool told;
-  bool settling;
+  unsigned int settling_ms;
   peer_object objects<>;
 };
 
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -159,7 +159,7 @@
 
 	 if (!xdr_peer_member (xdrs, &objp->self))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->settling))
+	 if (!xdr_u_int (xdrs, &objp->settling_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 		sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
@@ -197,7 +197,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->relay))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->settling))
+	 if (!xdr_u_int (xdrs, &objp->settling_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->revisions.revisions_val, (u_int *) &objp->revisions.revisions_len, 16,
 		sizeof (peer_revision), (xdrproc_t) xdr_peer_revision))
@@ -246,7 +246,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->told))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->settling))
+	 if (!xdr_u_int (xdrs, &objp->settling_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->objects.objects_val, (u_int *) &objp->objects.objects_len, ~0,
 		sizeof (peer_object), (xdrproc_t) xdr_peer_object))
--- a/src/per.c
+++ b/src/per.c
@@ -259,17 +259,28 @@
   return peer->direct_at_ms != 0 && now_ms - peer->direct_at_ms < limit_ms;
 }
 
-bool
-per_any_settling (const Per *per, uint64_t now_ms)
+void
+per_settle (Per *per, uint32_t left_ms, uint64_t now_ms)
 {
-  return per->self.settling || now_ms < per->settling_until_ms;
+  uint64_t until_ms = now_ms + MIN (left_ms, UPS_MISSING_HOLD_MS);
+
+  if (left_ms == 0)
+    return;
+  per->settling_until_ms = MAX (per->settling_until_ms, until_ms);
 }
 
-void
-per_heard_settling (Per *per, bool settling, uint64_t now_ms)
+uint32_t
+per_settling_ms (const Per *per, uint64_t now_ms)
 {
-  if (settling)
-    per->settling_until_ms = now_ms + PER_SETTLING_HEARD_MS;
+  return now_ms < per->settling_until_ms ? (uint32_t) (per->settling_until_ms - now_ms) : 0;
+}
+
+uint32_t
+per_settling_to_tell_ms (const Per *per, uint64_t now_ms)
+{
+  uint32_t left_ms = per_settling_ms (per, now_ms);
+
+  return left_ms > PER_HOP_MS ? left_ms - PER_HOP_MS : 0;
 }
 
 void
--- a/src/per.h
+++ b/src/per.h
@@ -70,7 +70,6 @@
   uint32_t capacity;
   PerState state;
   PerWatch watch;
-  bool settling;
 } PerSelf;
 
 /** typedef PerZoneFn - index of a zone by name */
@@ -107,7 +106,7 @@
  * @near: the other live nodes of the own cell, best first
  * @rank: own position among them
  * @heads: the best nodes of the other cells
- * @settling_until_ms: a node said that it regained the store a moment ago
+ * @settling_until_ms: until then, registrations that vanish are held
  */
 typedef struct
 {
@@ -200,6 +199,21 @@
 u_int per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms);
 void per_take_crashes (Per *per, const peer_crash *crashes, u_int count, uint64_t now_ms);
 
-/** per_any_settling() - a node regained a store that no node could reach a moment ago. */
-bool per_any_settling (const Per *per, uint64_t now_ms);
-void per_heard_settling (Per *per, bool settling, uint64_t now_ms);
+/**
+ * per_settle() - registrations that vanish are held for some time
+ *
+ * A node that regains a store that no node could reach begins it, with UPS_MISSING_HOLD_MS. The
+ * others are told the time that is left, so that it ends everywhere at much the same moment.
+ */
+void per_settle (Per *per, uint32_t left_ms, uint64_t now_ms);
+
+/** per_settling_ms() - how much longer registrations that vanish are held; 0 when they are not. */
+uint32_t per_settling_ms (const Per *per, uint64_t now_ms);
+
+/**
+ * per_settling_to_tell_ms() - what other nodes are told of it
+ *
+ * Less by PER_HOP_MS, which is more than a message takes, so that nodes that tell each other do not
+ * go on for ever.
+ */
+uint32_t per_settling_to_tell_ms (const Per *per, uint64_t now_ms);
--- a/src/sum.c
+++ b/src/sum.c
@@ -97,7 +97,7 @@
       nws_compare (per, summary->revisions.revisions_val, summary->revisions.revisions_len, from,
                    now_ms);
     }
-  per_heard_settling (per, summary->settling, now_ms);
+  per_settle (per, summary->settling_ms, now_ms);
   take_members (per, summary, now_ms);
   per_take_crashes (per, summary->crashes.crashes_val, summary->crashes.crashes_len, now_ms);
   if (is_counted (per, zone, now_ms))
@@ -199,7 +199,7 @@
 
   summary->zone = (char *) per->self.zone;
   summary->relay = true;
-  summary->settling = per_any_settling (per, now_ms);
+  summary->settling_ms = per_settling_to_tell_ms (per, now_ms);
   summary->loads.loads_val = loads;
   summary->downs.downs_val = downs;
   zone_counts (per, summary);
--- a/src/vws.c
+++ b/src/vws.c
@@ -116,7 +116,7 @@
   memset (view, 0, sizeof *view);
   if (is_counted (peer))
     add_reports (per, peer);
-  per_heard_settling (per, peer->view.settling, now_ms);
+  per_settle (per, peer->view.settling_ms, now_ms);
   per_take_crashes (per, peer->view.crashes.crashes_val, peer->view.crashes.crashes_len, now_ms);
   nws_compare (per, peer->view.revisions.revisions_val, peer->view.revisions.revisions_len, from,
                now_ms);
@@ -169,7 +169,7 @@
   if (peers->len == 0)
     return;
   view->self = per_own_member (per);
-  view->settling = per->self.settling;
+  view->settling_ms = per_settling_to_tell_ms (per, now_ms);
   view->loads.loads_val = loads;
   view->loads.loads_len = with_loads ? own_loads (per, loads) : 0;
   view->crashes.crashes_val = crashes;
--- a/tests/test_exc.cc
+++ b/tests/test_exc.cc
@@ -141,6 +141,22 @@
     }
 }
 
+// One node says that vanished registrations are to be held for a moment; that moment ends, though
+// each node passes it on.
+TEST_P (Exchange, HoldingEndsOnAllNodes)
+{
+  per_settle (&fleet_->node (3).per, UPS_MISSING_HOLD_MS, fleet_->now_ms ());
+  fleet_->Run (UPS_MISSING_HOLD_MS / 2);
+  uint32_t holding = 0;
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    holding += per_settling_ms (&fleet_->node (i).per, fleet_->now_ms ()) > 0;
+  EXPECT_EQ (holding, fleet_->size ());
+  fleet_->Change ("up");
+  fleet_->Run (UPS_MISSING_HOLD_MS);
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    EXPECT_EQ (per_settling_ms (&fleet_->node (i).per, fleet_->now_ms ()), 0u) << "node " << i;
+}
+
 // What a node sends does not grow with the fleet; no node sends much more than the others.
 TEST_P (Exchange, NoNodeIsOverburdened)
 {
