--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -91,6 +91,13 @@
 
 Fleet::~Fleet ()
 {
+  for (auto &[user, reply] : open_)
+    {
+      if (reply != nullptr)
+        xdr_free ((xdrproc_t) xdr_peer_fetch_reply, (char *) reply);
+      g_free (reply);
+      g_free (user);
+    }
   for (auto &node : nodes_)
     {
       per_clear (&node->per);
@@ -229,10 +236,12 @@
   uint32_t most_bytes = args->most_bytes;
   uint64_t way_ms = DelayMs (*caller, *target);
 
+  open_[user] = nullptr;
   At (now_ms_ + way_ms, [=] {
     bool reached = target->alive && !target->deaf && !target->mute && !caller->mute && !caller->deaf
                    && now_ms_ >= target->paused_until_ms;
     auto *reply = g_new0 (peer_fetch_reply, 1);
+    open_[user] = reply;
     peer_fetch_args wanted = {};
     wanted.kind = const_cast<char *> (kind.c_str ());
     wanted.since = since;
@@ -240,6 +249,7 @@
     if (reached)
       nws_answer (&target->per, &wanted, reply);
     At (now_ms_ + (reached ? way_ms : timeout_ms), [=] {
+      open_.erase (user);
       if (caller->alive)
         fn (user, reached ? reply : nullptr);
       else
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -120,4 +120,6 @@
   std::vector<Stored> stored_;
   std::vector<std::unique_ptr<FleetNode>> nodes_;
   std::priority_queue<Event> events_;
+  // Fetches without an answer yet.
+  std::map<void *, peer_fetch_reply *> open_;
 };
