A summary of a large zone under load fits into a datagram

The zone's name in a summary is the own one, as all its members are of the own zone. Test: Summary.OfAZoneAtItsLimitsIsSent (failed before).

--- a/src/per.c
+++ b/src/per.c
@@ -115,20 +115,6 @@
                         .watch = self->watch };
 }
 
-peer_member
-per_of_peer (const PerPeer *peer)
-{
-  return (peer_member){ .vm = (char *) peer->vm,
-                        .zone = peer->view.self.zone,
-                        .ip = peer->front.ip,
-                        .front_port = peer->front.port,
-                        .peer_port = peer->addr.port,
-                        .incarnation = peer->incarnation,
-                        .capacity = peer->capacity,
-                        .state = peer->state,
-                        .watch = peer->watch };
-}
-
 /* ---- Cells ---- */
 
 OvlNode
--- a/src/per.h
+++ b/src/per.h
@@ -164,9 +164,6 @@
 /** per_own_member() - what the own node says of itself. */
 peer_member per_own_member (const Per *per);
 
-/** per_of_peer() - what a peer said of itself. */
-peer_member per_of_peer (const PerPeer *peer);
-
 /** per_alive() - it was heard lately. */
 bool per_alive (const PerPeer *peer, uint64_t now_ms);
 
--- a/src/sum.c
+++ b/src/sum.c
@@ -112,6 +112,21 @@
 
 /* ---- Sending ---- */
 
+/* What a node of the own zone said of itself. */
+static peer_member
+member_of (const Per *per, const PerPeer *peer)
+{
+  return (peer_member){ .vm = (char *) peer->vm,
+                        .zone = (char *) per->self.zone,
+                        .ip = peer->front.ip,
+                        .front_port = peer->front.port,
+                        .peer_port = peer->addr.port,
+                        .incarnation = peer->incarnation,
+                        .capacity = peer->capacity,
+                        .state = peer->state,
+                        .watch = peer->watch };
+}
+
 static u_int
 zone_members (const Per *per, peer_heard *members, uint64_t now_ms)
 {
@@ -123,7 +138,7 @@
       const PerPeer *peer = g_ptr_array_index (per->near, i);
       if (peer->direct_at_ms == 0)
         continue;
-      members[count++] = (peer_heard){ .member = per_of_peer (peer),
+      members[count++] = (peer_heard){ .member = member_of (per, peer),
                                        .age_ms = (u_int) (now_ms - peer->heard_at_ms) };
     }
   return count;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -7,6 +7,7 @@
 {
 #include "exc.h"
 #include "nws.h"
+#include "sum.h"
 #include "wch.h"
 }
 
--- a/tests/test_exc.cc
+++ b/tests/test_exc.cc
@@ -146,6 +146,40 @@
     }
 }
 
+// A summary of a large zone under load, at all its limits, fits into a datagram.
+TEST (Summary, OfAZoneAtItsLimitsIsSent)
+{
+  Fleet fleet (300, 5, 0);
+  fleet.Run (kSettleMs);
+  Per *per = &fleet.node (0).per;
+  for (int i = 0; i < 1500; i++)
+    {
+      UpsRecord record = {};
+      g_snprintf (record.id, sizeof record.id, "upstream-%d", i);
+      g_strlcpy (record.service, "desk", sizeof record.service);
+      record.slots = 6;
+      ups_apply (per->upstreams, &record, 0, fleet.now_ms ());
+      Ups *ups = ups_get (per->upstreams, record.id);
+      ups->in_flight = 3;
+      ups->failures = UPS_DOWN_FAILURES;
+      poi_learn (per->poison, (uint64_t) i + 1, 1, fleet.now_ms ());
+    }
+  for (int i = 0; i < 120; i++)
+    {
+      std::string vm = "edge-of-a-zone-with-a-long-name-" + std::to_string (i);
+      peer_member member = per_own_member (per);
+      member.vm = const_cast<char *> (vm.c_str ());
+      per_member (per, &member, fleet.now_ms (), fleet.now_ms ())->direct_at_ms = fleet.now_ms ();
+    }
+  per_arrange (per, fleet.now_ms ());
+  per->rank = 0;
+  uint64_t failures = per->send_failures;
+  sum_tick (per, fleet.now_ms () + SUM_PERIOD_MS);
+  EXPECT_GT (per->near->len, 120u);
+  EXPECT_EQ (per->send_failures, failures);
+  EXPECT_GT (per->summary_number, 0u);
+}
+
 // One node says that vanished registrations are to be held for a moment; that moment ends, though
 // each node passes it on.
 TEST_P (Exchange, HoldingEndsOnAllNodes)
