--- /dev/null
+++ b/src/fst.c
@@ -0,0 +1,196 @@
+/* Start of a caller's request on a node. */
+#include "fst.h"
+
+#include "fwd.h"
+
+#include <string.h>
+
+#define DEADLINE_MARGIN_MS 20
+#define TIMEOUT_GRACE_MS 200
+#define RETURNED_MARGIN_MS 60
+
+/* ---- Ends that the caller or the clock brings ---- */
+
+static void
+on_h2o_disposed (void *data)
+{
+  FrqLink *link = data;
+
+  if (link->frq == NULL)
+    return;
+  link->frq->link = NULL;
+  link->frq->node->counters.callers_gone++;
+  frq_free (link->frq);
+}
+
+static void
+on_caller_gone (void *user)
+{
+  Frq *frq = user;
+  NodService *service = frq->service;
+  bool sent = frq->sends > 0;
+
+  frq->gone_key = NULL;
+  frq->node->counters.callers_gone++;
+  hsv_reply (frq_detach (frq), sent ? 504 : 503, "text/plain", "caller_gone");
+  fwd_wake (service);
+}
+
+static void
+on_ends (uv_timer_t *timer)
+{
+  Frq *frq = timer->data;
+  Node *node = frq->node;
+  NodService *service = frq->service;
+
+  node->counters.timeouts++;
+  if (frq->call != NULL && ucn_was_sent (frq->call))
+    {
+      ups_took (frq->ups, (uint32_t) (clk_now_ms () - frq->sent_at_ms), frq_expected_ms (frq));
+      node->counters.may_have_run++;
+      frq_answer_own (frq, 504, "timeout");
+    }
+  else
+    frq_answer_not_run (frq, "timeout");
+  fwd_wake (service);
+}
+
+/* ---- Start of a request ---- */
+
+static uint32_t
+read_deadline_ms (Node *node, h2o_req_t *h2o)
+{
+  char *text = hsv_header (h2o, node->headers.deadline_ms);
+  uint64_t value = text != NULL ? strtoull (text, NULL, 10) : 0;
+
+  g_free (text);
+  return value == 0 ? DEADLINE_DEFAULT_MS : (uint32_t) MIN (value, DEADLINE_MAX_MS);
+}
+
+static uint32_t
+read_key (Node *node, h2o_req_t *h2o, const RttRoute *route)
+{
+  char *cookie = hsv_header (h2o, "cookie");
+  const char *found = cookie != NULL ? strstr (cookie, node->headers.affinity) : NULL;
+  uint32_t key = 0;
+
+  if (found != NULL && found[strlen (node->headers.affinity)] == '=')
+    {
+      char **parts = g_strsplit (found + strlen (node->headers.affinity) + 1, ";", 2);
+      key = (ups_hash (g_strstrip (parts[0])) * 31u + ups_hash (route->name)) | 1u;
+      g_strfreev (parts);
+    }
+  g_free (cookie);
+  return key;
+}
+
+static uint32_t
+urgency_of (const RttTable *table, const RttRoute *route)
+{
+  uint32_t urgency = 0;
+
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const RttRoute *other = g_ptr_array_index (table->routes, i);
+      if (other->priority < route->priority)
+        urgency = 1;
+    }
+  return urgency;
+}
+
+static void
+fill_admission (Frq *frq, uint32_t deadline_ms)
+{
+  NodWork *work = frq->work;
+
+  if (deadline_ms != DEADLINE_DEFAULT_MS)
+    work->deadline_ms = MAX (work->deadline_ms, deadline_ms);
+  frq->admission = (AdmRequest){ .urgency = urgency_of (frq->table, frq->route),
+                                 .returned = deadline_ms + RETURNED_MARGIN_MS < work->deadline_ms,
+                                 .objective_ms = frq->route->objective_ms,
+                                 .left_ms = (uint32_t) (frq->ends_at_ms - frq->at_ms),
+                                 .usual_ms = work->warm_ms };
+}
+
+static Frq *
+frq_new (Node *node, h2o_req_t *h2o, RttRoute *route, const RttPart *part)
+{
+  const NodHeaders *names = &node->headers;
+  const char *dropped[] = { names->deadline_ms, names->instance, NULL };
+  uint32_t deadline_ms = read_deadline_ms (node, h2o);
+  Frq *frq = g_new0 (Frq, 1);
+
+  frq->node = node;
+  frq->h2o = h2o;
+  frq->link = h2o_mem_alloc_shared (&h2o->pool, sizeof *frq->link, on_h2o_disposed);
+  frq->link->frq = frq;
+  frq->table = rtt_ref (node->table);
+  frq->route = route;
+  frq->service = nod_service (node, part->service);
+  frq->work = nod_work (node, route);
+  frq->id = hsv_header (h2o, names->request_id);
+  frq->key = route->sticky ? read_key (node, h2o, route) : 0;
+  msg_take (&frq->message, h2o, dropped);
+  frq->fingerprint = poi_fingerprint (frq->message.method, frq->message.path,
+                                      frq->message.body->data, frq->message.body->len);
+  frq->at_ms = clk_now_ms ();
+  if (frq->key != 0)
+    cen_note (&frq->service->objects, frq->key, frq->at_ms);
+  frq->ends_at_ms = frq->at_ms
+                    + MIN (deadline_ms > 2 * DEADLINE_MARGIN_MS ? deadline_ms - DEADLINE_MARGIN_MS
+                                                                : deadline_ms / 2,
+                           route->timeout_ms + TIMEOUT_GRACE_MS);
+  fill_admission (frq, deadline_ms);
+  frq->waits_until_ms = frq->at_ms + adm_wait_ms (&frq->admission);
+  uv_timer_init (node->loop, &frq->timer);
+  frq->timer.data = frq;
+  uv_timer_start (&frq->timer, on_ends, frq->ends_at_ms - frq->at_ms, 0);
+  frq->gone_key = hsv_watch_gone (node->front, h2o, on_caller_gone, frq);
+  node->open++;
+  return frq;
+}
+
+static bool
+is_too_late_to_start (const Node *node)
+{
+  return node->state == NOD_STOPPING
+         && clk_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
+}
+
+static void
+refuse_unread (h2o_req_t *h2o, const char *back, const char *reason)
+{
+  hsv_add_header (h2o, "retry-after", back);
+  hsv_reply (h2o, 503, "text/plain", reason);
+}
+
+void
+fst_request (Node *node, h2o_req_t *h2o)
+{
+  node->counters.requests++;
+  if (node->table == NULL || is_too_late_to_start (node))
+    {
+      node->counters.refused++;
+      refuse_unread (h2o, "0.2", node->table == NULL ? "no_configuration" : "stopping");
+      return;
+    }
+  RttRoute *route = rtt_match (node->table, h2o->authority.base, h2o->authority.len, h2o->path.base,
+                               h2o->path.len);
+  const RttPart *part = route != NULL ? rtt_choose_part (route) : NULL;
+  if (part == NULL)
+    {
+      node->counters.no_route++;
+      hsv_reply (h2o, 404, "text/plain", "no_route");
+      return;
+    }
+  Frq *frq = frq_new (node, h2o, route, part);
+  if (fwd_is_poison (frq))
+    {
+      node->counters.poison_refused++;
+      frq_answer_not_run (frq, "crashes_upstreams");
+    }
+  else if (adm_is_hopeless (&frq->admission))
+    frq_answer_not_run (frq, "too_little_time");
+  else
+    fwd_dispatch (frq);
+}
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -1,10 +1,13 @@
-/* Forwarding: the life of a caller's request on a node. */
+/* Forwarding: to which upstream a request goes, and what its answer means. */
 #pragma once
 
-#include "nod.h"
+#include "frq.h"
 
-/** fwd_request() - takes a request; it is answered sooner or later. */
-void fwd_request (Node *node, h2o_req_t *h2o);
+/** fwd_dispatch() - sends a request to an upstream, or lets it wait for room. */
+void fwd_dispatch (Frq *frq);
+
+/** fwd_is_poison() - it crashed so many upstreams that it goes to no further one. */
+bool fwd_is_poison (const Frq *frq);
 
 /** fwd_wake() - places waiting requests of a service, as far as there is room. */
 void fwd_wake (NodService *service);
--- a/src/nod.c
+++ b/src/nod.c
@@ -3,6 +3,7 @@
 
 #include "cld.h"
 #include "exc.h"
+#include "fst.h"
 #include "fwd.h"
 #include "nst.h"
 #include "wch.h"
@@ -282,7 +283,7 @@
 static void
 on_front (void *user, h2o_req_t *h2o)
 {
-  fwd_request (user, h2o);
+  fst_request (user, h2o);
 }
 
 static void
