Reports, walks over peers and limits of messages stand once

Found in a last read of the change: views and summaries each had one function to add reports and one to take them back that differed in the sign; three walks over the peers and the count of live ones differed in what they ask of each; the limits of messages stood in two files; the own name was hashed for each peer that is compared. The first push and the push to nobody are told apart once. A test's request stands once. No behaviour is meant to change.

--- a/src/dir.c
+++ b/src/dir.c
@@ -11,12 +11,6 @@
   return g_array_index (node->set.zones, NodZone, zone).region == region;
 }
 
-static void
-add_addr (GArray *found, NetAddr addr)
-{
-  g_array_append_val (found, addr);
-}
-
 static GArray *
 serving_in (const Node *node, uint32_t region, uint64_t now_ms)
 {
@@ -26,7 +20,7 @@
 
   if (node->state == NOD_SERVING
       && (region == ZONE_NONE || is_in_region (node, node->set.zone_index, region)))
-    add_addr (found, node->set.front);
+    g_array_append_val (found, node->set.front);
   g_hash_table_iter_init (&iter, node->peers.peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -34,7 +28,7 @@
       if (!per_alive (peer, now_ms) || peer->state != PER_SERVING)
         continue;
       if (region == ZONE_NONE || is_in_region (node, peer->zone, region))
-        add_addr (found, peer->front);
+        g_array_append_val (found, peer->front);
     }
   return found;
 }
--- a/src/frq.c
+++ b/src/frq.c
@@ -55,7 +55,6 @@
   uv_close ((uv_handle_t *) &frq->timer, on_timer_closed);
 }
 
-/* Ends the request's state and returns h2o's request, which is still to be answered. */
 h2o_req_t *
 frq_detach (Frq *frq)
 {
--- a/src/fst.c
+++ b/src/fst.c
@@ -113,7 +113,7 @@
 }
 
 static Frq *
-frq_new (Node *node, h2o_req_t *h2o, RttRoute *route, const RttPart *part)
+request_new (Node *node, h2o_req_t *h2o, RttRoute *route, const RttPart *part)
 {
   const NodHeaders *names = &node->headers;
   const char *dropped[] = { names->deadline_ms, names->instance, NULL };
@@ -183,7 +183,7 @@
       hsv_reply (h2o, 404, "text/plain", "no_route");
       return;
     }
-  Frq *frq = frq_new (node, h2o, route, part);
+  Frq *frq = request_new (node, h2o, route, part);
   if (fwd_is_poison (frq))
     {
       node->counters.poison_refused++;
--- a/src/lim.h
+++ b/src/lim.h
@@ -172,6 +172,10 @@
 #define PER_RECENT_MS 700
 #define PER_STEP_IN_MS 100
 #define PER_HOP_MS 80u
+#define PER_LOADS_MAX 1024
+#define PER_DOWNS_MAX 256
+#define PER_CRASHES_MAX 64
+#define PER_REVISIONS_MAX 8
 
 /* Summaries of a zone. */
 #define SUM_PERIOD_MS 500
--- a/src/nws.c
+++ b/src/nws.c
@@ -206,16 +206,20 @@
   return sent;
 }
 
-/* What does not fit is fetched by those who hear of the revision. */
+/* What was known at the start is no news; what does not fit is fetched by those who hear of it. */
 static void
 push_kind (Per *per, RepKind *kind, PerPeer *const *targets, uint32_t count)
 {
-  bool is_first = kind->pushed == 0;
-  bool sent = !is_first && count > 0;
+  bool sent = true;
 
+  if (kind->pushed == 0 || count == 0)
+    {
+      kind->pushed = kind->changed;
+      return;
+    }
   for (uint32_t part = 0; sent && part < NWS_DATAGRAMS_MAX && kind->pushed < kind->changed; part++)
     sent = push_part (per, kind, targets, count);
-  if (!is_first && count > 0 && kind->pushed < kind->changed)
+  if (kind->pushed < kind->changed)
     send_news (per, kind, kind->changed, NULL, targets, count);
   kind->pushed = kind->changed;
 }
--- a/src/per.c
+++ b/src/per.c
@@ -1,4 +1,4 @@
-/* Peers: the nodes that are known, who is alive, their and their cells. */
+/* Peers: the nodes that are known, who is alive, and their cells. */
 #include "per.h"
 
 #include <string.h>
@@ -61,19 +61,32 @@
 }
 
 uint32_t
-per_count (const Per *per, uint64_t now_ms)
+per_count_if (const Per *per, PerTestFn test, uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
-  uint32_t count = 1;
+  uint32_t count = 0;
 
   g_hash_table_iter_init (&iter, per->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (per_alive (value, now_ms))
+    if (test (per, value, now_ms))
       count++;
   return count;
 }
 
+static bool
+is_alive (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  (void) per;
+  return per_alive (peer, now_ms);
+}
+
+uint32_t
+per_count (const Per *per, uint64_t now_ms)
+{
+  return 1 + per_count_if (per, is_alive, now_ms);
+}
+
 PerPeer *
 per_member (Per *per, const peer_member *member, uint64_t heard_at_ms, uint64_t now_ms)
 {
@@ -128,7 +141,7 @@
 OvlNode
 per_own_order (const Per *per)
 {
-  return (OvlNode){ .hash = ups_hash (per->self.vm),
+  return (OvlNode){ .hash = per->self.hash,
                     .capacity = per->self.capacity,
                     .serving = per->self.state == PER_SERVING };
 }
@@ -363,6 +376,7 @@
   per->near = g_ptr_array_new ();
   per->heads = g_ptr_array_new ();
   per->out = g_malloc (PER_DATAGRAM_MAX_BYTES);
+  per->self.hash = ups_hash (per->self.vm);
 }
 
 void
--- a/src/per.h
+++ b/src/per.h
@@ -62,6 +62,7 @@
 typedef struct
 {
   char vm[NAME_MAX_BYTES];
+  uint32_t hash;
   char zone[NAME_MAX_BYTES];
   uint32_t zone_index;
   NetAddr front;
@@ -158,7 +159,8 @@
 void per_name (Per *per, const char *vm, NetAddr addr, uint32_t zone, uint32_t capacity,
                uint64_t now_ms);
 
-/** per_member() - takes what a node said of itself @age_ms ago; NULL when it is old news. */
+/** per_member() - takes what a node said of itself at @heard_at_ms; NULL when it is old news.
+ */
 PerPeer *per_member (Per *per, const peer_member *member, uint64_t heard_at_ms, uint64_t now_ms);
 
 /** per_own_member() - what the own node says of itself. */
@@ -167,6 +169,12 @@
 /** per_alive() - it was heard lately. */
 bool per_alive (const PerPeer *peer, uint64_t now_ms);
 
+/** typedef PerTestFn - whether a peer is counted */
+typedef bool (*PerTestFn) (const Per *per, const PerPeer *peer, uint64_t now_ms);
+
+/** per_count_if() - peers that pass a test. */
+uint32_t per_count_if (const Per *per, PerTestFn test, uint64_t now_ms);
+
 /** per_count() - nodes that were heard lately, the own one included. */
 uint32_t per_count (const Per *per, uint64_t now_ms);
 
--- a/src/sum.c
+++ b/src/sum.c
@@ -5,44 +5,25 @@
 
 #include <string.h>
 
-#define LOADS_MAX 1024
-#define DOWNS_MAX 256
-#define CRASHES_MAX 64
-#define REVISIONS_MAX 8
-
 /* ---- What zones say of upstreams ---- */
 
+/* Adds what a zone's summary says, or takes it back. */
 static void
-add_counts (const Per *per, const peer_summary *summary)
-{
-  for (u_int i = 0; i < summary->loads.loads_len; i++)
-    {
-      Ups *ups = ups_by_hash (per->upstreams, summary->loads.loads_val[i].upstream);
-      if (ups != NULL)
-        ups->others += summary->loads.loads_val[i].count;
-    }
-  for (u_int i = 0; i < summary->downs.downs_len; i++)
-    {
-      Ups *ups = ups_by_hash (per->upstreams, summary->downs.downs_val[i].upstream);
-      if (ups != NULL)
-        ups->down_reports += summary->downs.downs_val[i].count;
-    }
-}
-
-static void
-take_back_counts (const Per *per, const peer_summary *summary)
+count_reports (const Per *per, const peer_summary *summary, bool add)
 {
   for (u_int i = 0; i < summary->loads.loads_len; i++)
     {
-      Ups *ups = ups_by_hash (per->upstreams, summary->loads.loads_val[i].upstream);
+      const peer_count *load = &summary->loads.loads_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
       if (ups != NULL)
-        ups->others -= MIN (ups->others, summary->loads.loads_val[i].count);
+        ups_count (&ups->others, load->count, add);
     }
   for (u_int i = 0; i < summary->downs.downs_len; i++)
     {
-      Ups *ups = ups_by_hash (per->upstreams, summary->downs.downs_val[i].upstream);
+      const peer_count *down = &summary->downs.downs_val[i];
+      Ups *ups = ups_by_hash (per->upstreams, down->upstream);
       if (ups != NULL)
-        ups->down_reports -= MIN (ups->down_reports, summary->downs.downs_val[i].count);
+        ups_count (&ups->down_reports, down->count, add);
     }
 }
 
@@ -58,7 +39,7 @@
 {
   for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
     if (is_counted (per, zone, now_ms))
-      add_counts (per, &per->summaries[zone]);
+      count_reports (per, &per->summaries[zone], true);
 }
 
 /* ---- Taking ---- */
@@ -101,13 +82,13 @@
   take_members (per, summary, now_ms);
   per_take_crashes (per, summary->crashes.crashes_val, summary->crashes.crashes_len, now_ms);
   if (is_counted (per, zone, now_ms))
-    take_back_counts (per, &per->summaries[zone]);
+    count_reports (per, &per->summaries[zone], false);
   xdr_free ((xdrproc_t) xdr_peer_summary, &per->summaries[zone]);
   per->summaries[zone] = *summary;
   memset (summary, 0, sizeof *summary);
   per->summary_at_ms[zone] = now_ms;
   if (is_counted (per, zone, now_ms))
-    add_counts (per, &per->summaries[zone]);
+    count_reports (per, &per->summaries[zone], true);
 }
 
 /* ---- Sending ---- */
@@ -156,10 +137,10 @@
       const Ups *ups = value;
       uint32_t load = ups->others_near + ups->in_flight;
       uint32_t downs = ups->down_near + (!ups->gone && ups_is_down (ups) ? 1 : 0);
-      if (load > 0 && summary->loads.loads_len < LOADS_MAX)
+      if (load > 0 && summary->loads.loads_len < PER_LOADS_MAX)
         summary->loads.loads_val[summary->loads.loads_len++]
             = (peer_count){ .upstream = ups->hash, .count = load };
-      if (downs > 0 && summary->downs.downs_len < DOWNS_MAX)
+      if (downs > 0 && summary->downs.downs_len < PER_DOWNS_MAX)
         summary->downs.downs_val[summary->downs.downs_len++]
             = (peer_count){ .upstream = ups->hash, .count = downs };
     }
@@ -194,7 +175,7 @@
 static bool
 speaks_for_zone (const Per *per, uint64_t now_ms)
 {
-  for (guint i = 0; i < per->near->len && i < per->rank; i++)
+  for (guint i = 0; i < per->rank; i++)
     if (per_is_recent (per, g_ptr_array_index (per->near, i), now_ms))
       return false;
   return true;
@@ -204,10 +185,10 @@
 send_summary (Per *per, uint64_t now_ms)
 {
   peer_heard members[SUM_MEMBERS_MAX];
-  peer_count loads[LOADS_MAX];
-  peer_count downs[DOWNS_MAX];
-  peer_crash crashes[CRASHES_MAX];
-  peer_revision revisions[REVISIONS_MAX];
+  peer_count loads[PER_LOADS_MAX];
+  peer_count downs[PER_DOWNS_MAX];
+  peer_crash crashes[PER_CRASHES_MAX];
+  peer_revision revisions[PER_REVISIONS_MAX];
   PerPeer *relays[ZONES_MAX];
   peer_message message = { .kind = PEER_SUMMARY };
   peer_summary *summary = &message.peer_message_u.summary;
@@ -221,9 +202,9 @@
   summary->members.members_val = members;
   summary->members.members_len = zone_members (per, members, now_ms);
   summary->crashes.crashes_val = crashes;
-  summary->crashes.crashes_len = per_crashes (per, crashes, CRASHES_MAX, now_ms);
+  summary->crashes.crashes_len = per_crashes (per, crashes, PER_CRASHES_MAX, now_ms);
   summary->revisions.revisions_val = revisions;
-  summary->revisions.revisions_len = per_revisions (per, revisions, REVISIONS_MAX);
+  summary->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
   per_send (per, &message, relays, find_relays (per, relays, now_ms));
   per->summary_number++;
 }
--- a/src/ups.c
+++ b/src/ups.c
@@ -221,6 +221,12 @@
   ups->fault_permille -= ups->fault_permille / FAULT_WEIGHT;
 }
 
+void
+ups_count (uint32_t *number, uint32_t count, bool add)
+{
+  *number = add ? *number + count : *number - MIN (*number, count);
+}
+
 bool
 ups_is_down (const Ups *ups)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -107,6 +107,9 @@
 void ups_answered_failure (Ups *ups);
 void ups_succeeded (Ups *ups, uint64_t now_ms);
 
+/** ups_count() - adds to a number of reports, or takes back from it, down to 0. */
+void ups_count (uint32_t *number, uint32_t count, bool add);
+
 /** ups_is_down() - it does not answer this node. */
 bool ups_is_down (const Ups *ups);
 
--- a/src/vws.c
+++ b/src/vws.c
@@ -5,58 +5,29 @@
 
 #include <string.h>
 
-#define LOADS_MAX 1024
-#define DOWNS_MAX 256
-#define CRASHES_MAX 64
-#define REVISIONS_MAX 8
-
 /* ---- What peers say of upstreams ---- */
 
+/* Adds what a peer's view says, or takes it back. */
 static void
-add_reports (const Per *per, PerPeer *peer)
+count_reports (const Per *per, PerPeer *peer, bool add)
 {
-  peer->counted = true;
-  for (u_int i = 0; i < peer->view.loads.loads_len; i++)
-    {
-      const peer_count *load = &peer->view.loads.loads_val[i];
-      Ups *ups = ups_by_hash (per->upstreams, load->upstream);
-      if (ups == NULL)
-        continue;
-      ups->others += load->count;
-      ups->others_near += load->count;
-    }
-  for (u_int i = 0; i < peer->view.downs.downs_len; i++)
-    {
-      Ups *ups = ups_by_hash (per->upstreams, peer->view.downs.downs_val[i]);
-      if (ups == NULL)
-        continue;
-      ups->down_reports++;
-      ups->down_near++;
-    }
-}
-
-static void
-take_back_reports (const Per *per, PerPeer *peer)
-{
-  if (!peer->counted)
-    return;
-  peer->counted = false;
+  peer->counted = add;
   for (u_int i = 0; i < peer->view.loads.loads_len; i++)
     {
       const peer_count *load = &peer->view.loads.loads_val[i];
       Ups *ups = ups_by_hash (per->upstreams, load->upstream);
       if (ups == NULL)
         continue;
-      ups->others -= MIN (ups->others, load->count);
-      ups->others_near -= MIN (ups->others_near, load->count);
+      ups_count (&ups->others, load->count, add);
+      ups_count (&ups->others_near, load->count, add);
     }
   for (u_int i = 0; i < peer->view.downs.downs_len; i++)
     {
       Ups *ups = ups_by_hash (per->upstreams, peer->view.downs.downs_val[i]);
       if (ups == NULL)
         continue;
-      ups->down_reports -= MIN (ups->down_reports, 1);
-      ups->down_near -= MIN (ups->down_near, 1);
+      ups_count (&ups->down_reports, 1, add);
+      ups_count (&ups->down_near, 1, add);
     }
 }
 
@@ -96,7 +67,7 @@
       PerPeer *peer = value;
       peer->counted = false;
       if (per_alive (peer, now_ms) && is_counted (peer))
-        add_reports (per, peer);
+        count_reports (per, peer, true);
     }
 }
 
@@ -110,12 +81,13 @@
   if (peer == NULL)
     return;
   peer->direct_at_ms = now_ms;
-  take_back_reports (per, peer);
+  if (peer->counted)
+    count_reports (per, peer, false);
   xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
   peer->view = *view;
   memset (view, 0, sizeof *view);
   if (is_counted (peer))
-    add_reports (per, peer);
+    count_reports (per, peer, true);
   per_settle (per, peer->view.settling_ms, now_ms);
   per_take_crashes (per, peer->view.crashes.crashes_val, peer->view.crashes.crashes_len, now_ms);
   nws_compare (per, peer->view.revisions.revisions_val, peer->view.revisions.revisions_len, from,
@@ -132,7 +104,7 @@
   u_int found = 0;
 
   g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (found < LOADS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+  while (found < PER_LOADS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Ups *ups = value;
       if (ups->in_flight > 0)
@@ -149,7 +121,7 @@
   u_int found = 0;
 
   g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (found < DOWNS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
+  while (found < PER_DOWNS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     if (!((const Ups *) value)->gone && ups_is_down (value))
       downs[found++] = ((const Ups *) value)->hash;
   return found;
@@ -159,10 +131,10 @@
 static void
 send_view (Per *per, bool with_loads, GPtrArray *peers, uint64_t now_ms)
 {
-  peer_crash crashes[CRASHES_MAX];
-  peer_count loads[LOADS_MAX];
-  peer_revision revisions[REVISIONS_MAX];
-  u_int downs[DOWNS_MAX];
+  peer_crash crashes[PER_CRASHES_MAX];
+  peer_count loads[PER_LOADS_MAX];
+  peer_revision revisions[PER_REVISIONS_MAX];
+  u_int downs[PER_DOWNS_MAX];
   peer_message message = { .kind = PEER_VIEW };
   peer_view *view = &message.peer_message_u.view;
 
@@ -173,11 +145,11 @@
   view->loads.loads_val = loads;
   view->loads.loads_len = with_loads ? own_loads (per, loads) : 0;
   view->crashes.crashes_val = crashes;
-  view->crashes.crashes_len = per_crashes (per, crashes, CRASHES_MAX, now_ms);
+  view->crashes.crashes_len = per_crashes (per, crashes, PER_CRASHES_MAX, now_ms);
   view->downs.downs_val = downs;
   view->downs.downs_len = with_loads ? own_downs (per, downs) : 0;
   view->revisions.revisions_val = revisions;
-  view->revisions.revisions_len = per_revisions (per, revisions, REVISIONS_MAX);
+  view->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
   per_send (per, &message, (PerPeer *const *) peers->pdata, peers->len);
 }
 
--- a/src/wch.c
+++ b/src/wch.c
@@ -12,31 +12,22 @@
          && per->region_of (per->user, peer->zone) == region && ovl_is_better (&other, &own);
 }
 
-uint32_t
-wch_rank (const Per *per, uint64_t now_ms)
+static bool
+is_watching (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  GHashTableIter iter;
-  gpointer value;
-  uint32_t rank = 0;
-
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_better_neighbour (per, value, now_ms))
-      rank++;
-  return rank;
+  return peer->watch == PER_WATCH_HEALTHY && per_is_recent (per, peer, now_ms);
 }
 
 static bool
-better_one_watches (const Per *per, uint64_t now_ms)
+is_better_and_watching (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  GHashTableIter iter;
-  gpointer value;
+  return is_watching (per, peer, now_ms) && is_better_neighbour (per, peer, now_ms);
+}
 
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_better_neighbour (per, value, now_ms) && ((PerPeer *) value)->watch == PER_WATCH_HEALTHY)
-      return true;
-  return false;
+uint32_t
+wch_rank (const Per *per, uint64_t now_ms)
+{
+  return per_count_if (per, is_better_neighbour, now_ms);
 }
 
 /* Nodes that are not among the best of their zone do not hear of those of other zones. */
@@ -47,7 +38,7 @@
 
   if (!per->zoned)
     return false;
-  for (guint i = 0; i < per->near->len && i < per->rank; i++)
+  for (guint i = 0; i < per->rank; i++)
     {
       const PerPeer *peer = g_ptr_array_index (per->near, i);
       if (per_is_recent (per, peer, now_ms) && peer->state != PER_STOPPING
@@ -60,21 +51,14 @@
 bool
 wch_store_is_heard (const Per *per, uint64_t now_ms)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, per->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (per_is_recent (per, value, now_ms) && ((PerPeer *) value)->watch == PER_WATCH_HEALTHY)
-      return true;
-  return false;
+  return per_count_if (per, is_watching, now_ms) > 0;
 }
 
 bool
 wch_should (Per *per, uint64_t now_ms)
 {
   if (per->self.state == PER_STOPPING || is_left_to_heads (per, now_ms)
-      || better_one_watches (per, now_ms))
+      || per_count_if (per, is_better_and_watching, now_ms) > 0)
     {
       per->unwatched_since_ms = 0;
       return false;
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -97,20 +97,27 @@
   Ups *
   Choose (uint32_t key)
   {
-    AdmRequest admission = {};
+    ChsRequest request = Request (key);
+    return chs_upstream (node_, &request);
+  }
+
+  ChsRequest
+  Request (uint32_t key)
+  {
     ChsRequest request = {};
     request.table = node_->table;
     request.route = route_;
     request.service = nod_service (node_, "service");
     request.work = nod_work (node_, route_);
-    request.admission = &admission;
+    request.admission = &admission_;
     request.key = key;
-    return chs_upstream (node_, &request);
+    return request;
   }
 
   uv_loop_t loop_;
   Node *node_ = nullptr;
   RttRoute *route_ = nullptr;
+  AdmRequest admission_ = {};
 };
 
 uint64_t
@@ -148,13 +155,7 @@
 TEST_F (Choice, ASetOfCandidatesServesManyRequests)
 {
   AddUpstreams (0);
-  AdmRequest admission = {};
-  ChsRequest request = {};
-  request.table = node_->table;
-  request.route = route_;
-  request.service = nod_service (node_, "service");
-  request.work = nod_work (node_, route_);
-  request.admission = &admission;
+  ChsRequest request = Request (0);
   ChsSet *set = chs_set_new (node_, &request);
   for (uint32_t key = 1; key < 50; key++)
     {
