Logs tell how news came, how long messages lay, and turns of the loop with their reads

- `loop_stalled` and the histogram of turns measured from the check to the prepare handle. libuv runs callbacks of sockets before the check handle, so requests and messages were in no turn: only timers and closing were.
A turn now begins at the end of the wait (uv_now).
Test StallsOfALoop.AReadThatComputesIsSeen failed before (0 stalls instead of 1).
- Lines about requests and lines about what a node knows shared 200 lines a second.
They have an allowance each now.
- objects_taken: revisions before and after, and whether from the store, as news or by a fetch.
- messages_waited: datagrams lay for over 250 ms before the socket was read empty. libuv reads 32 a turn.

No change of decisions. test_lag, test_exc, test_node pass.

--- a/src/frq.c
+++ b/src/frq.c
@@ -72,7 +72,7 @@
 {
   Node *node = frq->node;
 
-  log_event (&node->log, LOG_INFO, "request_failed",
+  log_event (&node->request_log, LOG_INFO, "request_failed",
              "id=%s status=%d reason=%s route=%s sends=%u upstream=%s age_ms=%llu config=%llu",
              frq->id != NULL ? frq->id : "-", status, reason, frq->route->name, frq->sends,
              frq->sends > 0 ? frq->last_upstream : "-",
@@ -142,7 +142,7 @@
   uint64_t took_ms = clk_now_ms () - frq->at_ms;
 
   if (frq_is_sampled (frq))
-    log_event (&node->log, LOG_INFO, "request_answered",
+    log_event (&node->request_log, LOG_INFO, "request_answered",
                "id=%s status=%d route=%s sends=%u age_ms=%llu config=%llu", frq->id, answer->status,
                frq->route->name, frq->sends, (unsigned long long) took_ms,
                (unsigned long long) frq->table->version);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -244,7 +244,7 @@
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
   if (frq->sends > 1 || frq_is_sampled (frq))
-    log_event (&node->log, LOG_INFO, "request_sent",
+    log_event (&node->request_log, LOG_INFO, "request_sent",
                "id=%s upstream=%s send=%u warm=%d in_flight=%u others=%u slots=%u left_ms=%llu",
                frq->id != NULL ? frq->id : "-", ups->record.id, frq->sends, frq->sent_warm,
                ups->in_flight, ups->others, ups->record.slots,
--- a/src/lag.c
+++ b/src/lag.c
@@ -5,6 +5,7 @@
 
 #define NS_PER_US 1000u
 #define US_PER_MS 1000u
+#define NS_PER_MS 1000000u
 #define LOG_EVERY_NS 1000000000ull
 
 void
@@ -24,12 +25,13 @@
              (unsigned long long) lag->stalls);
 }
 
+/* The loop's time is that of the end of its wait: callbacks of sockets come before this one. */
 static void
 on_check (uv_check_t *check)
 {
   Lag *lag = check->data;
 
-  lag->begun_ns = uv_hrtime ();
+  lag->begun_ns = uv_now (check->loop) * NS_PER_MS;
 }
 
 static void
--- a/src/nod.c
+++ b/src/nod.c
@@ -91,6 +91,8 @@
 nod_init (Node *node, uv_loop_t *loop)
 {
   node->loop = loop;
+  node->request_log = node->log;
+  node->request_log.load = &node->request_log_load;
   node->log.load = &node->log_load;
   log_set_nonblocking (&node->log);
   node->started_at_ms = clk_now_ms ();
--- a/src/nod.h
+++ b/src/nod.h
@@ -118,7 +118,8 @@
 
 /**
  * struct Node - central state
- * @clock_ms: time that also runs while the VM is suspended
+ * @log: lines about what the node knows and is
+ * @request_log: lines about requests, whose number does not take from that of the others
  * @disturbed_at_ms: when something that the node relies on was last lost
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
@@ -128,6 +129,8 @@
   uv_loop_t *loop;
   Log log;
   LogLoad log_load;
+  Log request_log;
+  LogLoad request_log_load;
   NodSettings set;
   NodHeaders headers;
   NodState state;
--- a/src/nst.c
+++ b/src/nst.c
@@ -37,7 +37,8 @@
       const char *field = (const char *) &node->counters + counters[i].offset;
       met_write_value (out, counters[i].name, NULL, *(const uint64_t *) field);
     }
-  met_write_value (out, PREFIX "log_lines_dropped_total", NULL, log_dropped (&node->log));
+  met_write_value (out, PREFIX "log_lines_dropped_total", NULL,
+                   log_dropped (&node->log) + log_dropped (&node->request_log));
   met_write_value (out, PREFIX "open_requests", NULL, node->open);
   met_write_value (out, PREFIX "peers_heard", NULL, per_count (&node->peers, now_ms) - 1);
   met_write_value (out, PREFIX "upstreams", NULL, g_hash_table_size (node->upstreams.by_id));
@@ -50,6 +51,7 @@
   met_write_value (out, PREFIX "message_bytes_received_total", NULL, node->peers.received_bytes);
   met_write_value (out, PREFIX "messages_garbled_total", NULL, node->peers.garbled);
   met_write_value (out, PREFIX "message_send_failures_total", NULL, node->peers.send_failures);
+  met_write_value (out, PREFIX "messages_waited_most_ms", NULL, node->peers.unread_worst_ms);
   met_write_value (out, PREFIX "news_sent_total", NULL, node->peers.news_sent);
   met_write_value (out, PREFIX "objects_fetched_total", NULL, node->peers.fetches);
   met_write_value (out, PREFIX "configuration_version", NULL,
@@ -68,15 +70,17 @@
 static void
 dump_node (const Node *node, GString *out)
 {
-  g_string_append_printf (out,
-                          "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
-                          "rank=%u zoned=%d stalls=%llu worst_turn_us=%llu\n",
-                          node->set.vm, node->set.zone, state_names[node->state],
-                          (unsigned long long) (node->table != NULL ? node->table->version : 0),
-                          node->open, node->store_lost ? "lost" : "ok",
-                          watch_names[node->peers.self.watch], node->peers.rank, node->peers.zoned,
-                          (unsigned long long) node->lag.stalls,
-                          (unsigned long long) node->lag.worst_us);
+  g_string_append_printf (
+      out,
+      "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
+      "rank=%u zoned=%d stalls=%llu worst_turn_us=%llu unread_ms=%u "
+      "worst_unread_ms=%llu\n",
+      node->set.vm, node->set.zone, state_names[node->state],
+      (unsigned long long) (node->table != NULL ? node->table->version : 0), node->open,
+      node->store_lost ? "lost" : "ok", watch_names[node->peers.self.watch], node->peers.rank,
+      node->peers.zoned, (unsigned long long) node->lag.stalls,
+      (unsigned long long) node->lag.worst_us, per_unread_ms (&node->peers, clk_now_ms ()),
+      (unsigned long long) node->peers.unread_worst_ms);
 }
 
 static void
--- a/src/nws.c
+++ b/src/nws.c
@@ -21,12 +21,23 @@
   g_array_append_val ((GArray *) user, object);
 }
 
+void
+nws_log_taken (const Per *per, const RepKind *kind, const char *source, uint64_t after)
+{
+  if (kind->changed > after)
+    log_event (per->log, LOG_INFO, "objects_taken", "kind=%s source=%s after=%llu revision=%llu",
+               kind->name, source, (unsigned long long) after, (unsigned long long) kind->changed);
+}
+
 static void
-take_objects (Per *per, RepKind *kind, const peer_object *objects, u_int count)
+take_objects (Per *per, RepKind *kind, const char *source, const peer_object *objects, u_int count)
 {
+  uint64_t after = kind->changed;
+
   for (u_int i = 0; i < count; i++)
     rep_take (&per->rep, kind, objects[i].name, objects[i].revision, objects[i].deleted,
               objects[i].value);
+  nws_log_taken (per, kind, source, after);
 }
 
 /* ---- Fetching objects from a peer ---- */
@@ -57,7 +68,7 @@
     read_large (fetch->per, fetch->kind);
   else if (reply != NULL)
     {
-      take_objects (fetch->per, fetch->kind, reply->objects.objects_val,
+      take_objects (fetch->per, fetch->kind, "fetch", reply->objects.objects_val,
                     reply->objects.objects_len);
       nws_push (fetch->per, false);
     }
@@ -245,7 +256,7 @@
   if (news->told && news->since <= kind->changed)
     {
       kind->behind_since_ms = 0;
-      take_objects (per, kind, news->objects.objects_val, news->objects.objects_len);
+      take_objects (per, kind, "news", news->objects.objects_val, news->objects.objects_len);
       nws_push (per, false);
     }
   else if (!is_fetching (kind, now_ms))
--- a/src/nws.h
+++ b/src/nws.h
@@ -14,6 +14,9 @@
  */
 void nws_push (Per *per, bool from_store);
 
+/** nws_log_taken() - logs that objects changed after a revision came from @source. */
+void nws_log_taken (const Per *per, const RepKind *kind, const char *source, uint64_t after);
+
 /** nws_take() - takes news that came from @from, and passes them on. */
 void nws_take (Per *per, const peer_news *news, NetAddr from, uint64_t now_ms);
 
--- a/src/per.c
+++ b/src/per.c
@@ -258,6 +258,30 @@
   return peer->direct_at_ms != 0 && now_ms - peer->direct_at_ms < limit_ms;
 }
 
+uint32_t
+per_unread_ms (const Per *per, uint64_t now_ms)
+{
+  return per->unread_since_ms != 0 ? (uint32_t) (now_ms - per->unread_since_ms) : 0;
+}
+
+void
+per_unread (Per *per, bool waiting, uint64_t now_ms)
+{
+  uint32_t unread_ms = per_unread_ms (per, now_ms);
+
+  if (waiting)
+    {
+      if (per->unread_since_ms == 0)
+        per->unread_since_ms = now_ms;
+      return;
+    }
+  per->unread_since_ms = 0;
+  per->unread_worst_ms = MAX (per->unread_worst_ms, unread_ms);
+  if (unread_ms >= LAG_STALL_MS)
+    log_event (per->log, LOG_WARN, "messages_waited", "waited_ms=%u limit_ms=%u", unread_ms,
+               LAG_STALL_MS);
+}
+
 void
 per_settle (Per *per, uint32_t left_ms, uint64_t now_ms)
 {
--- a/src/per.h
+++ b/src/per.h
@@ -108,6 +108,8 @@
  * @rank: own position among them
  * @heads: the best nodes of the other cells
  * @settling_until_ms: until then, registrations that vanish are held
+ * @unread_since_ms: since when messages wait that arrived and were not taken; 0 when none did last
+ * @unread_worst_ms: the longest such time
  */
 typedef struct
 {
@@ -137,6 +139,8 @@
   uint64_t summed_at_ms;
   uint64_t unwatched_since_ms;
   uint64_t settling_until_ms;
+  uint64_t unread_since_ms;
+  uint64_t unread_worst_ms;
   uint64_t sent;
   uint64_t sent_bytes;
   uint64_t received;
@@ -204,6 +208,12 @@
 u_int per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms);
 void per_take_crashes (Per *per, const peer_crash *crashes, u_int count, uint64_t now_ms);
 
+/** per_unread() - messages that arrived were all taken (@waiting is false) or are being taken. */
+void per_unread (Per *per, bool waiting, uint64_t now_ms);
+
+/** per_unread_ms() - how old the oldest message may be that was not taken yet. */
+uint32_t per_unread_ms (const Per *per, uint64_t now_ms);
+
 /**
  * per_settle() - registrations that vanish are held for some time
  *
--- a/src/ptr.c
+++ b/src/ptr.c
@@ -50,12 +50,14 @@
 {
   Ptr *transport = udp->data;
   const struct sockaddr_in *sin = (const struct sockaddr_in *) from;
+  uint64_t now_ms = clk_now_ms ();
   (void) flags;
 
+  per_unread (transport->per, from != NULL, now_ms);
   if (size <= 0 || from == NULL)
     return;
   NetAddr addr = { .ip = ntohl (sin->sin_addr.s_addr), .port = ntohs (sin->sin_port) };
-  exc_take (transport->per, buf->base, (uint32_t) size, addr, clk_now_ms ());
+  exc_take (transport->per, buf->base, (uint32_t) size, addr, now_ms);
 }
 
 static void
--- a/tests/test_lag.cc
+++ b/tests/test_lag.cc
@@ -73,27 +73,59 @@
 }
 
 // Waiting is no turn; a callback that computes is.
-TEST_F (Stalls, ALoopThatComputesIsSeen)
+class StallsOfALoop : public Stalls
 {
-  uv_loop_t loop;
-  uv_timer_t timer;
-  uv_loop_init (&loop);
-  lag_start (&lag_, &loop, &log_);
-  uv_timer_init (&loop, &timer);
+protected:
+  void
+  SetUp () override
+  {
+    Stalls::SetUp ();
+    uv_loop_init (&loop_);
+    lag_start (&lag_, &loop_, &log_);
+    uv_timer_init (&loop_, &timer_);
+  }
+
+  void
+  TearDown () override
+  {
+    uv_close ((uv_handle_t *) &timer_, nullptr);
+    uv_close ((uv_handle_t *) &lag_.check, nullptr);
+    uv_close ((uv_handle_t *) &lag_.prepare, nullptr);
+    uv_run (&loop_, UV_RUN_DEFAULT);
+    uv_loop_close (&loop_);
+    Stalls::TearDown ();
+  }
+
+  static void
+  Compute ()
+  {
+    uint64_t until = uv_hrtime () + (uint64_t) (LAG_STALL_MS + 20) * 1000000;
+    while (uv_hrtime () < until)
+      ;
+  }
+
+  uv_loop_t loop_;
+  uv_timer_t timer_;
+  uv_async_t wake_;
+};
+
+TEST_F (StallsOfALoop, ATimerThatComputesIsSeen)
+{
+  uv_timer_start (
+      &timer_, [] (uv_timer_t *) { Compute (); }, 400, 0);
+  uv_run (&loop_, UV_RUN_DEFAULT);
+  EXPECT_EQ (lag_.stalls, 1u);
+  EXPECT_LT (lag_.worst_us, 400u * 1000);
+}
+
+TEST_F (StallsOfALoop, AReadThatComputesIsSeen)
+{
+  uv_async_init (&loop_, &wake_, [] (uv_async_t *) { Compute (); });
+  uv_async_send (&wake_);
   uv_timer_start (
-      &timer,
-      [] (uv_timer_t *) {
-        uint64_t until = uv_hrtime () + (uint64_t) (LAG_STALL_MS + 20) * 1000000;
-        while (uv_hrtime () < until)
-          ;
-      },
-      400, 0);
-  uv_run (&loop, UV_RUN_DEFAULT);
+      &timer_, [] (uv_timer_t *timer) { uv_stop (timer->loop); }, 400, 0);
+  uv_run (&loop_, UV_RUN_DEFAULT);
+  uv_close ((uv_handle_t *) &wake_, nullptr);
   EXPECT_EQ (lag_.stalls, 1u);
   EXPECT_LT (lag_.worst_us, 400u * 1000);
-  uv_close ((uv_handle_t *) &timer, nullptr);
-  uv_close ((uv_handle_t *) &lag_.check, nullptr);
-  uv_close ((uv_handle_t *) &lag_.prepare, nullptr);
-  uv_run (&loop, UV_RUN_DEFAULT);
-  uv_loop_close (&loop);
 }
