Control work has a loop of its own, which runs between requests

What callers saw: requests reached upstreams more than 3 s after the store had accepted that they leave, under overload, from nodes that were told by slow ones.

Cause: news and requests shared a loop, in the order in which they came. libuv reads 32 datagrams a turn whatever has arrived, so that a node whose turns grew to a second fell behind with each of them. Class: control work queued behind the work that it controls.

Fix: sockets and timers of the exchange, of fetches and of the store's calls are on a loop of their own (cts). The loop of requests runs it at its tick and before each connection, request, answer and refusal, once 20 ms have passed, and until no message waits.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -195,6 +195,7 @@
   Ups *ups = frq->ups;
 
   frq->call = NULL;
+  nod_step (node);
   if (ups->zone < ZONES_MAX && ups->pool.connect_ms < node->zone_rtt_ms[ups->zone])
     node->zone_rtt_ms[ups->zone] = ups->pool.connect_ms;
   if (outcome == UCN_DONE)
@@ -354,6 +355,7 @@
         {
           Frq *frq = item->data;
           item = item->next;
+          nod_step (node);
           if (now_ms >= frq->waits_until_ms)
             frq_answer_not_run (frq, "no_room");
         }
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -19,6 +19,8 @@
   bool listening;
   HsvHandler handler;
   void *user;
+  HsvStepFn before_step;
+  void *step_user;
   GHashTable *watched;
 };
 
@@ -37,11 +39,19 @@
 
 /* ---- Accepting ---- */
 
+static void
+before_step (HsvServer *server)
+{
+  if (server->before_step != NULL)
+    server->before_step (server->step_user);
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
   HsvServer *server = ((Handler *) self)->server;
 
+  before_step (server);
   server->handler (server->user, req);
   return 0;
 }
@@ -54,6 +64,7 @@
 
   if (status != 0)
     return;
+  before_step (server);
   conn = h2o_mem_alloc (sizeof *conn);
   uv_tcp_init (listener->loop, conn);
   if (uv_accept (listener, (uv_stream_t *) conn) != 0)
@@ -119,6 +130,13 @@
   return server;
 }
 
+void
+hsv_before_steps (HsvServer *server, HsvStepFn fn, void *user)
+{
+  server->before_step = fn;
+  server->step_user = user;
+}
+
 uint16_t
 hsv_port (const HsvServer *server)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -27,6 +27,12 @@
 /** hsv_announce_stop() - answers from now on say that their connection ends. */
 void hsv_announce_stop (HsvServer *server);
 
+/** typedef HsvStepFn - runs before each step of a server's work */
+typedef void (*HsvStepFn) (void *user);
+
+/** hsv_before_steps() - @fn runs before each connection and each request is taken. */
+void hsv_before_steps (HsvServer *server, HsvStepFn fn, void *user);
+
 /** typedef HsvGoneFn - the caller closed its connection before the answer */
 typedef void (*HsvGoneFn) (void *user);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -192,6 +192,10 @@
 /* Turns of the event loop. */
 #define LAG_STALL_MS 250u
 
+/* Control work between requests. */
+#define CTS_PERIOD_MS 20
+#define CTS_ROUNDS_MAX 16
+
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
 
--- a/src/nod.c
+++ b/src/nod.c
@@ -87,25 +87,6 @@
   return MAX (1 + g_hash_table_size (node->peers.peers), 1);
 }
 
-void
-nod_init (Node *node, uv_loop_t *loop)
-{
-  node->loop = loop;
-  node->request_log = node->log;
-  node->request_log.load = &node->request_log_load;
-  node->log.load = &node->log_load;
-  log_set_nonblocking (&node->log);
-  node->started_at_ms = clk_now_ms ();
-  node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
-  node->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  for (uint32_t i = 0; i < ZONES_MAX; i++)
-    node->zone_rtt_ms[i] = UINT32_MAX;
-  ucn_ctx_init (&node->ucn, loop);
-  poi_init (&node->poison);
-  ups_init (&node->upstreams, &node->ucn);
-}
-
 void
 nod_disturbed (Node *node)
 {
@@ -350,26 +331,51 @@
   shr_set_prior (&node->shares, node->set.region_index, slots, nodes);
 }
 
+static void
+tick_exchange (Node *node, uint64_t now_ms)
+{
+  exc_tick (&node->peers, now_ms);
+  remove_missing (node, now_ms);
+  nod_share_cold (node, now_ms);
+  if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
+    {
+      forget_objects (node, now_ms);
+      set_prior_shares (node, now_ms);
+      poi_expire (&node->poison, now_ms);
+    }
+}
+
+static bool
+on_control (void *user)
+{
+  Node *node = user;
+  uint64_t now_ms = clk_now_ms ();
+
+  if (now_ms - node->peers.ticked_at_ms + TICK_MS / 2 >= PER_TICK_MS)
+    tick_exchange (node, now_ms);
+  return node->peers.unread_since_ms != 0;
+}
+
+void
+nod_step (Node *node)
+{
+  cts_step (&node->control, clk_now_ms ());
+}
+
+static void
+before_step (void *user)
+{
+  nod_step (user);
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
   Node *node = timer->data;
-  uint64_t now_ms = clk_now_ms ();
 
+  nod_step (node);
   fwd_tick (node);
-  if (now_ms - node->peers.ticked_at_ms + TICK_MS / 2 >= PER_TICK_MS)
-    {
-      exc_tick (&node->peers, now_ms);
-      remove_missing (node, now_ms);
-      nod_share_cold (node, now_ms);
-      if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
-        {
-          forget_objects (node, now_ms);
-          set_prior_shares (node, now_ms);
-          poi_expire (&node->poison, now_ms);
-        }
-    }
-  check_stop (node, now_ms);
+  check_stop (node, clk_now_ms ());
 }
 
 void
@@ -384,6 +390,27 @@
   log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
 }
 
+void
+nod_init (Node *node, uv_loop_t *loop)
+{
+  node->loop = loop;
+  node->request_log = node->log;
+  node->request_log.load = &node->request_log_load;
+  node->log.load = &node->log_load;
+  log_set_nonblocking (&node->log);
+  node->started_at_ms = clk_now_ms ();
+  node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  node->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (uint32_t i = 0; i < ZONES_MAX; i++)
+    node->zone_rtt_ms[i] = UINT32_MAX;
+  cts_init (&node->control, on_control, node);
+  ucn_ctx_init (&node->store_connections, &node->control.loop);
+  ucn_ctx_init (&node->ucn, loop);
+  poi_init (&node->poison);
+  ups_init (&node->upstreams, &node->ucn);
+}
+
 static void
 name_self (Node *node)
 {
@@ -422,7 +449,7 @@
 {
   name_self (node);
   per_init (&node->peers);
-  if (!ptr_start (&node->transport, &node->peers, node->loop, err))
+  if (!ptr_start (&node->transport, &node->peers, &node->control.loop, err))
     return false;
   node->front = hsv_start (node->loop, node->set.front, on_front, node, err);
   node->ready
@@ -431,6 +458,8 @@
       = node->ready != NULL ? hsv_start (node->loop, node->set.lookup, on_lookup, node, err) : NULL;
   if (node->lookup == NULL)
     return false;
+  hsv_before_steps (node->front, before_step, node);
+  hsv_before_steps (node->lookup, before_step, node);
   serve_status (node);
   lag_start (&node->lag, node->loop, &node->log);
   uv_timer_init (node->loop, &node->tick);
@@ -444,9 +473,11 @@
 nod_clear (Node *node)
 {
   ptr_clear (&node->transport);
+  cts_clear (&node->control);
   per_clear (&node->peers);
   ups_clear (&node->upstreams);
   poi_clear (&node->poison);
+  ucn_ctx_clear (&node->store_connections);
   ucn_ctx_clear (&node->ucn);
   g_hash_table_unref (node->evacuated);
   g_hash_table_unref (node->services);
--- a/src/nod.h
+++ b/src/nod.h
@@ -3,6 +3,7 @@
 
 #include "cen.h"
 #include "clk.h"
+#include "cts.h"
 #include "hsv.h"
 #include "lag.h"
 #include "log.h"
@@ -120,6 +121,8 @@
  * struct Node - central state
  * @log: lines about what the node knows and is
  * @request_log: lines about requests, whose number does not take from that of the others
+ * @control: what nodes tell each other and what the store tells
+ * @store_connections: connections of the control loop
  * @disturbed_at_ms: when something that the node relies on was last lost
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
@@ -139,6 +142,8 @@
   bool store_lost;
   uint64_t disturbed_at_ms;
   ShrWindow shares;
+  Cts control;
+  UcnCtx store_connections;
   UcnCtx ucn;
   UpsBook upstreams;
   Per peers;
@@ -170,6 +175,9 @@
 /** nod_clear() - releases the state after the loop has ended. */
 void nod_clear (Node *node);
 
+/** nod_step() - before each step of work on requests: control work gets its turn. */
+void nod_step (Node *node);
+
 /** nod_stop() - begins a graceful stop; the loop ends when it is over. */
 void nod_stop (Node *node);
 
--- a/src/nst.c
+++ b/src/nst.c
@@ -42,9 +42,11 @@
   met_write_value (out, PREFIX "open_requests", NULL, node->open);
   met_write_value (out, PREFIX "peers_heard", NULL, per_count (&node->peers, now_ms) - 1);
   met_write_value (out, PREFIX "upstreams", NULL, g_hash_table_size (node->upstreams.by_id));
-  met_write_value (out, PREFIX "connections_opened_total", NULL, node->ucn.opened);
+  met_write_value (out, PREFIX "connections_opened_total", NULL,
+                   node->ucn.opened + node->store_connections.opened);
   met_write_value (out, PREFIX "buffered_answer_bytes", NULL, node->ucn.buffered_bytes);
-  met_write_value (out, PREFIX "connections_reused_total", NULL, node->ucn.reused);
+  met_write_value (out, PREFIX "connections_reused_total", NULL,
+                   node->ucn.reused + node->store_connections.reused);
   met_write_value (out, PREFIX "messages_sent_total", NULL, node->peers.sent);
   met_write_value (out, PREFIX "message_bytes_sent_total", NULL, node->peers.sent_bytes);
   met_write_value (out, PREFIX "messages_received_total", NULL, node->peers.received);
@@ -59,6 +61,7 @@
   met_write_value (out, PREFIX "loop_stalls_total", NULL, node->lag.stalls);
   met_write_histogram (out, PREFIX "answer_seconds", &node->latency);
   met_write_histogram (out, PREFIX "loop_turn_seconds", &node->lag.turns);
+  met_write_histogram (out, PREFIX "control_gap_seconds", &node->control.gaps);
   return g_string_free (out, FALSE);
 }
 
@@ -74,13 +77,14 @@
       out,
       "node=%s zone=%s state=%s config=%llu open=%u store=%s watch=%s "
       "rank=%u zoned=%d stalls=%llu worst_turn_us=%llu unread_ms=%u "
-      "worst_unread_ms=%llu\n",
+      "worst_unread_ms=%llu worst_control_gap_ms=%llu\n",
       node->set.vm, node->set.zone, state_names[node->state],
       (unsigned long long) (node->table != NULL ? node->table->version : 0), node->open,
       node->store_lost ? "lost" : "ok", watch_names[node->peers.self.watch], node->peers.rank,
       node->peers.zoned, (unsigned long long) node->lag.stalls,
       (unsigned long long) node->lag.worst_us, per_unread_ms (&node->peers, clk_now_ms ()),
-      (unsigned long long) node->peers.unread_worst_ms);
+      (unsigned long long) node->peers.unread_worst_ms,
+      (unsigned long long) node->control.worst_gap_ms);
 }
 
 static void
--- a/src/onc.c
+++ b/src/onc.c
@@ -259,6 +259,12 @@
   return server;
 }
 
+void
+onc_server_free (OncServer *server)
+{
+  g_free (server);
+}
+
 uint16_t
 onc_port (const OncServer *server)
 {
--- a/src/onc.h
+++ b/src/onc.h
@@ -33,6 +33,9 @@
 
 /** onc_serve() - listens on @addr; port 0 takes a free one. @procs ends with a number of 0. */
 OncServer *onc_serve (uv_loop_t *loop, NetAddr addr, const OncProc *procs, void *user, Err *err);
+
+/** onc_server_free() - releases a server after its loop has ended. */
+void onc_server_free (OncServer *server);
 uint16_t onc_port (const OncServer *server);
 
 /** onc_client_new() - a set of connections, one for each peer that is called. */
--- a/src/ptr.c
+++ b/src/ptr.c
@@ -99,5 +99,7 @@
   if (transport->client == NULL)
     return;
   onc_client_free (transport->client);
+  if (transport->server != NULL)
+    onc_server_free (transport->server);
   g_free (transport->buffer);
 }
--- a/tests/test_ptr.cc
+++ b/tests/test_ptr.cc
@@ -4,6 +4,7 @@
 extern "C"
 {
 #include "clk.h"
+#include "cts.h"
 #include "exc.h"
 #include "ptr.h"
 }
@@ -20,6 +21,8 @@
 constexpr uint64_t kTurnMs = 300;
 constexpr uint64_t kRequestMs = 10;
 constexpr uint32_t kViews = 200;
+// An address of this test's own, where no other process takes ports.
+constexpr uint32_t kIp = 0x7f4d0001;
 
 void
 Compute (uint64_t for_ms)
@@ -29,7 +32,8 @@
     ;
 }
 
-// A node's exchange on a loop whose every turn is long, because of its requests.
+// A node's exchange beside a loop whose every turn is long, because of its requests. Control work
+// gets its turn between them, as in the node.
 class BusyNode : public testing::Test
 {
 protected:
@@ -42,7 +46,7 @@
     poi_init (&poison_);
     g_strlcpy (per_.self.vm, "edge-0", sizeof per_.self.vm);
     g_strlcpy (per_.self.zone, "a", sizeof per_.self.zone);
-    per_.self.addr = NetAddr{ INADDR_LOOPBACK, FreePort () };
+    per_.self.addr = NetAddr{ kIp, FreePort () };
     per_.self.state = PER_SERVING;
     per_.log = &log_;
     per_.zone_of = [] (void *, const char *) -> uint32_t { return 0; };
@@ -55,8 +59,11 @@
     kind_ = rep_kind (&per_.rep, "servers");
     rep_take (&per_.rep, kind_, "first", 1, false, "{}");
     uv_loop_init (&loop_);
+    cts_init (
+        &control_, [] (void *node) { return static_cast<BusyNode *> (node)->MessagesWait (); },
+        this);
     Err err = {};
-    ASSERT_TRUE (ptr_start (&transport_, &per_, &loop_, &err)) << err.text;
+    ASSERT_TRUE (ptr_start (&transport_, &per_, &control_.loop, &err)) << err.text;
     uv_idle_init (&loop_, &requests_);
     requests_.data = this;
     sender_ = socket (AF_INET, SOCK_DGRAM, 0);
@@ -66,15 +73,10 @@
   TearDown () override
   {
     close (sender_);
-    uv_walk (
-        &loop_,
-        [] (uv_handle_t *handle, void *) {
-          if (!uv_is_closing (handle))
-            uv_close (handle, nullptr);
-        },
-        nullptr);
-    uv_run (&loop_, UV_RUN_DEFAULT);
+    CloseAll (&loop_);
     uv_loop_close (&loop_);
+    CloseAll (&control_.loop);
+    cts_clear (&control_);
     ptr_clear (&transport_);
     per_clear (&per_);
     rep_clear (&per_.rep);
@@ -83,14 +85,27 @@
     fclose (nowhere_);
   }
 
+  static void
+  CloseAll (uv_loop_t *loop)
+  {
+    uv_walk (
+        loop,
+        [] (uv_handle_t *handle, void *) {
+          if (!uv_is_closing (handle))
+            uv_close (handle, nullptr);
+        },
+        nullptr);
+    uv_run (loop, UV_RUN_DEFAULT);
+  }
+
   static uint16_t
   FreePort ()
   {
-    int fd = socket (AF_INET, SOCK_DGRAM, 0);
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
     sockaddr_in addr = {};
     socklen_t size = sizeof addr;
     addr.sin_family = AF_INET;
-    addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    addr.sin_addr.s_addr = htonl (kIp);
     bind (fd, (sockaddr *) &addr, size);
     getsockname (fd, (sockaddr *) &addr, &size);
     close (fd);
@@ -138,13 +153,22 @@
     Send (&message);
   }
 
+  bool
+  MessagesWait () const
+  {
+    return per_.unread_since_ms != 0;
+  }
+
   // The requests of one turn.
   static void
   ServeRequests (uv_idle_t *idle)
   {
     auto *node = static_cast<BusyNode *> (idle->data);
     for (uint64_t done_ms = 0; done_ms < kTurnMs; done_ms += kRequestMs)
-      Compute (kRequestMs);
+      {
+        cts_step (&node->control_, clk_now_ms ());
+        Compute (kRequestMs);
+      }
     if (node->kind_->changed >= node->awaited_ || clk_now_ms () >= node->until_ms_)
       uv_stop (idle->loop);
   }
@@ -170,6 +194,7 @@
   Ptr transport_ = {};
   RepKind *kind_ = nullptr;
   uv_loop_t loop_;
+  Cts control_ = {};
   uv_idle_t requests_;
   FILE *nowhere_ = nullptr;
   int sender_ = -1;
