A request is built, and its upstream looked at again, when its connection is there

What callers would have seen: a request that waits for a new connection goes out up to 400 ms, and a turn of the loop, after its upstream was chosen; what came in between (the upstream leaves, its zone is evacuated) was not looked at, and the time left that it names was that of the choice, so that an upstream could be handed more time than the caller had.

Now the message is made when the connection is there (UcnSpec.build), or not at all; then the request is placed anew and nothing counts as a failure of the upstream. Ruled out: a flag at the pool (evacuations and time left would be missing). chs_takes_work is the one place that says who takes new work.

test_ucn: with the message made at the start, as before, both tests fail (the request arrives at the upstream that left; the old text arrives); now they pass. Node tests and the short soak pass with the sanitizers.

--- a/src/chs.c
+++ b/src/chs.c
@@ -77,16 +77,22 @@
   return regions;
 }
 
+bool
+chs_takes_work (const Node *node, const Ups *ups)
+{
+  if (ups->gone || ups->record.draining)
+    return false;
+  return g_hash_table_size (node->evacuated) == 0
+         || !g_hash_table_contains (node->evacuated, ups->record.zone);
+}
+
 /* Objects are assigned among these, whatever holds for a moment. */
 static bool
 is_listed (const Node *node, const Regions *regions, const Ups *ups, uint32_t region)
 {
-  if (ups->gone || ups->record.draining || ups->zone == ZONE_NONE || ups->record.slots == 0)
-    return false;
-  if (g_hash_table_size (node->evacuated) > 0
-      && g_hash_table_contains (node->evacuated, ups->record.zone))
+  if (ups->zone == ZONE_NONE || ups->record.slots == 0)
     return false;
-  return regions->allowed[region];
+  return chs_takes_work (node, ups) && regions->allowed[region];
 }
 
 static bool
--- a/src/chs.h
+++ b/src/chs.h
@@ -34,6 +34,10 @@
 ChsSet *chs_set_new (const Node *node, const ChsRequest *request);
 void chs_set_free (ChsSet *set);
 
+/** chs_takes_work() - new work may go to an upstream: it is not leaving, and its zone is not
+ * evacuated. */
+bool chs_takes_work (const Node *node, const Ups *ups);
+
 /** chs_choose() - the upstream that takes the request now, or NULL when none has room. */
 Ups *chs_choose (ChsSet *set, const ChsRequest *request);
 
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -186,6 +186,20 @@
   send_again_or (frq, NULL, outcome == UCN_LOST ? "answer_lost" : "answer_broken");
 }
 
+/* Its upstream began to leave, or was evacuated, while the connection was being made. */
+static void
+on_withdrawn (Frq *frq)
+{
+  frq->node->counters.withdrawn++;
+  log_event (&frq->node->request_log, LOG_INFO, "request_withdrawn", "id=%s upstream=%s send=%u",
+             frq->id != NULL ? frq->id : "-", frq->last_upstream, frq->sends);
+  frq_release_upstream (frq);
+  if (frq->sends < FRQ_SENDS_MAX && clk_now_ms () < frq->ends_at_ms)
+    fwd_dispatch (frq);
+  else
+    frq_answer_not_run (frq, "upstream_left");
+}
+
 static void
 on_done (void *user, UcnOutcome outcome, const UcnAnswer *answer)
 {
@@ -200,6 +214,8 @@
     node->zone_rtt_ms[ups->zone] = ups->pool.connect_ms;
   if (outcome == UCN_DONE)
     on_whole_answer (frq, ups, answer);
+  else if (outcome == UCN_WITHDRAWN)
+    on_withdrawn (frq);
   else
     on_broken (frq, ups, outcome);
   fwd_wake (service);
@@ -207,15 +223,22 @@
 
 /* ---- Sending ---- */
 
+/* Its time left and whether its upstream still takes work are those of the moment when it is sent.
+ */
 static GString *
-message_to (const Frq *frq, const Ups *ups, uint64_t now_ms)
+build_message (void *user)
 {
+  const Frq *frq = user;
   const NodHeaders *names = &frq->node->headers;
+  uint64_t now_ms = clk_now_ms ();
   char extra[256];
 
+  if (!chs_takes_work (frq->node, frq->ups))
+    return NULL;
+
   g_snprintf (extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", names->deadline_ms,
               (unsigned long long) (frq->ends_at_ms - MIN (now_ms, frq->ends_at_ms - 1)),
-              names->instance, ups->record.id);
+              names->instance, frq->ups->record.id);
   return msg_build (&frq->message, extra);
 }
 
@@ -224,7 +247,7 @@
 {
   Node *node = frq->node;
   uint64_t now_ms = clk_now_ms ();
-  UcnSpec spec = { .message = message_to (frq, ups, now_ms),
+  UcnSpec spec = { .build = build_message,
                    .id_header = frq->id != NULL ? node->headers.request_id : NULL,
                    .id = frq->id,
                    .method_is_head = strcmp (frq->message.method, "HEAD") == 0,
--- a/src/nod.h
+++ b/src/nod.h
@@ -112,6 +112,7 @@
   uint64_t sheds;
   uint64_t misdirected;
   uint64_t connect_failures;
+  uint64_t withdrawn;
   uint64_t poison_refused;
   uint64_t broken_answers;
   uint64_t lookups;
--- a/src/nst.c
+++ b/src/nst.c
@@ -24,6 +24,7 @@
   COUNTER (timeouts),       COUNTER (sends),          COUNTER (retries),
   COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
+  COUNTER (withdrawn),
 };
 
 char *
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -21,6 +21,7 @@
   struct Conn *conn;
   UcnDoneFn fn;
   void *user;
+  UcnBuildFn build;
   GString *message;
   char *id_header;
   char *id;
@@ -415,6 +416,14 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+static bool
+has_message (UcnCall *call)
+{
+  if (call->message == NULL && call->build != NULL)
+    call->message = call->build (call->user);
+  return call->message != NULL;
+}
+
 static void
 on_connect (uv_connect_t *connect, int status)
 {
@@ -432,6 +441,11 @@
   if (conn->pool != NULL && took_ms < conn->pool->connect_ms)
     conn->pool->connect_ms = (uint32_t) took_ms;
   set_socket_options (conn);
+  if (!has_message (conn->call))
+    {
+      fail (conn, UCN_WITHDRAWN);
+      return;
+    }
   uv_read_start ((uv_stream_t *) &conn->tcp, on_alloc, on_read);
   send_request (conn);
 }
@@ -531,13 +545,13 @@
 
 /* The connection that was used last, unless even that one was idle for too long. */
 static Conn *
-take_kept (UcnPool *pool, uint32_t idle_max_ms)
+newest_kept (UcnPool *pool, uint32_t idle_max_ms)
 {
   Conn *newest = g_queue_peek_head (&pool->idle);
 
   if (newest == NULL || uv_now (pool->ctx->loop) - newest->idle_since_ms > idle_max_ms)
     return NULL;
-  return g_queue_pop_head (&pool->idle);
+  return newest;
 }
 
 UcnCall *
@@ -547,17 +561,19 @@
 
   call->fn = fn;
   call->user = user;
+  call->build = spec->build;
   call->message = spec->message;
   call->id_header = g_strdup (spec->id_header);
   call->id = g_strdup (spec->id);
   call->method_is_head = spec->method_is_head;
   drop_expired (pool);
-  Conn *conn = take_kept (pool, spec->idle_max_ms);
-  if (conn == NULL)
+  Conn *conn = newest_kept (pool, spec->idle_max_ms);
+  if (conn == NULL || !has_message (call))
     {
       connect_new (pool, call, spec->connect_timeout_ms);
       return call;
     }
+  g_queue_pop_head (&pool->idle);
   g_queue_push_head (&pool->busy, conn);
   pool->ctx->reused++;
   conn->call = call;
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -12,6 +12,7 @@
  * typedef UcnOutcome - how an exchange ended
  * @UCN_DONE: the whole answer arrived
  * @UCN_NOT_SENT: no connection could be made, so no byte of the request was written
+ * @UCN_WITHDRAWN: when the connection was there, the request was no longer to be sent
  * @UCN_LOST: the connection ended before an answer's head
  * @UCN_TRUNCATED: the connection ended within the answer
  * @UCN_GARBLED: the bytes received are no answer
@@ -20,6 +21,7 @@
 {
   UCN_DONE,
   UCN_NOT_SENT,
+  UCN_WITHDRAWN,
   UCN_LOST,
   UCN_TRUNCATED,
   UCN_GARBLED,
@@ -73,15 +75,21 @@
 
 typedef struct _UcnCall UcnCall;
 
+/** typedef UcnBuildFn - a request's message at this moment; NULL: it is not to be sent */
+typedef GString *(*UcnBuildFn) (void *user);
+
 /**
  * struct UcnSpec - one request
- * @message: request line, headers and body; taken over
+ * @message: request line, headers and body; taken over. NULL: @build tells it
+ * @build: makes the message when the connection is there, or tells by NULL that it is not to be
+ * sent
  * @id_header: header in which the peer repeats @id; an answer with another id is skipped. NULL: any
  * @idle_max_ms: a kept connection that was idle for longer is not used for this request
  */
 typedef struct
 {
   GString *message;
+  UcnBuildFn build;
   const char *id_header;
   const char *id;
   bool method_is_head;
