--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -75,6 +75,27 @@
 };
 }
 
+static std::string
+RouteBelow (const std::string &prefix)
+{
+  return ",\"" + prefix + "\":{\"host\":\"host.example\",\"path-prefix\":\"" + prefix
+         + "\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
+           "\"service\":\"desk\",\"attempts\":2}";
+}
+
+// Routes of some hundred kilobytes, below /many0/ to /many1399/.
+static std::string
+ManyRoutes ()
+{
+  std::string many;
+  for (int i = 0; i < 1400; i++)
+    many += ",\"r" + std::to_string (i) + "\":{\"host\":\"host.example\",\"path-prefix\":\"/many"
+            + std::to_string (i)
+            + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
+              "\"service\":\"desk\",\"attempts\":2,\"sticky\":true,\"allowed-regions\":[]}";
+  return many;
+}
+
 TEST_F (NodeTest, PassesARequestOnAndItsAnswerBack)
 {
   Start ();
@@ -428,10 +449,7 @@
 TEST_F (NodeTest, ANewerConfigurationIsInForceSoonAndAnOlderOneNever)
 {
   Start ();
-  std::string added
-      = ",\"new\":{\"host\":\"host.example\",\"path-prefix\":\"/new/\",\"kind\":\"idempotent\","
-        "\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,\"service\":\"desk\",\"attempts\":2}";
-  store_.Put ("config", "main", Configuration (9, added));
+  store_.Put ("config", "main", Configuration (9, RouteBelow ("/new/")));
   EXPECT_TRUE (
       WaitUntil (2500, [&] { return node_->Call ("GET", "/new/a", WithId ("n")).status == 200; }));
   store_.Put ("config", "main", Configuration (8));
@@ -702,18 +720,50 @@
   ASSERT_TRUE (other.WaitReady (4000));
   ASSERT_TRUE (cut_off.WaitReady (6000));
   std::this_thread::sleep_for (2500ms); // until one of them watches for all
-  std::string many;
-  for (int i = 0; i < 1400; i++)
-    many += ",\"r" + std::to_string (i) + "\":{\"host\":\"host.example\",\"path-prefix\":\"/many"
-            + std::to_string (i)
-            + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
-              "\"service\":\"desk\",\"attempts\":2,\"sticky\":true,\"allowed-regions\":[]}";
-  store_.Put ("config", "main", Configuration (9, many));
+  store_.Put ("config", "main", Configuration (9, ManyRoutes ()));
   for (NodeProcess *node : { node_.get (), &other, &cut_off })
     EXPECT_TRUE (WaitUntil (
         2500, [&] { return node->Call ("GET", "/many1399/a", WithId ("many")).status == 200; }));
 }
 
+// A node that left watching to a better one has a last watch under way, whose answer never comes.
+TEST_F (NodeTest, ALargeConfigurationReachesANodeWhoseOwnWatchFellSilent)
+{
+  Start ();
+  NodeProcess other ("vm-2", "east-b", store_.AddPath (), 2);
+  ASSERT_TRUE (other.WaitReady (4000));
+  node_->Signal (SIGKILL);
+  node_->WaitExit (2000);
+  std::this_thread::sleep_for (3000ms); // until the other one watches
+  node_->Start ();
+  ASSERT_TRUE (node_->WaitReady (4000));
+  std::this_thread::sleep_for (3000ms); // until the first one watches for both
+  store_.SilencePath (true);
+  store_.Put ("config", "main", Configuration (9, ManyRoutes ()));
+  std::this_thread::sleep_for (300ms);
+  store_.SilencePath (false);
+  for (NodeProcess *node : { node_.get (), &other })
+    EXPECT_TRUE (WaitUntil (
+        2500, [&] { return node->Call ("GET", "/many1399/a", WithId ("many")).status == 200; }));
+}
+
+// The connections of a node that is alone are forgotten between it and the store; new ones work.
+TEST_F (NodeTest, ANodeAloneHearsOfAChangeAfterItsConnectionsFellSilent)
+{
+  Start ();
+  NodeProcess alone ("vm-2", "east-b", store_.AddPath (), 2);
+  ASSERT_TRUE (alone.WaitReady (4000));
+  node_->Signal (SIGKILL);
+  node_->WaitExit (2000);
+  std::this_thread::sleep_for (3000ms); // until it watches
+  store_.SilencePath (true);
+  store_.Put ("config", "main", Configuration (9, RouteBelow ("/v/")));
+  std::this_thread::sleep_for (800ms);
+  store_.SilencePath (false);
+  EXPECT_TRUE (
+      WaitUntil (2500, [&] { return alone.Call ("GET", "/v/a", WithId ("a")).status == 200; }));
+}
+
 // Many upstreams that change together come from a peer, in parts, and cost the store no list.
 TEST_F (NodeTest, ManyChangedRegistrationsComeFromAPeerInParts)
 {
@@ -755,11 +805,8 @@
   ASSERT_TRUE (second.WaitReady (4000));
   node_->Signal (SIGKILL);              // its region would hear of changes for them
   std::this_thread::sleep_for (3500ms); // until one of them watches for both
-  std::string added
-      = ",\"v\":{\"host\":\"host.example\",\"path-prefix\":\"/v/\",\"kind\":\"idempotent\","
-        "\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,\"service\":\"desk\",\"attempts\":2}";
   store_.SilencePath (true);
-  store_.Put ("config", "main", Configuration (9, added));
+  store_.Put ("config", "main", Configuration (9, RouteBelow ("/v/")));
   int end_ms = NowMs () + 2500;
   for (NodeProcess *node : { &first, &second })
     EXPECT_TRUE (WaitUntil (std::max (end_ms - NowMs (), 1), [&] {
