One crash suspects a request once, however many callers asked for the same

Cause: what was lost with an upstream is kept by the request's fingerprint (method, path, body). Callers that ask for the same at the same time have the same one, so that a single crash was counted once for each of them; three reach the limit (vm-2: crashes=1, 2, 3 within a millisecond). A sheet that many fetch at once was blocked everywhere by one crash of one upstream.

Now a fingerprint is kept once for a crash.

--- a/src/ups.c
+++ b/src/ups.c
@@ -293,6 +293,15 @@
   ups->objects[0] = object;
 }
 
+static bool
+is_noted (const Ups *ups, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < ups->lost_count; i++)
+    if (ups->lost[i] == fingerprint)
+      return true;
+  return false;
+}
+
 void
 ups_note_lost (Ups *ups, uint64_t fingerprint, uint64_t now_ms)
 {
@@ -300,7 +309,7 @@
     ups->lost_count = 0;
   if (ups->lost_count == 0)
     ups->lost_at_ms = now_ms;
-  if (ups->lost_count < UPS_LOST_KEPT)
+  if (ups->lost_count < UPS_LOST_KEPT && !is_noted (ups, fingerprint))
     ups->lost[ups->lost_count++] = fingerprint;
 }
 
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -127,6 +127,19 @@
   EXPECT_FALSE (ups_knows (ups, 3));
 }
 
+// Callers that ask for the same at the same time are one suspect of one crash.
+TEST_F (UpsTest, OneCrashSuspectsEachRequestOnce)
+{
+  Ups *ups = Add (Record ("a"));
+  for (int i = 0; i < 6; i++)
+    ups_note_lost (ups, 7, 1000);
+  ups_note_lost (ups, 8, 1001);
+  uint64_t fingerprints[UPS_LOST_KEPT];
+  ASSERT_EQ (ups_take_lost (ups, fingerprints, 1100), 2u);
+  EXPECT_EQ (fingerprints[0], 7u);
+  EXPECT_EQ (fingerprints[1], 8u);
+}
+
 // Property: in no second are more requests noted than allowed.
 TEST_F (UpsTest, ColdRoomHoldsInEverySecond)
 {
