An answer clears a request's crashes on all nodes, and old news do not bring them back

A node forgot a suspect when it was answered, but the views of nodes that had not seen that answer told of the old crashes again, so that a request asked for all the time gathered the crashes of a minute; and a node that refused it could not learn of an answer elsewhere.

Now an answer is kept as a count of 0 with its time, clears older crashes wherever it is heard, and crashes older than it are no news. Real suspects go into a message before answers. The house entry gets the same by poi, without telling answers on.

PoiTest.OldNewsDoNotBringBackWhatAnAnswerCleared and AnAnswerElsewhereClearsCrashesBeforeIt are new: with the code before, the first learns the old crash again; the second's count of 0 was no news.

--- a/src/dsp.c
+++ b/src/dsp.c
@@ -190,7 +190,7 @@
   if (outcome == HCL_DONE && req->response_started && ans_is_complete (req))
     {
       if (req->crashes == 0)
-        poi_clear_suspect (&req->entry->poison, req->fingerprint);
+        poi_clear_suspect (&req->entry->poison, req->fingerprint, entry_now_ms (req->entry));
       finish_answer (req);
     }
   else if (req->response_started)
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -128,7 +128,7 @@
   if (answer->status < 500)
     {
       ups_succeeded (ups, clk_now_ms ());
-      poi_clear_suspect (&frq->node->poison, frq->fingerprint);
+      poi_clear_suspect (&frq->node->poison, frq->fingerprint, clk_now_ms ());
       ups_took (ups, took_ms, frq_expected_ms (frq));
       learn_work (frq, took_ms);
       if (frq->key != 0)
--- a/src/peer.x
+++ b/src/peer.x
@@ -14,7 +14,7 @@
   unsigned int count;
 };
 
-/* A request that was lost with the upstream that ran it. */
+/* A request that was lost with the upstream that ran it; crashes of 0: it was answered age_ms ago. */
 struct peer_crash {
   unsigned hyper fingerprint;
   unsigned int crashes;
--- a/src/per.c
+++ b/src/per.c
@@ -339,17 +339,19 @@
   return true;
 }
 
-u_int
-per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms)
+static u_int
+add_suspects (const Per *per, bool answered, peer_crash *crashes, u_int count, u_int room,
+              uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
-  u_int count = 0;
 
   g_hash_table_iter_init (&iter, per->poison->by_fingerprint);
   while (count < room && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const PoiSuspect *suspect = value;
+      if ((suspect->crashes == 0) != answered)
+        continue;
       crashes[count++] = (peer_crash){ .fingerprint = suspect->fingerprint,
                                        .crashes = suspect->crashes,
                                        .age_ms = (u_int) (now_ms - suspect->at_ms) };
@@ -357,6 +359,14 @@
   return count;
 }
 
+u_int
+per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms)
+{
+  u_int count = add_suspects (per, false, crashes, 0, room, now_ms);
+
+  return add_suspects (per, true, crashes, count, room, now_ms);
+}
+
 u_int
 per_revisions (const Per *per, peer_revision *revisions, u_int room)
 {
--- a/src/per.h
+++ b/src/per.h
@@ -204,7 +204,8 @@
 /** per_revisions() - revisions of the kinds known; @room of them at most. */
 u_int per_revisions (const Per *per, peer_revision *revisions, u_int room);
 
-/** per_crashes() - requests suspected of crashing upstreams; @room of them at most. */
+/** per_crashes() - requests suspected of crashing upstreams, then those answered since; @room at
+ * most. */
 u_int per_crashes (const Per *per, peer_crash *crashes, u_int room, uint64_t now_ms);
 void per_take_crashes (Per *per, const peer_crash *crashes, u_int count, uint64_t now_ms);
 
--- a/src/poi.c
+++ b/src/poi.c
@@ -60,12 +60,29 @@
   return suspect;
 }
 
+/* An answer is of interest only where crashes are known. */
+static bool
+learn_answer (PoiTable *table, uint64_t fingerprint, uint64_t at_ms)
+{
+  PoiSuspect *suspect = g_hash_table_lookup (table->by_fingerprint, &fingerprint);
+
+  if (suspect == NULL || suspect->crashes == 0 || at_ms <= suspect->at_ms)
+    return false;
+  suspect->crashes = 0;
+  suspect->at_ms = at_ms;
+  suspect->version = ++table->version;
+  return true;
+}
+
 bool
 poi_learn (PoiTable *table, uint64_t fingerprint, uint32_t crashes, uint64_t at_ms)
 {
+  if (crashes == 0)
+    return learn_answer (table, fingerprint, at_ms);
   PoiSuspect *suspect = suspect_of (table, fingerprint);
+  bool answered_since = suspect->crashes == 0 && at_ms <= suspect->at_ms;
 
-  if (suspect->crashes >= crashes)
+  if (suspect->crashes >= crashes || answered_since)
     return false;
   suspect->crashes = crashes;
   suspect->at_ms = at_ms;
@@ -74,9 +91,9 @@
 }
 
 void
-poi_clear_suspect (PoiTable *table, uint64_t fingerprint)
+poi_clear_suspect (PoiTable *table, uint64_t fingerprint, uint64_t now_ms)
 {
-  g_hash_table_remove (table->by_fingerprint, &fingerprint);
+  learn_answer (table, fingerprint, now_ms);
 }
 
 uint32_t
--- a/src/poi.h
+++ b/src/poi.h
@@ -14,6 +14,11 @@
   uint64_t version;
 } PoiTable;
 
+/**
+ * struct PoiSuspect - what is known of a request
+ * @crashes: counted since it was last answered; 0 when that is the last that is known
+ * @at_ms: time of the last crash, or of the answer
+ */
 typedef struct
 {
   uint64_t fingerprint;
@@ -31,11 +36,16 @@
 /** poi_crash() - the request was alone on, or among those on, an upstream that crashed. */
 const PoiSuspect *poi_crash (PoiTable *table, uint64_t fingerprint, uint64_t now_ms);
 
-/** poi_learn() - takes a count from another entry; true when it was news. */
+/**
+ * poi_learn() - takes a count from another entry; true when it was news
+ *
+ * A count of 0 tells that the request was answered at @at_ms, which clears what is older. Crashes
+ * older than an answer are no news.
+ */
 bool poi_learn (PoiTable *table, uint64_t fingerprint, uint32_t crashes, uint64_t at_ms);
 
-/** poi_clear_suspect() - the request was answered, so it is innocent. */
-void poi_clear_suspect (PoiTable *table, uint64_t fingerprint);
+/** poi_clear_suspect() - the request was answered, so it is innocent of the crashes before. */
+void poi_clear_suspect (PoiTable *table, uint64_t fingerprint, uint64_t now_ms);
 
 /** poi_crashes() - crashes counted within POISON_TTL_MS. */
 uint32_t poi_crashes (const PoiTable *table, uint64_t fingerprint, uint64_t now_ms);
--- a/tests/test_poi.cc
+++ b/tests/test_poi.cc
@@ -43,7 +43,7 @@
   poi_expire (&table_, 200 + POISON_TTL_MS);
   EXPECT_EQ (0u, g_hash_table_size (table_.by_fingerprint));
   poi_crash (&table_, 8, 1);
-  poi_clear_suspect (&table_, 8);
+  poi_clear_suspect (&table_, 8, 2);
   EXPECT_EQ (0u, poi_crashes (&table_, 8, 1));
 }
 
@@ -54,6 +54,28 @@
   EXPECT_EQ (2u, poi_crashes (&table_, 9, 60));
 }
 
+// A node that gets the request no more goes on telling of crashes from before it was answered.
+TEST_F (PoiTest, OldNewsDoNotBringBackWhatAnAnswerCleared)
+{
+  poi_crash (&table_, 7, 100);
+  poi_clear_suspect (&table_, 7, 200);
+  EXPECT_FALSE (poi_learn (&table_, 7, 1, 100));
+  EXPECT_EQ (0u, poi_crashes (&table_, 7, 250));
+  EXPECT_TRUE (poi_learn (&table_, 7, 1, 300));
+  EXPECT_EQ (1u, poi_crashes (&table_, 7, 350));
+}
+
+// A node that refuses the request gets no answer to it, so it learns of one from the others.
+TEST_F (PoiTest, AnAnswerElsewhereClearsCrashesBeforeIt)
+{
+  poi_learn (&table_, 7, POISON_RUNS_MAX, 100);
+  EXPECT_FALSE (poi_learn (&table_, 7, 0, 90));
+  EXPECT_EQ (POISON_RUNS_MAX, poi_crashes (&table_, 7, 150));
+  EXPECT_TRUE (poi_learn (&table_, 7, 0, 140));
+  EXPECT_EQ (0u, poi_crashes (&table_, 7, 150));
+  EXPECT_FALSE (poi_learn (&table_, 8, 0, 140));
+}
+
 TEST_F (PoiTest, TableIsBounded)
 {
   for (uint64_t i = 0; i < 3 * POISON_ENTRIES_MAX; i++)
