A host with a slash in it does not reach another host's routes

Found by reading the change: the key of a route was its host and prefix put together, so that Host "host.example/a" with path "/b/c" found the route "/a/b/" of host.example. Now a line break, which no host has, stands between them. Rtt.TheLongestPrefixOfTheHostWins has the case and failed before.

--- a/src/rtt.c
+++ b/src/rtt.c
@@ -53,15 +53,17 @@
   g_rc_box_release_full (table, table_clear);
 }
 
+/* No host of a request has a line break. */
 static char *
 prefix_key (const char *host, size_t host_size, const char *prefix, size_t prefix_size)
 {
-  char *key = g_malloc (host_size + prefix_size + 1);
+  char *key = g_malloc (host_size + 1 + prefix_size + 1);
 
   for (size_t i = 0; i < host_size; i++)
     key[i] = g_ascii_tolower (host[i]);
-  memcpy (key + host_size, prefix, prefix_size);
-  key[host_size + prefix_size] = '\0';
+  key[host_size] = '\n';
+  memcpy (key + host_size + 1, prefix, prefix_size);
+  key[host_size + 1 + prefix_size] = '\0';
   return key;
 }
 
@@ -171,7 +173,7 @@
   char *key = prefix_key (host, host_size, path, path_size);
   RttRoute *found = NULL;
 
-  for (size_t end = host_size + path_size; found == NULL && end > host_size; end--)
+  for (size_t end = host_size + 1 + path_size; found == NULL && end > host_size + 1; end--)
     if (key[end - 1] == '/')
       {
         key[end] = '\0';
--- a/tests/test_rtt.cc
+++ b/tests/test_rtt.cc
@@ -34,6 +34,7 @@
   EXPECT_EQ (Match (table, "HOST.example:80", "/a/b/c"), narrow);
   EXPECT_EQ (Match (table, "host.example", "/a"), nullptr);
   EXPECT_EQ (Match (table, "other.example", "/a/b/c"), nullptr);
+  EXPECT_EQ (Match (table, "host.example/a", "/b/c"), nullptr);
   rtt_unref (table);
 }
 
