Logs tell where requests went by region, and what the cap on shift did

The five hypotheses foretell different shares for requests with and without an object, choices barred or not, lifts or none, priors that agree or not; none of it was in the logs, and request_sent is sampled. A node now writes one line a second with all of that (requests_by_region), one when the cap is lifted and by what (shift_uncapped), and counts both in its metrics. Tests: test_rgn.

--- a/src/chs.c
+++ b/src/chs.c
@@ -57,14 +57,14 @@
 static bool
 shift_allows (const Node *node, uint32_t region, uint64_t now_ms)
 {
-  if (now_ms - node->disturbed_at_ms < SHR_CALM_MS)
+  if (nod_uncapped_ms (node, now_ms) > 0)
     return true;
   return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100,
                      now_ms);
 }
 
 static Regions
-regions_for (const Node *node, const ChsRequest *request, uint64_t now_ms)
+regions_for (Node *node, const ChsRequest *request, uint64_t now_ms)
 {
   Regions regions = { 0 };
 
@@ -73,6 +73,10 @@
       regions.allowed[r]
           = rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, r));
       regions.may_grow[r] = shift_allows (node, r, now_ms);
+      if (regions.may_grow[r])
+        continue;
+      node->counters.shift_barred++;
+      rgn_note_barred (&node->by_region, r);
     }
   return regions;
 }
@@ -108,7 +112,7 @@
 }
 
 static PlcCandidate *
-candidates_of (const Node *node, const ChsRequest *request, const GPtrArray *list, uint64_t now_ms)
+candidates_of (Node *node, const ChsRequest *request, const GPtrArray *list, uint64_t now_ms)
 {
   PlcCandidate *candidates = g_new0 (PlcCandidate, MAX (list->len, 1));
   Regions regions = regions_for (node, request, now_ms);
@@ -152,7 +156,7 @@
 }
 
 ChsSet *
-chs_set_new (const Node *node, const ChsRequest *request)
+chs_set_new (Node *node, const ChsRequest *request)
 {
   GPtrArray *list = ups_of (&node->upstreams, request->service->name);
   ChsSet *set = g_new0 (ChsSet, 1);
@@ -220,7 +224,7 @@
 }
 
 Ups *
-chs_upstream (const Node *node, const ChsRequest *request)
+chs_upstream (Node *node, const ChsRequest *request)
 {
   ChsSet *set = chs_set_new (node, request);
   Ups *ups = chs_choose (set, request);
--- a/src/chs.h
+++ b/src/chs.h
@@ -31,7 +31,7 @@
 } ChsSet;
 
 /** chs_set_new() - works out the candidates for requests of @request's route. */
-ChsSet *chs_set_new (const Node *node, const ChsRequest *request);
+ChsSet *chs_set_new (Node *node, const ChsRequest *request);
 void chs_set_free (ChsSet *set);
 
 /** chs_takes_work() - new work may go to an upstream: it is not leaving, and its zone is not
@@ -42,4 +42,4 @@
 Ups *chs_choose (ChsSet *set, const ChsRequest *request);
 
 /** chs_upstream() - the upstream that takes the request now, or NULL when none has room. */
-Ups *chs_upstream (const Node *node, const ChsRequest *request);
+Ups *chs_upstream (Node *node, const ChsRequest *request);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -169,7 +169,7 @@
     ups_note_lost (ups, frq->fingerprint, clk_now_ms ());
   ups_failed (ups, clk_now_ms ());
   if (ups_is_down (ups))
-    nod_disturbed (node);
+    nod_disturbed (node, NOD_UPSTREAM_DOWN, ups->record.id);
   frq_release_upstream (frq);
   if (outcome == UCN_NOT_SENT)
     {
@@ -263,7 +263,12 @@
   frq->sent_warm = frq->key != 0 && ups_knows (ups, frq->key);
   ups->in_flight++;
   if (ups->zone < node->set.zones->len)
-    shr_note (&node->shares, g_array_index (node->set.zones, NodZone, ups->zone).region, now_ms);
+    {
+      uint32_t region = g_array_index (node->set.zones, NodZone, ups->zone).region;
+      shr_note (&node->shares, region, now_ms);
+      if (frq->sends == 1)
+        rgn_note_sent (&node->by_region, region, frq->key != 0);
+    }
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
--- a/src/nod.c
+++ b/src/nod.c
@@ -87,10 +87,34 @@
   return MAX (1 + g_hash_table_size (node->peers.peers), 1);
 }
 
+const char *
+nod_disturbance_name (NodDisturbance disturbance)
+{
+  static const char *const names[]
+      = { "upstream_gone", "upstream_leaving", "upstream_cold", "upstream_down", "evacuation" };
+
+  return disturbance < NOD_DISTURBANCES ? names[disturbance] : "none";
+}
+
+uint32_t
+nod_uncapped_ms (const Node *node, uint64_t now_ms)
+{
+  uint64_t until_ms = node->disturbed_at_ms + SHR_CALM_MS;
+
+  return node->disturbed_at_ms != 0 && now_ms < until_ms ? (uint32_t) (until_ms - now_ms) : 0;
+}
+
 void
-nod_disturbed (Node *node)
+nod_disturbed (Node *node, NodDisturbance disturbance, const char *name)
 {
-  node->disturbed_at_ms = clk_now_ms ();
+  uint64_t now_ms = clk_now_ms ();
+
+  if (nod_uncapped_ms (node, now_ms) == 0)
+    log_event (&node->log, LOG_INFO, "shift_uncapped", "reason=%s name=%s for_ms=%u",
+               nod_disturbance_name (disturbance), name, SHR_CALM_MS);
+  node->disturbed_at_ms = now_ms;
+  node->disturbance = disturbance;
+  node->counters.shift_uncapped[disturbance]++;
 }
 
 /* ---- Cold upstreams ---- */
@@ -185,7 +209,7 @@
       return;
     }
   log_event (&node->log, LOG_INFO, "upstream_gone", "upstream=%s", id);
-  nod_disturbed (node);
+  nod_disturbed (node, NOD_UPSTREAM_GONE, id);
   ups_remove (&node->upstreams, id);
 }
 
@@ -232,8 +256,10 @@
     return;
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
-  if (record->draining || (known && record->cold_ms > 0))
-    nod_disturbed (node);
+  if (record->draining)
+    nod_disturbed (node, NOD_UPSTREAM_LEAVING, id);
+  else if (known && record->cold_ms > 0)
+    nod_disturbed (node, NOD_UPSTREAM_COLD, id);
 }
 
 void
@@ -243,7 +269,7 @@
     g_hash_table_add (node->evacuated, g_strdup (zone));
   else
     g_hash_table_remove (node->evacuated, zone);
-  nod_disturbed (node);
+  nod_disturbed (node, NOD_EVACUATION, zone);
   log_event (&node->log, LOG_INFO, "evacuation", "zone=%s on=%d", zone, evacuated);
 }
 
@@ -331,6 +357,20 @@
   shr_set_prior (&node->shares, node->set.region_index, slots, nodes);
 }
 
+static void
+log_requests_by_region (Node *node, uint64_t now_ms)
+{
+  uint32_t uncapped_ms = nod_uncapped_ms (node, now_ms);
+  char *prior = rgn_text (node->shares.prior_permille, node->set.regions->len);
+  char *detail = g_strdup_printf (
+      "prior=%s uncapped_ms=%u reason=%s", prior, uncapped_ms,
+      nod_disturbance_name (uncapped_ms > 0 ? node->disturbance : NOD_DISTURBANCES));
+
+  rgn_log (&node->by_region, node->set.regions->len, &node->log, detail);
+  g_free (detail);
+  g_free (prior);
+}
+
 static void
 tick_exchange (Node *node, uint64_t now_ms)
 {
@@ -340,6 +380,7 @@
   if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
     {
       forget_objects (node, now_ms);
+      log_requests_by_region (node, now_ms);
       set_prior_shares (node, now_ms);
       poi_expire (&node->poison, now_ms);
     }
--- a/src/nod.h
+++ b/src/nod.h
@@ -12,6 +12,7 @@
 #include "poi.h"
 #include "ptr.h"
 #include "rbg.h"
+#include "rgn.h"
 #include "rtt.h"
 #include "shr.h"
 #include "ucn.h"
@@ -24,6 +25,17 @@
   NOD_STOPPING,
 } NodState;
 
+/** typedef NodDisturbance - what was lost on which the node relies */
+typedef enum
+{
+  NOD_UPSTREAM_GONE,
+  NOD_UPSTREAM_LEAVING,
+  NOD_UPSTREAM_COLD,
+  NOD_UPSTREAM_DOWN,
+  NOD_EVACUATION,
+  NOD_DISTURBANCES,
+} NodDisturbance;
+
 /** struct NodZone - an availability zone and the index of its region */
 typedef struct
 {
@@ -116,6 +128,8 @@
   uint64_t poison_refused;
   uint64_t broken_answers;
   uint64_t lookups;
+  uint64_t shift_barred;
+  uint64_t shift_uncapped[NOD_DISTURBANCES];
 } NodCounters;
 
 /**
@@ -125,6 +139,8 @@
  * @control: what nodes tell each other and what the store tells
  * @store_connections: connections of the control loop
  * @disturbed_at_ms: when something that the node relies on was last lost
+ * @disturbance: what it was
+ * @by_region: requests of the last second by region
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
  */
@@ -142,6 +158,8 @@
   uint64_t stopping_since_ms;
   bool store_lost;
   uint64_t disturbed_at_ms;
+  NodDisturbance disturbance;
+  RgnCounts by_region;
   ShrWindow shares;
   Cts control;
   UcnCtx store_connections;
@@ -199,7 +217,13 @@
 
 /** nod_disturbed() - something that the node relies on was lost; moves away from it are not capped.
  */
-void nod_disturbed (Node *node);
+void nod_disturbed (Node *node, NodDisturbance disturbance, const char *name);
+
+/** nod_uncapped_ms() - how much longer the cap on shift does not hold; 0 when it does. */
+uint32_t nod_uncapped_ms (const Node *node, uint64_t now_ms);
+
+/** nod_disturbance_name() - name for logs and metrics. */
+const char *nod_disturbance_name (NodDisturbance disturbance);
 
 /** nod_zone_index() - index of a zone or ZONE_NONE. */
 uint32_t nod_zone_index (const Node *node, const char *zone);
--- /dev/null
+++ b/src/rgn.c
@@ -0,0 +1,50 @@
+/* Requests by region: where they were sent in a period, and what the cap on shift did. */
+#include "rgn.h"
+
+#include <glib.h>
+#include <string.h>
+
+void
+rgn_note_sent (RgnCounts *counts, uint32_t region, bool has_object)
+{
+  if (region >= REGIONS_MAX)
+    return;
+  counts->sent[region]++;
+  if (!has_object)
+    counts->objectless[region]++;
+}
+
+void
+rgn_note_barred (RgnCounts *counts, uint32_t region)
+{
+  if (region < REGIONS_MAX)
+    counts->barred[region]++;
+}
+
+char *
+rgn_text (const uint32_t *numbers, uint32_t regions)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t r = 0; r < MIN (regions, REGIONS_MAX); r++)
+    g_string_append_printf (text, "%s%u", r > 0 ? "," : "", numbers[r]);
+  return g_string_free (text, FALSE);
+}
+
+void
+rgn_log (RgnCounts *counts, uint32_t regions, const Log *log, const char *detail)
+{
+  static const RgnCounts none;
+
+  if (memcmp (counts, &none, sizeof none) == 0)
+    return;
+  char *sent = rgn_text (counts->sent, regions);
+  char *objectless = rgn_text (counts->objectless, regions);
+  char *barred = rgn_text (counts->barred, regions);
+  log_event (log, LOG_INFO, "requests_by_region", "sent=%s objectless=%s barred=%s %s", sent,
+             objectless, barred, detail);
+  g_free (sent);
+  g_free (objectless);
+  g_free (barred);
+  *counts = none;
+}
--- /dev/null
+++ b/tests/test_rgn.cc
@@ -0,0 +1,50 @@
+extern "C"
+{
+#include "rgn.h"
+}
+
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <string>
+
+namespace
+{
+std::string
+Logged (RgnCounts *counts)
+{
+  char *text = nullptr;
+  size_t size = 0;
+  Log log = {};
+  log.out = open_memstream (&text, &size);
+  log.process = "node";
+  log.vm = "edge-1";
+  rgn_log (counts, 3, &log, "prior=1,2,3");
+  fclose (log.out);
+  std::string line (text, size);
+  free (text);
+  return line;
+}
+}
+
+TEST (Rgn, ALineTellsWhatWasSentAndBarredAndBeginsAnew)
+{
+  RgnCounts counts = {};
+  rgn_note_sent (&counts, 0, true);
+  rgn_note_sent (&counts, 2, true);
+  rgn_note_sent (&counts, 2, false);
+  rgn_note_barred (&counts, 1);
+  std::string line = Logged (&counts);
+  EXPECT_NE (line.find ("event=requests_by_region sent=1,0,2 objectless=0,0,1 barred=0,1,0 "
+                        "prior=1,2,3"),
+             std::string::npos)
+      << line;
+  EXPECT_EQ (Logged (&counts), "");
+}
+
+TEST (Rgn, UnknownRegionsAreNotCounted)
+{
+  RgnCounts counts = {};
+  rgn_note_sent (&counts, REGIONS_MAX, true);
+  rgn_note_barred (&counts, ZONE_NONE);
+  EXPECT_EQ (Logged (&counts), "");
+}
