--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -2,6 +2,8 @@
 #include "mdl.h"
 
 #include "adm.h"
+#include "mds.h"
+#include "shr.h"
 
 #include <math.h>
 #include <string.h>
@@ -17,6 +19,11 @@
 #define WAKE_TRIES 8
 #define NEAR_RTT_MS 2
 #define USUAL_WEIGHT 16
+#define KEPT_MS 4000
+#define SHIFT_CAP_PERMILLE 82u
+
+/* The window of shares takes slot 0 for one that was never used. */
+#define SHIFT_START_MS 60000u
 #define HOT_OBJECT 1u
 
 /** struct Up - an upstream; @known: objects that it is fast for, newest first */
@@ -31,12 +38,18 @@
   GQueue queue;
 } Up;
 
-/** struct Vm - a node; @views: requests in flight on each upstream, as all nodes last told */
+/**
+ * struct Vm - a node
+ * @views: requests in flight on each upstream, as all nodes last told
+ * @sent_at_ms: when it last sent something to each upstream, whose connection is kept for a while
+ */
 typedef struct
 {
   uint32_t region;
   Ups *ups;
   uint32_t *views;
+  uint64_t *sent_at_ms;
+  ShrWindow shares;
   Cen objects;
   uint32_t cold_ms;
   uint32_t warm_ms;
@@ -73,151 +86,11 @@
   GQueue returning;
   uint64_t runs;
   uint64_t warm_runs;
-  double owed;
+  double owed[REGIONS_MAX];
+  Mds *shift;
   MdlReport report;
 } Model;
 
-static const MdlLoad loads[] = {
-  { .name = "steady",
-    .upstreams = { 8, 8, 8 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .rate_per_s = 280,
-    .swing_permille = 300,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = REGIONS_MAX,
-    .seconds = 40 },
-  { .name = "overload",
-    .upstreams = { 8, 8, 8 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .rate_per_s = 800,
-    .swing_permille = 550,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = REGIONS_MAX,
-    .seconds = 40 },
-  { .name = "scarce-region",
-    .upstreams = { 2, 11, 11 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .rate_per_s = 380,
-    .swing_permille = 550,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = REGIONS_MAX,
-    .seconds = 40 },
-  { .name = "many-objects",
-    .upstreams = { 26, 60, 60 },
-    .nodes = { 12, 12, 12 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 21,
-    .objects = 480,
-    .rate_per_s = 1300,
-    .swing_permille = 550,
-    .cold_ms = 1248,
-    .warm_ms = 312,
-    .objective_ms = 800,
-    .timeout_ms = 3000,
-    .remote_rtt_ms = 70,
-    .view_ms = 300,
-    .lost_region = REGIONS_MAX,
-    .seconds = 40 },
-  { .name = "hot-object",
-    .upstreams = { 8, 8, 8 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .hot_permille = 250,
-    .rate_per_s = 200,
-    .swing_permille = 300,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = REGIONS_MAX,
-    .seconds = 40 },
-  { .name = "region-lost",
-    .upstreams = { 8, 8, 8 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .rate_per_s = 280,
-    .swing_permille = 300,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = 1,
-    .lost_at_s = 12,
-    .seconds = 40 },
-  { .name = "slow-upstreams",
-    .upstreams = { 8, 8, 8 },
-    .nodes = { 3, 3, 3 },
-    .slots = 6,
-    .queue = 18,
-    .keeps = 24,
-    .objects = 96,
-    .rate_per_s = 260,
-    .swing_permille = 300,
-    .cold_ms = 640,
-    .warm_ms = 200,
-    .objective_ms = 500,
-    .timeout_ms = 2000,
-    .remote_rtt_ms = 70,
-    .view_ms = 100,
-    .lost_region = REGIONS_MAX,
-    .slow_permille = 125,
-    .seconds = 40 },
-  { .name = NULL },
-};
-
-const MdlLoad *
-mdl_loads (void)
-{
-  return loads;
-}
-
-const MdlLoad *
-mdl_load (const char *name)
-{
-  for (uint32_t i = 0; loads[i].name != NULL; i++)
-    if (strcmp (loads[i].name, name) == 0)
-      return &loads[i];
-  return NULL;
-}
-
 /* ---- Upstreams ---- */
 
 static bool
@@ -252,6 +125,7 @@
     work_ms *= SLOW_FACTOR;
   model->runs++;
   model->warm_runs += warm;
+  mds_run (model->shift, job->vm->region, up->region, model->now_ms);
   job->ends_at_ms = model->now_ms + work_ms;
   g_queue_push_tail (&up->running, job);
 }
@@ -350,8 +224,10 @@
     {
       const Ups *ups = &vm->ups[i];
       bool near = model->ups[i].region == vm->region;
+      bool may_grow = shr_allows (&vm->shares, model->ups[i].region, SHIFT_CAP_PERMILLE,
+                                  SHIFT_START_MS + model->now_ms);
       candidates[i] = (PlcCandidate){ .listed = !ups_is_down (ups),
-                                      .usable = is_usable (model, ups),
+                                      .usable = may_grow && is_usable (model, ups),
                                       .hash = model->ups[i].hash,
                                       .region = model->ups[i].region,
                                       .slots = model->load->slots,
@@ -442,6 +318,17 @@
   return 0;
 }
 
+/* A connection that was not used lately has to be made first. */
+static uint32_t
+connect_ms (const Model *model, const Job *job)
+{
+  uint64_t *sent_at_ms = &job->vm->sent_at_ms[job->up];
+  bool kept = *sent_at_ms != 0 && model->now_ms - *sent_at_ms < KEPT_MS;
+
+  *sent_at_ms = model->now_ms;
+  return kept ? 0 : job->rtt_ms;
+}
+
 static bool
 try_to_send (Model *model, Job *job)
 {
@@ -454,7 +341,8 @@
   job->rtt_ms
       = model->ups[chosen].region == job->vm->region ? NEAR_RTT_MS : model->load->remote_rtt_ms;
   job->sent_at_ms = model->now_ms;
-  job->arrives_at_ms = model->now_ms + job->rtt_ms / 2;
+  job->arrives_at_ms = model->now_ms + connect_ms (model, job) + job->rtt_ms / 2;
+  shr_note (&job->vm->shares, model->ups[chosen].region, SHIFT_START_MS + model->now_ms);
   job->sent_warm = ups_knows (ups, job->object);
   ups->in_flight++;
   g_queue_push_tail (&model->travelling, job);
@@ -609,21 +497,45 @@
          + (uint32_t) g_rand_int_range (model->random, 0, (gint32) model->load->objects);
 }
 
+/* Requests a second of one region's callers. */
 static double
-rate_now (const Model *model)
+rate_now (const Model *model, uint32_t region)
 {
-  double swing = model->load->swing_permille / (double) PERMILLE;
+  const MdlLoad *load = model->load;
+  double swing = load->swing_permille / (double) PERMILLE;
+  double rate = load->rate_per_s
+                * (1.0 + swing * sin (2.0 * G_PI * (double) model->now_ms / WAVE_MS))
+                * load->nodes[region] / model->vm_count;
 
-  return model->load->rate_per_s
-         * (1.0 + swing * sin (2.0 * G_PI * (double) model->now_ms / WAVE_MS));
+  for (uint32_t i = 0; i < MDL_BURSTS_MAX; i++)
+    {
+      const MdlBurst *burst = &load->bursts[i];
+      bool on = model->now_ms >= (uint64_t) burst->from_s * 1000
+                && model->now_ms < (uint64_t) burst->to_s * 1000;
+      if (burst->factor > 0 && burst->region == region && on)
+        rate *= burst->factor;
+    }
+  return rate;
+}
+
+static uint32_t
+first_vm (const Model *model, uint32_t region)
+{
+  uint32_t first = 0;
+
+  for (uint32_t r = 0; r < region; r++)
+    first += model->load->nodes[r];
+  return first;
 }
 
 static void
-ask (Model *model)
+ask (Model *model, uint32_t region)
 {
   Job *job = g_new0 (Job, 1);
+  gint32 nodes = (gint32) model->load->nodes[region];
 
-  job->vm = &model->vms[g_rand_int_range (model->random, 0, (gint32) model->vm_count)];
+  job->vm = &model->vms[first_vm (model, region)
+                        + (uint32_t) g_rand_int_range (model->random, 0, nodes)];
   job->object = draw_object (model);
   job->asked_at_ms = model->now_ms;
   job->admission.objective_ms = model->load->objective_ms;
@@ -645,9 +557,14 @@
     }
   if (model->now_ms >= (uint64_t) model->load->seconds * 1000)
     return;
-  model->owed += rate_now (model) * STEP_MS / 1000.0;
-  for (; model->owed >= 1.0; model->owed -= 1.0)
-    ask (model);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      if (model->load->nodes[r] == 0)
+        continue;
+      model->owed[r] += rate_now (model, r) * STEP_MS / 1000.0;
+      for (; model->owed[r] >= 1.0; model->owed[r] -= 1.0)
+        ask (model, r);
+    }
 }
 
 /* ---- Replay ---- */
@@ -657,11 +574,13 @@
 {
   const MdlLoad *load = model->load;
   uint32_t slow_every = load->slow_permille > 0 ? PERMILLE / load->slow_permille : 0;
+  uint32_t slots[REGIONS_MAX] = { 0 };
 
   for (uint32_t r = 0; r < REGIONS_MAX; r++)
     {
       model->up_count += load->upstreams[r];
       model->vm_count += load->nodes[r];
+      slots[r] = load->upstreams[r] * load->slots;
     }
   model->ups = g_new0 (Up, model->up_count);
   model->vms = g_new0 (Vm, model->vm_count);
@@ -677,6 +596,8 @@
         vm->region = r;
         vm->ups = g_new0 (Ups, model->up_count);
         vm->views = g_new0 (uint32_t, model->up_count);
+        vm->sent_at_ms = g_new0 (uint64_t, model->up_count);
+        shr_set_prior (&vm->shares, r, slots, load->nodes);
         vm->cold_ms = load->objective_ms;
         vm->warm_ms = load->objective_ms / 2;
         cen_init (&vm->objects);
@@ -699,12 +620,14 @@
       cen_clear (&model->vms[v].objects);
       g_free (model->vms[v].ups);
       g_free (model->vms[v].views);
+      g_free (model->vms[v].sent_at_ms);
     }
   g_queue_clear_full (&model->travelling, g_free);
   g_queue_clear_full (&model->returning, g_free);
   g_free (model->ups);
   g_free (model->vms);
   g_rand_free (model->random);
+  mds_free (model->shift);
 }
 
 /* Work that does not fit a second's slots may be done in the next, within the objective. */
@@ -737,12 +660,15 @@
   report->credit_permille = (uint32_t) (credit / MAX (report->asked, 1));
   report->warm_permille = (uint32_t) (model->warm_runs * PERMILLE / MAX (model->runs, 1));
   report->bound_permille = bound_permille (model);
+  report->shift_permille = mds_worst (model->shift, &report->shift_region, &report->shift_at_ms);
 }
 
 MdlReport
 mdl_replay (const MdlLoad *load, MdlPolicy policy, uint32_t seed)
 {
-  Model model = { .load = load, .policy = policy, .random = g_rand_new_with_seed (seed) };
+  Model model = {
+    .load = load, .policy = policy, .random = g_rand_new_with_seed (seed), .shift = mds_new ()
+  };
   uint64_t end_ms = (uint64_t) load->seconds * 1000 + load->timeout_ms;
 
   build (&model);
--- a/tools/mdl.h
+++ b/tools/mdl.h
@@ -6,6 +6,7 @@
 #include "ups.h"
 
 #define MDL_SECONDS_MAX 120
+#define MDL_BURSTS_MAX 2
 
 /** typedef MdlPolicy - who decides where a request goes */
 typedef enum
@@ -15,6 +16,15 @@
   MDL_REFUSE_WHEN_FULL,
 } MdlPolicy;
 
+/** struct MdlBurst - a region's callers ask @factor times as often for a while */
+typedef struct
+{
+  uint32_t region;
+  uint32_t from_s;
+  uint32_t to_s;
+  double factor;
+} MdlBurst;
+
 /**
  * struct MdlLoad - a load pattern
  * @upstreams: upstreams of each region
@@ -28,6 +38,7 @@
  *   REGIONS_MAX for none
  * @slow_permille: share of the upstreams whose work takes five times as long
  * @view_ms: age that views of other nodes reach
+ * @bursts: those with a @factor of 0 do not take place
  */
 typedef struct
 {
@@ -50,6 +61,7 @@
   uint32_t lost_region;
   uint32_t lost_at_s;
   uint32_t slow_permille;
+  MdlBurst bursts[MDL_BURSTS_MAX];
   uint32_t seconds;
 } MdlLoad;
 
@@ -69,6 +81,10 @@
  * @warm_permille: runs on an upstream that knew the object
  * @sheds: requests that an upstream refused for load
  * @most_in_upstream: most requests that one upstream had at once, running and waiting
+ * @shift_permille: largest share of a region's runs that changed their region from one window of 2
+ * s to the next, less what sampling explains; of windows with 40 runs or more
+ * @shift_region: the region whose callers' requests they were
+ * @shift_at_ms: start of the second window
  */
 typedef struct
 {
@@ -79,6 +95,9 @@
   uint32_t warm_permille;
   uint32_t sheds;
   uint32_t most_in_upstream;
+  uint32_t shift_permille;
+  uint32_t shift_region;
+  uint32_t shift_at_ms;
 } MdlReport;
 
 /** mdl_loads() - the load patterns, ended by one without a name. */
--- a/tools/replay.c
+++ b/tools/replay.c
@@ -54,10 +54,12 @@
         continue;
       MdlReport report
           = mdl_replay (load, policies[i].policy, (uint32_t) set_uint (settings, "seed"));
-      printf ("load=%s policy=%s asked=%u credit=%.3f bound=%.3f warm=%.3f sheds=%u most=%u\n",
+      printf ("load=%s policy=%s asked=%u credit=%.3f bound=%.3f warm=%.3f sheds=%u most=%u "
+              "shift=%.3f shift_region=%u shift_at=%.1f\n",
               load->name, policies[i].name, report.asked, report.credit_permille / 1000.0,
               report.bound_permille / 1000.0, report.warm_permille / 1000.0, report.sheds,
-              report.most_in_upstream);
+              report.most_in_upstream, report.shift_permille / 1000.0, report.shift_region,
+              report.shift_at_ms / 1000.0);
       if (strcmp (set_text (settings, "plot"), "on") == 0)
         plot (load, &report);
     }
