--- a/src/chs.c
+++ b/src/chs.c
@@ -1,12 +1,12 @@
 /* Choice of an upstream: turns what the node knows into candidates for placement. */
 #include "chs.h"
 
+#include "nsh.h"
 #include "plc.h"
 
 #define COLD_SHARE_PERMILLE 450
 #define COLD_SETTLE_MS 2000
 #define PERMILLE 1000u
-#define SHIFT_USED_PCT 55
 #define TRIED_MAX 8
 
 /* Requests a second that this node may send to a cold upstream; 0 when there is no limit. */
@@ -42,43 +42,16 @@
   return region == node->set.region_index ? PLC_NEAR_RTT_MS : PLC_REMOTE_RTT_MS;
 }
 
-/**
- * struct Regions - what holds for all upstreams of a region
- * @allowed: the route may be served there
- * @may_grow: the cap on shift lets its share grow
- */
-typedef struct
-{
-  bool allowed[REGIONS_MAX];
-  bool may_grow[REGIONS_MAX];
-} Regions;
-
-/* Load moves between regions no faster than the cap; work may leave what was lost at once. */
-static bool
-shift_allows (const Node *node, uint32_t region, uint64_t now_ms)
-{
-  if (nod_uncapped_ms (node, now_ms) > 0)
-    return true;
-  return shr_allows (&node->shares, region, node->set.shift_permille * SHIFT_USED_PCT / 100,
-                     now_ms);
-}
-
-static Regions
-regions_for (Node *node, const ChsRequest *request, uint64_t now_ms)
+/* Bits of the regions in which the route may be served. */
+static uint32_t
+allowed_regions (const Node *node, const ChsRequest *request)
 {
-  Regions regions = { 0 };
+  uint32_t allowed = 0;
 
   for (uint32_t r = 0; r < MIN (node->set.regions->len, REGIONS_MAX); r++)
-    {
-      regions.allowed[r]
-          = rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, r));
-      regions.may_grow[r] = shift_allows (node, r, now_ms);
-      if (regions.may_grow[r])
-        continue;
-      node->counters.shift_barred++;
-      rgn_note_barred (&node->by_region, r);
-    }
-  return regions;
+    if (rtt_allows_region (request->route, g_ptr_array_index (node->set.regions, r)))
+      allowed |= 1u << r;
+  return allowed;
 }
 
 bool
@@ -92,11 +65,11 @@
 
 /* Objects are assigned among these, whatever holds for a moment. */
 static bool
-is_listed (const Node *node, const Regions *regions, const Ups *ups, uint32_t region)
+is_listed (const Node *node, uint32_t allowed, const Ups *ups, uint32_t region)
 {
   if (ups->zone == ZONE_NONE || ups->record.slots == 0)
     return false;
-  return chs_takes_work (node, ups) && regions->allowed[region];
+  return chs_takes_work (node, ups) && (allowed >> region & 1u) != 0;
 }
 
 static bool
@@ -112,10 +85,10 @@
 }
 
 static PlcCandidate *
-candidates_of (Node *node, const ChsRequest *request, const GPtrArray *list, uint64_t now_ms)
+candidates_of (const Node *node, const ChsRequest *request, uint32_t allowed, const GPtrArray *list,
+               uint64_t now_ms)
 {
   PlcCandidate *candidates = g_new0 (PlcCandidate, MAX (list->len, 1));
-  Regions regions = regions_for (node, request, now_ms);
   uint32_t cold_per_s = cold_rate (request);
 
   for (guint i = 0; i < list->len; i++)
@@ -126,11 +99,10 @@
                             : REGIONS_MAX;
       if (region >= REGIONS_MAX)
         continue;
-      bool listed = is_listed (node, &regions, ups, region);
+      bool listed = is_listed (node, allowed, ups, region);
       candidates[i]
           = (PlcCandidate){ .listed = listed && !ups_is_down (ups),
-                            .usable = listed && regions.may_grow[region]
-                                      && is_usable (node, ups, cold_per_s, now_ms),
+                            .usable = listed && is_usable (node, ups, cold_per_s, now_ms),
                             .hash = ups->hash,
                             .region = region,
                             .slots = ups->record.slots,
@@ -156,7 +128,7 @@
 }
 
 ChsSet *
-chs_set_new (Node *node, const ChsRequest *request)
+chs_set_new (const Node *node, const ChsRequest *request)
 {
   GPtrArray *list = ups_of (&node->upstreams, request->service->name);
   ChsSet *set = g_new0 (ChsSet, 1);
@@ -165,7 +137,8 @@
   set->list = list;
   if (list == NULL || list->len == 0)
     return set;
-  set->candidates = candidates_of (node, request, list, clk_now_ms ());
+  set->allowed = allowed_regions (node, request);
+  set->candidates = candidates_of (node, request, set->allowed, list, clk_now_ms ());
   set->slots = total_slots (list);
   return set;
 }
@@ -202,33 +175,70 @@
   return count;
 }
 
-Ups *
-chs_choose (ChsSet *set, const ChsRequest *request)
+/* Objects whose requests run in a region, of those of this node's callers. */
+static uint32_t
+objects_in (const NodService *service, uint32_t region)
 {
-  uint32_t hidden[TRIED_MAX];
+  uint64_t objects = cen_objects (&service->objects);
 
-  if (set->candidates == NULL)
-    return NULL;
+  return (uint32_t) (objects * service->flow.shares.ppm[region] / SHARE_ONE_PPM);
+}
+
+static Ups *
+choose_in (const ChsSet *set, const ChsRequest *request, uint32_t region)
+{
   PlcRequest placed = { .key = request->key,
                         .cold_ms = request->work->cold_ms,
                         .warm_ms = request->work->warm_ms,
-                        .objects = cen_objects (&request->service->objects),
-                        .home_region = set->node->set.region_index,
+                        .objects = objects_in (request->service, region),
+                        .home_region = region,
+                        .regions = 1u << region,
                         .wait_max_ms = request->route->objective_ms / PLC_QUEUE_SHARE,
                         .reserve = adm_reserve (request->admission, set->slots) };
-  uint32_t count = hide_tried (set, request, hidden, TRIED_MAX);
   uint32_t index = plc_choose (set->candidates, set->list->len, &placed);
+
+  return index != PLC_NONE ? g_ptr_array_index (set->list, index) : NULL;
+}
+
+static ChsChoice
+choose_region (const ChsSet *set, const ChsRequest *request)
+{
+  uint32_t region = nsh_region (request->service, set->allowed, request->lot);
+  ChsChoice choice = { .ups = NULL };
+
+  if (region >= REGIONS_MAX)
+    return choice;
+  choice.ups = choose_in (set, request, region);
+  if (choice.ups != NULL)
+    return choice;
+  uint32_t other = nsh_other_region (request->service, set->allowed, region, request->draw_ppm);
+  if (other >= REGIONS_MAX)
+    return choice;
+  choice.ups = choose_in (set, request, other);
+  choice.spilled = choice.ups != NULL;
+  return choice;
+}
+
+ChsChoice
+chs_choose (ChsSet *set, const ChsRequest *request)
+{
+  uint32_t hidden[TRIED_MAX];
+
+  if (set->candidates == NULL)
+    return (ChsChoice){ .ups = NULL };
+  uint32_t count = hide_tried (set, request, hidden, TRIED_MAX);
+  ChsChoice choice = choose_region (set, request);
   for (uint32_t i = 0; i < count; i++)
     set->candidates[hidden[i]].usable = true;
-  return index != PLC_NONE ? g_ptr_array_index (set->list, index) : NULL;
+  return choice;
 }
 
-Ups *
-chs_upstream (Node *node, const ChsRequest *request)
+ChsChoice
+chs_upstream (const Node *node, const ChsRequest *request)
 {
   ChsSet *set = chs_set_new (node, request);
-  Ups *ups = chs_choose (set, request);
+  ChsChoice choice = chs_choose (set, request);
 
   chs_set_free (set);
-  return ups;
+  return choice;
 }
--- /dev/null
+++ b/src/dms.c
@@ -0,0 +1,130 @@
+/* What the callers of each region need of a service, and how it is shared, as nodes tell each
+ * other. */
+#include "dms.h"
+
+#include "sum.h"
+
+#include <string.h>
+
+static peer_service *
+find (peer_service *services, u_int count, uint32_t hash)
+{
+  for (u_int i = 0; i < count; i++)
+    if (services[i].service == hash)
+      return &services[i];
+  return NULL;
+}
+
+void
+dms_put (Per *per, const char *service, uint32_t mslots, const ShrShares *shares)
+{
+  uint32_t hash = ups_hash (service);
+  peer_service *own = find (per->services, per->service_count, hash);
+
+  if (own == NULL)
+    {
+      if (per->service_count == PER_SERVICES_MAX)
+        return;
+      own = &per->services[per->service_count];
+      own->service = hash;
+      own->ppm.ppm_val = per->service_ppm[per->service_count++];
+      own->ppm.ppm_len = REGIONS_MAX;
+    }
+  own->mslots = mslots;
+  memcpy (own->ppm.ppm_val, shares->ppm, sizeof shares->ppm);
+}
+
+static uint64_t
+needed_by (peer_service *services, u_int count, uint32_t hash)
+{
+  const peer_service *found = find (services, count, hash);
+
+  return found != NULL ? found->mslots : 0;
+}
+
+static bool
+speaks_for_itself (const PerPeer *peer, uint64_t now_ms)
+{
+  return !peer->by_summary && peer->direct_at_ms != 0 && per_alive (peer, now_ms);
+}
+
+uint64_t
+dms_of_region (const Per *per, const char *service, uint32_t region, uint64_t now_ms)
+{
+  uint32_t hash = ups_hash (service);
+  uint64_t sum = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (per->region_of (per->user, per->self.zone_index) == region)
+    sum += needed_by ((peer_service *) per->services, per->service_count, hash);
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      if (speaks_for_itself (peer, now_ms) && per->region_of (per->user, peer->zone) == region)
+        sum += needed_by (peer->view.services.services_val, peer->view.services.services_len, hash);
+    }
+  for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
+    if (sum_is_counted (per, zone, now_ms) && per->region_of (per->user, zone) == region)
+      sum += needed_by (per->summaries[zone].services.services_val,
+                        per->summaries[zone].services.services_len, hash);
+  return sum;
+}
+
+bool
+dms_shares (const Per *per, const char *service, ShrShares *shares)
+{
+  uint32_t region = per->region_of (per->user, per->self.zone_index);
+  uint32_t hash = ups_hash (service);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PerPeer *peer = value;
+      if (peer->by_summary || peer->state != PER_SERVING
+          || per->region_of (per->user, peer->zone) != region)
+        continue;
+      const peer_service *found
+          = find (peer->view.services.services_val, peer->view.services.services_len, hash);
+      if (found == NULL || found->ppm.ppm_len != REGIONS_MAX)
+        continue;
+      memcpy (shares->ppm, found->ppm.ppm_val, sizeof shares->ppm);
+      return true;
+    }
+  return false;
+}
+
+static u_int
+add_all (peer_service *sums, u_int count, u_int room, const peer_service *services, u_int length)
+{
+  for (u_int i = 0; i < length; i++)
+    {
+      peer_service *sum = find (sums, count, services[i].service);
+      if (sum == NULL && count < room)
+        {
+          sum = &sums[count++];
+          *sum = (peer_service){ .service = services[i].service };
+        }
+      if (sum != NULL)
+        sum->mslots += services[i].mslots;
+    }
+  return count;
+}
+
+u_int
+dms_of_cell (const Per *per, peer_service *sums, u_int room, uint64_t now_ms)
+{
+  u_int count = add_all (sums, 0, room, per->services, per->service_count);
+
+  for (guint i = 0; i < per->near->len; i++)
+    {
+      const PerPeer *peer = g_ptr_array_index (per->near, i);
+      if (speaks_for_itself (peer, now_ms))
+        count = add_all (sums, count, room, peer->view.services.services_val,
+                         peer->view.services.services_len);
+    }
+  return count;
+}
--- a/src/frq.h
+++ b/src/frq.h
@@ -10,6 +10,9 @@
 /**
  * struct Frq - one request
  * @link: lives with h2o's request and tells when that ends
+ * @key: hash of the object that it concerns, 0 for none
+ * @lot: decides in which region it runs; the same for all requests that concern the same object
+ * @draw_ppm: decides whether it may run elsewhere when that region has no room
  * @may_have_run: it was sent and nothing proves that it did not run
  * @tried: hashes of the upstreams that it was sent to
  */
@@ -26,6 +29,8 @@
   MsgRequest message;
   char *id;
   uint32_t key;
+  uint32_t lot;
+  uint32_t draw_ppm;
   uint64_t fingerprint;
   AdmRequest admission;
   uint64_t at_ms;
--- a/src/fst.c
+++ b/src/fst.c
@@ -2,6 +2,7 @@
 #include "fst.h"
 
 #include "fwd.h"
+#include "nsh.h"
 
 #include <string.h>
 
@@ -116,6 +117,9 @@
   frq->work = nod_work (node, route);
   frq->id = hsv_header (h2o, names->request_id);
   frq->key = route->sticky ? read_key (node, h2o, route) : 0;
+  frq->lot = frq->key != 0 ? frq->key : ups_hash (frq->id != NULL ? frq->id : "");
+  frq->draw_ppm = (uint32_t) g_random_int_range (0, SHARE_ONE_PPM);
+  nsh_asked (node, frq->service, frq->work->cold_ms);
   msg_take (&frq->message, h2o, dropped);
   frq->fingerprint = poi_fingerprint (frq->message.method, frq->message.path,
                                       frq->message.body->data, frq->message.body->len);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -2,6 +2,7 @@
 #include "fwd.h"
 
 #include "chs.h"
+#include "nsh.h"
 
 #include <string.h>
 
@@ -21,11 +22,13 @@
                        .work = frq->work,
                        .admission = &frq->admission,
                        .key = frq->key,
+                       .lot = frq->lot,
+                       .draw_ppm = frq->draw_ppm,
                        .tried = frq->tried,
                        .tried_count = MIN (frq->sends, FRQ_SENDS_MAX) };
 }
 
-static Ups *
+static ChsChoice
 choose_upstream (const Frq *frq)
 {
   ChsRequest request = choice_of (frq);
@@ -42,6 +45,7 @@
   int64_t value = *usual_ms;
 
   *usual_ms = (uint32_t) (value + ((int64_t) took_ms - value) / USUAL_WEIGHT);
+  nsh_took (frq->service, took_ms);
 }
 
 bool
@@ -168,8 +172,6 @@
   else
     ups_note_lost (ups, frq->fingerprint, clk_now_ms ());
   ups_failed (ups, clk_now_ms ());
-  if (ups_is_down (ups))
-    nod_disturbed (node, NOD_UPSTREAM_DOWN, ups->record.id);
   frq_release_upstream (frq);
   if (outcome == UCN_NOT_SENT)
     {
@@ -243,9 +245,10 @@
 }
 
 static void
-send_to (Frq *frq, Ups *ups)
+send_to (Frq *frq, ChsChoice choice)
 {
   Node *node = frq->node;
+  Ups *ups = choice.ups;
   uint64_t now_ms = clk_now_ms ();
   UcnSpec spec = { .build = build_message,
                    .id_header = frq->id != NULL ? node->headers.request_id : NULL,
@@ -262,10 +265,11 @@
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_knows (ups, frq->key);
   ups->in_flight++;
+  if (choice.spilled)
+    nsh_spilled (node, frq->service);
   if (ups->zone < node->set.zones->len)
     {
       uint32_t region = g_array_index (node->set.zones, NodZone, ups->zone).region;
-      shr_note (&node->shares, region, now_ms);
       if (frq->sends == 1)
         rgn_note_sent (&node->by_region, region, frq->key != 0);
     }
@@ -300,15 +304,17 @@
 fwd_dispatch (Frq *frq)
 {
   uint64_t now_ms = clk_now_ms ();
-  Ups *ups = now_ms < frq->ends_at_ms ? choose_upstream (frq) : NULL;
+  ChsChoice choice = { .ups = NULL };
 
-  if (ups == NULL)
+  if (now_ms < frq->ends_at_ms)
+    choice = choose_upstream (frq);
+  if (choice.ups == NULL)
     {
       wait_for_room (frq, now_ms);
       return;
     }
   frq_stop_waiting (frq);
-  send_to (frq, ups);
+  send_to (frq, choice);
 }
 
 /* ---- Waiting ---- */
@@ -327,7 +333,7 @@
 }
 
 /* Candidates are the same for all requests of a route until one is sent. */
-static Ups *
+static ChsChoice
 choose_from_sets (GHashTable *sets, const Frq *frq)
 {
   ChsRequest request = choice_of (frq);
@@ -356,11 +362,13 @@
     {
       Frq *frq = item->data;
       item = item->next;
-      Ups *ups = now_ms < frq->ends_at_ms ? choose_from_sets (sets, frq) : NULL;
-      if (ups == NULL)
+      ChsChoice choice = { .ups = NULL };
+      if (now_ms < frq->ends_at_ms)
+        choice = choose_from_sets (sets, frq);
+      if (choice.ups == NULL)
         continue;
       frq_stop_waiting (frq);
-      send_to (frq, ups);
+      send_to (frq, choice);
       g_hash_table_remove_all (sets);
     }
   g_hash_table_unref (sets);
--- a/src/lim.h
+++ b/src/lim.h
@@ -138,10 +138,10 @@
 #define PLC_NEAR_RTT_MS 3
 
 /* Shift of requests between regions. */
-#define SHR_SLOT_MS 250
-#define SHR_SLOTS 20
-#define SHR_NEW_SLOTS 4
-#define SHR_OLD_SLOTS 12
+#define SHR_PERIOD_MS 2000
+#define SHR_FILL_PCT 70
+#define SHR_LOST_DIVISOR 8
+#define SHR_SPILL_KEPT_MS 500
 #define SHR_CALM_MS 4000
 
 /* Admission and waiting. */
@@ -176,6 +176,7 @@
 #define PER_DOWNS_MAX 256
 #define PER_CRASHES_MAX 64
 #define PER_REVISIONS_MAX 8
+#define PER_SERVICES_MAX 32
 
 /* Summaries of a zone. */
 #define SUM_PERIOD_MS 500
--- a/src/nod.c
+++ b/src/nod.c
@@ -5,6 +5,7 @@
 #include "exc.h"
 #include "fst.h"
 #include "fwd.h"
+#include "nsh.h"
 #include "nst.h"
 #include "wch.h"
 
@@ -64,6 +65,7 @@
   cen_init (&service->objects);
   g_queue_init (&service->waiting);
   g_hash_table_insert (node->services, service->name, service);
+  nsh_start (node, service, clk_now_ms ());
   return service;
 }
 
@@ -87,36 +89,6 @@
   return MAX (1 + g_hash_table_size (node->peers.peers), 1);
 }
 
-const char *
-nod_disturbance_name (NodDisturbance disturbance)
-{
-  static const char *const names[]
-      = { "upstream_gone", "upstream_leaving", "upstream_cold", "upstream_down", "evacuation" };
-
-  return disturbance < NOD_DISTURBANCES ? names[disturbance] : "none";
-}
-
-uint32_t
-nod_uncapped_ms (const Node *node, uint64_t now_ms)
-{
-  uint64_t until_ms = node->disturbed_at_ms + SHR_CALM_MS;
-
-  return node->disturbed_at_ms != 0 && now_ms < until_ms ? (uint32_t) (until_ms - now_ms) : 0;
-}
-
-void
-nod_disturbed (Node *node, NodDisturbance disturbance, const char *name)
-{
-  uint64_t now_ms = clk_now_ms ();
-
-  if (nod_uncapped_ms (node, now_ms) == 0)
-    log_event (&node->log, LOG_INFO, "shift_uncapped", "reason=%s name=%s for_ms=%u",
-               nod_disturbance_name (disturbance), name, SHR_CALM_MS);
-  node->disturbed_at_ms = now_ms;
-  node->disturbance = disturbance;
-  node->counters.shift_uncapped[disturbance]++;
-}
-
 /* ---- Cold upstreams ---- */
 
 static GArray *
@@ -187,6 +159,8 @@
   if (node->table != NULL)
     rtt_unref (node->table);
   node->table = table;
+  for (guint i = 0; i < table->services->len; i++)
+    nod_service (node, ((const RttService *) g_ptr_array_index (table->services, i))->name);
   hsv_set_limits (node->front, table->idle_timeout_ms, table->body_max_bytes);
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
              (unsigned long long) table->version, table->routes->len);
@@ -209,7 +183,6 @@
       return;
     }
   log_event (&node->log, LOG_INFO, "upstream_gone", "upstream=%s", id);
-  nod_disturbed (node, NOD_UPSTREAM_GONE, id);
   ups_remove (&node->upstreams, id);
 }
 
@@ -250,16 +223,10 @@
       upstream_missing (node, id);
       return;
     }
-  bool known = ups_get (&node->upstreams, id) != NULL;
-
   if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), clk_now_ms ()))
     return;
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
-  if (record->draining)
-    nod_disturbed (node, NOD_UPSTREAM_LEAVING, id);
-  else if (known && record->cold_ms > 0)
-    nod_disturbed (node, NOD_UPSTREAM_COLD, id);
 }
 
 void
@@ -269,7 +236,6 @@
     g_hash_table_add (node->evacuated, g_strdup (zone));
   else
     g_hash_table_remove (node->evacuated, zone);
-  nod_disturbed (node, NOD_EVACUATION, zone);
   log_event (&node->log, LOG_INFO, "evacuation", "zone=%s on=%d", zone, evacuated);
 }
 
@@ -329,59 +295,18 @@
     end_loop (node);
 }
 
-/* Requests start out where the regions can carry them. */
-static void
-set_prior_shares (Node *node, uint64_t now_ms)
-{
-  uint32_t slots[REGIONS_MAX] = { 0 };
-  uint32_t nodes[REGIONS_MAX] = { 0 };
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->upstreams.by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Ups *ups = value;
-      uint32_t region = region_of_zone (node, ups->zone);
-      if (region < REGIONS_MAX && !ups->gone && !ups->record.draining)
-        slots[region] += ups->record.slots;
-    }
-  nodes[MIN (node->set.region_index, REGIONS_MAX - 1)]++;
-  g_hash_table_iter_init (&iter, node->peers.peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      uint32_t region = region_of_zone (node, ((const PerPeer *) value)->zone);
-      if (region < REGIONS_MAX && per_alive (value, now_ms))
-        nodes[region]++;
-    }
-  shr_set_prior (&node->shares, node->set.region_index, slots, nodes);
-}
-
-static void
-log_requests_by_region (Node *node, uint64_t now_ms)
-{
-  uint32_t uncapped_ms = nod_uncapped_ms (node, now_ms);
-  char *prior = rgn_text (node->shares.prior_permille, node->set.regions->len);
-  char *detail = g_strdup_printf (
-      "prior=%s uncapped_ms=%u reason=%s", prior, uncapped_ms,
-      nod_disturbance_name (uncapped_ms > 0 ? node->disturbance : NOD_DISTURBANCES));
-
-  rgn_log (&node->by_region, node->set.regions->len, &node->log, detail);
-  g_free (detail);
-  g_free (prior);
-}
-
 static void
 tick_exchange (Node *node, uint64_t now_ms)
 {
   exc_tick (&node->peers, now_ms);
   remove_missing (node, now_ms);
   nod_share_cold (node, now_ms);
+  nsh_tick (node, now_ms);
   if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
     {
       forget_objects (node, now_ms);
-      log_requests_by_region (node, now_ms);
-      set_prior_shares (node, now_ms);
+      rgn_log (&node->by_region, node->set.regions->len, &node->log);
+      nsh_log (node);
       poi_expire (&node->poison, now_ms);
     }
 }
@@ -431,6 +356,19 @@
   log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
 }
 
+static void
+connect_peers (Node *node)
+{
+  Per *peers = &node->peers;
+
+  peers->log = &node->log;
+  peers->zone_of = zone_of_peer;
+  peers->region_of = region_of_zone;
+  peers->user = node;
+  peers->upstreams = &node->upstreams;
+  peers->poison = &node->poison;
+}
+
 void
 nod_init (Node *node, uv_loop_t *loop)
 {
@@ -450,6 +388,7 @@
   ucn_ctx_init (&node->ucn, loop);
   poi_init (&node->poison);
   ups_init (&node->upstreams, &node->ucn);
+  connect_peers (node);
 }
 
 static void
@@ -464,12 +403,6 @@
   self->addr = node->set.peer;
   self->capacity = node->set.capacity;
   self->incarnation = (uint64_t) g_get_real_time ();
-  node->peers.log = &node->log;
-  node->peers.zone_of = zone_of_peer;
-  node->peers.region_of = region_of_zone;
-  node->peers.user = node;
-  node->peers.upstreams = &node->upstreams;
-  node->peers.poison = &node->poison;
 }
 
 /* The node serves on without its status. */
--- a/src/nod.h
+++ b/src/nod.h
@@ -25,17 +25,6 @@
   NOD_STOPPING,
 } NodState;
 
-/** typedef NodDisturbance - what was lost on which the node relies */
-typedef enum
-{
-  NOD_UPSTREAM_GONE,
-  NOD_UPSTREAM_LEAVING,
-  NOD_UPSTREAM_COLD,
-  NOD_UPSTREAM_DOWN,
-  NOD_EVACUATION,
-  NOD_DISTURBANCES,
-} NodDisturbance;
-
 /** struct NodZone - an availability zone and the index of its region */
 typedef struct
 {
@@ -98,6 +87,35 @@
   uint32_t deadline_ms;
 } NodWork;
 
+/**
+ * struct NodFlow - what the callers of this node need of a service, and where its requests run
+ * @asked: requests since the last tick
+ * @spilled: those of them that were sent outside their region
+ * @rate_mps: thousandths of a request a second; @spilled_mps of them outside their region
+ * @work_ms: usual time of a request at work; 0 while it is not known
+ * @begun: a request came
+ * @load: what regions offer and their callers need, as of the last tick
+ * @target: shares that the load asks for
+ * @room: free slots of the regions, as of the last tick
+ * @lost_since_ms: since when a region lacks much of its upstreams without a plan; 0 when it does
+ * not
+ */
+typedef struct
+{
+  uint32_t asked;
+  uint32_t spilled;
+  uint64_t rate_mps;
+  uint64_t spilled_mps;
+  uint32_t work_ms;
+  bool begun;
+  ShrLoad load;
+  ShrShares target;
+  ShrShares shares;
+  ShrSpill spill;
+  uint64_t room[REGIONS_MAX];
+  uint64_t lost_since_ms[REGIONS_MAX];
+} NodFlow;
+
 /**
  * struct NodService - what is kept of a service
  * @objects: census of its objects
@@ -107,6 +125,7 @@
   char name[NAME_MAX_BYTES];
   Cen objects;
   RbgBudget retries;
+  NodFlow flow;
   GQueue waiting;
 } NodService;
 
@@ -128,8 +147,8 @@
   uint64_t poison_refused;
   uint64_t broken_answers;
   uint64_t lookups;
-  uint64_t shift_barred;
-  uint64_t shift_uncapped[NOD_DISTURBANCES];
+  uint64_t regions_lost;
+  uint64_t spilled;
 } NodCounters;
 
 /**
@@ -138,8 +157,7 @@
  * @request_log: lines about requests, whose number does not take from that of the others
  * @control: what nodes tell each other and what the store tells
  * @store_connections: connections of the control loop
- * @disturbed_at_ms: when something that the node relies on was last lost
- * @disturbance: what it was
+ * @shares_at_ms: when the shares of the regions were last moved
  * @by_region: requests of the last second by region
  * @evacuated: zones that get no new work, a set of names
  * @open: requests without an answer
@@ -157,10 +175,8 @@
   uint64_t started_at_ms;
   uint64_t stopping_since_ms;
   bool store_lost;
-  uint64_t disturbed_at_ms;
-  NodDisturbance disturbance;
+  uint64_t shares_at_ms;
   RgnCounts by_region;
-  ShrWindow shares;
   Cts control;
   UcnCtx store_connections;
   UcnCtx ucn;
@@ -215,16 +231,6 @@
 /** nod_share_cold() - works out which cold upstreams this node uses. */
 void nod_share_cold (Node *node, uint64_t now_ms);
 
-/** nod_disturbed() - something that the node relies on was lost; moves away from it are not capped.
- */
-void nod_disturbed (Node *node, NodDisturbance disturbance, const char *name);
-
-/** nod_uncapped_ms() - how much longer the cap on shift does not hold; 0 when it does. */
-uint32_t nod_uncapped_ms (const Node *node, uint64_t now_ms);
-
-/** nod_disturbance_name() - name for logs and metrics. */
-const char *nod_disturbance_name (NodDisturbance disturbance);
-
 /** nod_zone_index() - index of a zone or ZONE_NONE. */
 uint32_t nod_zone_index (const Node *node, const char *zone);
 
--- /dev/null
+++ b/src/nsh.c
@@ -0,0 +1,300 @@
+/* Shares of a node's services: what its callers need, and in which regions their requests run. */
+#include "nsh.h"
+
+#include "chs.h"
+#include "dms.h"
+
+#include <string.h>
+
+#define PERMILLE 1000u
+#define RATE_WEIGHT 10
+#define SPILL_WEIGHT 20
+#define WORK_WEIGHT 16
+#define STEP_MOST_MS 500
+
+/* ---- What regions offer ---- */
+
+static uint32_t
+region_of (const Node *node, const Ups *ups)
+{
+  return ups->zone < node->set.zones->len
+             ? g_array_index (node->set.zones, NodZone, ups->zone).region
+             : REGIONS_MAX;
+}
+
+/* A cold upstream carries what its service allows. */
+static uint64_t
+offered_mslots (const NodFlow *flow, const RttService *limits, const Ups *ups, uint64_t now_ms)
+{
+  uint64_t slots = (uint64_t) ups->record.slots * PERMILLE;
+
+  if (limits == NULL || limits->cold_per_s <= 0 || !ups_is_cold (ups, now_ms))
+    return slots;
+  return MIN (slots, (uint64_t) (limits->cold_per_s * flow->work_ms));
+}
+
+/* Down, or cold again without a plan. */
+static bool
+is_lost (const Ups *ups, uint64_t now_ms)
+{
+  return ups_is_down (ups) || ups_is_doubted (ups, now_ms)
+         || (ups->fell_cold && ups_is_cold (ups, now_ms));
+}
+
+static void
+measure_regions (const Node *node, NodService *service, uint64_t *lost, uint64_t now_ms)
+{
+  NodFlow *flow = &service->flow;
+  const GPtrArray *list = ups_of (&node->upstreams, service->name);
+  const RttService *limits = node->table != NULL ? rtt_service (node->table, service->name) : NULL;
+
+  memset (&flow->load.capacity, 0, sizeof flow->load.capacity);
+  memset (&flow->room, 0, sizeof flow->room);
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const Ups *ups = g_ptr_array_index (list, i);
+      uint32_t region = region_of (node, ups);
+      uint32_t in_flight = ups->in_flight + ups->others;
+      if (region >= REGIONS_MAX || !chs_takes_work (node, ups))
+        continue;
+      if (!ups_is_down (ups) && !ups_is_doubted (ups, now_ms))
+        {
+          flow->load.capacity[region] += offered_mslots (flow, limits, ups, now_ms);
+          flow->room[region] += ups->record.slots - MIN (in_flight, ups->record.slots);
+        }
+      if (is_lost (ups, now_ms))
+        lost[region] += (uint64_t) ups->record.slots * PERMILLE;
+    }
+}
+
+/* Bits of the regions that lost much a moment ago. */
+static uint32_t
+note_lost (Node *node, NodService *service, const uint64_t *lost, uint64_t now_ms)
+{
+  NodFlow *flow = &service->flow;
+  uint32_t bits = 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      bool is_much = lost[r] > (flow->load.capacity[r] + lost[r]) / SHR_LOST_DIVISOR;
+      if (is_much && flow->lost_since_ms[r] == 0)
+        {
+          flow->lost_since_ms[r] = now_ms;
+          node->counters.regions_lost++;
+          log_event (&node->log, LOG_WARN, "region_lost",
+                     "service=%s region=%s lost_mslots=%llu left_mslots=%llu", service->name,
+                     (const char *) g_ptr_array_index (node->set.regions, r),
+                     (unsigned long long) lost[r], (unsigned long long) flow->load.capacity[r]);
+        }
+      else if (!is_much)
+        flow->lost_since_ms[r] = 0;
+      if (is_much && now_ms - flow->lost_since_ms[r] < SHR_CALM_MS)
+        bits |= 1u << r;
+    }
+  return bits;
+}
+
+/* ---- Shares ---- */
+
+/* All known nodes count, also those that were not heard lately. */
+static void
+count_nodes (const Node *node, uint32_t *nodes)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  nodes[MIN (node->set.region_index, REGIONS_MAX - 1)]++;
+  g_hash_table_iter_init (&iter, node->peers.peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      uint32_t zone = ((const PerPeer *) value)->zone;
+      if (zone < node->set.zones->len)
+        nodes[g_array_index (node->set.zones, NodZone, zone).region]++;
+    }
+}
+
+static ShrShares
+first_shares (const Node *node, const NodService *service)
+{
+  uint32_t slots[REGIONS_MAX];
+  uint32_t nodes[REGIONS_MAX] = { 0 };
+  ShrShares shares;
+
+  if (dms_shares (&node->peers, service->name, &shares))
+    return shares;
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    slots[r] = (uint32_t) (service->flow.load.capacity[r] / PERMILLE);
+  count_nodes (node, nodes);
+  return shr_start (node->set.region_index, slots, nodes);
+}
+
+void
+nsh_start (Node *node, NodService *service, uint64_t now_ms)
+{
+  uint64_t lost[REGIONS_MAX] = { 0 };
+
+  measure_regions (node, service, lost, now_ms);
+  service->flow.shares = first_shares (node, service);
+}
+
+/* ---- What callers need ---- */
+
+/* The shares begin with the first request that comes when upstreams are known. */
+static void
+begin (Node *node, NodService *service)
+{
+  nsh_start (node, service, clk_now_ms ());
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    service->flow.begun = service->flow.begun || service->flow.load.capacity[r] > 0;
+}
+
+void
+nsh_asked (Node *node, NodService *service, uint32_t usual_ms)
+{
+  NodFlow *flow = &service->flow;
+
+  flow->asked++;
+  shr_spill_earn (&flow->spill, node->set.shift_permille, flow->rate_mps);
+  if (flow->work_ms == 0)
+    flow->work_ms = usual_ms;
+  if (!flow->begun)
+    begin (node, service);
+}
+
+void
+nsh_took (NodService *service, uint32_t took_ms)
+{
+  NodFlow *flow = &service->flow;
+  int64_t usual_ms = flow->work_ms;
+
+  flow->work_ms = (uint32_t) (usual_ms + ((int64_t) took_ms - usual_ms) / WORK_WEIGHT);
+}
+
+static void
+measure (NodFlow *flow, uint32_t elapsed_ms)
+{
+  uint64_t rate_mps = (uint64_t) flow->asked * PERMILLE * 1000 / MAX (elapsed_ms, 1);
+  uint64_t spilled_mps = (uint64_t) flow->spilled * PERMILLE * 1000 / MAX (elapsed_ms, 1);
+
+  flow->rate_mps = (flow->rate_mps * (RATE_WEIGHT - 1) + rate_mps) / RATE_WEIGHT;
+  flow->spilled_mps = (flow->spilled_mps * (SPILL_WEIGHT - 1) + spilled_mps) / SPILL_WEIGHT;
+  flow->asked = 0;
+  flow->spilled = 0;
+}
+
+/* ---- Ticks ---- */
+
+static uint32_t
+step_ppm (const Node *node, const NodFlow *flow, uint32_t elapsed_ms)
+{
+  uint32_t home = node->set.region_index;
+  uint64_t spilled_ppm = flow->spilled_mps * SHARE_ONE_PPM / MAX (flow->rate_mps, 1);
+
+  return shr_step_ppm (node->set.shift_permille, MIN (elapsed_ms, STEP_MOST_MS),
+                       (uint32_t) MIN (spilled_ppm, SHARE_ONE_PPM),
+                       flow->target.ppm[home] > flow->shares.ppm[home]);
+}
+
+static void
+update (Node *node, NodService *service, uint32_t elapsed_ms, uint64_t now_ms)
+{
+  NodFlow *flow = &service->flow;
+  uint64_t lost[REGIONS_MAX] = { 0 };
+
+  measure (flow, elapsed_ms);
+  measure_regions (node, service, lost, now_ms);
+  uint32_t lost_bits = note_lost (node, service, lost, now_ms);
+  if (!flow->begun)
+    return;
+  dms_put (&node->peers, service->name, (uint32_t) (flow->rate_mps * flow->work_ms / PERMILLE),
+           &flow->shares);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    flow->load.demand[r] = dms_of_region (&node->peers, service->name, r, now_ms);
+  flow->target = shr_target (node->set.region_index, &flow->load);
+  shr_move (&flow->shares, &flow->target, step_ppm (node, flow, elapsed_ms), lost_bits);
+}
+
+void
+nsh_tick (Node *node, uint64_t now_ms)
+{
+  uint32_t elapsed_ms = (uint32_t) (now_ms - node->shares_at_ms);
+  GHashTableIter iter;
+  gpointer value;
+
+  node->shares_at_ms = now_ms;
+  g_hash_table_iter_init (&iter, node->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    update (node, value, elapsed_ms, now_ms);
+}
+
+uint32_t
+nsh_region (const NodService *service, uint32_t allowed, uint32_t lot)
+{
+  const NodFlow *flow = &service->flow;
+  uint32_t offering = 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    if (flow->load.capacity[r] > 0)
+      offering |= 1u << r;
+  if ((allowed & offering) != 0)
+    allowed &= offering;
+  return shr_region (&flow->shares, flow->load.capacity, allowed, lot);
+}
+
+uint32_t
+nsh_other_region (const NodService *service, uint32_t allowed, uint32_t region, uint32_t draw_ppm)
+{
+  if (!shr_spill_allows (&service->flow.spill, draw_ppm))
+    return REGIONS_MAX;
+  return shr_other_region (service->flow.room, allowed, region);
+}
+
+void
+nsh_spilled (Node *node, NodService *service)
+{
+  node->counters.spilled++;
+  service->flow.spilled++;
+  shr_spill_take (&service->flow.spill);
+}
+
+/* ---- Log ---- */
+
+static char *
+text_of (const Node *node, const uint64_t *numbers)
+{
+  uint32_t small[REGIONS_MAX];
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    small[r] = (uint32_t) (numbers[r] / PERMILLE);
+  return rgn_text (small, node->set.regions->len);
+}
+
+static void
+log_service (const Node *node, const NodService *service)
+{
+  const NodFlow *flow = &service->flow;
+  char *shares = rgn_text (flow->shares.ppm, node->set.regions->len);
+  char *target = rgn_text (flow->target.ppm, node->set.regions->len);
+  char *capacity = text_of (node, flow->load.capacity);
+  char *demand = text_of (node, flow->load.demand);
+
+  log_event (&node->log, LOG_INFO, "shares",
+             "service=%s ppm=%s target_ppm=%s slots=%s needed=%s work_ms=%u", service->name, shares,
+             target, capacity, demand, flow->work_ms);
+  g_free (shares);
+  g_free (target);
+  g_free (capacity);
+  g_free (demand);
+}
+
+void
+nsh_log (const Node *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const NodService *) value)->flow.begun)
+      log_service (node, value);
+}
--- a/src/nst.c
+++ b/src/nst.c
@@ -24,20 +24,9 @@
   COUNTER (timeouts),       COUNTER (sends),          COUNTER (retries),
   COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
-  COUNTER (withdrawn),      COUNTER (shift_barred),
+  COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
 };
 
-static void
-write_uncapped (const Node *node, GString *out)
-{
-  for (uint32_t i = 0; i < NOD_DISTURBANCES; i++)
-    {
-      char *label = g_strdup_printf ("reason=\"%s\"", nod_disturbance_name ((NodDisturbance) i));
-      met_write_value (out, PREFIX "shift_uncapped_total", label, node->counters.shift_uncapped[i]);
-      g_free (label);
-    }
-}
-
 char *
 nst_metrics (const Node *node)
 {
@@ -49,7 +38,6 @@
       const char *field = (const char *) &node->counters + counters[i].offset;
       met_write_value (out, counters[i].name, NULL, *(const uint64_t *) field);
     }
-  write_uncapped (node, out);
   met_write_value (out, PREFIX "log_lines_dropped_total", NULL,
                    log_dropped (&node->log) + log_dropped (&node->request_log));
   met_write_value (out, PREFIX "open_requests", NULL, node->open);
--- a/src/peer.h
+++ b/src/peer.h
@@ -28,6 +28,16 @@
 };
 typedef struct peer_count peer_count;
 
+struct peer_service {
+	u_int service;
+	u_int mslots;
+	struct {
+		u_int ppm_len;
+		u_int *ppm_val;
+	} ppm;
+};
+typedef struct peer_service peer_service;
+
 struct peer_crash {
 	u_quad_t fingerprint;
 	u_int crashes;
@@ -67,6 +77,10 @@
 		u_int crashes_len;
 		peer_crash *crashes_val;
 	} crashes;
+	struct {
+		u_int services_len;
+		peer_service *services_val;
+	} services;
 };
 typedef struct peer_view peer_view;
 
@@ -100,6 +114,10 @@
 		u_int crashes_len;
 		peer_crash *crashes_val;
 	} crashes;
+	struct {
+		u_int services_len;
+		peer_service *services_val;
+	} services;
 };
 typedef struct peer_summary peer_summary;
 
@@ -164,6 +182,7 @@
 extern  bool_t xdr_peer_name (XDR *, peer_name*);
 extern  bool_t xdr_peer_revision (XDR *, peer_revision*);
 extern  bool_t xdr_peer_count (XDR *, peer_count*);
+extern  bool_t xdr_peer_service (XDR *, peer_service*);
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_view (XDR *, peer_view*);
@@ -180,6 +199,7 @@
 extern bool_t xdr_peer_name ();
 extern bool_t xdr_peer_revision ();
 extern bool_t xdr_peer_count ();
+extern bool_t xdr_peer_service ();
 extern bool_t xdr_peer_crash ();
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_view ();
--- a/src/peer.x
+++ b/src/peer.x
@@ -14,6 +14,15 @@
   unsigned int count;
 };
 
+/* What callers need of a service, which is named by the hash of its name, in thousandths of a slot.
+ * ppm are the shares of the regions, in the order of their names, in which the requests of a node's
+ * callers run; none in sums. */
+struct peer_service {
+  unsigned int service;
+  unsigned int mslots;
+  unsigned int ppm<8>;
+};
+
 /* A request that was lost with the upstream that ran it; crashes of 0: it was answered age_ms ago. */
 struct peer_crash {
   unsigned hyper fingerprint;
@@ -48,6 +57,7 @@
   peer_count loads<1024>;
   unsigned int downs<256>;
   peer_crash crashes<64>;
+  peer_service services<32>;
 };
 
 /* A node that another one heard of itself, age_ms ago. */
@@ -66,6 +76,7 @@
   peer_count loads<1024>;
   peer_count downs<256>;
   peer_crash crashes<64>;
+  peer_service services<32>;
 };
 
 struct peer_object {
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -39,6 +39,21 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_service (XDR *xdrs, peer_service *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mslots))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ppm.ppm_val, (u_int *) &objp->ppm.ppm_len, 8,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_crash (XDR *xdrs, peer_crash *objp)
 {
@@ -173,6 +188,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
 		sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 32,
+		sizeof (peer_service), (xdrproc_t) xdr_peer_service))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -214,6 +232,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, 64,
 		sizeof (peer_crash), (xdrproc_t) xdr_peer_crash))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 32,
+		sizeof (peer_service), (xdrproc_t) xdr_peer_service))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/per.h
+++ b/src/per.h
@@ -103,6 +103,7 @@
  *
  * Up to OVL_FLAT_MAX nodes send each other views, and a cell is a region. More do so within a zone,
  * which is a cell then, and hear of other zones by summaries.
+ * @services: what the own node tells of the services' requests, @service_count of them
  * @zoned: cells are zones
  * @near: the other live nodes of the own cell, best first
  * @rank: own position among them
@@ -124,6 +125,9 @@
   UpsBook *upstreams;
   Rep rep;
   PoiTable *poison;
+  peer_service services[PER_SERVICES_MAX];
+  u_int service_ppm[PER_SERVICES_MAX][REGIONS_MAX];
+  u_int service_count;
   GHashTable *peers;
   bool zoned;
   GPtrArray *near;
--- a/src/plc.c
+++ b/src/plc.c
@@ -66,6 +66,12 @@
       ranks_add (&ranks[candidates[i].region], &candidates[i], score_of (key, candidates[i].hash));
 }
 
+static bool
+is_allowed (const PlcCandidate *candidate, const PlcRequest *request)
+{
+  return candidate->region < REGIONS_MAX && (request->regions >> candidate->region & 1u) != 0;
+}
+
 /* The same part of the objects on every node. */
 static bool
 region_has_object (const Ranks *ranks, const PlcRequest *request)
@@ -134,7 +140,7 @@
 static bool
 may_take (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm, bool any)
 {
-  if (!candidate->usable)
+  if (!candidate->usable || !is_allowed (candidate, request))
     return false;
   if (request->key == 0)
     return candidate->in_flight < candidate->slots;
@@ -169,7 +175,8 @@
             const Ranks *ranks)
 {
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].usable && warm_permille (&candidates[i], request, ranks) > 0)
+    if (candidates[i].usable && is_allowed (&candidates[i], request)
+        && warm_permille (&candidates[i], request, ranks) > 0)
       return true;
   return false;
 }
--- a/src/plc.h
+++ b/src/plc.h
@@ -39,7 +39,8 @@
  * @cold_ms: usual work time where the object is not known
  * @warm_ms: usual work time where it is
  * @objects: objects that the service has, as far as this node has seen
- * @home_region: index of the region in which this node is
+ * @home_region: index of the region in which a deputy may take it
+ * @regions: bits of the regions that may take it
  * @wait_max_ms: longest time that it may wait in an upstream's queue
  * @reserve: slots that must stay free in all candidates together
  */
@@ -50,6 +51,7 @@
   uint32_t warm_ms;
   uint32_t objects;
   uint32_t home_region;
+  uint32_t regions;
   uint32_t wait_max_ms;
   uint32_t reserve;
 } PlcRequest;
--- a/src/rgn.c
+++ b/src/rgn.c
@@ -1,4 +1,4 @@
-/* Requests by region: where they were sent in a period, and what the cap on shift did. */
+/* Requests by region: where they were sent in a period. */
 #include "rgn.h"
 
 #include <glib.h>
@@ -14,13 +14,6 @@
     counts->objectless[region]++;
 }
 
-void
-rgn_note_barred (RgnCounts *counts, uint32_t region)
-{
-  if (region < REGIONS_MAX)
-    counts->barred[region]++;
-}
-
 char *
 rgn_text (const uint32_t *numbers, uint32_t regions)
 {
@@ -32,7 +25,7 @@
 }
 
 void
-rgn_log (RgnCounts *counts, uint32_t regions, const Log *log, const char *detail)
+rgn_log (RgnCounts *counts, uint32_t regions, const Log *log)
 {
   static const RgnCounts none;
 
@@ -40,11 +33,8 @@
     return;
   char *sent = rgn_text (counts->sent, regions);
   char *objectless = rgn_text (counts->objectless, regions);
-  char *barred = rgn_text (counts->barred, regions);
-  log_event (log, LOG_INFO, "requests_by_region", "sent=%s objectless=%s barred=%s %s", sent,
-             objectless, barred, detail);
+  log_event (log, LOG_INFO, "requests_by_region", "sent=%s objectless=%s", sent, objectless);
   g_free (sent);
   g_free (objectless);
-  g_free (barred);
   *counts = none;
 }
--- a/src/rgn.h
+++ b/src/rgn.h
@@ -1,4 +1,4 @@
-/* Requests by region: where they were sent in a period, and what the cap on shift did. */
+/* Requests by region: where they were sent in a period. */
 #pragma once
 
 #include "log.h"
@@ -11,20 +11,17 @@
  * struct RgnCounts - counts since the last line, by index of the region
  * @sent: requests that were sent for the first time
  * @objectless: those of them that concern no object
- * @barred: choices in which the cap took the region's upstreams out
  */
 typedef struct
 {
   uint32_t sent[REGIONS_MAX];
   uint32_t objectless[REGIONS_MAX];
-  uint32_t barred[REGIONS_MAX];
 } RgnCounts;
 
 void rgn_note_sent (RgnCounts *counts, uint32_t region, bool has_object);
-void rgn_note_barred (RgnCounts *counts, uint32_t region);
 
 /** rgn_text() - numbers of @regions regions, with commas between; the text is the caller's. */
 char *rgn_text (const uint32_t *numbers, uint32_t regions);
 
-/** rgn_log() - one line with the counts and @detail, unless all are 0; the counts begin anew. */
-void rgn_log (RgnCounts *counts, uint32_t regions, const Log *log, const char *detail);
+/** rgn_log() - one line with the counts, unless all are 0; the counts begin anew. */
+void rgn_log (RgnCounts *counts, uint32_t regions, const Log *log);
--- a/src/shr.c
+++ b/src/shr.c
@@ -1,23 +1,21 @@
-/* Cap on how fast the share of requests that run in a region may grow. Pure. */
+/* Shares of the regions in which a region's requests run, and how fast they may change. Pure. */
 #include "shr.h"
 
-#include <string.h>
+#include <math.h>
 
-#define FEWEST_NEW 5
-#define FEWEST_OLD 12
+#define PERCENT 100u
 #define PERMILLE 1000u
 
-/* A region that cannot carry its demand fills up fast while its upstreams know no object. */
-#define SCARCE_HOME_PCT 70
+/* Parts of the cap for moves of the shares, and for what runs outside its region. */
+#define AWAY_PCT 30u
+#define HOMEWARD_PCT 60u
+#define SPILL_PCT 55u
 
-typedef struct
-{
-  uint32_t total;
-  uint32_t region;
-} Sums;
+/* A region that cannot carry its demand fills up fast while its upstreams know no object. */
+#define SCARCE_HOME_PCT 70u
 
 static uint64_t
-sum_of (const uint32_t *values)
+sum_of (const uint64_t *values)
 {
   uint64_t sum = 0;
 
@@ -26,84 +24,216 @@
   return sum;
 }
 
-/* The home region carries its own demand as far as it can; the others take the rest by their size.
- */
-void
-shr_set_prior (ShrWindow *window, uint32_t home_region, const uint32_t *slots,
-               const uint32_t *nodes)
-{
-  uint64_t all_slots = sum_of (slots);
-  uint64_t all_nodes = sum_of (nodes);
-
-  memset (window->prior_permille, 0, sizeof window->prior_permille);
-  if (home_region >= REGIONS_MAX || all_slots == 0 || nodes[home_region] == 0)
-    return;
-  uint64_t home = slots[home_region] * all_nodes * PERMILLE / all_slots / nodes[home_region];
-  uint64_t others = all_slots - slots[home_region];
-  if (home >= PERMILLE || others == 0)
-    home = PERMILLE;
-  else
-    home = home * SCARCE_HOME_PCT / 100;
+static ShrShares
+all_at (uint32_t region)
+{
+  ShrShares shares = { { 0 } };
+
+  if (region < REGIONS_MAX)
+    shares.ppm[region] = SHARE_ONE_PPM;
+  return shares;
+}
+
+/* Hands @ppm out in proportion to the weights; what rounding leaves goes to the largest. */
+static void
+add_by_weight (ShrShares *shares, uint64_t ppm, const uint64_t *weights)
+{
+  uint64_t all = sum_of (weights);
+  uint64_t left = ppm;
+  uint32_t largest = 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX && all > 0; r++)
+    {
+      uint64_t part = (uint64_t) ((double) ppm * (double) weights[r] / (double) all);
+      shares->ppm[r] += (uint32_t) part;
+      left -= part;
+      if (weights[r] > weights[largest])
+        largest = r;
+    }
+  shares->ppm[largest] += (uint32_t) left;
+}
+
+ShrShares
+shr_start (uint32_t home, const uint32_t *slots, const uint32_t *nodes)
+{
+  uint64_t others[REGIONS_MAX] = { 0 };
+  uint64_t all_slots = 0;
+  uint64_t all_nodes = 0;
+  ShrShares shares = { { 0 } };
+
   for (uint32_t r = 0; r < REGIONS_MAX; r++)
-    window->prior_permille[r] = others > 0 ? (uint32_t) ((PERMILLE - home) * slots[r] / others) : 0;
-  window->prior_permille[home_region] = (uint32_t) home;
+    {
+      all_slots += slots[r];
+      all_nodes += nodes[r];
+      others[r] = r != home ? slots[r] : 0;
+    }
+  if (home >= REGIONS_MAX || all_slots == slots[home] || nodes[home] == 0)
+    return all_at (home);
+  uint64_t ppm = (uint64_t) slots[home] * all_nodes * SHARE_ONE_PPM / all_slots / nodes[home];
+  if (ppm >= SHARE_ONE_PPM)
+    return all_at (home);
+  ppm = ppm * SCARCE_HOME_PCT / PERCENT;
+  shares.ppm[home] = (uint32_t) ppm;
+  add_by_weight (&shares, SHARE_ONE_PPM - ppm, others);
+  return shares;
+}
+
+ShrShares
+shr_target (uint32_t home, const ShrLoad *load)
+{
+  uint64_t room[REGIONS_MAX];
+  uint64_t beyond = 0;
+  ShrShares shares = { { 0 } };
+
+  if (home >= REGIONS_MAX || load->demand[home] == 0 || sum_of (load->capacity) == 0)
+    return all_at (home);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      uint64_t full = load->capacity[r] * SHR_FILL_PCT / PERCENT;
+      uint64_t carried = load->demand[r] < full ? load->demand[r] : full;
+      room[r] = full - carried;
+      beyond += load->demand[r] - carried;
+      if (r == home)
+        shares.ppm[r] = (uint32_t) (carried * SHARE_ONE_PPM / load->demand[r]);
+    }
+  uint64_t away = SHARE_ONE_PPM - shares.ppm[home];
+  uint64_t all_room = sum_of (room);
+  uint64_t fitting
+      = beyond > all_room ? (uint64_t) ((double) away * (double) all_room / (double) beyond) : away;
+  add_by_weight (&shares, fitting, room);
+  add_by_weight (&shares, away - fitting, load->capacity);
+  return shares;
 }
 
 static bool
-has_prior (const ShrWindow *window)
+is_in (uint32_t bits, uint32_t region)
 {
-  return sum_of (window->prior_permille) > 0;
+  return (bits >> region & 1u) != 0;
 }
 
-void
-shr_note (ShrWindow *window, uint32_t region, uint64_t now_ms)
+static uint32_t
+excess (const ShrShares *shares, const ShrShares *target, uint32_t region)
 {
-  uint64_t number = now_ms / SHR_SLOT_MS;
-  uint32_t index = (uint32_t) (number % SHR_SLOTS);
+  return shares->ppm[region] > target->ppm[region] ? shares->ppm[region] - target->ppm[region] : 0;
+}
 
-  if (region >= REGIONS_MAX)
-    return;
-  if (window->slot[index] != number)
+/* Takes from the regions that are to have less; returns what was taken. */
+static uint32_t
+take_off (ShrShares *shares, const ShrShares *target, uint32_t step_ppm, uint32_t lost)
+{
+  uint64_t limited = 0;
+  uint32_t taken = 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    limited += is_in (lost, r) ? 0 : excess (shares, target, r);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
     {
-      window->slot[index] = number;
-      memset (window->count[index], 0, sizeof window->count[index]);
+      uint32_t off = excess (shares, target, r);
+      if (!is_in (lost, r) && limited > step_ppm)
+        off = (uint32_t) ((uint64_t) off * step_ppm / limited);
+      shares->ppm[r] -= off;
+      taken += off;
     }
-  window->count[index][region]++;
+  return taken;
 }
 
-/* Sums the slots from @newest to @oldest slots ago. */
-static Sums
-sums_between (const ShrWindow *window, uint32_t region, uint64_t now_ms, uint64_t newest,
-              uint64_t oldest)
+void
+shr_move (ShrShares *shares, const ShrShares *target, uint32_t step_ppm, uint32_t lost)
 {
-  uint64_t last = now_ms / SHR_SLOT_MS;
-  Sums sums = { 0, 0 };
+  uint64_t wanting[REGIONS_MAX];
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    wanting[r] = excess (target, shares, r);
+  uint32_t taken = take_off (shares, target, step_ppm, lost);
+  if (taken > 0)
+    add_by_weight (shares, taken, wanting);
+}
 
-  for (uint32_t i = 0; i < SHR_SLOTS; i++)
+static uint64_t
+part_ppm (uint32_t cap_permille, uint32_t percent)
+{
+  return (uint64_t) cap_permille * (SHARE_ONE_PPM / PERMILLE) * percent / PERCENT;
+}
+
+uint32_t
+shr_step_ppm (uint32_t cap_permille, uint32_t elapsed_ms, uint32_t spilled_ppm, bool homeward)
+{
+  uint64_t away_ppm = part_ppm (cap_permille, AWAY_PCT);
+  uint64_t home_ppm = part_ppm (cap_permille, HOMEWARD_PCT);
+  uint64_t step_ppm = away_ppm;
+
+  if (homeward && home_ppm > away_ppm + spilled_ppm)
+    step_ppm = home_ppm - spilled_ppm;
+  return (uint32_t) (step_ppm * elapsed_ms / SHR_PERIOD_MS);
+}
+
+void
+shr_spill_earn (ShrSpill *spill, uint32_t cap_permille, uint64_t rate_mps)
+{
+  uint64_t earned_ppm = part_ppm (cap_permille, SPILL_PCT);
+  uint64_t kept_requests = rate_mps * SHR_SPILL_KEPT_MS / 1000 / PERMILLE;
+  int64_t most_ppm = (int64_t) (earned_ppm * (kept_requests > 1 ? kept_requests : 1));
+
+  spill->credit_ppm += (int64_t) earned_ppm;
+  if (spill->credit_ppm > most_ppm)
+    spill->credit_ppm = most_ppm;
+}
+
+bool
+shr_spill_allows (const ShrSpill *spill, uint32_t draw_ppm)
+{
+  return spill->credit_ppm > (int64_t) draw_ppm;
+}
+
+void
+shr_spill_take (ShrSpill *spill)
+{
+  spill->credit_ppm -= SHARE_ONE_PPM;
+}
+
+/* A number above 0 and below 1 that belongs to the lot and the region. */
+static double
+number_of (uint32_t lot, uint32_t region)
+{
+  uint32_t x = lot ^ ((region + 1) * 0x9e3779b1u);
+
+  x = (x ^ (x >> 16)) * 0x7feb352du;
+  x = (x ^ (x >> 15)) * 0x846ca68bu;
+  x ^= x >> 16;
+  return ((double) x + 0.5) / 4294967296.0;
+}
+
+uint32_t
+shr_region (const ShrShares *shares, const uint64_t *capacity, uint32_t allowed, uint32_t lot)
+{
+  uint32_t best = REGIONS_MAX;
+  double best_score = 0;
+  bool any_share = false;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    any_share = any_share || (is_in (allowed, r) && shares->ppm[r] > 0);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
     {
-      uint64_t age = last - window->slot[i];
-      if (window->slot[i] > last || age < newest || age > oldest)
+      double weight = any_share ? (double) shares->ppm[r] : (double) capacity[r] + 1.0;
+      if (!is_in (allowed, r) || weight <= 0)
+        continue;
+      double score = -log (number_of (lot, r)) / weight;
+      if (best != REGIONS_MAX && score >= best_score)
         continue;
-      for (uint32_t r = 0; r < REGIONS_MAX; r++)
-        sums.total += window->count[i][r];
-      sums.region += window->count[i][region];
+      best = r;
+      best_score = score;
     }
-  return sums;
+  return best;
 }
 
-bool
-shr_allows (const ShrWindow *window, uint32_t region, uint32_t cap_permille, uint64_t now_ms)
-{
-  if (region >= REGIONS_MAX)
-    return true;
-  Sums now = sums_between (window, region, now_ms, 0, SHR_NEW_SLOTS - 1);
-  Sums old
-      = sums_between (window, region, now_ms, SHR_NEW_SLOTS, SHR_NEW_SLOTS + SHR_OLD_SLOTS - 1);
-  if (now.total < FEWEST_NEW || (old.total < FEWEST_OLD && !has_prior (window)))
-    return true;
-  uint64_t old_permille = old.total >= FEWEST_OLD ? (uint64_t) old.region * PERMILLE / old.total
-                                                  : window->prior_permille[region];
-  uint64_t next_permille = (uint64_t) (now.region + 1) * PERMILLE / (now.total + 1);
-  uint64_t one_permille = PERMILLE / (now.total + 1);
-  return next_permille <= old_permille + cap_permille + one_permille;
+uint32_t
+shr_other_region (const uint64_t *room, uint32_t allowed, uint32_t region)
+{
+  uint32_t best = REGIONS_MAX;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    if (r != region && is_in (allowed, r) && room[r] > 0
+        && (best == REGIONS_MAX || room[r] > room[best]))
+      best = r;
+  return best;
 }
--- a/src/sum.c
+++ b/src/sum.c
@@ -1,6 +1,7 @@
 /* Summaries: what the nodes of a zone say, added up by one of them for the other zones. */
 #include "sum.h"
 
+#include "dms.h"
 #include "nws.h"
 
 #include <string.h>
@@ -27,8 +28,8 @@
     }
 }
 
-static bool
-is_counted (const Per *per, uint32_t zone, uint64_t now_ms)
+bool
+sum_is_counted (const Per *per, uint32_t zone, uint64_t now_ms)
 {
   return per->zoned && zone != per->self.zone_index && per->summary_at_ms[zone] != 0
          && now_ms - per->summary_at_ms[zone] < SUM_LOST_MS;
@@ -38,7 +39,7 @@
 sum_add_all (const Per *per, uint64_t now_ms)
 {
   for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
-    if (is_counted (per, zone, now_ms))
+    if (sum_is_counted (per, zone, now_ms))
       count_reports (per, &per->summaries[zone], true);
 }
 
@@ -81,13 +82,13 @@
   per_settle (per, summary->settling_ms, now_ms);
   take_members (per, summary, now_ms);
   per_take_crashes (per, summary->crashes.crashes_val, summary->crashes.crashes_len, now_ms);
-  if (is_counted (per, zone, now_ms))
+  if (sum_is_counted (per, zone, now_ms))
     count_reports (per, &per->summaries[zone], false);
   xdr_free ((xdrproc_t) xdr_peer_summary, &per->summaries[zone]);
   per->summaries[zone] = *summary;
   memset (summary, 0, sizeof *summary);
   per->summary_at_ms[zone] = now_ms;
-  if (is_counted (per, zone, now_ms))
+  if (sum_is_counted (per, zone, now_ms))
     count_reports (per, &per->summaries[zone], true);
 }
 
@@ -189,6 +190,7 @@
   peer_count downs[PER_DOWNS_MAX];
   peer_crash crashes[PER_CRASHES_MAX];
   peer_revision revisions[PER_REVISIONS_MAX];
+  peer_service services[PER_SERVICES_MAX];
   PerPeer *relays[ZONES_MAX];
   peer_message message = { .kind = PEER_SUMMARY };
   peer_summary *summary = &message.peer_message_u.summary;
@@ -205,6 +207,8 @@
   summary->crashes.crashes_len = per_crashes (per, crashes, PER_CRASHES_MAX, now_ms);
   summary->revisions.revisions_val = revisions;
   summary->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
+  summary->services.services_val = services;
+  summary->services.services_len = dms_of_cell (per, services, PER_SERVICES_MAX, now_ms);
   per_send (per, &message, relays, find_relays (per, relays, now_ms));
   per->summary_number++;
 }
--- a/src/ups.c
+++ b/src/ups.c
@@ -139,6 +139,7 @@
 ups_apply (UpsBook *book, const UpsRecord *record, uint32_t zone, uint64_t now_ms)
 {
   Ups *ups = ups_get (book, record->id);
+  bool fell_cold = false;
 
   if (ups == NULL)
     ups = ups_add (book, record);
@@ -146,6 +147,7 @@
     {
       if (is_older (record, &ups->record))
         return false;
+      fell_cold = record->cold_ms > 0 && !ups->record.draining && !ups_is_cold (ups, now_ms);
       if (record->born_ms != ups->record.born_ms || !same_addr (record->addr, ups->record.addr))
         start_incarnation (book, ups, record);
       if (strcmp (ups->record.service, record->service) != 0)
@@ -156,6 +158,7 @@
         }
       ups->record = *record;
     }
+  ups->fell_cold = fell_cold || (ups->fell_cold && record->cold_ms > 0);
   ups->gone = false;
   ups->misdirected = false;
   ups->missing_since_ms = 0;
--- a/src/ups.h
+++ b/src/ups.h
@@ -29,6 +29,7 @@
 
 /**
  * struct Ups - one upstream
+ * @fell_cold: it is cold again though it did not leave
  * @gone: no longer registered; kept while requests are in flight
  * @others: requests in flight from other nodes, of which @others_near from those whose views
  *   this node gets
@@ -49,6 +50,7 @@
   uint32_t hash;
   uint32_t zone;
   bool gone;
+  bool fell_cold;
   uint64_t missing_since_ms;
   uint64_t cold_until_ms;
   uint32_t in_flight;
--- a/src/vws.c
+++ b/src/vws.c
@@ -148,6 +148,8 @@
   view->crashes.crashes_len = per_crashes (per, crashes, PER_CRASHES_MAX, now_ms);
   view->downs.downs_val = downs;
   view->downs.downs_len = with_loads ? own_downs (per, downs) : 0;
+  view->services.services_val = per->services;
+  view->services.services_len = with_loads ? per->service_count : 0;
   view->revisions.revisions_val = revisions;
   view->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
   per_send (per, &message, (PerPeer *const *) peers->pdata, peers->len);
--- a/tests/test_plc.cc
+++ b/tests/test_plc.cc
@@ -49,6 +49,7 @@
   request.cold_ms = 600;
   request.warm_ms = 200;
   request.wait_max_ms = 250;
+  request.regions = UINT32_MAX;
   return request;
 }
 
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -20,10 +20,10 @@
 #define NEAR_RTT_MS 2
 #define USUAL_WEIGHT 16
 #define KEPT_MS 4000
-#define SHIFT_CAP_PERMILLE 82u
-
-/* The window of shares takes slot 0 for one that was never used. */
-#define SHIFT_START_MS 60000u
+#define SHIFT_CAP_PERMILLE 150u
+#define SHARES_MS 100
+#define RATE_WEIGHT 10
+#define SPILL_WEIGHT 20
 #define HOT_OBJECT 1u
 
 /** struct Up - an upstream; @known: objects that it is fast for, newest first */
@@ -42,6 +42,8 @@
  * struct Vm - a node
  * @views: requests in flight on each upstream, as all nodes last told
  * @sent_at_ms: when it last sent something to each upstream, whose connection is kept for a while
+ * @shares: where its callers' requests run
+ * @asked: requests since the last step of the shares; @rate_mps in thousandths a second
  */
 typedef struct
 {
@@ -49,7 +51,15 @@
   Ups *ups;
   uint32_t *views;
   uint64_t *sent_at_ms;
-  ShrWindow shares;
+  ShrShares shares;
+  ShrLoad load;
+  uint32_t asked;
+  uint32_t spilled;
+  uint64_t rate_mps;
+  uint64_t spilled_mps;
+  uint32_t work_ms;
+  ShrSpill spill;
+  uint64_t room[REGIONS_MAX];
   Cen objects;
   uint32_t cold_ms;
   uint32_t warm_ms;
@@ -60,6 +70,7 @@
 {
   Vm *vm;
   uint32_t object;
+  uint32_t draw_ppm;
   uint64_t asked_at_ms;
   uint64_t waits_since_ms;
   uint64_t waits_until_ms;
@@ -173,6 +184,8 @@
   ups->in_flight--;
   ups_took (ups, took_ms, *usual_ms);
   *usual_ms = (uint32_t) ((int64_t) *usual_ms + ((int64_t) took_ms - *usual_ms) / USUAL_WEIGHT);
+  job->vm->work_ms = (uint32_t) ((int64_t) job->vm->work_ms
+                                 + ((int64_t) took_ms - job->vm->work_ms) / USUAL_WEIGHT);
   ups_note_object (ups, job->object);
   if (age_ms <= model->load->objective_ms)
     second_of (model, job)->in_objective++;
@@ -224,10 +237,8 @@
     {
       const Ups *ups = &vm->ups[i];
       bool near = model->ups[i].region == vm->region;
-      bool may_grow = shr_allows (&vm->shares, model->ups[i].region, SHIFT_CAP_PERMILLE,
-                                  SHIFT_START_MS + model->now_ms);
       candidates[i] = (PlcCandidate){ .listed = !ups_is_down (ups),
-                                      .usable = may_grow && is_usable (model, ups),
+                                      .usable = is_usable (model, ups),
                                       .hash = model->ups[i].hash,
                                       .region = model->ups[i].region,
                                       .slots = model->load->slots,
@@ -242,20 +253,40 @@
 }
 
 static uint32_t
-choose_by_product (const Model *model, const Job *job)
+choose_in (const Model *model, const Job *job, const PlcCandidate *candidates, uint32_t region)
 {
   const Vm *vm = job->vm;
-  PlcCandidate *candidates = candidates_of (model, vm);
   PlcRequest request
       = { .key = job->object,
           .cold_ms = vm->cold_ms,
           .warm_ms = vm->warm_ms,
-          .objects = cen_objects (&vm->objects),
-          .home_region = vm->region,
+          .objects = (uint32_t) ((uint64_t) cen_objects (&vm->objects) * vm->shares.ppm[region]
+                                 / SHARE_ONE_PPM),
+          .home_region = region,
+          .regions = 1u << region,
           .wait_max_ms = model->load->objective_ms / PLC_QUEUE_SHARE,
           .reserve = adm_reserve (&job->admission, model->up_count * model->load->slots) };
-  uint32_t chosen = plc_choose (candidates, model->up_count, &request);
+  return plc_choose (candidates, model->up_count, &request);
+}
+
+static uint32_t
+choose_by_product (const Model *model, const Job *job)
+{
+  Vm *vm = job->vm;
+  PlcCandidate *candidates = candidates_of (model, vm);
+  uint32_t region = shr_region (&vm->shares, vm->load.capacity, UINT32_MAX, job->object);
+  uint32_t chosen = choose_in (model, job, candidates, region);
+  uint32_t other = shr_other_region (vm->room, UINT32_MAX, region);
 
+  if (chosen == PLC_NONE && other != REGIONS_MAX && shr_spill_allows (&vm->spill, job->draw_ppm))
+    {
+      chosen = choose_in (model, job, candidates, other);
+      if (chosen != PLC_NONE)
+        {
+          vm->spilled++;
+          shr_spill_take (&vm->spill);
+        }
+    }
   g_free (candidates);
   return chosen;
 }
@@ -342,7 +373,6 @@
       = model->ups[chosen].region == job->vm->region ? NEAR_RTT_MS : model->load->remote_rtt_ms;
   job->sent_at_ms = model->now_ms;
   job->arrives_at_ms = model->now_ms + connect_ms (model, job) + job->rtt_ms / 2;
-  shr_note (&job->vm->shares, model->ups[chosen].region, SHIFT_START_MS + model->now_ms);
   job->sent_warm = ups_knows (ups, job->object);
   ups->in_flight++;
   g_queue_push_tail (&model->travelling, job);
@@ -359,6 +389,8 @@
   job->waits_since_ms = model->now_ms;
   job->waits_until_ms = model->now_ms + longest_wait_ms (model, job);
   cen_note (&job->vm->objects, job->object, model->now_ms);
+  job->vm->asked++;
+  shr_spill_earn (&job->vm->spill, SHIFT_CAP_PERMILLE, job->vm->rate_mps);
   if (try_to_send (model, job))
     return;
   if (job->waits_until_ms > model->now_ms)
@@ -479,6 +511,73 @@
     }
 }
 
+/* What the upstreams that answer a node offer; bits of the regions that lost much of it. */
+static uint32_t
+read_capacity (const Model *model, Vm *vm)
+{
+  uint64_t down[REGIONS_MAX] = { 0 };
+  uint32_t lost = 0;
+
+  memset (vm->load.capacity, 0, sizeof vm->load.capacity);
+  memset (vm->room, 0, sizeof vm->room);
+  for (uint32_t i = 0; i < model->up_count; i++)
+    {
+      uint64_t slots = (uint64_t) model->load->slots * PERMILLE;
+      if (in_flight_on (vm, i) < model->load->slots && !ups_is_down (&vm->ups[i]))
+        vm->room[model->ups[i].region] += model->load->slots - in_flight_on (vm, i);
+      if (ups_is_down (&vm->ups[i]))
+        down[model->ups[i].region] += slots;
+      else
+        vm->load.capacity[model->ups[i].region] += slots;
+    }
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    if (down[r] > (vm->load.capacity[r] + down[r]) / SHR_LOST_DIVISOR)
+      lost |= 1u << r;
+  return lost;
+}
+
+/* All nodes hear what the others' callers need when they hear of requests in flight. */
+static void
+tell_demand (Model *model)
+{
+  uint64_t demand[REGIONS_MAX] = { 0 };
+
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    demand[model->vms[v].region] += model->vms[v].rate_mps * model->vms[v].work_ms / PERMILLE;
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    memcpy (model->vms[v].load.demand, demand, sizeof demand);
+}
+
+static uint32_t
+step_ppm (const Vm *vm, const ShrShares *target)
+{
+  return shr_step_ppm (SHIFT_CAP_PERMILLE, SHARES_MS,
+                       (uint32_t) (vm->spilled_mps * SHARE_ONE_PPM / MAX (vm->rate_mps, 1)),
+                       target->ppm[vm->region] > vm->shares.ppm[vm->region]);
+}
+
+static void
+step_shares (Model *model)
+{
+  if (model->now_ms % SHARES_MS != 0)
+    return;
+  if (model->now_ms % model->load->view_ms == 0)
+    tell_demand (model);
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    {
+      Vm *vm = &model->vms[v];
+      uint64_t rate_mps = (uint64_t) vm->asked * PERMILLE * (1000 / SHARES_MS);
+      vm->rate_mps = (vm->rate_mps * (RATE_WEIGHT - 1) + rate_mps) / RATE_WEIGHT;
+      uint64_t spilled_mps = (uint64_t) vm->spilled * PERMILLE * (1000 / SHARES_MS);
+      vm->spilled_mps = (vm->spilled_mps * (SPILL_WEIGHT - 1) + spilled_mps) / SPILL_WEIGHT;
+      vm->asked = 0;
+      vm->spilled = 0;
+      uint32_t lost = read_capacity (model, vm);
+      ShrShares target = shr_target (vm->region, &vm->load);
+      shr_move (&vm->shares, &target, step_ppm (vm, &target), lost);
+    }
+}
+
 static void
 step_census (Model *model)
 {
@@ -538,6 +637,7 @@
                         + (uint32_t) g_rand_int_range (model->random, 0, nodes)];
   job->object = draw_object (model);
   job->asked_at_ms = model->now_ms;
+  job->draw_ppm = (uint32_t) g_rand_int_range (model->random, 0, SHARE_ONE_PPM);
   job->admission.objective_ms = model->load->objective_ms;
   second_of (model, job)->asked++;
   model->report.asked++;
@@ -597,7 +697,8 @@
         vm->ups = g_new0 (Ups, model->up_count);
         vm->views = g_new0 (uint32_t, model->up_count);
         vm->sent_at_ms = g_new0 (uint64_t, model->up_count);
-        shr_set_prior (&vm->shares, r, slots, load->nodes);
+        vm->shares = shr_start (r, slots, load->nodes);
+        vm->work_ms = load->objective_ms;
         vm->cold_ms = load->objective_ms;
         vm->warm_ms = load->objective_ms / 2;
         cen_init (&vm->objects);
@@ -677,6 +778,7 @@
       step_faults (&model);
       step_views (&model);
       step_census (&model);
+      step_shares (&model);
       for (uint32_t i = 0; i < model.up_count; i++)
         step_upstream (&model, &model.ups[i]);
       step_travelling (&model);
