What a region turns away is no shift beyond the cap

Cause: the rule counts requests that run. When a burst comes upon a region that can take a small part of what belongs to it, the rest of those is turned away, while what belongs to other regions runs: of what runs, much more runs elsewhere than a moment before.

Now: a node counts, by region, which part of the requests that belong there it takes; where what runs would depart from the shares by more than the cap leaves, requests of the other regions are held back by lot and turned away at once (shift_cap). Moves of the shares, spill and what is uneven share one cap: moves away leave room for what may still begin, moves back for what may end; so shares move faster where requests already run elsewhere. SHR_FILL_PCT 70 to 50: a region keeps room for twice its demand.

--- a/src/chs.c
+++ b/src/chs.c
@@ -203,19 +203,20 @@
 static ChsChoice
 choose_region (const ChsSet *set, const ChsRequest *request)
 {
-  uint32_t region = nsh_region (request->service, set->allowed, request->lot);
-  ChsChoice choice = { .ups = NULL };
+  ChsChoice choice = { .region = nsh_region (request->service, set->allowed, request->lot) };
 
-  if (region >= REGIONS_MAX)
+  if (choice.region >= REGIONS_MAX)
     return choice;
-  choice.ups = choose_in (set, request, region);
-  if (choice.ups != NULL)
+  choice.held_back = nsh_holds_back (request->service, choice.region, request->draw_ppm);
+  if (choice.held_back)
     return choice;
-  uint32_t other = nsh_other_region (request->service, set->allowed, region, request->draw_ppm);
-  if (other >= REGIONS_MAX)
+  choice.ups = choose_in (set, request, choice.region);
+  if (choice.ups != NULL)
     return choice;
-  choice.ups = choose_in (set, request, other);
-  choice.spilled = choice.ups != NULL;
+  uint32_t other
+      = nsh_other_region (request->service, set->allowed, choice.region, request->draw_ppm);
+  if (other < REGIONS_MAX)
+    choice.ups = choose_in (set, request, other);
   return choice;
 }
 
@@ -225,7 +226,7 @@
   uint32_t hidden[TRIED_MAX];
 
   if (set->candidates == NULL)
-    return (ChsChoice){ .ups = NULL };
+    return (ChsChoice){ .region = REGIONS_MAX };
   uint32_t count = hide_tried (set, request, hidden, TRIED_MAX);
   ChsChoice choice = choose_region (set, request);
   for (uint32_t i = 0; i < count; i++)
--- a/src/chs.h
+++ b/src/chs.h
@@ -38,11 +38,17 @@
   uint32_t slots;
 } ChsSet;
 
-/** struct ChsChoice - an upstream, or NULL when none has room; @spilled: outside its region */
+/**
+ * struct ChsChoice - what becomes of a request now
+ * @ups: an upstream, or NULL when none has room
+ * @region: the region to which the request belongs, of which @ups may be outside
+ * @held_back: it is turned away so that the cap on shift holds
+ */
 typedef struct
 {
   Ups *ups;
-  bool spilled;
+  uint32_t region;
+  bool held_back;
 } ChsChoice;
 
 /** chs_set_new() - works out the candidates for requests of @request's route. */
--- a/src/frq.h
+++ b/src/frq.h
@@ -13,6 +13,7 @@
  * @key: hash of the object that it concerns, 0 for none
  * @lot: decides in which region it runs; the same for all requests that concern the same object
  * @draw_ppm: decides whether it may run elsewhere when that region has no room
+ * @region: the region to which it belonged when it was last looked at
  * @may_have_run: it was sent and nothing proves that it did not run
  * @tried: hashes of the upstreams that it was sent to
  */
@@ -31,6 +32,7 @@
   uint32_t key;
   uint32_t lot;
   uint32_t draw_ppm;
+  uint32_t region;
   uint64_t fingerprint;
   AdmRequest admission;
   uint64_t at_ms;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -265,11 +265,10 @@
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_knows (ups, frq->key);
   ups->in_flight++;
-  if (choice.spilled)
-    nsh_spilled (node, frq->service);
   if (ups->zone < node->set.zones->len)
     {
       uint32_t region = g_array_index (node->set.zones, NodZone, ups->zone).region;
+      nsh_sent (node, frq->service, choice.region, region);
       if (frq->sends == 1)
         rgn_note_sent (&node->by_region, region, frq->key != 0);
     }
@@ -285,12 +284,19 @@
   frq->call = ucn_start (&ups->pool, &spec, on_done, frq);
 }
 
+static void
+turn_away (Frq *frq)
+{
+  nsh_turned_away (frq->service, frq->region);
+  frq_answer_not_run (frq, "no_room");
+}
+
 static void
 wait_for_room (Frq *frq, uint64_t now_ms)
 {
   if (now_ms >= frq->waits_until_ms)
     {
-      frq_answer_not_run (frq, "no_room");
+      turn_away (frq);
       return;
     }
   if (frq->waiting)
@@ -304,10 +310,17 @@
 fwd_dispatch (Frq *frq)
 {
   uint64_t now_ms = clk_now_ms ();
-  ChsChoice choice = { .ups = NULL };
+  ChsChoice choice = { .region = REGIONS_MAX };
 
   if (now_ms < frq->ends_at_ms)
     choice = choose_upstream (frq);
+  frq->region = choice.region;
+  if (choice.held_back && frq->sends == 0)
+    {
+      frq->node->counters.held_back++;
+      frq_answer_not_run (frq, "shift_cap");
+      return;
+    }
   if (choice.ups == NULL)
     {
       wait_for_room (frq, now_ms);
@@ -362,7 +375,7 @@
     {
       Frq *frq = item->data;
       item = item->next;
-      ChsChoice choice = { .ups = NULL };
+      ChsChoice choice = { .region = REGIONS_MAX };
       if (now_ms < frq->ends_at_ms)
         choice = choose_from_sets (sets, frq);
       if (choice.ups == NULL)
@@ -393,7 +406,7 @@
           item = item->next;
           nod_step (node);
           if (now_ms >= frq->waits_until_ms)
-            frq_answer_not_run (frq, "no_room");
+            turn_away (frq);
         }
     }
 }
--- a/src/lim.h
+++ b/src/lim.h
@@ -139,9 +139,10 @@
 
 /* Shift of requests between regions. */
 #define SHR_PERIOD_MS 2000
-#define SHR_FILL_PCT 70
+#define SHR_FILL_PCT 50
 #define SHR_LOST_DIVISOR 8
 #define SHR_SPILL_KEPT_MS 500
+#define SHR_FADE_MS 100
 #define SHR_CALM_MS 4000
 
 /* Admission and waiting. */
--- a/src/nod.h
+++ b/src/nod.h
@@ -90,28 +90,34 @@
 /**
  * struct NodFlow - what the callers of this node need of a service, and where its requests run
  * @asked: requests since the last tick
- * @spilled: those of them that were sent outside their region
- * @rate_mps: thousandths of a request a second; @spilled_mps of them outside their region
+ * @sent: requests sent since the last tick, @away of them to other regions
+ * @rate_mps: thousandths of a request a second
+ * @sent_mps: the same of those sent, @away_mps of them to other regions, over a longer time
  * @work_ms: usual time of a request at work; 0 while it is not known
  * @begun: a request came
  * @load: what regions offer and their callers need, as of the last tick
  * @target: shares that the load asks for
  * @room: free slots of the regions, as of the last tick
+ * @limits_ppm: parts of their requests that the regions may be sent
  * @lost_since_ms: since when a region lacks much of its upstreams without a plan; 0 when it does
  * not
  */
 typedef struct
 {
   uint32_t asked;
-  uint32_t spilled;
+  uint32_t sent;
+  uint32_t away;
   uint64_t rate_mps;
-  uint64_t spilled_mps;
+  uint64_t sent_mps;
+  uint64_t away_mps;
   uint32_t work_ms;
   bool begun;
   ShrLoad load;
   ShrShares target;
   ShrShares shares;
   ShrSpill spill;
+  ShrTaking taking;
+  uint32_t limits_ppm[REGIONS_MAX];
   uint64_t room[REGIONS_MAX];
   uint64_t lost_since_ms[REGIONS_MAX];
 } NodFlow;
@@ -149,6 +155,7 @@
   uint64_t lookups;
   uint64_t regions_lost;
   uint64_t spilled;
+  uint64_t held_back;
 } NodCounters;
 
 /**
--- a/src/nsh.c
+++ b/src/nsh.c
@@ -8,7 +8,7 @@
 
 #define PERMILLE 1000u
 #define RATE_WEIGHT 10
-#define SPILL_WEIGHT 20
+#define SENT_WEIGHT 20
 #define WORK_WEIGHT 16
 #define STEP_MOST_MS 500
 
@@ -135,6 +135,8 @@
 
   measure_regions (node, service, lost, now_ms);
   service->flow.shares = first_shares (node, service);
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    service->flow.limits_ppm[r] = SHARE_ONE_PPM;
 }
 
 /* ---- What callers need ---- */
@@ -154,7 +156,6 @@
   NodFlow *flow = &service->flow;
 
   flow->asked++;
-  shr_spill_earn (&flow->spill, node->set.shift_permille, flow->rate_mps);
   if (flow->work_ms == 0)
     flow->work_ms = usual_ms;
   if (!flow->begun)
@@ -170,29 +171,46 @@
   flow->work_ms = (uint32_t) (usual_ms + ((int64_t) took_ms - usual_ms) / WORK_WEIGHT);
 }
 
+static uint64_t
+fade (uint64_t rate_mps, uint32_t count, uint32_t elapsed_ms, uint32_t weight)
+{
+  uint64_t now_mps = (uint64_t) count * PERMILLE * 1000 / MAX (elapsed_ms, 1);
+
+  return (rate_mps * (weight - 1) + now_mps) / weight;
+}
+
 static void
 measure (NodFlow *flow, uint32_t elapsed_ms)
 {
-  uint64_t rate_mps = (uint64_t) flow->asked * PERMILLE * 1000 / MAX (elapsed_ms, 1);
-  uint64_t spilled_mps = (uint64_t) flow->spilled * PERMILLE * 1000 / MAX (elapsed_ms, 1);
-
-  flow->rate_mps = (flow->rate_mps * (RATE_WEIGHT - 1) + rate_mps) / RATE_WEIGHT;
-  flow->spilled_mps = (flow->spilled_mps * (SPILL_WEIGHT - 1) + spilled_mps) / SPILL_WEIGHT;
+  flow->rate_mps = fade (flow->rate_mps, flow->asked, elapsed_ms, RATE_WEIGHT);
+  flow->sent_mps = fade (flow->sent_mps, flow->sent, elapsed_ms, SENT_WEIGHT);
+  flow->away_mps = fade (flow->away_mps, flow->away, elapsed_ms, SENT_WEIGHT);
   flow->asked = 0;
-  flow->spilled = 0;
+  flow->sent = 0;
+  flow->away = 0;
+  for (uint32_t fades = MAX (elapsed_ms / SHR_FADE_MS, 1); fades > 0; fades--)
+    shr_fade (&flow->taking);
 }
 
 /* ---- Ticks ---- */
 
+/* How much more ran away from home of late than the shares say. */
+static uint32_t
+uneven_ppm (const NodFlow *flow, uint32_t home)
+{
+  uint64_t away_ppm = flow->away_mps * SHARE_ONE_PPM / MAX (flow->sent_mps, 1);
+  uint32_t share_ppm = SHARE_ONE_PPM - flow->shares.ppm[home];
+
+  return away_ppm > share_ppm ? (uint32_t) away_ppm - share_ppm : 0;
+}
+
 static uint32_t
 step_ppm (const Node *node, const NodFlow *flow, uint32_t elapsed_ms)
 {
   uint32_t home = node->set.region_index;
-  uint64_t spilled_ppm = flow->spilled_mps * SHARE_ONE_PPM / MAX (flow->rate_mps, 1);
 
   return shr_step_ppm (node->set.shift_permille, MIN (elapsed_ms, STEP_MOST_MS),
-                       (uint32_t) MIN (spilled_ppm, SHARE_ONE_PPM),
-                       flow->target.ppm[home] > flow->shares.ppm[home]);
+                       uneven_ppm (flow, home), flow->target.ppm[home] > flow->shares.ppm[home]);
 }
 
 static void
@@ -212,6 +230,7 @@
     flow->load.demand[r] = dms_of_region (&node->peers, service->name, r, now_ms);
   flow->target = shr_target (node->set.region_index, &flow->load);
   shr_move (&flow->shares, &flow->target, step_ppm (node, flow, elapsed_ms), lost_bits);
+  shr_limits (&flow->shares, &flow->taking, node->set.shift_permille, flow->limits_ppm);
 }
 
 void
@@ -249,12 +268,31 @@
   return shr_other_region (service->flow.room, allowed, region);
 }
 
+bool
+nsh_holds_back (const NodService *service, uint32_t region, uint32_t draw_ppm)
+{
+  return draw_ppm >= service->flow.limits_ppm[region];
+}
+
 void
-nsh_spilled (Node *node, NodService *service)
+nsh_sent (Node *node, NodService *service, uint32_t region, uint32_t to)
 {
+  NodFlow *flow = &service->flow;
+
+  flow->sent++;
+  flow->away += to != node->set.region_index;
+  shr_spill_earn (&flow->spill, node->set.shift_permille, flow->rate_mps);
+  shr_note_sent (&flow->taking, region, to);
+  if (to == region)
+    return;
   node->counters.spilled++;
-  service->flow.spilled++;
-  shr_spill_take (&service->flow.spill);
+  shr_spill_take (&flow->spill);
+}
+
+void
+nsh_turned_away (NodService *service, uint32_t region)
+{
+  shr_note_sent (&service->flow.taking, region, REGIONS_MAX);
 }
 
 /* ---- Log ---- */
@@ -277,14 +315,18 @@
   char *target = rgn_text (flow->target.ppm, node->set.regions->len);
   char *capacity = text_of (node, flow->load.capacity);
   char *demand = text_of (node, flow->load.demand);
+  char *limits = rgn_text (flow->limits_ppm, node->set.regions->len);
 
-  log_event (&node->log, LOG_INFO, "shares",
-             "service=%s ppm=%s target_ppm=%s slots=%s needed=%s work_ms=%u", service->name, shares,
-             target, capacity, demand, flow->work_ms);
+  log_event (
+      &node->log, LOG_INFO, "shares",
+      "service=%s ppm=%s target_ppm=%s slots=%s needed=%s work_ms=%u limits_ppm=%s uneven_ppm=%u",
+      service->name, shares, target, capacity, demand, flow->work_ms, limits,
+      uneven_ppm (flow, node->set.region_index));
   g_free (shares);
   g_free (target);
   g_free (capacity);
   g_free (demand);
+  g_free (limits);
 }
 
 void
--- a/src/nsh.h
+++ b/src/nsh.h
@@ -25,8 +25,14 @@
 uint32_t nsh_other_region (const NodService *service, uint32_t allowed, uint32_t region,
                            uint32_t draw_ppm);
 
-/** nsh_spilled() - a request was sent outside its region. */
-void nsh_spilled (Node *node, NodService *service);
+/** nsh_holds_back() - a request of the region is turned away so that the cap on shift holds. */
+bool nsh_holds_back (const NodService *service, uint32_t region, uint32_t draw_ppm);
+
+/** nsh_sent() - a request of @region was sent to region @to. */
+void nsh_sent (Node *node, NodService *service, uint32_t region, uint32_t to);
+
+/** nsh_turned_away() - a request of the region was turned away for want of room. */
+void nsh_turned_away (NodService *service, uint32_t region);
 
 /** nsh_log() - one line for each service with the shares and what they were worked out from. */
 void nsh_log (const Node *node);
--- a/src/nst.c
+++ b/src/nst.c
@@ -25,6 +25,7 @@
   COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
   COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
+  COUNTER (held_back),
 };
 
 char *
--- a/src/shr.c
+++ b/src/shr.c
@@ -6,10 +6,15 @@
 #define PERCENT 100u
 #define PERMILLE 1000u
 
-/* Parts of the cap for moves of the shares, and for what runs outside its region. */
-#define AWAY_PCT 30u
-#define HOMEWARD_PCT 60u
+/* Parts of the cap: for all; for what runs outside its region; for that and what is turned away. */
+#define USED_PCT 95u
 #define SPILL_PCT 55u
+#define UNEVEN_PCT 85u
+
+/* Requests by which a region is taken to have room until it is known better. */
+#define TAKING_PRIOR_M 2000u
+#define FADE_PCT 80u
+#define LIMIT_STEPS 20
 
 /* A region that cannot carry its demand fills up fast while its upstreams know no object. */
 #define SCARCE_HOME_PCT 70u
@@ -156,15 +161,14 @@
 }
 
 uint32_t
-shr_step_ppm (uint32_t cap_permille, uint32_t elapsed_ms, uint32_t spilled_ppm, bool homeward)
+shr_step_ppm (uint32_t cap_permille, uint32_t elapsed_ms, uint32_t uneven_ppm, bool homeward)
 {
-  uint64_t away_ppm = part_ppm (cap_permille, AWAY_PCT);
-  uint64_t home_ppm = part_ppm (cap_permille, HOMEWARD_PCT);
-  uint64_t step_ppm = away_ppm;
+  uint64_t all_ppm = part_ppm (cap_permille, USED_PCT);
+  uint64_t most_uneven_ppm = part_ppm (cap_permille, UNEVEN_PCT);
+  uint64_t uneven = uneven_ppm < most_uneven_ppm ? uneven_ppm : most_uneven_ppm;
+  uint64_t kept_ppm = homeward ? uneven : most_uneven_ppm - uneven;
 
-  if (homeward && home_ppm > away_ppm + spilled_ppm)
-    step_ppm = home_ppm - spilled_ppm;
-  return (uint32_t) (step_ppm * elapsed_ms / SHR_PERIOD_MS);
+  return (uint32_t) ((all_ppm - kept_ppm) * elapsed_ms / SHR_PERIOD_MS);
 }
 
 void
@@ -191,6 +195,80 @@
   spill->credit_ppm -= SHARE_ONE_PPM;
 }
 
+void
+shr_note_sent (ShrTaking *taking, uint32_t region, uint32_t to)
+{
+  if (region >= REGIONS_MAX)
+    return;
+  taking->tried_m[region] += PERMILLE;
+  if (to == region)
+    taking->sent_m[region] += PERMILLE;
+  else if (to < REGIONS_MAX)
+    taking->spilled_m[to] += PERMILLE;
+}
+
+void
+shr_fade (ShrTaking *taking)
+{
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      taking->tried_m[r] = taking->tried_m[r] * FADE_PCT / PERCENT;
+      taking->sent_m[r] = taking->sent_m[r] * FADE_PCT / PERCENT;
+      taking->spilled_m[r] = taking->spilled_m[r] * FADE_PCT / PERCENT;
+    }
+}
+
+static double
+taken_part (const ShrTaking *taking, uint32_t region)
+{
+  return (taking->sent_m[region] + (double) TAKING_PRIOR_M)
+         / (taking->tried_m[region] + (double) TAKING_PRIOR_M);
+}
+
+/* How far what runs is from the shares when no region takes more than a part of its requests. */
+static double
+unevenness (const ShrShares *shares, const ShrTaking *taking, double part)
+{
+  double runs[REGIONS_MAX];
+  double tried = TAKING_PRIOR_M;
+  double all = 0;
+  double away = 0;
+
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    tried += taking->tried_m[r];
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    {
+      runs[r] = shares->ppm[r] * fmin (taken_part (taking, r), part)
+                + taking->spilled_m[r] / tried * SHARE_ONE_PPM;
+      all += runs[r];
+    }
+  for (uint32_t r = 0; r < REGIONS_MAX && all > 0; r++)
+    away += fabs (runs[r] / all - shares->ppm[r] / (double) SHARE_ONE_PPM) / 2;
+  return away;
+}
+
+void
+shr_limits (const ShrShares *shares, const ShrTaking *taking, uint32_t cap_permille,
+            uint32_t *limits_ppm)
+{
+  double allowed = (double) part_ppm (cap_permille, UNEVEN_PCT) / SHARE_ONE_PPM;
+  double low = 0;
+  double high = 1;
+
+  if (unevenness (shares, taking, high) <= allowed)
+    low = high;
+  for (uint32_t i = 0; i < LIMIT_STEPS && low < high; i++)
+    {
+      double middle = (low + high) / 2;
+      if (unevenness (shares, taking, middle) <= allowed)
+        low = middle;
+      else
+        high = middle;
+    }
+  for (uint32_t r = 0; r < REGIONS_MAX; r++)
+    limits_ppm[r] = (uint32_t) (fmin (low / taken_part (taking, r), 1.0) * SHARE_ONE_PPM);
+}
+
 /* A number above 0 and below 1 that belongs to the lot and the region. */
 static double
 number_of (uint32_t lot, uint32_t region)
--- a/src/shr.h
+++ b/src/shr.h
@@ -51,13 +51,13 @@
 /**
  * shr_step_ppm() - what may change its region within a time by moves of the shares
  * @cap_permille: cap on all that may change within SHR_PERIOD_MS, in thousandths of the requests
- * @spilled_ppm: share of the requests that ran outside their region lately
+ * @uneven_ppm: how much more ran away from home of late than the shares say
  * @homeward: the share of the home region is to grow
  *
- * What runs outside its region may begin or end all at once. It begins when shares leave home, so
- * those moves leave room for it; what has begun counts against moves back.
+ * What runs otherwise than the shares say may begin or end all at once. Moves away from home leave
+ * room for what may still begin, moves back for what may end.
  */
-uint32_t shr_step_ppm (uint32_t cap_permille, uint32_t elapsed_ms, uint32_t spilled_ppm,
+uint32_t shr_step_ppm (uint32_t cap_permille, uint32_t elapsed_ms, uint32_t uneven_ppm,
                        bool homeward);
 
 /**
@@ -72,7 +72,7 @@
   int64_t credit_ppm;
 } ShrSpill;
 
-/** shr_spill_earn() - a request came; @rate_mps: thousandths of a request a second. */
+/** shr_spill_earn() - a request was sent; @rate_mps: thousandths of a request a second. */
 void shr_spill_earn (ShrSpill *spill, uint32_t cap_permille, uint64_t rate_mps);
 
 /** shr_spill_allows() - a request may run outside its region; @draw_ppm: a number below
@@ -82,6 +82,35 @@
 /** shr_spill_take() - a request runs outside its region. */
 void shr_spill_take (ShrSpill *spill);
 
+/**
+ * struct ShrTaking - how many of the requests that belong to a region it takes, of late
+ * @tried_m: thousandths of a request; @sent_m of them were sent there
+ * @spilled_m: requests of other regions that were sent there
+ */
+typedef struct
+{
+  uint32_t tried_m[REGIONS_MAX];
+  uint32_t sent_m[REGIONS_MAX];
+  uint32_t spilled_m[REGIONS_MAX];
+} ShrTaking;
+
+/** shr_note_sent() - a request of @region was sent to @to, or turned away for want of room when
+ * that is REGIONS_MAX. */
+void shr_note_sent (ShrTaking *taking, uint32_t region, uint32_t to);
+
+/** shr_fade() - older requests count less; every SHR_FADE_MS. */
+void shr_fade (ShrTaking *taking);
+
+/**
+ * shr_limits() - parts of the requests that each region may be sent, in millionths
+ *
+ * A region that has no room turns requests away, so that what runs is shared otherwise than the
+ * shares say, from one moment to the next. The others are then held back as far as that is beyond
+ * what the cap leaves for it.
+ */
+void shr_limits (const ShrShares *shares, const ShrTaking *taking, uint32_t cap_permille,
+                 uint32_t *limits_ppm);
+
 /**
  * shr_region() - the region in which a request runs
  * @lot: hash of its object, or of itself where it concerns none
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -54,11 +54,15 @@
   ShrShares shares;
   ShrLoad load;
   uint32_t asked;
-  uint32_t spilled;
+  uint32_t sent;
+  uint32_t away;
   uint64_t rate_mps;
-  uint64_t spilled_mps;
+  uint64_t sent_mps;
+  uint64_t away_mps;
   uint32_t work_ms;
   ShrSpill spill;
+  ShrTaking taking;
+  uint32_t limits_ppm[REGIONS_MAX];
   uint64_t room[REGIONS_MAX];
   Cen objects;
   uint32_t cold_ms;
@@ -269,12 +273,18 @@
   return plc_choose (candidates, model->up_count, &request);
 }
 
+static uint32_t
+region_of (const Job *job)
+{
+  return shr_region (&job->vm->shares, job->vm->load.capacity, UINT32_MAX, job->object);
+}
+
 static uint32_t
 choose_by_product (const Model *model, const Job *job)
 {
   Vm *vm = job->vm;
   PlcCandidate *candidates = candidates_of (model, vm);
-  uint32_t region = shr_region (&vm->shares, vm->load.capacity, UINT32_MAX, job->object);
+  uint32_t region = region_of (job);
   uint32_t chosen = choose_in (model, job, candidates, region);
   uint32_t other = shr_other_region (vm->room, UINT32_MAX, region);
 
@@ -282,10 +292,7 @@
     {
       chosen = choose_in (model, job, candidates, other);
       if (chosen != PLC_NONE)
-        {
-          vm->spilled++;
-          shr_spill_take (&vm->spill);
-        }
+        shr_spill_take (&vm->spill);
     }
   g_free (candidates);
   return chosen;
@@ -360,6 +367,18 @@
   return kept ? 0 : job->rtt_ms;
 }
 
+static void
+note_sent (Model *model, Job *job)
+{
+  Vm *vm = job->vm;
+  uint32_t region = region_of (job);
+
+  vm->sent++;
+  vm->away += model->ups[job->up].region != vm->region;
+  shr_spill_earn (&vm->spill, SHIFT_CAP_PERMILLE, vm->rate_mps);
+  shr_note_sent (&vm->taking, region, model->ups[job->up].region);
+}
+
 static bool
 try_to_send (Model *model, Job *job)
 {
@@ -375,10 +394,19 @@
   job->arrives_at_ms = model->now_ms + connect_ms (model, job) + job->rtt_ms / 2;
   job->sent_warm = ups_knows (ups, job->object);
   ups->in_flight++;
+  if (model->policy == MDL_PRODUCT)
+    note_sent (model, job);
   g_queue_push_tail (&model->travelling, job);
   return true;
 }
 
+static void
+turn_away (Model *model, Job *job)
+{
+  shr_note_sent (&job->vm->taking, region_of (job), REGIONS_MAX);
+  refuse (model, job);
+}
+
 static void
 take_request (Model *model, Job *job)
 {
@@ -390,13 +418,17 @@
   job->waits_until_ms = model->now_ms + longest_wait_ms (model, job);
   cen_note (&job->vm->objects, job->object, model->now_ms);
   job->vm->asked++;
-  shr_spill_earn (&job->vm->spill, SHIFT_CAP_PERMILLE, job->vm->rate_mps);
+  if (model->policy == MDL_PRODUCT && job->draw_ppm >= job->vm->limits_ppm[region_of (job)])
+    {
+      refuse (model, job);
+      return;
+    }
   if (try_to_send (model, job))
     return;
   if (job->waits_until_ms > model->now_ms)
     g_queue_push_tail (&job->vm->waiting, job);
   else
-    refuse (model, job);
+    turn_away (model, job);
 }
 
 /* ---- Steps of the simulated time ---- */
@@ -431,7 +463,7 @@
       if (sent || over)
         g_queue_delete_link (&vm->waiting, item);
       if (over)
-        refuse (model, job);
+        turn_away (model, job);
       item = next;
     }
 }
@@ -548,14 +580,31 @@
     memcpy (model->vms[v].load.demand, demand, sizeof demand);
 }
 
+/* How much more ran away from home of late than the shares say. */
+static uint32_t
+uneven_ppm (const Vm *vm)
+{
+  uint64_t away_ppm = vm->away_mps * SHARE_ONE_PPM / MAX (vm->sent_mps, 1);
+  uint32_t share_ppm = SHARE_ONE_PPM - vm->shares.ppm[vm->region];
+
+  return away_ppm > share_ppm ? (uint32_t) away_ppm - share_ppm : 0;
+}
+
 static uint32_t
 step_ppm (const Vm *vm, const ShrShares *target)
 {
-  return shr_step_ppm (SHIFT_CAP_PERMILLE, SHARES_MS,
-                       (uint32_t) (vm->spilled_mps * SHARE_ONE_PPM / MAX (vm->rate_mps, 1)),
+  return shr_step_ppm (SHIFT_CAP_PERMILLE, SHARES_MS, uneven_ppm (vm),
                        target->ppm[vm->region] > vm->shares.ppm[vm->region]);
 }
 
+static uint64_t
+fade (uint64_t rate_mps, uint32_t count)
+{
+  uint64_t now_mps = (uint64_t) count * PERMILLE * (1000 / SHARES_MS);
+
+  return (rate_mps * (SPILL_WEIGHT - 1) + now_mps) / SPILL_WEIGHT;
+}
+
 static void
 step_shares (Model *model)
 {
@@ -568,12 +617,15 @@
       Vm *vm = &model->vms[v];
       uint64_t rate_mps = (uint64_t) vm->asked * PERMILLE * (1000 / SHARES_MS);
       vm->rate_mps = (vm->rate_mps * (RATE_WEIGHT - 1) + rate_mps) / RATE_WEIGHT;
-      uint64_t spilled_mps = (uint64_t) vm->spilled * PERMILLE * (1000 / SHARES_MS);
-      vm->spilled_mps = (vm->spilled_mps * (SPILL_WEIGHT - 1) + spilled_mps) / SPILL_WEIGHT;
+      vm->sent_mps = fade (vm->sent_mps, vm->sent);
+      vm->away_mps = fade (vm->away_mps, vm->away);
       vm->asked = 0;
-      vm->spilled = 0;
+      vm->sent = 0;
+      vm->away = 0;
       uint32_t lost = read_capacity (model, vm);
       ShrShares target = shr_target (vm->region, &vm->load);
+      shr_fade (&vm->taking);
+      shr_limits (&vm->shares, &vm->taking, SHIFT_CAP_PERMILLE, vm->limits_ppm);
       shr_move (&vm->shares, &target, step_ppm (vm, &target), lost);
     }
 }
@@ -699,6 +751,8 @@
         vm->sent_at_ms = g_new0 (uint64_t, model->up_count);
         vm->shares = shr_start (r, slots, load->nodes);
         vm->work_ms = load->objective_ms;
+        for (uint32_t other = 0; other < REGIONS_MAX; other++)
+          vm->limits_ppm[other] = SHARE_ONE_PPM;
         vm->cold_ms = load->objective_ms;
         vm->warm_ms = load->objective_ms / 2;
         cen_init (&vm->objects);
