Logs tell for how many requests to each region a connection had to be made

Whether what travels when traffic ends is slow for want of kept connections could not be told from the lines: connections were counted over all regions. requests_by_region has them by region now. Tested in test_rgn.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -249,6 +249,9 @@
 {
   Node *node = frq->node;
   Ups *ups = choice.ups;
+  uint32_t region = ups->zone < node->set.zones->len
+                        ? g_array_index (node->set.zones, NodZone, ups->zone).region
+                        : REGIONS_MAX;
   uint64_t now_ms = clk_now_ms ();
   UcnSpec spec = { .build = build_message,
                    .id_header = frq->id != NULL ? node->headers.request_id : NULL,
@@ -265,13 +268,10 @@
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_knows (ups, frq->key);
   ups->in_flight++;
-  if (ups->zone < node->set.zones->len)
-    {
-      uint32_t region = g_array_index (node->set.zones, NodZone, ups->zone).region;
-      nsh_sent (node, frq->service, choice.region, region);
-      if (frq->sends == 1)
-        rgn_note_sent (&node->by_region, region, frq->key != 0);
-    }
+  if (region < REGIONS_MAX)
+    nsh_sent (node, frq->service, choice.region, region);
+  if (frq->sends == 1)
+    rgn_note_sent (&node->by_region, region, frq->key != 0);
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
@@ -282,6 +282,8 @@
                ups->in_flight, ups->others, ups->record.slots,
                (unsigned long long) (frq->ends_at_ms - now_ms));
   frq->call = ucn_start (&ups->pool, &spec, on_done, frq);
+  if (frq->sends == 1 && !ucn_was_sent (frq->call))
+    rgn_note_connected (&node->by_region, region);
 }
 
 static void
--- a/src/rgn.c
+++ b/src/rgn.c
@@ -14,6 +14,13 @@
     counts->objectless[region]++;
 }
 
+void
+rgn_note_connected (RgnCounts *counts, uint32_t region)
+{
+  if (region < REGIONS_MAX)
+    counts->connected[region]++;
+}
+
 char *
 rgn_text (const uint32_t *numbers, uint32_t regions)
 {
@@ -33,8 +40,11 @@
     return;
   char *sent = rgn_text (counts->sent, regions);
   char *objectless = rgn_text (counts->objectless, regions);
-  log_event (log, LOG_INFO, "requests_by_region", "sent=%s objectless=%s", sent, objectless);
+  char *connected = rgn_text (counts->connected, regions);
+  log_event (log, LOG_INFO, "requests_by_region", "sent=%s objectless=%s connected=%s", sent,
+             objectless, connected);
   g_free (sent);
   g_free (objectless);
+  g_free (connected);
   *counts = none;
 }
--- a/tests/test_rgn.cc
+++ b/tests/test_rgn.cc
@@ -32,8 +32,10 @@
   rgn_note_sent (&counts, 0, true);
   rgn_note_sent (&counts, 2, true);
   rgn_note_sent (&counts, 2, false);
+  rgn_note_connected (&counts, 2);
   std::string line = Logged (&counts);
-  EXPECT_NE (line.find ("event=requests_by_region sent=1,0,2 objectless=0,0,1"), std::string::npos)
+  EXPECT_NE (line.find ("event=requests_by_region sent=1,0,2 objectless=0,0,1 connected=0,0,1"),
+             std::string::npos)
       << line;
   EXPECT_EQ (Logged (&counts), "");
 }
@@ -43,5 +45,6 @@
   RgnCounts counts = {};
   rgn_note_sent (&counts, REGIONS_MAX, true);
   rgn_note_sent (&counts, ZONE_NONE, false);
+  rgn_note_connected (&counts, REGIONS_MAX);
   EXPECT_EQ (Logged (&counts), "");
 }
