Requests for other regions go by a relay near the upstream, to which connections are kept

Now: each node picks one node in each zone of the other regions (rendezvous hash by capacity, among those that are alive and serve) and sends by way of it what no kept connection is there for. That pair sees a request a second, so the connection is kept; the relay reaches its upstream in a few milliseconds. A relay says how an exchange ended when not by an answer (x-cardamom-relay-end), so that the asking node decides as if the exchange had been its own: not run, may have run, upstream to blame. A relay that fails or stops is passed by: what was not sent goes directly, what may have run is repeated only where it may be. Relayed requests count as the asking node's in loads, shares and budgets.

Weighed: subsets of upstreams for each node (an object's requests would run cold on as many upstreams as there are nodes), longer idle times (13 in 100 kept at 10 s), slowing requests at home to match (worse for callers).

--- a/src/frq.c
+++ b/src/frq.c
@@ -1,6 +1,8 @@
 /* A caller's request on a node: its state, and how it ends. */
 #include "frq.h"
 
+#include "rly.h"
+
 #include <string.h>
 
 /* ---- End of a request ---- */
@@ -20,6 +22,14 @@
   g_queue_remove (&frq->service->waiting, frq);
 }
 
+void
+frq_release_relay (Frq *frq)
+{
+  if (frq->relay != NULL)
+    rly_release (frq->relay);
+  frq->relay = NULL;
+}
+
 void
 frq_release_upstream (Frq *frq)
 {
@@ -36,6 +46,7 @@
   if (frq->call != NULL)
     ucn_cancel (frq->call);
   frq->call = NULL;
+  frq_release_relay (frq);
   frq_release_upstream (frq);
 }
 
--- a/src/frq.h
+++ b/src/frq.h
@@ -15,6 +15,7 @@
  * @draw_ppm: decides whether it may run elsewhere when that region has no room
  * @region: the region to which it belonged when it was last looked at
  * @may_have_run: it was sent and nothing proves that it did not run
+ * @relay: the node by way of which it was sent; NULL when it went directly
  * @tried: hashes of the upstreams that it was sent to
  */
 typedef struct
@@ -49,6 +50,7 @@
   uint32_t tried[FRQ_SENDS_MAX];
   char last_upstream[NAME_MAX_BYTES];
   Ups *ups;
+  RlyPeer *relay;
   UcnCall *call;
   uv_timer_t timer;
 } Frq;
@@ -68,6 +70,9 @@
 /** frq_stop_waiting() - takes it out of the queue for room. */
 void frq_stop_waiting (Frq *frq);
 
+/** frq_release_relay() - the request is no longer on its way by a relay. */
+void frq_release_relay (Frq *frq);
+
 /** frq_release_upstream() - the request is no longer on its upstream. */
 void frq_release_upstream (Frq *frq);
 
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -3,6 +3,7 @@
 
 #include "chs.h"
 #include "nsh.h"
+#include "rly.h"
 
 #include <string.h>
 
@@ -202,28 +203,7 @@
     frq_answer_not_run (frq, "upstream_left");
 }
 
-static void
-on_done (void *user, UcnOutcome outcome, const UcnAnswer *answer)
-{
-  Frq *frq = user;
-  Node *node = frq->node;
-  NodService *service = frq->service;
-  Ups *ups = frq->ups;
-
-  frq->call = NULL;
-  nod_step (node);
-  if (ups->zone < ZONES_MAX && ups->pool.connect_ms < node->zone_rtt_ms[ups->zone])
-    node->zone_rtt_ms[ups->zone] = ups->pool.connect_ms;
-  if (outcome == UCN_DONE)
-    on_whole_answer (frq, ups, answer);
-  else if (outcome == UCN_WITHDRAWN)
-    on_withdrawn (frq);
-  else
-    on_broken (frq, ups, outcome);
-  fwd_wake (service);
-}
-
-/* ---- Sending ---- */
+/* ---- Calls ---- */
 
 /* Its time left and whether its upstream still takes work are those of the moment when it is sent.
  */
@@ -244,6 +224,110 @@
   return msg_build (&frq->message, extra);
 }
 
+static void on_done (void *user, UcnOutcome outcome, const UcnAnswer *answer);
+
+static uint32_t
+idle_max_ms (const Frq *frq)
+{
+  if (frq->relay != NULL)
+    return rtt_repeatable (frq->route) ? RLY_IDLE_MAX_MS : RLY_SAFE_IDLE_MS;
+  return rtt_repeatable (frq->route) ? UPS_IDLE_MAX_MS : UPS_SAFE_IDLE_MS;
+}
+
+static void
+start_call (Frq *frq)
+{
+  UcnPool *pool = frq->relay != NULL ? &frq->relay->pool : &frq->ups->pool;
+  UcnSpec spec = { .build = build_message,
+                   .id_header = frq->id != NULL ? frq->node->headers.request_id : NULL,
+                   .id = frq->id,
+                   .method_is_head = strcmp (frq->message.method, "HEAD") == 0,
+                   .idle_max_ms = idle_max_ms (frq),
+                   .connect_timeout_ms = UPS_CONNECT_TIMEOUT_MS };
+
+  frq->call = ucn_start (pool, &spec, on_done, frq);
+}
+
+/* The relay may have passed the request on; its upstream is not to blame and may be tried again. */
+static void
+on_relay_lost (Frq *frq)
+{
+  frq->tried[frq->sends - 1] = 0;
+  frq_release_upstream (frq);
+  frq->runs++;
+  frq->may_have_run = true;
+  send_again_or (frq, NULL, "relay_lost");
+}
+
+/* Turns a relay's end into that of an exchange with the upstream; false when nothing is left to do.
+ */
+static bool
+take_relay_end (Frq *frq, UcnOutcome *outcome, const UcnAnswer *answer)
+{
+  Node *node = frq->node;
+  RlyPeer *relay = frq->relay;
+  bool is_lost = *outcome != UCN_DONE && *outcome != UCN_WITHDRAWN;
+  RlyEnd end = *outcome == UCN_DONE ? rly_end_of (answer) : RLY_ANSWERED;
+
+  if (is_lost || end == RLY_REFUSED)
+    {
+      node->counters.relays_lost++;
+      rly_failed (relay, clk_now_ms ());
+      log_event (&node->request_log, LOG_INFO, "relay_lost", "id=%s relay=%s sent=%d",
+                 frq->id != NULL ? frq->id : "-", relay->vm, *outcome != UCN_NOT_SENT);
+    }
+  frq_release_relay (frq);
+  if (*outcome == UCN_NOT_SENT || end == RLY_REFUSED)
+    {
+      start_call (frq);
+      return false;
+    }
+  if (is_lost)
+    {
+      on_relay_lost (frq);
+      return false;
+    }
+  if (end != RLY_ANSWERED)
+    *outcome = rly_outcome (end);
+  return true;
+}
+
+static void
+learn_rtt (Node *node, const Frq *frq)
+{
+  const UcnPool *pool = frq->relay != NULL ? &frq->relay->pool : &frq->ups->pool;
+  uint32_t zone = frq->ups->zone;
+
+  if (zone < ZONES_MAX && pool->connect_ms < node->zone_rtt_ms[zone])
+    node->zone_rtt_ms[zone] = pool->connect_ms;
+}
+
+static void
+on_done (void *user, UcnOutcome outcome, const UcnAnswer *answer)
+{
+  Frq *frq = user;
+  Node *node = frq->node;
+  NodService *service = frq->service;
+
+  frq->call = NULL;
+  nod_step (node);
+  learn_rtt (node, frq);
+  if (frq->relay != NULL && !take_relay_end (frq, &outcome, answer))
+    {
+      fwd_wake (service);
+      return;
+    }
+  if (outcome == UCN_DONE)
+    on_whole_answer (frq, frq->ups, answer);
+  else if (outcome == UCN_WITHDRAWN)
+    on_withdrawn (frq);
+  else
+    on_broken (frq, frq->ups, outcome);
+  fwd_wake (service);
+}
+
+/* ---- Sending ---- */
+
 static void
 send_to (Frq *frq, ChsChoice choice)
 {
@@ -253,12 +337,6 @@
                         ? g_array_index (node->set.zones, NodZone, ups->zone).region
                         : REGIONS_MAX;
   uint64_t now_ms = clk_now_ms ();
-  UcnSpec spec = { .build = build_message,
-                   .id_header = frq->id != NULL ? node->headers.request_id : NULL,
-                   .id = frq->id,
-                   .method_is_head = strcmp (frq->message.method, "HEAD") == 0,
-                   .idle_max_ms = rtt_repeatable (frq->route) ? UPS_IDLE_MAX_MS : UPS_SAFE_IDLE_MS,
-                   .connect_timeout_ms = UPS_CONNECT_TIMEOUT_MS };
 
   if (frq->sends == 0)
     rbg_request (&frq->service->retries, now_ms);
@@ -275,13 +353,18 @@
   if (ups_is_cold (ups, now_ms))
     ups_cold_note (ups, now_ms);
   node->counters.sends++;
+  frq->relay = rly_take (node, ups,
+                         rtt_repeatable (frq->route) ? UPS_IDLE_MAX_MS : UPS_SAFE_IDLE_MS, now_ms);
+  node->counters.sent_by_relay += frq->relay != NULL;
   if (frq->sends > 1 || frq_is_sampled (frq))
     log_event (&node->request_log, LOG_INFO, "request_sent",
-               "id=%s upstream=%s send=%u warm=%d in_flight=%u others=%u slots=%u left_ms=%llu",
-               frq->id != NULL ? frq->id : "-", ups->record.id, frq->sends, frq->sent_warm,
+               "id=%s upstream=%s relay=%s send=%u warm=%d in_flight=%u others=%u slots=%u "
+               "left_ms=%llu",
+               frq->id != NULL ? frq->id : "-", ups->record.id,
+               frq->relay != NULL ? frq->relay->vm : "-", frq->sends, frq->sent_warm,
                ups->in_flight, ups->others, ups->record.slots,
                (unsigned long long) (frq->ends_at_ms - now_ms));
-  frq->call = ucn_start (&ups->pool, &spec, on_done, frq);
+  start_call (frq);
   if (frq->sends == 1 && !ucn_was_sent (frq->call))
     rgn_note_connected (&node->by_region, region);
 }
--- a/src/lim.h
+++ b/src/lim.h
@@ -129,6 +129,13 @@
 #define UPS_LOST_MS 1500
 #define POISON_RUNS_MAX 3
 
+/* Relays of other regions. */
+#define RLY_CHOOSE_MS 500
+#define RLY_REST_MS 3000
+#define RLY_IDLE_MAX_MS 15000
+#define RLY_SAFE_IDLE_MS 4000
+#define RLY_KEEP_MS 30000
+
 /* Placement. */
 #define PLC_OBJECTS_PER_UPSTREAM 24
 #define PLC_OBJECT_TTL_MS 15000
--- a/src/nod.c
+++ b/src/nod.c
@@ -7,6 +7,8 @@
 #include "fwd.h"
 #include "nsh.h"
 #include "nst.h"
+#include "rls.h"
+#include "rly.h"
 #include "wch.h"
 
 #include <string.h>
@@ -162,6 +164,8 @@
   for (guint i = 0; i < table->services->len; i++)
     nod_service (node, ((const RttService *) g_ptr_array_index (table->services, i))->name);
   hsv_set_limits (node->front, table->idle_timeout_ms, table->body_max_bytes);
+  if (node->relay != NULL)
+    hsv_set_limits (node->relay, RLY_KEEP_MS, table->body_max_bytes);
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
              (unsigned long long) table->version, table->routes->len);
   begin_serving (node);
@@ -261,6 +265,12 @@
   fst_request (user, h2o);
 }
 
+static void
+on_relay (void *user, h2o_req_t *h2o)
+{
+  rls_request (user, h2o);
+}
+
 static void
 on_ready (void *user, h2o_req_t *h2o)
 {
@@ -302,6 +312,7 @@
   remove_missing (node, now_ms);
   nod_share_cold (node, now_ms);
   nsh_tick (node, now_ms);
+  rly_tick (node, now_ms);
   if (now_ms % FORGET_PERIOD_MS < PER_TICK_MS)
     {
       forget_objects (node, now_ms);
@@ -353,6 +364,8 @@
   node->peers.self.state = PER_STOPPING;
   node->stopping_since_ms = clk_now_ms ();
   hsv_announce_stop (node->front);
+  if (node->relay != NULL)
+    hsv_announce_stop (node->relay);
   log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
 }
 
@@ -386,6 +399,7 @@
   cts_init (&node->control, on_control, node);
   ucn_ctx_init (&node->store_connections, &node->control.loop);
   ucn_ctx_init (&node->ucn, loop);
+  rly_init (&node->relays);
   poi_init (&node->poison);
   ups_init (&node->upstreams, &node->ucn);
   connect_peers (node);
@@ -405,6 +419,25 @@
   self->incarnation = (uint64_t) g_get_real_time ();
 }
 
+/* The node serves on without being a relay. */
+static void
+serve_relay (Node *node)
+{
+  Err err = { 0 };
+
+  if (node->set.relay.port == 0)
+    return;
+  node->relay = hsv_start (node->loop, node->set.relay, on_relay, node, &err);
+  if (node->relay == NULL)
+    {
+      log_event (&node->log, LOG_WARN, "relay_not_served", "error=\"%s\"", err.text);
+      return;
+    }
+  hsv_set_limits (node->relay, RLY_KEEP_MS, REQUEST_BODY_MAX_BYTES);
+  hsv_before_steps (node->relay, before_step, node);
+  node->peers.self.relay_port = node->set.relay.port;
+}
+
 /* The node serves on without its status. */
 static void
 serve_status (Node *node)
@@ -434,6 +467,7 @@
     return false;
   hsv_before_steps (node->front, before_step, node);
   hsv_before_steps (node->lookup, before_step, node);
+  serve_relay (node);
   serve_status (node);
   lag_start (&node->lag, node->loop, &node->log);
   uv_timer_init (node->loop, &node->tick);
@@ -449,6 +483,7 @@
   ptr_clear (&node->transport);
   cts_clear (&node->control);
   per_clear (&node->peers);
+  rly_clear (&node->relays);
   ups_clear (&node->upstreams);
   poi_clear (&node->poison);
   ucn_ctx_clear (&node->store_connections);
--- a/src/nod.h
+++ b/src/nod.h
@@ -62,6 +62,7 @@
   NetAddr ready;
   NetAddr lookup;
   NetAddr peer;
+  NetAddr relay;
   NetAddr metrics;
   GArray *zones;
   GPtrArray *regions;
@@ -87,6 +88,27 @@
   uint32_t deadline_ms;
 } NodWork;
 
+/**
+ * struct RlyPeer - another node as a relay to the upstreams of its zone
+ * @held: requests that use it
+ * @down_until_ms: not used before
+ */
+typedef struct
+{
+  char vm[NAME_MAX_BYTES];
+  uint32_t held;
+  uint64_t down_until_ms;
+  UcnPool pool;
+} RlyPeer;
+
+/** struct Rly - relays by node, and the one that is used for each zone of other regions */
+typedef struct
+{
+  GHashTable *by_vm;
+  RlyPeer *of_zone[ZONES_MAX];
+  uint64_t chosen_at_ms;
+} Rly;
+
 /**
  * struct NodFlow - what the callers of this node need of a service, and where its requests run
  * @asked: requests since the last tick
@@ -156,6 +178,9 @@
   uint64_t regions_lost;
   uint64_t spilled;
   uint64_t held_back;
+  uint64_t sent_by_relay;
+  uint64_t relayed;
+  uint64_t relays_lost;
 } NodCounters;
 
 /**
@@ -196,7 +221,9 @@
   GHashTable *services;
   GHashTable *work;
   uint32_t zone_rtt_ms[ZONES_MAX];
+  Rly relays;
   HsvServer *front;
+  HsvServer *relay;
   HsvServer *ready;
   HsvServer *lookup;
   HsvServer *metrics;
--- a/src/nst.c
+++ b/src/nst.c
@@ -25,7 +25,8 @@
   COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
   COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
-  COUNTER (held_back),
+  COUNTER (held_back),      COUNTER (sent_by_relay),  COUNTER (relayed),
+  COUNTER (relays_lost),
 };
 
 char *
--- a/src/peer.h
+++ b/src/peer.h
@@ -51,6 +51,7 @@
 	u_int ip;
 	u_int front_port;
 	u_int peer_port;
+	u_int relay_port;
 	u_quad_t incarnation;
 	u_int capacity;
 	u_int state;
--- a/src/peer.x
+++ b/src/peer.x
@@ -31,6 +31,7 @@
 };
 
 /* What a node is. state: 0 starting, 1 serving, 2 stopping.
+ * relay_port is 0 when it relays nothing.
  * watch tells whether it hears of changes from the platform's store: 0 no, 1 yes, 2 in vain.
  * capacity is its share of processors in thousandths of a core. */
 struct peer_member {
@@ -39,6 +40,7 @@
   unsigned int ip;
   unsigned int front_port;
   unsigned int peer_port;
+  unsigned int relay_port;
   unsigned hyper incarnation;
   unsigned int capacity;
   unsigned int state;
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -79,7 +79,7 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->zone))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
@@ -87,11 +87,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->peer_port))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->relay_port))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->ip);
 		IXDR_PUT_U_LONG(buf, objp->front_port);
 		IXDR_PUT_U_LONG(buf, objp->peer_port);
+		IXDR_PUT_U_LONG(buf, objp->relay_port);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
@@ -114,7 +117,7 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->zone))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->ip))
 				 return FALSE;
@@ -122,11 +125,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->peer_port))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->relay_port))
+				 return FALSE;
 
 		} else {
 		objp->ip = IXDR_GET_U_LONG(buf);
 		objp->front_port = IXDR_GET_U_LONG(buf);
 		objp->peer_port = IXDR_GET_U_LONG(buf);
+		objp->relay_port = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
@@ -156,6 +162,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->peer_port))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->relay_port))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->capacity))
--- a/src/per.c
+++ b/src/per.c
@@ -102,6 +102,7 @@
   peer->zone = per->zone_of (per->user, member->zone);
   peer->front = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->front_port };
   peer->addr = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->peer_port };
+  peer->relay = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->relay_port };
   peer->capacity = member->capacity;
   peer->watch = (PerWatch) MIN (member->watch, (u_int) PER_WATCH_FAILING);
   peer->state = (PerState) MIN (member->state, (u_int) PER_STOPPING);
@@ -122,6 +123,7 @@
                         .ip = self->front.ip,
                         .front_port = self->front.port,
                         .peer_port = self->addr.port,
+                        .relay_port = self->relay_port,
                         .incarnation = self->incarnation,
                         .capacity = self->capacity,
                         .state = self->state,
--- a/src/per.h
+++ b/src/per.h
@@ -33,6 +33,7 @@
  * @near: it is of the own cell
  * @by_summary: it is heard of in summaries
  * @is_head: it is among the best of another cell
+ * @relay: where it takes requests for upstreams near it; port 0 when it does not
  * @counted: the loads of its view are part of the sums
  * @view: its last view
  */
@@ -43,6 +44,7 @@
   uint32_t zone;
   NetAddr front;
   NetAddr addr;
+  NetAddr relay;
   uint64_t incarnation;
   uint32_t capacity;
   PerState state;
@@ -67,6 +69,7 @@
   uint32_t zone_index;
   NetAddr front;
   NetAddr addr;
+  uint16_t relay_port;
   uint64_t incarnation;
   uint32_t capacity;
   PerState state;
--- /dev/null
+++ b/src/rly.c
@@ -0,0 +1,220 @@
+/* Relays: nodes near the upstreams of other regions, to which connections are kept. */
+#include "rly.h"
+
+#include <math.h>
+#include <string.h>
+
+/* ---- How a relayed request ended ---- */
+
+static const struct
+{
+  const char *text;
+  UcnOutcome outcome;
+} ends[] = {
+  [RLY_ANSWERED] = { "answered", UCN_DONE },
+  [RLY_REFUSED] = { "refused", UCN_WITHDRAWN },
+  [RLY_NOT_SENT] = { "not-sent", UCN_NOT_SENT },
+  [RLY_WITHDRAWN] = { "withdrawn", UCN_WITHDRAWN },
+  [RLY_LOST] = { "lost", UCN_LOST },
+  [RLY_TRUNCATED] = { "truncated", UCN_TRUNCATED },
+  [RLY_GARBLED] = { "garbled", UCN_GARBLED },
+};
+
+const char *
+rly_end_text (RlyEnd end)
+{
+  return ends[end].text;
+}
+
+RlyEnd
+rly_end_of (const UcnAnswer *answer)
+{
+  const char *text = ucn_header (answer, RLY_END_HEADER);
+
+  if (text == NULL)
+    return RLY_ANSWERED;
+  for (size_t i = RLY_REFUSED; i < G_N_ELEMENTS (ends); i++)
+    if (strcmp (ends[i].text, text) == 0)
+      return (RlyEnd) i;
+  return RLY_LOST;
+}
+
+RlyEnd
+rly_end_of_outcome (UcnOutcome outcome)
+{
+  switch (outcome)
+    {
+    case UCN_DONE:
+      return RLY_ANSWERED;
+    case UCN_NOT_SENT:
+      return RLY_NOT_SENT;
+    case UCN_WITHDRAWN:
+      return RLY_WITHDRAWN;
+    case UCN_LOST:
+      return RLY_LOST;
+    case UCN_TRUNCATED:
+      return RLY_TRUNCATED;
+    case UCN_GARBLED:
+      return RLY_GARBLED;
+    }
+  return RLY_LOST;
+}
+
+UcnOutcome
+rly_outcome (RlyEnd end)
+{
+  return ends[end].outcome;
+}
+
+/* ---- Peers as relays ---- */
+
+static void
+relay_free (gpointer data)
+{
+  RlyPeer *relay = data;
+
+  ucn_pool_close (&relay->pool);
+  g_free (relay);
+}
+
+void
+rly_init (Rly *rly)
+{
+  *rly = (Rly){ .by_vm = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, relay_free) };
+}
+
+void
+rly_clear (Rly *rly)
+{
+  g_hash_table_unref (rly->by_vm);
+}
+
+static bool
+same_addr (NetAddr a, NetAddr b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+static RlyPeer *
+relay_of (Node *node, const PerPeer *peer)
+{
+  RlyPeer *relay = g_hash_table_lookup (node->relays.by_vm, peer->vm);
+
+  if (relay == NULL)
+    {
+      relay = g_new0 (RlyPeer, 1);
+      g_strlcpy (relay->vm, peer->vm, sizeof relay->vm);
+      ucn_pool_init (&relay->pool, &node->ucn, peer->relay, RLY_IDLE_MAX_MS);
+      g_hash_table_insert (node->relays.by_vm, relay->vm, relay);
+    }
+  else if (!same_addr (relay->pool.addr, peer->relay))
+    {
+      ucn_pool_close (&relay->pool);
+      ucn_pool_init (&relay->pool, &node->ucn, peer->relay, RLY_IDLE_MAX_MS);
+    }
+  return relay;
+}
+
+/* ---- Choice ---- */
+
+static bool
+is_resting (const Node *node, const PerPeer *peer, uint64_t now_ms)
+{
+  const RlyPeer *relay = g_hash_table_lookup (node->relays.by_vm, peer->vm);
+
+  return relay != NULL && now_ms < relay->down_until_ms;
+}
+
+static bool
+may_relay (const Node *node, const PerPeer *peer, uint64_t now_ms)
+{
+  return peer->state == PER_SERVING && peer->relay.port != 0 && per_alive (peer, now_ms)
+         && !is_resting (node, peer, now_ms);
+}
+
+/* Rendezvous hashing by capacity: each node has its own order of a zone's nodes, in which one comes
+ * first as often as its capacity is of the zone's. */
+static double
+score_of (const Node *node, const PerPeer *peer)
+{
+  uint32_t x = node->peers.self.hash ^ (peer->hash * 0x9e3779b1u);
+
+  x = (x ^ (x >> 16)) * 0x7feb352du;
+  x = (x ^ (x >> 15)) * 0x846ca68bu;
+  x ^= x >> 16;
+  return -log (((double) x + 0.5) / 4294967296.0) / MAX (peer->capacity, 1);
+}
+
+static bool
+is_other_region (const Node *node, uint32_t zone)
+{
+  return zone < node->set.zones->len
+         && g_array_index (node->set.zones, NodZone, zone).region != node->set.region_index;
+}
+
+static void
+choose_relays (Node *node, uint64_t now_ms)
+{
+  const PerPeer *best[ZONES_MAX] = { NULL };
+  double best_score[ZONES_MAX];
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->peers.peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PerPeer *peer = value;
+      if (!is_other_region (node, peer->zone) || !may_relay (node, peer, now_ms))
+        continue;
+      double score = score_of (node, peer);
+      if (best[peer->zone] != NULL && score >= best_score[peer->zone])
+        continue;
+      best[peer->zone] = peer;
+      best_score[peer->zone] = score;
+    }
+  for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
+    node->relays.of_zone[zone] = best[zone] != NULL ? relay_of (node, best[zone]) : NULL;
+}
+
+static gboolean
+is_unused (gpointer key, gpointer value, gpointer user)
+{
+  const Node *node = user;
+
+  return ((const RlyPeer *) value)->held == 0
+         && !g_hash_table_contains (node->peers.peers, (const char *) key);
+}
+
+void
+rly_tick (Node *node, uint64_t now_ms)
+{
+  if (now_ms - node->relays.chosen_at_ms < RLY_CHOOSE_MS)
+    return;
+  node->relays.chosen_at_ms = now_ms;
+  choose_relays (node, now_ms);
+  g_hash_table_foreach_remove (node->relays.by_vm, is_unused, node);
+}
+
+RlyPeer *
+rly_take (Node *node, Ups *ups, uint32_t idle_max_ms, uint64_t now_ms)
+{
+  if (!is_other_region (node, ups->zone) || ucn_pool_has_kept (&ups->pool, idle_max_ms))
+    return NULL;
+  RlyPeer *relay = node->relays.of_zone[ups->zone];
+  if (relay == NULL || now_ms < relay->down_until_ms)
+    return NULL;
+  relay->held++;
+  return relay;
+}
+
+void
+rly_release (RlyPeer *relay)
+{
+  relay->held--;
+}
+
+void
+rly_failed (RlyPeer *relay, uint64_t now_ms)
+{
+  relay->down_until_ms = now_ms + RLY_REST_MS;
+}
--- a/src/sum.c
+++ b/src/sum.c
@@ -103,6 +103,7 @@
                         .ip = peer->front.ip,
                         .front_port = peer->front.port,
                         .peer_port = peer->addr.port,
+                        .relay_port = peer->relay.port,
                         .incarnation = peer->incarnation,
                         .capacity = peer->capacity,
                         .state = peer->state,
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -554,6 +554,13 @@
   return newest;
 }
 
+bool
+ucn_pool_has_kept (UcnPool *pool, uint32_t idle_max_ms)
+{
+  drop_expired (pool);
+  return newest_kept (pool, idle_max_ms) != NULL;
+}
+
 UcnCall *
 ucn_start (UcnPool *pool, const UcnSpec *spec, UcnDoneFn fn, void *user)
 {
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -104,6 +104,9 @@
 /** ucn_pool_close() - closes idle connections and cuts the pool off from those in use. */
 void ucn_pool_close (UcnPool *pool);
 
+/** ucn_pool_has_kept() - a connection is kept that was not idle for longer. */
+bool ucn_pool_has_kept (UcnPool *pool, uint32_t idle_max_ms);
+
 /** ucn_start() - sends a request; @fn comes once from the loop unless the call is cancelled. */
 UcnCall *ucn_start (UcnPool *pool, const UcnSpec *spec, UcnDoneFn fn, void *user);
 
--- a/src/ups.c
+++ b/src/ups.c
@@ -174,7 +174,7 @@
 static void
 free_if_unused (UpsBook *book, Ups *ups)
 {
-  if (!ups->gone || ups->in_flight > 0)
+  if (!ups->gone || ups->in_flight > 0 || ups->relayed > 0)
     return;
   unlist_from_service (book, ups);
   g_hash_table_remove (book->by_hash, GUINT_TO_POINTER (ups->hash));
@@ -199,6 +199,13 @@
   free_if_unused (book, ups);
 }
 
+void
+ups_unrelay (UpsBook *book, Ups *ups)
+{
+  ups->relayed--;
+  free_if_unused (book, ups);
+}
+
 void
 ups_answered_failure (Ups *ups)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -31,6 +31,7 @@
  * struct Ups - one upstream
  * @fell_cold: it is cold again though it did not leave
  * @gone: no longer registered; kept while requests are in flight
+ * @relayed: requests in flight that other nodes send by way of this one, and count as theirs
  * @others: requests in flight from other nodes, of which @others_near from those whose views
  *   this node gets
  * @down_until_ms: not tried before; @failures counts failures in a row
@@ -54,6 +55,7 @@
   uint64_t missing_since_ms;
   uint64_t cold_until_ms;
   uint32_t in_flight;
+  uint32_t relayed;
   uint32_t others;
   uint32_t others_near;
   uint32_t failures;
@@ -102,6 +104,9 @@
 /** ups_release() - a request on it ended; frees an upstream that is gone and unused. */
 void ups_release (UpsBook *book, Ups *ups);
 
+/** ups_unrelay() - a relayed request on it ended; frees as ups_release(). */
+void ups_unrelay (UpsBook *book, Ups *ups);
+
 /** ups_failed() - a connection or request failed; it rests for a time that doubles. */
 void ups_failed (Ups *ups, uint64_t now_ms);
 
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -42,6 +42,7 @@
  * struct Vm - a node
  * @views: requests in flight on each upstream, as all nodes last told
  * @sent_at_ms: when it last sent something to each upstream, whose connection is kept for a while
+ * @relayed_at_ms: when it last sent something by a relay of each region, likewise
  * @shares: where its callers' requests run
  * @asked: requests since the last step of the shares; @rate_mps in thousandths a second
  */
@@ -51,6 +52,7 @@
   Ups *ups;
   uint32_t *views;
   uint64_t *sent_at_ms;
+  uint64_t relayed_at_ms[REGIONS_MAX];
   ShrShares shares;
   ShrLoad load;
   uint32_t asked;
@@ -356,15 +358,29 @@
   return 0;
 }
 
-/* A connection that was not used lately has to be made first. */
+/* Whether something was sent that way lately, so that the connection is kept; it is from now on. */
+static bool
+is_kept (const Model *model, uint64_t *sent_at_ms, uint32_t kept_ms)
+{
+  bool kept = *sent_at_ms != 0 && model->now_ms - *sent_at_ms < kept_ms;
+
+  *sent_at_ms = model->now_ms;
+  return kept;
+}
+
+/* A connection that was not used lately has to be made first; to another region that of the relay,
+ * which makes one to the upstream. */
 static uint32_t
 connect_ms (const Model *model, const Job *job)
 {
-  uint64_t *sent_at_ms = &job->vm->sent_at_ms[job->up];
-  bool kept = *sent_at_ms != 0 && model->now_ms - *sent_at_ms < KEPT_MS;
+  uint32_t region = model->ups[job->up].region;
 
-  *sent_at_ms = model->now_ms;
-  return kept ? 0 : job->rtt_ms;
+  if (is_kept (model, &job->vm->sent_at_ms[job->up], KEPT_MS))
+    return 0;
+  if (region == job->vm->region || model->policy != MDL_PRODUCT)
+    return job->rtt_ms;
+  bool kept = is_kept (model, &job->vm->relayed_at_ms[region], RLY_SAFE_IDLE_MS);
+  return NEAR_RTT_MS + (kept ? 0 : job->rtt_ms);
 }
 
 static void
