An answer in chunks that ends between two chunks is not whole

On the house's entry this could happen: h2o's client reports the ordinary end of the body when the connection ends between two chunks. The end is now taken for one only when bytes were read with it.

--- a/src/hcl.c
+++ b/src/hcl.c
@@ -38,6 +38,7 @@
   bool in_callback;
   bool cancelled;
   bool until_close;
+  bool chunked;
   Fetch *fetch;
 };
 
@@ -96,13 +97,22 @@
 
 /* ---- Callbacks of h2o's client ---- */
 
+/* h2o also reports the end of a body in chunks when the connection ends between two of them; no
+ * bytes were read then. */
+static bool
+is_cut (const HclCall *call, const h2o_http1client_t *client)
+{
+  return call->chunked && client->sock->bytes_read == 0;
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *errstr)
 {
   HclCall *call = client->data;
   h2o_buffer_t **input = &client->sock->input;
   bool ended = errstr != NULL;
-  bool whole = errstr == h2o_http1client_error_is_eos && !call->until_close;
+  bool whole
+      = errstr == h2o_http1client_error_is_eos && !call->until_close && !is_cut (call, client);
 
   call->in_callback = true;
   if (!call->cancelled && (*input)->size > 0)
@@ -120,10 +130,8 @@
 }
 
 static void
-fill_head (HclHead *out, int status, h2o_header_t *headers, size_t count, bool *until_close)
+fill_head (HclHead *out, int status, h2o_header_t *headers, size_t count, HclCall *call)
 {
-  bool chunked = false;
-
   *out = (HclHead){ .status = status, .headers = headers, .header_count = count };
   for (size_t i = 0; i < count; i++)
     {
@@ -133,9 +141,9 @@
           out->content_length = h2o_strtosize (headers[i].value.base, headers[i].value.len);
         }
       if (h2o_memis (headers[i].name->base, headers[i].name->len, H2O_STRLIT ("transfer-encoding")))
-        chunked = true;
+        call->chunked = true;
     }
-  *until_close = !chunked && !out->has_length && status != 204 && status != 304;
+  call->until_close = !call->chunked && !out->has_length && status != 204 && status != 304;
 }
 
 static h2o_http1client_body_cb
@@ -154,7 +162,7 @@
       return NULL;
     }
   call->got_head = true;
-  fill_head (&head, status, headers, header_count, &call->until_close);
+  fill_head (&head, status, headers, header_count, call);
   call->in_callback = true;
   call->ops->on_head (call->user, call, &head);
   call->in_callback = false;
