A stopping node answers all that it took before it ends, and takes nothing that would outlast it

Here: nothing is taken later than 2.8 s after the signal, but what was taken before and needed more than the rest of the grace ended with its connection (upstreams of 3.5 s, grace 6 s: requests sent 2.2 s after the signal cut at 5.5 s).

Now: requests that a stopping node holds end 0.2 s before it does, with the answer there is (504 where an upstream has the request, 503 where none has); one that needs more than the rest by twice its route's usual work is refused at once as not run. The same bound holds for relayed requests.

--- a/src/frq.c
+++ b/src/frq.c
@@ -60,6 +60,7 @@
   if (frq->link != NULL)
     frq->link->frq = NULL;
   frq->node->open--;
+  g_queue_delete_link (&frq->node->requests, frq->item);
   rtt_unref (frq->table);
   msg_clear (&frq->message);
   g_free (frq->id);
--- a/src/frq.h
+++ b/src/frq.h
@@ -16,6 +16,7 @@
  * @region: the region to which it belonged when it was last looked at
  * @may_have_run: it was sent and nothing proves that it did not run
  * @relay: the node by way of which it was sent; NULL when it went directly
+ * @item: its place among the node's requests
  * @tried: hashes of the upstreams that it was sent to
  */
 typedef struct
@@ -53,6 +54,7 @@
   RlyPeer *relay;
   UcnCall *call;
   uv_timer_t timer;
+  GList *item;
 } Frq;
 
 /** struct FrqLink - lives with h2o's request; NULL once the own state is gone */
--- a/src/fst.c
+++ b/src/fst.c
@@ -130,6 +130,7 @@
                     + MIN (deadline_ms > 2 * DEADLINE_MARGIN_MS ? deadline_ms - DEADLINE_MARGIN_MS
                                                                 : deadline_ms / 2,
                            route->timeout_ms + TIMEOUT_GRACE_MS);
+  frq->ends_at_ms = MIN (frq->ends_at_ms, nod_answers_until_ms (node));
   fill_admission (frq, deadline_ms);
   frq->waits_until_ms = frq->at_ms + adm_wait_ms (&frq->admission);
   uv_timer_init (node->loop, &frq->timer);
@@ -137,14 +138,19 @@
   uv_timer_start (&frq->timer, on_ends, frq->ends_at_ms - frq->at_ms, 0);
   frq->gone_key = hsv_watch_gone (node->front, h2o, on_caller_gone, frq);
   node->open++;
+  g_queue_push_tail (&node->requests, frq);
+  frq->item = node->requests.tail;
   return frq;
 }
 
+/* What cannot be served whole before the node ends is not begun. */
 static bool
-is_too_late_to_start (const Node *node)
+outlasts_node (const Frq *frq)
 {
-  return node->state == NOD_STOPPING
-         && clk_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
+  uint32_t usual_ms = MAX (frq->work->cold_ms, frq->work->warm_ms);
+
+  return frq->node->state == NOD_STOPPING
+         && frq->at_ms + NOD_STOP_WORK_TIMES * usual_ms > nod_answers_until_ms (frq->node);
 }
 
 static void
@@ -158,7 +164,7 @@
 fst_request (Node *node, h2o_req_t *h2o)
 {
   node->counters.requests++;
-  if (node->table == NULL || is_too_late_to_start (node))
+  if (node->table == NULL || nod_is_late (node))
     {
       node->counters.refused++;
       refuse_unread (h2o, "0.2", node->table == NULL ? "no_configuration" : "stopping");
@@ -179,8 +185,26 @@
       node->counters.poison_refused++;
       frq_answer_not_run (frq, "crashes_upstreams");
     }
+  else if (outlasts_node (frq))
+    frq_answer_not_run (frq, "stopping");
   else if (adm_is_hopeless (&frq->admission))
     frq_answer_not_run (frq, "too_little_time");
   else
     fwd_dispatch (frq);
 }
+
+void
+fst_stop (Node *node)
+{
+  uint64_t until_ms = nod_answers_until_ms (node);
+  uint64_t now_ms = clk_now_ms ();
+
+  for (GList *item = node->requests.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      if (frq->ends_at_ms <= until_ms)
+        continue;
+      frq->ends_at_ms = until_ms;
+      uv_timer_start (&frq->timer, on_ends, until_ms - MIN (now_ms, until_ms), 0);
+    }
+}
--- a/src/lim.h
+++ b/src/lim.h
@@ -207,6 +207,8 @@
 
 /* Stopping. */
 #define NOD_REFUSE_AFTER_MS 2800
+#define NOD_FLUSH_MS 200
+#define NOD_STOP_WORK_TIMES 2
 
 /* Logs of the node process. */
 #define LOG_LINES_PER_S 200
--- a/src/nod.c
+++ b/src/nod.c
@@ -292,16 +292,37 @@
   uv_stop (node->loop);
 }
 
-static void
-check_stop (Node *node, uint64_t now_ms)
+static uint64_t
+ends_at_ms (const Node *node)
 {
-  uint64_t stopping_ms = now_ms - node->stopping_since_ms;
-  uint64_t last_ms = node->set.grace_ms > 2 * STOP_MARGIN_MS ? node->set.grace_ms - STOP_MARGIN_MS
+  uint32_t last_ms = node->set.grace_ms > 2 * STOP_MARGIN_MS ? node->set.grace_ms - STOP_MARGIN_MS
                                                              : node->set.grace_ms / 2;
 
+  return node->stopping_since_ms + last_ms;
+}
+
+uint64_t
+nod_answers_until_ms (const Node *node)
+{
+  if (node->state != NOD_STOPPING)
+    return UINT64_MAX;
+  return ends_at_ms (node) - MIN (NOD_FLUSH_MS, ends_at_ms (node));
+}
+
+bool
+nod_is_late (const Node *node)
+{
+  return node->state == NOD_STOPPING
+         && clk_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
+}
+
+static void
+check_stop (Node *node, uint64_t now_ms)
+{
   if (node->state != NOD_STOPPING)
     return;
-  if (stopping_ms >= last_ms || (stopping_ms >= STOP_LEAST_MS && node->open == 0))
+  bool is_done = now_ms - node->stopping_since_ms >= STOP_LEAST_MS && node->open == 0;
+  if (is_done || now_ms >= ends_at_ms (node))
     end_loop (node);
 }
 
@@ -366,6 +387,7 @@
   hsv_announce_stop (node->front);
   if (node->relay != NULL)
     hsv_announce_stop (node->relay);
+  fst_stop (node);
   log_event (&node->log, LOG_INFO, "stopping", "open=%u", node->open);
 }
 
--- a/src/nod.h
+++ b/src/nod.h
@@ -192,7 +192,8 @@
  * @shares_at_ms: when the shares of the regions were last moved
  * @by_region: requests of the last second by region
  * @evacuated: zones that get no new work, a set of names
- * @open: requests without an answer
+ * @open: requests without an answer, relayed ones included
+ * @requests: those of callers, in the order in which they came
  */
 typedef struct Node
 {
@@ -229,6 +230,7 @@
   HsvServer *metrics;
   uv_timer_t tick;
   uint32_t open;
+  GQueue requests;
   MetHistogram latency;
   Lag lag;
   NodCounters counters;
@@ -250,6 +252,12 @@
 /** nod_stop() - begins a graceful stop; the loop ends when it is over. */
 void nod_stop (Node *node);
 
+/** nod_answers_until_ms() - when the last answers are given; UINT64_MAX while it does not stop. */
+uint64_t nod_answers_until_ms (const Node *node);
+
+/** nod_is_late() - it stops, and takes no new request any more. */
+bool nod_is_late (const Node *node);
+
 /** nod_configure() - puts a newer configuration in force; takes over the reference. */
 bool nod_configure (Node *node, RttTable *table);
 
--- a/src/rls.c
+++ b/src/rls.c
@@ -197,28 +197,21 @@
   rls->ups = ups;
   ups->relayed++;
   msg_take (&rls->message, h2o, dropped);
-  rls->ends_at_ms = clk_now_ms () + deadline_ms;
+  rls->ends_at_ms = MIN (clk_now_ms () + deadline_ms, nod_answers_until_ms (node));
   uv_timer_init (node->loop, &rls->timer);
   rls->timer.data = rls;
-  uv_timer_start (&rls->timer, on_ends, deadline_ms, 0);
+  uv_timer_start (&rls->timer, on_ends, rls->ends_at_ms - MIN (clk_now_ms (), rls->ends_at_ms), 0);
   rls->gone_key = hsv_watch_gone (node->relay, h2o, on_asker_gone, rls);
   node->open++;
   node->counters.relayed++;
   return rls;
 }
 
-static bool
-is_too_late_to_start (const Node *node)
-{
-  return node->state == NOD_STOPPING
-         && clk_now_ms () - node->stopping_since_ms >= NOD_REFUSE_AFTER_MS;
-}
-
 /* RLY_ANSWERED when it can be sent on. */
 static RlyEnd
 check (const Node *node, const Ups *ups, uint32_t deadline_ms)
 {
-  if (ups == NULL || deadline_ms == 0 || is_too_late_to_start (node))
+  if (ups == NULL || deadline_ms == 0 || nod_is_late (node))
     return RLY_REFUSED;
   return chs_takes_work (node, ups) ? RLY_ANSWERED : RLY_WITHDRAWN;
 }
