Upstreams that say in an answer that they leave, or name a time, get no new work

Two new rules of the users. Before: no platform code read Server-Leaving, and a 503 set a pause of 100 ms whatever its Retry-After said; so an upstream that leaves without the platform's word went on getting work, and one that asked for quiet was asked again ten times a second.

Now (src/adv): a node that reads Server-Leaving: 1 in any answer sends that incarnation nothing new, with the store and peers or without; it tells the nodes of its cell and, by summaries, the others (peer_leaving: upstream and start of the incarnation, 64 at most, as long as the platform does not list it as leaving); only a new incarnation ends it. A 503 that states it was not run and names a time in seconds pauses its upstream for this node for all requests, retries, cold starts and relayed ones included, for as long as it says (600 s at most); times that cannot be read are logged and passed over. A paused upstream offers no slots, so that shares move under their cap. When all upstreams that may take a request leave or pause for longer than it may wait, it is refused at once, with the soonest time as far as callers honour it.

Weighed: telling peers of pauses too (the upstream speaks to one node; the others may have room with it), and a shorter bound (the users bind the node for as long as the upstream says).

--- a/src/adm.c
+++ b/src/adm.c
@@ -4,6 +4,7 @@
 
 #define RESERVE_DIVISOR 32
 #define HOPELESS_SHARE 2
+#define BACK_SHARE 3
 
 uint32_t
 adm_reserve (const AdmRequest *request, uint32_t slots)
@@ -33,10 +34,16 @@
   return request->left_ms < request->usual_ms / HOPELESS_SHARE;
 }
 
+uint32_t
+adm_back_most_ms (const AdmRequest *request)
+{
+  return request->left_ms / BACK_SHARE;
+}
+
 uint32_t
 adm_back_ms (const AdmRequest *request, uint32_t random)
 {
-  uint32_t most_ms = request->left_ms / 3;
+  uint32_t most_ms = adm_back_most_ms (request);
 
   if (most_ms > ADM_BACK_MAX_MS)
     most_ms = ADM_BACK_MAX_MS;
--- a/src/adm.h
+++ b/src/adm.h
@@ -32,6 +32,9 @@
 /** adm_is_hopeless() - it could not be answered in the time that is left. */
 bool adm_is_hopeless (const AdmRequest *request);
 
+/** adm_back_most_ms() - the longest time after which a caller comes back. */
+uint32_t adm_back_most_ms (const AdmRequest *request);
+
 /** adm_back_ms() - when a refused caller may come back; @random spreads callers. */
 uint32_t adm_back_ms (const AdmRequest *request, uint32_t random);
 
--- /dev/null
+++ b/src/adv.c
@@ -0,0 +1,57 @@
+/* What upstreams say in their answers about new work: that they leave, or for how long they want
+ * none. */
+#include "adv.h"
+
+#include <math.h>
+#include <string.h>
+
+#define STATUS_TURNED_AWAY 503
+#define MS_PER_S 1000.0
+
+uint32_t
+adv_pause_ms (const char *text)
+{
+  char *end = NULL;
+  double seconds = g_ascii_strtod (text, &end);
+
+  if (end == text || *end != '\0' || !isfinite (seconds) || seconds <= 0)
+    return 0;
+  return (uint32_t) ceil (fmin (seconds * MS_PER_S, ADV_PAUSE_MAX_MS));
+}
+
+static void
+take_leaving (Node *node, Ups *ups, const UcnAnswer *answer)
+{
+  const char *leaving = ucn_header (answer, node->headers.leaving);
+
+  if (leaving == NULL || strcmp (leaving, "1") != 0 || !ups_leaves (ups, ups->record.born_ms))
+    return;
+  log_event (&node->log, LOG_INFO, "upstream_leaves", "upstream=%s told_by=answer", ups->record.id);
+}
+
+static void
+take_pause (Node *node, Ups *ups, const UcnAnswer *answer)
+{
+  const char *text = ucn_header (answer, "retry-after");
+
+  if (text == NULL || answer->status != STATUS_TURNED_AWAY
+      || ucn_header (answer, node->headers.not_run) == NULL)
+    return;
+  uint32_t pause_ms = adv_pause_ms (text);
+  if (pause_ms == 0)
+    {
+      log_event (&node->log, LOG_WARN, "pause_not_understood", "upstream=%s retry_after=\"%s\"",
+                 ups->record.id, text);
+      return;
+    }
+  ups_pause (ups, clk_now_ms () + pause_ms);
+  log_event (&node->log, LOG_INFO, "upstream_pauses", "upstream=%s pause_ms=%u", ups->record.id,
+             pause_ms);
+}
+
+void
+adv_take (Node *node, Ups *ups, const UcnAnswer *answer)
+{
+  take_leaving (node, ups, answer);
+  take_pause (node, ups, answer);
+}
--- a/src/chs.c
+++ b/src/chs.c
@@ -57,7 +57,7 @@
 bool
 chs_takes_work (const Node *node, const Ups *ups)
 {
-  if (ups->gone || ups->record.draining)
+  if (ups->gone || ups->leaving || ups->record.draining)
     return false;
   return g_hash_table_size (node->evacuated) == 0
          || !g_hash_table_contains (node->evacuated, ups->record.zone);
@@ -75,7 +75,7 @@
 static bool
 is_usable (const Node *node, const Ups *ups, uint32_t cold_per_s, uint64_t now_ms)
 {
-  if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms)
+  if (now_ms < ups->down_until_ms || now_ms < ups->full_until_ms || now_ms < ups->paused_until_ms)
     return false;
   if (ups->misdirected || ups_is_doubted (ups, now_ms))
     return false;
@@ -84,6 +84,14 @@
   return cold_allows (node, ups, cold_per_s, now_ms);
 }
 
+static uint32_t
+region_of (const Node *node, const Ups *ups)
+{
+  return ups->zone < node->set.zones->len
+             ? g_array_index (node->set.zones, NodZone, ups->zone).region
+             : REGIONS_MAX;
+}
+
 static PlcCandidate *
 candidates_of (const Node *node, const ChsRequest *request, uint32_t allowed, const GPtrArray *list,
                uint64_t now_ms)
@@ -94,9 +102,7 @@
   for (guint i = 0; i < list->len; i++)
     {
       const Ups *ups = g_ptr_array_index (list, i);
-      uint32_t region = ups->zone < node->set.zones->len
-                            ? g_array_index (node->set.zones, NodZone, ups->zone).region
-                            : REGIONS_MAX;
+      uint32_t region = region_of (node, ups);
       if (region >= REGIONS_MAX)
         continue;
       bool listed = is_listed (node, allowed, ups, region);
@@ -220,6 +226,25 @@
   return choice;
 }
 
+uint64_t
+chs_soonest_ms (const Node *node, const ChsRequest *request)
+{
+  const GPtrArray *list = ups_of (&node->upstreams, request->service->name);
+  uint32_t allowed = allowed_regions (node, request);
+  uint64_t soonest_ms = UINT64_MAX;
+
+  if (list == NULL || list->len == 0)
+    return 0;
+  for (guint i = 0; i < list->len; i++)
+    {
+      const Ups *ups = g_ptr_array_index (list, i);
+      uint32_t region = region_of (node, ups);
+      if (region < REGIONS_MAX && is_listed (node, allowed, ups, region))
+        soonest_ms = MIN (soonest_ms, ups->paused_until_ms);
+    }
+  return soonest_ms;
+}
+
 ChsChoice
 chs_choose (ChsSet *set, const ChsRequest *request)
 {
--- a/src/chs.h
+++ b/src/chs.h
@@ -55,6 +55,10 @@
 ChsSet *chs_set_new (const Node *node, const ChsRequest *request);
 void chs_set_free (ChsSet *set);
 
+/** chs_soonest_ms() - when the first upstream that may take the request wants work again; 0 for at
+ * once and while none is known, UINT64_MAX when all leave. */
+uint64_t chs_soonest_ms (const Node *node, const ChsRequest *request);
+
 /** chs_takes_work() - new work may go to an upstream: it is not leaving, and its zone is not
  * evacuated. */
 bool chs_takes_work (const Node *node, const Ups *ups);
--- a/src/frq.h
+++ b/src/frq.h
@@ -16,6 +16,7 @@
  * @region: the region to which it belonged when it was last looked at
  * @may_have_run: it was sent and nothing proves that it did not run
  * @relay: the node by way of which it was sent; NULL when it went directly
+ * @back_least_ms: a refused caller comes back in vain before
  * @item: its place among the node's requests
  * @tried: hashes of the upstreams that it was sent to
  */
@@ -41,6 +42,7 @@
   uint64_t ends_at_ms;
   uint64_t waits_until_ms;
   uint64_t waiting_since_ms;
+  uint32_t back_least_ms;
   uint64_t sent_at_ms;
   uint32_t sends;
   uint32_t runs;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -1,6 +1,7 @@
 /* Forwarding: to which upstream a request goes, and what its answer means. */
 #include "fwd.h"
 
+#include "adv.h"
 #include "chs.h"
 #include "nsh.h"
 #include "rly.h"
@@ -115,6 +116,7 @@
   uint32_t took_ms = (uint32_t) (clk_now_ms () - frq->sent_at_ms);
   bool success = answer->status >= 200 && answer->status < 300;
 
+  adv_take (frq->node, ups, answer);
   if (answer->status == MISDIRECTED || ucn_header (answer, names->not_run) != NULL)
     {
       on_not_run (frq, ups, answer);
@@ -215,7 +217,7 @@
   uint64_t now_ms = clk_now_ms ();
   char extra[256];
 
-  if (!chs_takes_work (frq->node, frq->ups))
+  if (!chs_takes_work (frq->node, frq->ups) || now_ms < frq->ups->paused_until_ms)
     return NULL;
 
   g_snprintf (extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", names->deadline_ms,
@@ -377,10 +379,23 @@
   frq_answer_not_run (frq, "no_room");
 }
 
+/* All upstreams that may take it leave, or want nothing for longer than it may wait. */
+static bool
+is_in_vain (Frq *frq, uint64_t now_ms)
+{
+  ChsRequest request = choice_of (frq);
+  uint64_t soonest_ms = chs_soonest_ms (frq->node, &request);
+
+  if (soonest_ms <= frq->waits_until_ms)
+    return false;
+  frq->back_least_ms = (uint32_t) MIN (soonest_ms - now_ms, ADV_PAUSE_MAX_MS);
+  return true;
+}
+
 static void
 wait_for_room (Frq *frq, uint64_t now_ms)
 {
-  if (now_ms >= frq->waits_until_ms)
+  if (now_ms >= frq->waits_until_ms || is_in_vain (frq, now_ms))
     {
       turn_away (frq);
       return;
--- a/src/lim.h
+++ b/src/lim.h
@@ -129,6 +129,9 @@
 #define UPS_LOST_MS 1500
 #define POISON_RUNS_MAX 3
 
+/* What upstreams say in answers. */
+#define ADV_PAUSE_MAX_MS 600000u
+
 /* Relays of other regions. */
 #define RLY_CHOOSE_MS 500
 #define RLY_REST_MS 3000
@@ -183,6 +186,7 @@
 #define PER_LOADS_MAX 1024
 #define PER_DOWNS_MAX 256
 #define PER_CRASHES_MAX 64
+#define PER_LEAVING_MAX 64
 #define PER_REVISIONS_MAX 8
 #define PER_SERVICES_MAX 32
 
--- a/src/nod.h
+++ b/src/nod.h
@@ -36,6 +36,7 @@
  * struct NodHeaders - names of the headers that callers and upstreams use
  * @instance: names the upstream that is meant
  * @not_run: an upstream states that it did not run the request
+ * @leaving: an upstream states that it leaves
  */
 typedef struct
 {
@@ -45,6 +46,7 @@
   const char *signature;
   const char *instance;
   const char *not_run;
+  const char *leaving;
 } NodHeaders;
 
 /**
--- a/src/nsh.c
+++ b/src/nsh.c
@@ -55,7 +55,7 @@
       const Ups *ups = g_ptr_array_index (list, i);
       uint32_t region = region_of (node, ups);
       uint32_t in_flight = ups->in_flight + ups->others;
-      if (region >= REGIONS_MAX || !chs_takes_work (node, ups))
+      if (region >= REGIONS_MAX || !chs_takes_work (node, ups) || now_ms < ups->paused_until_ms)
         continue;
       if (!ups_is_down (ups) && !ups_is_doubted (ups, now_ms))
         {
--- a/src/peer.h
+++ b/src/peer.h
@@ -45,6 +45,12 @@
 };
 typedef struct peer_crash peer_crash;
 
+struct peer_leaving {
+	u_int upstream;
+	u_quad_t born_ms;
+};
+typedef struct peer_leaving peer_leaving;
+
 struct peer_member {
 	peer_name vm;
 	peer_name zone;
@@ -82,6 +88,10 @@
 		u_int services_len;
 		peer_service *services_val;
 	} services;
+	struct {
+		u_int leaving_len;
+		peer_leaving *leaving_val;
+	} leaving;
 };
 typedef struct peer_view peer_view;
 
@@ -119,6 +129,10 @@
 		u_int services_len;
 		peer_service *services_val;
 	} services;
+	struct {
+		u_int leaving_len;
+		peer_leaving *leaving_val;
+	} leaving;
 };
 typedef struct peer_summary peer_summary;
 
@@ -185,6 +199,7 @@
 extern  bool_t xdr_peer_count (XDR *, peer_count*);
 extern  bool_t xdr_peer_service (XDR *, peer_service*);
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_view (XDR *, peer_view*);
 extern  bool_t xdr_peer_heard (XDR *, peer_heard*);
@@ -202,6 +217,7 @@
 extern bool_t xdr_peer_count ();
 extern bool_t xdr_peer_service ();
 extern bool_t xdr_peer_crash ();
+extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_view ();
 extern bool_t xdr_peer_heard ();
--- a/src/peer.x
+++ b/src/peer.x
@@ -30,6 +30,12 @@
   unsigned int age_ms;
 };
 
+/* An upstream whose incarnation leaves, though the platform does not list it so yet. */
+struct peer_leaving {
+  unsigned int upstream;
+  unsigned hyper born_ms;
+};
+
 /* What a node is. state: 0 starting, 1 serving, 2 stopping.
  * relay_port is 0 when it relays nothing.
  * watch tells whether it hears of changes from the platform's store: 0 no, 1 yes, 2 in vain.
@@ -60,6 +66,7 @@
   unsigned int downs<256>;
   peer_crash crashes<64>;
   peer_service services<32>;
+  peer_leaving leaving<64>;
 };
 
 /* A node that another one heard of itself, age_ms ago. */
@@ -79,6 +86,7 @@
   peer_count downs<256>;
   peer_crash crashes<64>;
   peer_service services<32>;
+  peer_leaving leaving<64>;
 };
 
 struct peer_object {
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -68,6 +68,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_member (XDR *xdrs, peer_member *objp)
 {
@@ -199,6 +211,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 32,
 		sizeof (peer_service), (xdrproc_t) xdr_peer_service))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, 64,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -243,6 +258,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, 32,
 		sizeof (peer_service), (xdrproc_t) xdr_peer_service))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, 64,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/rls.c
+++ b/src/rls.c
@@ -1,6 +1,7 @@
 /* Relay server: requests of other regions' nodes for upstreams near this one. */
 #include "rls.h"
 
+#include "adv.h"
 #include "chs.h"
 #include "msg.h"
 #include "rly.h"
@@ -150,7 +151,10 @@
 
   rls->call = NULL;
   if (outcome == UCN_DONE)
-    deliver (rls, answer);
+    {
+      adv_take (rls->node, rls->ups, answer);
+      deliver (rls, answer);
+    }
   else
     finish (rls, rly_end_of_outcome (outcome));
 }
@@ -165,7 +169,7 @@
   uint64_t now_ms = clk_now_ms ();
   char extra[256];
 
-  if (!chs_takes_work (rls->node, rls->ups))
+  if (!chs_takes_work (rls->node, rls->ups) || now_ms < rls->ups->paused_until_ms)
     return NULL;
   g_snprintf (extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", names->deadline_ms,
               (unsigned long long) (rls->ends_at_ms - MIN (now_ms, rls->ends_at_ms - 1)),
@@ -225,6 +229,24 @@
   g_free (id);
 }
 
+/* The same as the upstream's own refusal. */
+static void
+answer_paused (const Node *node, h2o_req_t *h2o, const Ups *ups)
+{
+  uint64_t left_ms = ups->paused_until_ms - clk_now_ms ();
+  char *id = hsv_header (h2o, node->headers.request_id);
+  char seconds[32];
+
+  g_snprintf (seconds, sizeof seconds, "%u.%03u", (uint32_t) (left_ms / 1000),
+              (uint32_t) (left_ms % 1000));
+  if (id != NULL)
+    hsv_add_header (h2o, node->headers.request_id, id);
+  hsv_add_header (h2o, node->headers.not_run, "1");
+  hsv_add_header (h2o, "retry-after", seconds);
+  hsv_reply (h2o, STATUS_NOT_RUN, "text/plain", "paused");
+  g_free (id);
+}
+
 void
 rls_request (Node *node, h2o_req_t *h2o)
 {
@@ -239,6 +261,11 @@
       refuse (node, h2o, end);
       return;
     }
+  if (clk_now_ms () < ups->paused_until_ms)
+    {
+      answer_paused (node, h2o, ups);
+      return;
+    }
   Rls *rls = rls_new (node, h2o, ups, deadline_ms);
   UcnSpec spec = { .build = build_message,
                    .id_header = rls->id != NULL ? node->headers.request_id : NULL,
--- a/src/sum.c
+++ b/src/sum.c
@@ -3,6 +3,7 @@
 
 #include "dms.h"
 #include "nws.h"
+#include "vws.h"
 
 #include <string.h>
 
@@ -81,6 +82,7 @@
     }
   per_settle (per, summary->settling_ms, now_ms);
   take_members (per, summary, now_ms);
+  vws_take_leaving (per, summary->leaving.leaving_val, summary->leaving.leaving_len);
   per_take_crashes (per, summary->crashes.crashes_val, summary->crashes.crashes_len, now_ms);
   if (sum_is_counted (per, zone, now_ms))
     count_reports (per, &per->summaries[zone], false);
@@ -192,6 +194,7 @@
   peer_crash crashes[PER_CRASHES_MAX];
   peer_revision revisions[PER_REVISIONS_MAX];
   peer_service services[PER_SERVICES_MAX];
+  peer_leaving leaving[PER_LEAVING_MAX];
   PerPeer *relays[ZONES_MAX];
   peer_message message = { .kind = PEER_SUMMARY };
   peer_summary *summary = &message.peer_message_u.summary;
@@ -208,6 +211,8 @@
   summary->crashes.crashes_len = per_crashes (per, crashes, PER_CRASHES_MAX, now_ms);
   summary->revisions.revisions_val = revisions;
   summary->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
+  summary->leaving.leaving_val = leaving;
+  summary->leaving.leaving_len = vws_leaving (per, leaving, PER_LEAVING_MAX);
   summary->services.services_val = services;
   summary->services.services_len = dms_of_cell (per, services, PER_SERVICES_MAX, now_ms);
   per_send (per, &message, relays, find_relays (per, relays, now_ms));
--- a/src/ups.c
+++ b/src/ups.c
@@ -117,6 +117,8 @@
   ups->failures = 0;
   ups->down_until_ms = 0;
   ups->full_until_ms = 0;
+  ups->paused_until_ms = 0;
+  ups->leaving = false;
   ups->slowness_permille = PERMILLE;
   ups->fault_permille = 0;
   memset (ups->objects, 0, sizeof ups->objects);
@@ -231,6 +233,21 @@
   ups->fault_permille -= ups->fault_permille / FAULT_WEIGHT;
 }
 
+bool
+ups_leaves (Ups *ups, uint64_t born_ms)
+{
+  if (ups->leaving || ups->record.born_ms != born_ms)
+    return false;
+  ups->leaving = true;
+  return true;
+}
+
+void
+ups_pause (Ups *ups, uint64_t until_ms)
+{
+  ups->paused_until_ms = MAX (ups->paused_until_ms, until_ms);
+}
+
 void
 ups_count (uint32_t *number, uint32_t count, bool add)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -36,6 +36,8 @@
  *   this node gets
  * @down_until_ms: not tried before; @failures counts failures in a row
  * @full_until_ms: it refused work for load
+ * @paused_until_ms: it wants nothing from this node before
+ * @leaving: it leaves, as it or a peer said; until its next incarnation
  * @misdirected: another upstream has its address; until its registration changes
  * @down_reports: peers that say that it does not answer, of which @down_near as above
  * @slowness_permille: its work times against what is usual for the route
@@ -64,6 +66,8 @@
   uint64_t succeeded_at_ms;
   uint32_t down_reports;
   uint32_t down_near;
+  uint64_t paused_until_ms;
+  bool leaving;
   bool misdirected;
   uint32_t slowness_permille;
   uint32_t fault_permille;
@@ -114,6 +118,12 @@
 void ups_answered_failure (Ups *ups);
 void ups_succeeded (Ups *ups, uint64_t now_ms);
 
+/** ups_leaves() - the incarnation that began at @born_ms leaves; true when that is news. */
+bool ups_leaves (Ups *ups, uint64_t born_ms);
+
+/** ups_pause() - it wants nothing from this node before a time. */
+void ups_pause (Ups *ups, uint64_t until_ms);
+
 /** ups_count() - adds to a number of reports, or takes back from it, down to 0. */
 void ups_count (uint32_t *number, uint32_t count, bool add);
 
--- a/src/vws.c
+++ b/src/vws.c
@@ -71,6 +71,37 @@
     }
 }
 
+/* ---- Upstreams that leave ---- */
+
+u_int
+vws_leaving (const Per *per, peer_leaving *leaving, u_int room)
+{
+  GHashTableIter iter;
+  gpointer value;
+  u_int found = 0;
+
+  g_hash_table_iter_init (&iter, per->upstreams->by_id);
+  while (found < room && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      if (ups->leaving && !ups->gone && !ups->record.draining)
+        leaving[found++] = (peer_leaving){ .upstream = ups->hash, .born_ms = ups->record.born_ms };
+    }
+  return found;
+}
+
+void
+vws_take_leaving (const Per *per, const peer_leaving *leaving, u_int count)
+{
+  for (u_int i = 0; i < count; i++)
+    {
+      Ups *ups = ups_by_hash (per->upstreams, leaving[i].upstream);
+      if (ups != NULL && ups_leaves (ups, leaving[i].born_ms))
+        log_event (per->log, LOG_INFO, "upstream_leaves", "upstream=%s told_by=peer",
+                   ups->record.id);
+    }
+}
+
 /* ---- Receiving ---- */
 
 void
@@ -89,6 +120,7 @@
   if (is_counted (peer))
     count_reports (per, peer, true);
   per_settle (per, peer->view.settling_ms, now_ms);
+  vws_take_leaving (per, peer->view.leaving.leaving_val, peer->view.leaving.leaving_len);
   per_take_crashes (per, peer->view.crashes.crashes_val, peer->view.crashes.crashes_len, now_ms);
   nws_compare (per, peer->view.revisions.revisions_val, peer->view.revisions.revisions_len, from,
                now_ms);
@@ -134,6 +166,7 @@
   peer_crash crashes[PER_CRASHES_MAX];
   peer_count loads[PER_LOADS_MAX];
   peer_revision revisions[PER_REVISIONS_MAX];
+  peer_leaving leaving[PER_LEAVING_MAX];
   u_int downs[PER_DOWNS_MAX];
   peer_message message = { .kind = PEER_VIEW };
   peer_view *view = &message.peer_message_u.view;
@@ -150,6 +183,8 @@
   view->downs.downs_len = with_loads ? own_downs (per, downs) : 0;
   view->services.services_val = per->services;
   view->services.services_len = with_loads ? per->service_count : 0;
+  view->leaving.leaving_val = leaving;
+  view->leaving.leaving_len = vws_leaving (per, leaving, PER_LEAVING_MAX);
   view->revisions.revisions_val = revisions;
   view->revisions.revisions_len = per_revisions (per, revisions, PER_REVISIONS_MAX);
   per_send (per, &message, (PerPeer *const *) peers->pdata, peers->len);
