--- a/src/trc.c
+++ b/src/trc.c
@@ -15,16 +15,19 @@
 
 static const Reason reasons[] = {
   { "no_room", "no upstream that may take it had room, so it was refused as not run" },
+  { "shift_cap", "it was turned away so that the cap on shift holds, as not run" },
+  { "upstream_left", "its upstream left before it was sent, so it was refused as not run" },
   { "no_connection", "no upstream accepted a connection, so it was refused as not run" },
   { "too_little_time", "too little of its deadline was left, so it was refused as not run" },
   { "crashes_upstreams", "it had crashed the upstreams that ran it, so it was refused" },
   { "timeout", "its route's timeout or its deadline passed" },
   { "answer_lost", "the upstream's connection ended before an answer, so it may have run" },
+  { "relay_lost", "the connection to its relay ended before an answer, so it may have run" },
   { "answer_broken", "the upstream's answer was cut or garbled, so it may have run" },
   { "answer_unsigned", "the upstream's answer had no digest, so it may have run" },
   { "upstream_failed", "the upstream answered with a failure" },
   { "no_configuration", "the node knew no configuration yet" },
-  { "stopping", "the node was about to stop" },
+  { "stopping", "the node was about to stop, so it was refused as not run" },
 };
 
 void
