--- a/tests/test_mdl.cc
+++ b/tests/test_mdl.cc
@@ -87,6 +87,28 @@
                                            "flood"),
                           LoadName);
 
+// Upstreams that name a time, or say that they leave: the users allow two requests for the first,
+// none for the second, and nobody's region changes for it beyond the cap.
+class ReplayAdvice : public testing::TestWithParam<std::tuple<const char *, uint32_t>>
+{
+};
+
+TEST_P (ReplayAdvice, WhatUpstreamsSayOfNewWorkIsHeeded)
+{
+  auto [load, allowed] = GetParam ();
+  for (uint32_t seed : { 1, 2, 3 })
+    {
+      MdlReport report = mdl_replay (mdl_load (load), MDL_PRODUCT, seed);
+      EXPECT_LE (report.most_against_advice, allowed) << "seed " << seed;
+      EXPECT_LE (report.shift_permille, kMaxShiftPermille) << "seed " << seed;
+      EXPECT_GE (OfBound (report), kTargetPermille) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P (Loads, ReplayAdvice,
+                          testing::Values (std::make_tuple ("pauses", 2u),
+                                           std::make_tuple ("leaves", 0u)));
+
 // What travels to other regions begins to run when there is next to nothing left at home.
 TEST (ReplayLarge, RequestsDoNotChangeTheirRegionWhenTrafficEnds)
 {
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -25,6 +25,7 @@
 #define RATE_WEIGHT 10
 #define SPILL_WEIGHT 20
 #define HOT_OBJECT 1u
+#define ADVICE_SLACK_MS 500
 
 /** struct Up - an upstream; @known: objects that it is fast for, newest first */
 typedef struct
@@ -32,6 +33,7 @@
   uint32_t hash;
   uint32_t region;
   bool slow;
+  bool advises;
   uint64_t lost_until_ms;
   uint32_t known[KEEPS_MAX];
   GQueue running;
@@ -43,6 +45,8 @@
  * @views: requests in flight on each upstream, as all nodes last told
  * @sent_at_ms: when it last sent something to each upstream, whose connection is kept for a while
  * @relayed_at_ms: when it last sent something by a relay of each region, likewise
+ * @told_at_ms: when each upstream told it to send nothing; @against: what reached it in spite of
+ * that
  * @shares: where its callers' requests run
  * @asked: requests since the last step of the shares; @rate_mps in thousandths a second
  */
@@ -53,6 +57,8 @@
   uint32_t *views;
   uint64_t *sent_at_ms;
   uint64_t relayed_at_ms[REGIONS_MAX];
+  uint64_t *told_at_ms;
+  uint32_t *against;
   ShrShares shares;
   ShrLoad load;
   uint32_t asked;
@@ -153,6 +159,50 @@
   return up->running.length + up->queue.length;
 }
 
+/* ---- Advice ---- */
+
+static MdlWord
+word_now (const Model *model, const Up *up)
+{
+  const MdlAdvice *advice = &model->load->advice;
+  bool on = model->now_ms >= (uint64_t) advice->from_s * 1000
+            && model->now_ms < (uint64_t) advice->to_s * 1000;
+
+  return up->advises && on ? advice->word : MDL_SAYS_NOTHING;
+}
+
+/* Counts what was sent against the advice that its node was given before. */
+static void
+check_advice (Model *model, const Job *job)
+{
+  const MdlAdvice *advice = &model->load->advice;
+  uint64_t told_ms = job->vm->told_at_ms[job->up];
+  uint64_t until_ms = advice->word == MDL_SAYS_PAUSE ? told_ms + advice->pause_ms : UINT64_MAX;
+
+  if (told_ms == 0 || job->sent_at_ms < told_ms + ADVICE_SLACK_MS || job->sent_at_ms >= until_ms)
+    return;
+  uint32_t *against = &job->vm->against[job->up];
+  model->report.most_against_advice = MAX (model->report.most_against_advice, ++*against);
+}
+
+/* The node reads what the upstream's answer says. */
+static void
+hear_advice (Model *model, const Job *job)
+{
+  Ups *ups = &job->vm->ups[job->up];
+  MdlWord word = word_now (model, &model->ups[job->up]);
+  bool is_new = word == MDL_SAYS_PAUSE ? model->now_ms >= ups->paused_until_ms : !ups->leaving;
+
+  if (word == MDL_SAYS_NOTHING || !is_new)
+    return;
+  job->vm->told_at_ms[job->up] = model->now_ms;
+  job->vm->against[job->up] = 0;
+  if (word == MDL_SAYS_PAUSE)
+    ups_pause (ups, model->now_ms + model->load->advice.pause_ms);
+  else
+    ups_leaves (ups, 0);
+}
+
 /* ---- Ends of requests ---- */
 
 static MdlSecond *
@@ -188,6 +238,7 @@
   uint32_t *usual_ms = job->sent_warm ? &job->vm->warm_ms : &job->vm->cold_ms;
 
   ups->in_flight--;
+  hear_advice (model, job);
   ups_took (ups, took_ms, *usual_ms);
   *usual_ms = (uint32_t) ((int64_t) *usual_ms + ((int64_t) took_ms - *usual_ms) / USUAL_WEIGHT);
   job->vm->work_ms = (uint32_t) ((int64_t) job->vm->work_ms
@@ -213,6 +264,7 @@
     {
       model->report.sheds++;
       ups->full_until_ms = model->now_ms + SHED_PAUSE_MS;
+      hear_advice (model, job);
     }
   else
     ups_failed (ups, model->now_ms);
@@ -225,6 +277,7 @@
 is_usable (const Model *model, const Ups *ups)
 {
   return model->now_ms >= ups->down_until_ms && model->now_ms >= ups->full_until_ms
+         && model->now_ms >= ups->paused_until_ms && !ups->leaving
          && !(ups->failures > 0 && ups->in_flight > 0);
 }
 
@@ -243,7 +296,7 @@
     {
       const Ups *ups = &vm->ups[i];
       bool near = model->ups[i].region == vm->region;
-      candidates[i] = (PlcCandidate){ .listed = !ups_is_down (ups),
+      candidates[i] = (PlcCandidate){ .listed = !ups_is_down (ups) && !ups->leaving,
                                       .usable = is_usable (model, ups),
                                       .hash = model->ups[i].hash,
                                       .region = model->ups[i].region,
@@ -484,6 +537,13 @@
     }
 }
 
+static bool
+is_turned_away (Model *model, const Job *job)
+{
+  check_advice (model, job);
+  return word_now (model, &model->ups[job->up]) == MDL_SAYS_PAUSE;
+}
+
 static void
 step_travelling (Model *model)
 {
@@ -495,6 +555,8 @@
         g_queue_push_tail (&model->travelling, job);
       else if (is_lost (model, up))
         give_back (model, job, false);
+      else if (is_turned_away (model, job))
+        give_back (model, job, true);
       else if (jobs_in (up) >= model->load->slots + model->load->queue)
         give_back (model, job, true);
       else if (up->running.length < model->load->slots)
@@ -543,6 +605,18 @@
       lose_upstream (model, &model->ups[i]);
 }
 
+/* All nodes hear which upstreams leave. */
+static void
+tell_leaving (Model *model, uint32_t up)
+{
+  bool leaves = false;
+
+  for (uint32_t v = 0; v < model->vm_count; v++)
+    leaves = leaves || model->vms[v].ups[up].leaving;
+  for (uint32_t v = 0; leaves && v < model->vm_count; v++)
+    model->vms[v].ups[up].leaving = true;
+}
+
 /* All nodes hear what the others have in flight, at once and only now and then. */
 static void
 step_views (Model *model)
@@ -552,6 +626,7 @@
   for (uint32_t i = 0; i < model->up_count; i++)
     {
       uint32_t all = 0;
+      tell_leaving (model, i);
       for (uint32_t v = 0; v < model->vm_count; v++)
         all += model->vms[v].ups[i].in_flight;
       for (uint32_t v = 0; v < model->vm_count; v++)
@@ -571,6 +646,8 @@
   for (uint32_t i = 0; i < model->up_count; i++)
     {
       uint64_t slots = (uint64_t) model->load->slots * PERMILLE;
+      if (vm->ups[i].leaving || model->now_ms < vm->ups[i].paused_until_ms)
+        continue;
       if (in_flight_on (vm, i) < model->load->slots && !ups_is_down (&vm->ups[i]))
         vm->room[model->ups[i].region] += model->load->slots - in_flight_on (vm, i);
       if (ups_is_down (&vm->ups[i]))
@@ -756,9 +833,11 @@
   model->vms = g_new0 (Vm, model->vm_count);
   for (uint32_t r = 0, at = 0; r < REGIONS_MAX; r++)
     for (uint32_t i = 0; i < load->upstreams[r]; i++, at++)
-      model->ups[at] = (Up){ .hash = g_rand_int (model->random),
-                             .region = r,
-                             .slow = slow_every > 0 && at % slow_every == 0 };
+      model->ups[at]
+          = (Up){ .hash = g_rand_int (model->random),
+                  .region = r,
+                  .slow = slow_every > 0 && at % slow_every == 0,
+                  .advises = at * load->advice.permille % PERMILLE < load->advice.permille };
   for (uint32_t r = 0, at = 0; r < REGIONS_MAX; r++)
     for (uint32_t i = 0; i < load->nodes[r]; i++, at++)
       {
@@ -767,6 +846,8 @@
         vm->ups = g_new0 (Ups, model->up_count);
         vm->views = g_new0 (uint32_t, model->up_count);
         vm->sent_at_ms = g_new0 (uint64_t, model->up_count);
+        vm->told_at_ms = g_new0 (uint64_t, model->up_count);
+        vm->against = g_new0 (uint32_t, model->up_count);
         vm->shares = shr_start (r, slots, load->nodes);
         vm->work_ms = load->objective_ms;
         for (uint32_t other = 0; other < REGIONS_MAX; other++)
@@ -794,6 +875,8 @@
       g_free (model->vms[v].ups);
       g_free (model->vms[v].views);
       g_free (model->vms[v].sent_at_ms);
+      g_free (model->vms[v].told_at_ms);
+      g_free (model->vms[v].against);
     }
   g_queue_clear_full (&model->travelling, g_free);
   g_queue_clear_full (&model->returning, g_free);
--- a/tools/mdl.h
+++ b/tools/mdl.h
@@ -26,6 +26,28 @@
   double factor;
 } MdlBurst;
 
+/** typedef MdlWord - what some upstreams say in their answers about new work */
+typedef enum
+{
+  MDL_SAYS_NOTHING,
+  MDL_SAYS_PAUSE,
+  MDL_SAYS_LEAVING,
+} MdlWord;
+
+/**
+ * struct MdlAdvice - upstreams that say something about new work
+ * @permille: share of the upstreams
+ * @pause_ms: the time that they name; they turn all away from @from_s to @to_s
+ */
+typedef struct
+{
+  MdlWord word;
+  uint32_t permille;
+  uint32_t from_s;
+  uint32_t to_s;
+  uint32_t pause_ms;
+} MdlAdvice;
+
 /**
  * struct MdlLoad - a load pattern
  * @upstreams: upstreams of each region
@@ -40,6 +62,7 @@
  *   REGIONS_MAX for none
  * @slow_permille: share of the upstreams whose work takes five times as long
  * @view_ms: age that views of other nodes reach
+ * @advice: said by some upstreams
  * @bursts: those with a @factor of 0 do not take place
  */
 typedef struct
@@ -64,6 +87,7 @@
   uint32_t lost_region;
   uint32_t lost_at_s;
   uint32_t slow_permille;
+  MdlAdvice advice;
   MdlBurst bursts[MDL_BURSTS_MAX];
   uint32_t seconds;
 } MdlLoad;
@@ -84,6 +108,8 @@
  * @warm_permille: runs on an upstream that knew the object
  * @sheds: requests that an upstream refused for load
  * @most_in_upstream: most requests that one upstream had at once, running and waiting
+ * @most_against_advice: most requests of a node that reached an upstream, sent half a second or
+ * more after it had told that node to send none and within that time
  * @shift_permille: largest share of a region's runs that changed their region from one window of 2
  * s to the next, less what sampling explains; of windows with 40 runs or more
  * @shift_region: the region whose callers' requests they were
@@ -98,6 +124,7 @@
   uint32_t warm_permille;
   uint32_t sheds;
   uint32_t most_in_upstream;
+  uint32_t most_against_advice;
   uint32_t shift_permille;
   uint32_t shift_region;
   uint32_t shift_at_ms;
