--- a/tests/test_adv.cc
+++ b/tests/test_adv.cc
@@ -182,6 +182,7 @@
 TEST_F (Advice, ATimeThatCannotBeReadIsLoggedAndPassedOver)
 {
   Start ();
+  OnlyFirst ();
   first_.SetBehaviour (TurnsAway ("soon"));
   Reach (*nodes_[0], first_);
   std::this_thread::sleep_for (300ms);
