BUDGET: a request that crashes upstreams is blocked in quiet hours too

Cause: a crash counted only if the same node later had a connection to that upstream refused within 1.5 s. With little traffic no such connection is made before the upstream is back. Second, a suspect was forgotten as a whole 60 s after its last crash.

Change: src/sus.c connects to an upstream 100 ms after an exchange was lost on it; a refusal is the evidence that was missing. After its block a suspect gets one trial without retries; a crash doubles the block. A full table replaces its oldest suspect. per_apply_crashes() no longer wraps on a VM that has just booted.

--- a/src/entry.c
+++ b/src/entry.c
@@ -166,7 +166,7 @@
   entry->budgets_disabled = strcmp (set_text (settings, "budgets"), "off") == 0;
   obj_init (&entry->objects);
   obs_init (&entry->observations);
-  poi_init (&entry->poison);
+  poi_init (&entry->poison, POISON_CRASHES_MAX);
   lon_init (&entry->granted_loans);
   g_strlcpy (self.vm, "(none)", sizeof self.vm);
   self.state = MEM_DEAD;
--- a/src/fst.c
+++ b/src/fst.c
@@ -187,7 +187,7 @@
       return;
     }
   Frq *frq = request_new (node, h2o, route, destination);
-  if (fwd_is_poison (frq))
+  if (!poi_admit (&node->poison, frq->fingerprint, frq->received_at_ms))
     {
       node->counters.poison_refused++;
       frq_fail (frq, "crashes_upstreams");
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -5,6 +5,7 @@
 #include "chs.h"
 #include "nsh.h"
 #include "rly.h"
+#include "sus.h"
 
 #include <string.h>
 
@@ -52,20 +53,14 @@
   nsh_record_service_time (frq->service, service_time_ms);
 }
 
-bool
-fwd_is_poison (const Frq *frq)
-{
-  return poi_crashes (&frq->node->poison, frq->fingerprint, clk_now_ms ())
-         >= POISON_NODE_CRASHES_MAX;
-}
-
 /* Consumes the retry budget when it returns true. */
 static bool
 admit_retry (Frq *frq)
 {
   Node *node = frq->node;
+  uint32_t crashes = poi_crashes (&node->poison, frq->fingerprint, clk_now_ms ());
 
-  if (fwd_is_poison (frq))
+  if (crashes >= POISON_NODE_CRASHES_MAX || (frq->may_have_run && crashes > 0))
     return false;
   if (frq->may_have_run && !rte_is_idempotent (frq->route))
     return false;
@@ -154,32 +149,15 @@
   retry_or_respond (frq, response, "upstream_failed");
 }
 
-/* A request that was lost on an upstream may have crashed it if the upstream then refuses
- * connections. */
-static void
-record_suspected_crashes (Node *node, Ups *ups)
-{
-  uint64_t fingerprints[UPS_LOST_MAX];
-  uint64_t now_ms = clk_now_ms ();
-  uint32_t count = ups_pop_lost_requests (ups, fingerprints, now_ms);
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const PoiSuspect *suspect = poi_record_crash (&node->poison, fingerprints[i], now_ms);
-      log_event (&node->log, LOG_WARN, "crash_suspected", "upstream=%s fingerprint=%llx crashes=%u",
-                 ups->record.id, (unsigned long long) fingerprints[i], suspect->crashes);
-    }
-}
-
 static void
 on_exchange_failed (Frq *frq, Ups *ups, UcnOutcome outcome)
 {
   Node *node = frq->node;
 
   if (outcome == UCN_NOT_SENT)
-    record_suspected_crashes (node, ups);
+    sus_record_refusal (node, ups);
   else
-    ups_record_lost_request (ups, frq->fingerprint, clk_now_ms ());
+    sus_record_loss (node, ups, frq->fingerprint);
   ups_record_failure (ups, clk_now_ms ());
   frq_release_upstream (frq);
   if (outcome == UCN_NOT_SENT)
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -8,10 +8,6 @@
  * on shift between regions. */
 void fwd_dispatch (Frq *frq);
 
-/** fwd_is_poison() - true when the request is suspected of POISON_NODE_CRASHES_MAX crashes of
- * upstreams, so that it is not sent any more. */
-bool fwd_is_poison (const Frq *frq);
-
 /** fwd_dispatch_waiting() - sends queued requests of a service to upstreams with free slots. */
 void fwd_dispatch_waiting (NodService *service);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -97,6 +97,8 @@
 #define POISON_CRASHES_MAX 2
 #define POISON_PROPAGATION_MS 800
 #define POISON_TTL_MS 60000
+#define POISON_BLOCK_MAX_MS 3600000u
+#define POISON_MEMORY_MS 3600000u
 #define POISON_ENTRIES_MAX 4096
 
 /* Budget loans between entries. */
@@ -128,6 +130,7 @@
 #define UPS_OBJECTS_MAX 24
 #define UPS_LOST_MAX 16
 #define UPS_LOST_MAX_AGE_MS 1500
+#define SUS_CHECK_DELAY_MS 100
 #define POISON_NODE_CRASHES_MAX 3
 
 /* Pauses that upstreams ask for in responses. */
--- a/src/nod.c
+++ b/src/nod.c
@@ -434,7 +434,7 @@
   ucn_ctx_init (&node->store_connections, &node->control.loop);
   ucn_ctx_init (&node->ucn, loop);
   rly_init (&node->relays);
-  poi_init (&node->poison);
+  poi_init (&node->poison, POISON_NODE_CRASHES_MAX);
   ups_init (&node->upstreams, &node->ucn);
   init_peers (node);
 }
--- a/src/per.c
+++ b/src/per.c
@@ -314,7 +314,8 @@
 per_apply_crashes (Per *per, const peer_crash *crashes, u_int count, uint64_t now_ms)
 {
   for (u_int i = 0; i < count; i++)
-    poi_merge (per->poison, crashes[i].fingerprint, crashes[i].crashes, now_ms - crashes[i].age_ms);
+    poi_merge (per->poison, crashes[i].fingerprint, crashes[i].crashes,
+               now_ms - MIN (crashes[i].age_ms, now_ms));
 }
 
 /* ---- Sending ---- */
--- a/src/rqs.c
+++ b/src/rqs.c
@@ -76,8 +76,7 @@
 bool
 rqs_is_poison (const Req *req)
 {
-  return poi_crashes (&req->entry->poison, req->fingerprint, entry_now_ms (req->entry))
-         >= POISON_CRASHES_MAX;
+  return poi_is_blocked (&req->entry->poison, req->fingerprint, entry_now_ms (req->entry));
 }
 
 /* Other entries receive the count of crashes through the steer; the response to the caller waits
--- a/src/steer.c
+++ b/src/steer.c
@@ -544,7 +544,7 @@
   read_seeds (steer, set_text (settings, "peers"));
   obj_init (&steer->objects);
   obs_init (&steer->observations);
-  poi_init (&steer->poison);
+  poi_init (&steer->poison, POISON_CRASHES_MAX);
   steer->poison_sends_left = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   steer->reports = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
   if (!hlt_chart_load (&steer->upstream_chart, set_text (settings, "charts"), err))
--- a/src/ups.h
+++ b/src/ups.h
@@ -55,6 +55,7 @@
  * @cold_sent_next: index in @cold_sent_ms of the next entry to overwrite
  * @objects: hashes of the objects that it handled last for this node, newest first
  * @lost_requests: fingerprints of the requests lost on it since @lost_since_ms
+ * @crash_check_pending: a check whether it still listens is scheduled or in progress
  */
 typedef struct
 {
@@ -87,6 +88,7 @@
   uint64_t lost_requests[UPS_LOST_MAX];
   uint32_t lost_request_count;
   uint64_t lost_since_ms;
+  bool crash_check_pending;
   UcnPool pool;
 } Ups;
 
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -64,7 +64,7 @@
       self.capacity = i % 11 == 0 ? 500 : 100;
       self.state = PER_SERVING;
       ups_init (&node->upstreams, &node->connections);
-      poi_init (&node->poison);
+      poi_init (&node->poison, POISON_NODE_CRASHES_MAX);
       rep_init (&node->per.rep, OnChanged, nullptr);
       node->kind = rep_ensure_kind (&node->per.rep, "servers");
       rep_apply (&node->per.rep, node->kind, "first", 1, false, "{}");
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -571,6 +571,44 @@
       3000, [&] { return node_->Call ("GET", "/read/ok", WithId ("after")).status == 200; }));
 }
 
+// Guards against a request that goes on crashing upstreams because no other request ever finds one
+// of them stopped: each is back before the next connection to it.
+TEST_F (NodeTest, RequestThatCrashesUpstreamsIsBlockedWithoutOtherRequests)
+{
+  const int kRequests = 14;
+  Start (6);
+  for (const auto &upstream : upstreams_)
+    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
+      if (request.target == "/read/poison")
+        {
+          shutdown (fd, SHUT_RDWR);
+          std::thread ([&upstream] { upstream->Stop (); }).detach ();
+        }
+      else
+        WriteAll (fd, upstream->SignedResponse (request, "ok"));
+    });
+  for (int i = 0; i < kRequests; i++)
+    {
+      node_->Call ("GET", "/read/poison", WithId ("poison-" + std::to_string (i)));
+      std::this_thread::sleep_for (600ms);
+      for (const auto &upstream : upstreams_)
+        upstream->Restart ();
+    }
+  int runs = 0;
+  int last_run = 0;
+  for (int i = 0; i < kRequests; i++)
+    {
+      int runs_of_request = Runs ("poison-" + std::to_string (i));
+      runs += runs_of_request;
+      if (runs_of_request > 0)
+        last_run = i;
+    }
+  EXPECT_GE (runs, 3);
+  EXPECT_LE (runs, 7);
+  EXPECT_LE (last_run, 3) << node_->Log ();
+  EXPECT_EQ (node_->Call ("GET", "/read/ok", WithId ("after")).status, 200);
+}
+
 TEST_F (NodeTest, GracefulStopCompletesRequestsAndExitsInTime)
 {
   Start ();
--- a/tests/test_poi.cc
+++ b/tests/test_poi.cc
@@ -15,7 +15,7 @@
   void
   SetUp () override
   {
-    poi_init (&table_);
+    poi_init (&table_, POISON_NODE_CRASHES_MAX);
   }
   void
   TearDown () override
@@ -76,6 +76,45 @@
   EXPECT_FALSE (poi_merge (&table_, 8, 0, 140));
 }
 
+// Guards against a blocked request that crashes as many upstreams again each time its block ends.
+TEST_F (PoiTest, BlockEndsWithOneTrialAndEachCrashDoublesIt)
+{
+  for (uint32_t i = 0; i < POISON_NODE_CRASHES_MAX; i++)
+    {
+      EXPECT_TRUE (poi_admit (&table_, 7, 100));
+      poi_record_crash (&table_, 7, 100);
+    }
+  uint64_t block_end_ms = 100 + POISON_TTL_MS;
+  EXPECT_FALSE (poi_admit (&table_, 7, block_end_ms - 1));
+  EXPECT_TRUE (poi_admit (&table_, 7, block_end_ms));
+  EXPECT_FALSE (poi_admit (&table_, 7, block_end_ms));
+  poi_expire (&table_, block_end_ms);
+  EXPECT_EQ (POISON_NODE_CRASHES_MAX - 1u, poi_crashes (&table_, 7, block_end_ms));
+  poi_record_crash (&table_, 7, block_end_ms);
+  EXPECT_FALSE (poi_admit (&table_, 7, block_end_ms + 2 * POISON_TTL_MS - 1));
+  EXPECT_TRUE (poi_admit (&table_, 7, block_end_ms + 2 * POISON_TTL_MS));
+}
+
+TEST_F (PoiTest, ResponseToTheTrialEndsTheBlock)
+{
+  for (uint32_t i = 0; i < POISON_NODE_CRASHES_MAX; i++)
+    poi_record_crash (&table_, 7, 100);
+  EXPECT_TRUE (poi_admit (&table_, 7, 100 + POISON_TTL_MS));
+  poi_record_response (&table_, 7, 200 + POISON_TTL_MS);
+  EXPECT_TRUE (poi_admit (&table_, 7, 300 + POISON_TTL_MS));
+  EXPECT_EQ (0u, poi_crashes (&table_, 7, 300 + POISON_TTL_MS));
+}
+
+// Guards against known suspects that are all forgotten when one more is added to a full table.
+TEST_F (PoiTest, FullTableReplacesItsOldestSuspect)
+{
+  for (uint64_t i = 0; i < POISON_ENTRIES_MAX; i++)
+    poi_record_crash (&table_, i, 10 + i);
+  poi_record_crash (&table_, POISON_ENTRIES_MAX, 10 + POISON_ENTRIES_MAX);
+  EXPECT_EQ (0u, poi_crashes (&table_, 0, 20));
+  EXPECT_EQ (1u, poi_crashes (&table_, 1, 20));
+}
+
 TEST_F (PoiTest, TableSizeIsBounded)
 {
   for (uint64_t i = 0; i < 3 * POISON_ENTRIES_MAX; i++)
--- a/tests/test_tpt.cc
+++ b/tests/test_tpt.cc
@@ -43,7 +43,7 @@
     null_file_ = fopen ("/dev/null", "w");
     log_.out = null_file_;
     ups_init (&upstreams_, &connections_);
-    poi_init (&poison_);
+    poi_init (&poison_, POISON_NODE_CRASHES_MAX);
     g_strlcpy (per_.self.vm, "edge-0", sizeof per_.self.vm);
     g_strlcpy (per_.self.zone, "a", sizeof per_.self.zone);
     per_.self.addr = NetAddr{ kIp, FreePort () };
