DRAIN: a node reads from the store what no watching peer can know

Cause: a mark of a deletion exists only on nodes that saw the object before. After the restart no node had one, but all but one had lists without the object and reported the newest revision. The one with the older list fetched the changes since its revision from them and got no deletion.

--- a/src/wch.c
+++ b/src/wch.c
@@ -49,6 +49,18 @@
   return preceding >= OVL_HEADS;
 }
 
+static bool
+has_watch (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  return peer->watch != PER_WATCH_NONE && per_is_recent (per, peer, now_ms);
+}
+
+bool
+wch_is_covered (const Per *per, uint64_t now_ms)
+{
+  return per_count_if (per, has_watch, now_ms) > 0;
+}
+
 bool
 wch_store_is_watched (const Per *per, uint64_t now_ms)
 {
--- a/src/wch.h
+++ b/src/wch.h
@@ -16,5 +16,13 @@
 /** wch_rank() - rank of the own node in its region: number of nodes that precede it. */
 uint32_t wch_rank (const Per *per, uint64_t now_ms);
 
+/**
+ * wch_is_covered() - whether a peer has continuously known the changes of the store
+ *
+ * That is a peer with a recent view that watches the store, even if its watch fails for now: it
+ * will report what it missed once the store answers again.
+ */
+bool wch_is_covered (const Per *per, uint64_t now_ms);
+
 /** wch_store_is_watched() - true when a peer with a recent view watches the store. */
 bool wch_store_is_watched (const Per *per, uint64_t now_ms);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -336,6 +336,13 @@
   stale_revision_ = revision_;
 }
 
+void
+FakeStore::ServeStaleLists (bool enabled)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  serves_stale_ = enabled;
+}
+
 void
 FakeStore::ForgetHistory ()
 {
@@ -376,7 +383,7 @@
 {
   lists_++;
   std::lock_guard<std::mutex> lock (mutex_);
-  bool is_stale = may_be_stale && stale_revision_ > 0;
+  bool is_stale = may_be_stale && serves_stale_ && stale_revision_ > 0;
   std::string items;
   for (const auto &[name, object] : is_stale ? stale_objects_[kind] : objects_[kind])
     items += (items.empty () ? "" : ",") + ObjectText (name, object.spec, object.revision);
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -98,6 +98,8 @@
   // Takes a snapshot of the objects, which is the response to all later lists that allow stale
   // data.
   void FreezeStaleLists ();
+  // Whether lists that allow stale data get that snapshot, or the current objects.
+  void ServeStaleLists (bool enabled);
   std::string address () const;
   // Opens a second address of the store and returns it. SilenceAddedAddress makes it drop its
   // responses.
@@ -138,6 +140,7 @@
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::map<std::string, std::map<std::string, Object>> stale_objects_;
   long stale_revision_ = 0;
+  bool serves_stale_ = true;
   std::vector<Event> events_;
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -652,6 +652,27 @@
   EXPECT_EQ (removed.arrivals (), before);
 }
 
+// Guards against the use of a removed upstream for good: the only node that knows it has an older
+// list than all others, which report the newest revision and have never seen the removed object.
+TEST_F (NodeTest, StartFromAnOlderListThanPeersAppliesRemovals)
+{
+  FakeUpstream removed ("up-left");
+  store_.Put ("config", "main", Configuration (6));
+  store_.Put ("servers", removed.id (), removed.Record ("desk", "east-b"));
+  store_.FreezeStaleLists ();
+  store_.Delete ("servers", removed.id ());
+  store_.ServeStaleLists (false);
+  Start ();
+  store_.ServeStaleLists (true);
+  NodeProcess behind ("vm-2", "east-b", store_.address (), 2);
+  ASSERT_TRUE (behind.WaitReady (5000));
+  std::this_thread::sleep_for (4000ms); // the time after which a node is held to be in touch
+  int before = removed.arrivals ();
+  for (int i = 0; i < 30; i++)
+    EXPECT_EQ (behind.Call ("GET", "/read/b", WithId ("b" + std::to_string (i))).status, 200);
+  EXPECT_EQ (removed.arrivals (), before) << behind.Log ();
+}
+
 TEST_F (NodeTest, RestartedNodeDoesNotWriteItsUnchangedObject)
 {
   Start ();
