FAULT, LOST: an empty object key in the affinity cookie ends no node

Cause: read_object_key() hashed the first field of g_strsplit ("", ...), which has none (SIGSEGV in ups_hash ()). Now the value is cut in place and an empty one means no key.

Related paths: the other uses of g_strsplit() split texts that have their parts (eln.c formats its own; cfg.c checks the count; steer.c and set.c read settings).

Test, before: NodeTest.RequestWithAnEmptyObjectKeyIsServed, four requests with status 0. After: passed.

--- a/src/fst.c
+++ b/src/fst.c
@@ -70,18 +70,21 @@
   return deadline_ms == 0 ? DEADLINE_DEFAULT_MS : (uint32_t) MIN (deadline_ms, DEADLINE_MAX_MS);
 }
 
+/* Hash of the object's key in the affinity cookie; 0 without the cookie or with an empty key. */
 static uint32_t
 read_object_key (Node *node, h2o_req_t *h2o, const RteRoute *route)
 {
   char *cookie = hsv_header (h2o, "cookie");
-  const char *affinity = cookie != NULL ? strstr (cookie, node->headers.affinity) : NULL;
+  char *affinity = cookie != NULL ? strstr (cookie, node->headers.affinity) : NULL;
   uint32_t key = 0;
 
   if (affinity != NULL && affinity[strlen (node->headers.affinity)] == '=')
     {
-      char **fields = g_strsplit (affinity + strlen (node->headers.affinity) + 1, ";", 2);
-      key = (ups_hash (g_strstrip (fields[0])) * 31u + ups_hash (route->name)) | 1u;
-      g_strfreev (fields);
+      char *value = affinity + strlen (node->headers.affinity) + 1;
+      value[strcspn (value, ";")] = '\0';
+      g_strstrip (value);
+      if (value[0] != '\0')
+        key = (ups_hash (value) * 31u + ups_hash (route->name)) | 1u;
     }
   g_free (cookie);
   return key;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -609,6 +609,21 @@
   EXPECT_EQ (node_->Call ("GET", "/read/ok", WithId ("after")).status, 200);
 }
 
+// Guards against a request that ends each node that takes it: the key in its affinity cookie is
+// empty.
+TEST_F (NodeTest, RequestWithAnEmptyObjectKeyIsServed)
+{
+  Start (2, "\"timeout-s\":2,\"goal-s\":0.5,\"sticky\":true");
+  for (const char *cookie : { "X-Affinity-Key=", "X-Affinity-Key=;", "X-Affinity-Key= ; other=1",
+                              "X-Affinity-Key", "other=1; X-Affinity-Key=" })
+    {
+      Headers headers = WithId ("empty-key");
+      headers["Cookie"] = cookie;
+      EXPECT_EQ (node_->Call ("GET", "/read/a", headers).status, 200) << cookie;
+    }
+  EXPECT_EQ (node_->Ready ().status, 200);
+}
+
 TEST_F (NodeTest, GracefulStopCompletesRequestsAndExitsInTime)
 {
   Start ();
