FAULT: text that is nested too deeply ends no process

Seen by callers (users' report): an entry of another writer with 200,000 nested lists ended all nodes, again after each restart, and with them the requests at work.

Cause: json-glib parses recursively and has no limit; 100,000 levels exhaust a stack of 8 MB. jsn_parse() is the one way in for store, peers, probes, cardamomctl and stand-ins, so it now rejects what is deeper than JSON_DEPTH_MAX, as measured by a scanner without recursion (src/jsc.c).

--- /dev/null
+++ b/src/jsc.c
@@ -0,0 +1,200 @@
+/* JSON scanner: finds the parts of a text without parsing them, so that an invalid part leaves the
+ * others readable. Nesting costs no stack. */
+#include "jsc.h"
+
+#include <string.h>
+
+static void
+skip_space (JscSpan *text)
+{
+  while (text->at < text->end && strchr (" \t\r\n", *text->at) != NULL && *text->at != '\0')
+    text->at++;
+}
+
+/* Moves behind a string; false if it has no end. */
+static bool
+skip_string (JscSpan *text)
+{
+  for (text->at++; text->at < text->end; text->at++)
+    {
+      if (*text->at == '\\')
+        text->at++;
+      else if (*text->at == '"')
+        {
+          text->at++;
+          return true;
+        }
+    }
+  text->at = text->end;
+  return false;
+}
+
+static bool
+is_opening (char c)
+{
+  return c == '{' || c == '[';
+}
+
+static bool
+is_closing (char c)
+{
+  return c == '}' || c == ']';
+}
+
+/* Moves behind an object or array; false if it has no end. @depth_max: see jsc_depth(). */
+static bool
+skip_nested (JscSpan *text, uint32_t *depth_max)
+{
+  uint32_t depth = 0;
+
+  while (text->at < text->end)
+    {
+      char c = *text->at;
+      if (c == '"')
+        {
+          if (!skip_string (text))
+            return false;
+          continue;
+        }
+      text->at++;
+      if (is_opening (c))
+        {
+          depth++;
+          *depth_max = depth > *depth_max ? depth : *depth_max;
+        }
+      else if (is_closing (c) && --depth == 0)
+        return true;
+    }
+  return false;
+}
+
+static bool
+skip_scalar (JscSpan *text)
+{
+  const char *start = text->at;
+
+  while (text->at < text->end && *text->at != ',' && !is_closing (*text->at))
+    text->at++;
+  return text->at > start;
+}
+
+/* Moves behind a value of any type; false if it is missing or has no end. */
+static bool
+take_value (JscSpan *text, JscSpan *value)
+{
+  uint32_t depth = 0;
+  bool ok = false;
+
+  skip_space (text);
+  value->at = text->at;
+  if (text->at < text->end)
+    {
+      if (*text->at == '"')
+        ok = skip_string (text);
+      else if (is_opening (*text->at))
+        ok = skip_nested (text, &depth);
+      else
+        ok = skip_scalar (text);
+    }
+  value->end = text->at;
+  return ok;
+}
+
+/* Moves behind the character; false if another one follows. */
+static bool
+take_char (JscSpan *text, char c)
+{
+  skip_space (text);
+  if (text->at >= text->end || *text->at != c)
+    return false;
+  text->at++;
+  return true;
+}
+
+bool
+jsc_open (JscSpan text, JscSpan *contents)
+{
+  JscSpan value;
+
+  skip_space (&text);
+  if (text.at >= text.end || !is_opening (*text.at) || !take_value (&text, &value))
+    return false;
+  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1 };
+  return true;
+}
+
+bool
+jsc_next_element (JscSpan *contents, JscSpan *value)
+{
+  if (!take_value (contents, value))
+    return false;
+  take_char (contents, ',');
+  return true;
+}
+
+bool
+jsc_is_blank (JscSpan text)
+{
+  skip_space (&text);
+  return text.at == text.end;
+}
+
+bool
+jsc_member (JscSpan text, const char *name, JscSpan *value)
+{
+  size_t size = strlen (name);
+  JscSpan contents;
+  JscSpan key;
+
+  skip_space (&text);
+  if (text.at >= text.end || *text.at != '{' || !jsc_open (text, &contents))
+    return false;
+  while (take_value (&contents, &key) && take_char (&contents, ':')
+         && take_value (&contents, value))
+    {
+      if ((size_t) (key.end - key.at) == size + 2 && memcmp (key.at + 1, name, size) == 0)
+        return true;
+      take_char (&contents, ',');
+    }
+  return false;
+}
+
+uint64_t
+jsc_uint (JscSpan text, uint64_t fallback)
+{
+  uint64_t number = 0;
+  const char *start = text.at;
+
+  for (; text.at < text.end && *text.at >= '0' && *text.at <= '9'; text.at++)
+    {
+      uint64_t digit = (uint64_t) (*text.at - '0');
+      if (number > (UINT64_MAX - digit) / 10)
+        return fallback;
+      number = number * 10 + digit;
+    }
+  return text.at > start ? number : fallback;
+}
+
+bool
+jsc_is_true (JscSpan text)
+{
+  static const char literal[] = "true";
+  size_t size = strlen (literal);
+
+  return (size_t) (text.end - text.at) >= size && memcmp (text.at, literal, size) == 0;
+}
+
+uint32_t
+jsc_depth (JscSpan text)
+{
+  uint32_t depth = 0;
+
+  while (text.at < text.end)
+    if (is_opening (*text.at))
+      skip_nested (&text, &depth);
+    else if (*text.at == '"')
+      skip_string (&text);
+    else
+      text.at++;
+  return depth;
+}
--- /dev/null
+++ b/src/jsc.h
@@ -0,0 +1,42 @@
+/* JSON scanner: finds the parts of a text without parsing them, so that an invalid part leaves the
+ * others readable. Nesting costs no stack. */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** struct JscSpan - part of a text, from @at up to @end */
+typedef struct
+{
+  const char *at;
+  const char *end;
+} JscSpan;
+
+/** jsc_open() - true if @text is an object or an array, also with invalid contents; @contents is
+ * then what is to be iterated. */
+bool jsc_open (JscSpan text, JscSpan *contents);
+
+/**
+ * jsc_next_element() - next element of an array
+ * @contents: from jsc_open(); moved behind the element
+ *
+ * Return: false at the end, or where the text is not an array's.
+ */
+bool jsc_next_element (JscSpan *contents, JscSpan *value);
+
+/** jsc_is_blank() - true if nothing but white space is left. */
+bool jsc_is_blank (JscSpan text);
+
+/** jsc_member() - value of an object's first member of that name; false without one. Names with
+ * escapes are not decoded. */
+bool jsc_member (JscSpan text, const char *name, JscSpan *value);
+
+/** jsc_uint() - a decimal integer, or @fallback. */
+uint64_t jsc_uint (JscSpan text, uint64_t fallback);
+
+/** jsc_is_true() - whether the text is the literal true. */
+bool jsc_is_true (JscSpan text);
+
+/** jsc_depth() - largest number of objects and arrays that contain each other. */
+uint32_t jsc_depth (JscSpan text);
--- a/src/jsn.c
+++ b/src/jsn.c
@@ -1,12 +1,18 @@
 /* JSON: typed access to json-glib trees with default values. */
 #include "jsn.h"
 
+#include "jsc.h"
+#include "lim.h"
+
+/* json-glib parses nested values recursively, without a limit of its own. */
 JsonNode *
 jsn_parse (const char *text, size_t size)
 {
-  JsonParser *parser = json_parser_new_immutable ();
   JsonNode *root = NULL;
 
+  if (jsc_depth ((JscSpan){ .at = text, .end = text + size }) > JSON_DEPTH_MAX)
+    return NULL;
+  JsonParser *parser = json_parser_new_immutable ();
   if (json_parser_load_from_data (parser, text, (gssize) size, NULL))
     root = json_parser_get_root (parser);
   if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
--- a/src/jsn.h
+++ b/src/jsn.h
@@ -5,7 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** jsn_parse() - parses a text; NULL when it is invalid or its root is not an object. */
+/** jsn_parse() - parses a text; NULL when it is invalid, nested deeper than JSON_DEPTH_MAX, or its
+ * root is not an object. */
 JsonNode *jsn_parse (const char *text, size_t size);
 JsonObject *jsn_object (JsonNode *node);
 
