--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -688,6 +688,45 @@
   EXPECT_EQ (removed.arrivals (), before) << behind.Log ();
 }
 
+// Guards against an entry of another writer that ends each node that reads it.
+TEST_F (NodeTest, DeeplyNestedRegistrationEndsNoNode)
+{
+  Start ();
+  std::string record = upstreams_[0]->Record ("desk", "east-a");
+  store_.Put ("servers", "odd",
+              record.substr (0, record.size () - 1) + ",\"version\":" + std::string (200000, '[')
+                  + std::string (200000, ']') + "}");
+  std::this_thread::sleep_for (500ms);
+  EXPECT_EQ (node_->Call ("GET", "/read/a", WithId ("a")).status, 200);
+  NodeProcess later ("vm-2", "east-b", store_.address (), 2);
+  EXPECT_TRUE (later.WaitReady (5000));
+  EXPECT_TRUE (
+      WaitUntil (3000, [&] { return later.Call ("GET", "/read/a", WithId ("l")).status == 200; }));
+}
+
+// Guards against an entry of another writer after which nodes follow no change of other entries.
+TEST_F (NodeTest, UnreadableRegistrationsAffectNoOthers)
+{
+  Start ();
+  std::string record = upstreams_[0]->Record ("desk", "east-a");
+  std::string start = record.substr (0, record.size () - 1) + ",\"version\":";
+  store_.Put ("servers", "odd-1", start + "\"\xff\xfe\"}");
+  store_.Put ("servers", "odd-2", start + "\"\\ud800\"}");
+  store_.Put ("servers", "odd-3", start + "1e999}");
+  store_.Put ("servers", std::string (300, 'n'), record);
+  store_.Delete ("servers", "up-0");
+  std::this_thread::sleep_for (1000ms);
+  int before = upstreams_[0]->arrivals ();
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (node_->Call ("GET", "/read/a", WithId ("u" + std::to_string (i))).status, 200);
+  EXPECT_EQ (upstreams_[0]->arrivals (), before);
+  NodeProcess later ("vm-2", "east-b", store_.address (), 2);
+  ASSERT_TRUE (later.WaitReady (5000));
+  EXPECT_TRUE (
+      WaitUntil (3000, [&] { return later.Call ("GET", "/read/a", WithId ("l")).status == 200; }));
+  EXPECT_EQ (upstreams_[0]->arrivals (), before);
+}
+
 TEST_F (NodeTest, RestartedNodeDoesNotWriteItsUnchangedObject)
 {
   Start ();
