An entry with port 0 or an impossible number of slots names no upstream

Found beside the odd entries: port 0 was accepted, and slots, born and seq were cast from any double (1e999 is undefined behaviour).

--- a/tests/test_pdc.cc
+++ b/tests/test_pdc.cc
@@ -94,6 +94,12 @@
          "\"ready\"}",
          "{\"service\":\"s\",\"address\":\"1.1.1.1:1\",\"zone\":\"z\",\"slots\":6,\"state\":"
          "\"up\"}",
+         "{\"service\":\"s\",\"address\":\"1.1.1.1:0\",\"zone\":\"z\",\"slots\":6,\"state\":"
+         "\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"1.1.1.1:99999\",\"zone\":\"z\",\"slots\":6,\"state\":"
+         "\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"1.1.1.1:1\",\"zone\":\"z\",\"slots\":1e999,\"state\":"
+         "\"ready\"}",
          "{\"service\":1,\"address\":\"1.1.1.1:1\",\"zone\":\"z\",\"slots\":6,\"state\":"
          "\"ready\"}" })
     EXPECT_FALSE (Upstream (text, &record)) << text;
