LOST: a stopping node ends only when its responses are written

Cause: a request counted as ended when its response was handed to the HTTP library. The node logged open=0 while megabytes were unwritten; the log now has unwritten= too. The server counts requests until the library releases their memory, and check_stop() waits for that, for callers and for other nodes (relays) alike, up to grace-s.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -22,6 +22,7 @@
   HsvHook hook;
   void *hook_user;
   GHashTable *watch_table;
+  uint32_t open_requests;
 };
 
 /** struct Watch - callback for the disconnection of a caller; stored in HsvServer.watch_table by
@@ -47,11 +48,28 @@
     server->hook (server->hook_user);
 }
 
+static void
+on_request_disposed (void *data)
+{
+  (*(HsvServer **) data)->open_requests--;
+}
+
+/* h2o releases a request's memory once its response is written or its connection is closed. */
+static void
+count_request (HsvServer *server, h2o_req_t *req)
+{
+  HsvServer **link = h2o_mem_alloc_shared (&req->pool, sizeof *link, on_request_disposed);
+
+  *link = server;
+  server->open_requests++;
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
   HsvServer *server = ((Handler *) self)->server;
 
+  count_request (server, req);
   run_hook (server);
   server->handler (server->user, req);
   return 0;
@@ -144,6 +162,12 @@
   return server->port;
 }
 
+uint32_t
+hsv_open_requests (const HsvServer *server)
+{
+  return server->open_requests;
+}
+
 void
 hsv_stop_listening (HsvServer *server)
 {
--- a/src/nod.c
+++ b/src/nod.c
@@ -287,11 +287,20 @@
 
 /* ---- Stop deadlines ---- */
 
+/* Requests of callers and of other nodes whose responses the kernel has not taken yet. */
+static uint32_t
+unwritten_responses (const Node *node)
+{
+  return hsv_open_requests (node->front)
+         + (node->relay != NULL ? hsv_open_requests (node->relay) : 0);
+}
+
 static void
 stop_loop (Node *node)
 {
-  log_event (&node->log, LOG_INFO, "stopped", "open=%u requests=%llu answered=%llu refused=%llu",
-             node->open_requests, (unsigned long long) node->counters.requests,
+  log_event (&node->log, LOG_INFO, "stopped",
+             "open=%u unwritten=%u requests=%llu answered=%llu refused=%llu", node->open_requests,
+             unwritten_responses (node), (unsigned long long) node->counters.requests,
              (unsigned long long) node->counters.answered,
              (unsigned long long) node->counters.refused);
   uv_stop (node->loop);
@@ -323,14 +332,18 @@
          && clk_now_ms () - node->stopping_since_ms >= NOD_REJECT_AFTER_MS;
 }
 
-/* Ends the loop when all requests have ended, STOP_MIN_MS after the stop began at the earliest. */
+/* Ends the loop when all responses are written, STOP_MIN_MS after the stop began at the earliest.
+ * Responses that are still being written at the deadline may go on until the process is killed. */
 static void
 check_stop (Node *node, uint64_t now_ms)
 {
   if (node->state != NOD_STOPPING)
     return;
-  bool is_drained = now_ms - node->stopping_since_ms >= STOP_MIN_MS && node->open_requests == 0;
-  if (is_drained || now_ms >= stop_deadline_ms (node))
+  uint64_t stopping_ms = now_ms - node->stopping_since_ms;
+  bool is_written = node->open_requests == 0 && unwritten_responses (node) == 0;
+  bool is_due = is_written ? stopping_ms >= STOP_MIN_MS || now_ms >= stop_deadline_ms (node)
+                           : stopping_ms >= node->settings.grace_ms;
+  if (is_due)
     stop_loop (node);
 }
 
--- a/tests/test_nod.cc
+++ b/tests/test_nod.cc
@@ -129,6 +129,33 @@
   std::vector<SentRequest> sent_;
 };
 
+// Connects with a small receive buffer, so that the sender waits for the reads.
+int
+ConnectSlowReader (const std::string &front)
+{
+  size_t colon = front.find (':');
+  sockaddr_in addr = {};
+  int buffer_bytes = 64 << 10;
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (std::stoi (front.substr (colon + 1)));
+  inet_pton (AF_INET, front.substr (0, colon).c_str (), &addr.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+  EXPECT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr), 0);
+  return fd;
+}
+
+// Reads up to a piece at a time until the connection ends. Return: the number of bytes.
+size_t
+ReadSlowly (int fd, size_t piece_bytes, std::chrono::milliseconds pause)
+{
+  std::vector<char> piece (piece_bytes);
+  size_t total = 0;
+  for (ssize_t size; (size = recv (fd, piece.data (), piece.size (), 0)) > 0; total += size)
+    std::this_thread::sleep_for (pause);
+  return total;
+}
+
 class GracefulStop : public ::testing::TestWithParam<int>
 {
 protected:
@@ -191,4 +218,30 @@
       }
 }
 
+// Guards against a process that ends while responses that it has received whole are still being
+// written to callers that read slowly.
+TEST (SlowReader, ResponseIsWrittenBeforeAStoppingProcessEnds)
+{
+  const size_t kBodyBytes = 16 << 20;
+  const size_t kBytesPerPiece = 60 << 10; // each 10 ms: read in 2.8 s
+  FakeStore store;
+  FakeUpstream upstream ("up-1");
+  upstream.SetBehaviour ([&] (int fd, const Request &request) {
+    WriteAll (fd, upstream.SignedResponse (request, std::string (kBodyBytes, 'f')));
+  });
+  store.Put ("config", "main", Configuration (7, "", "\"timeout-s\":5,\"goal-s\":0.5"));
+  store.Put ("servers", upstream.id (), upstream.Record ("desk", "east-a"));
+  NodeProcess node ("vm-1", "east-a", store.address ());
+  ASSERT_TRUE (node.WaitReady (5000));
+  std::this_thread::sleep_for (500ms);
+  int fd = ConnectSlowReader (node.front ());
+  node.Signal (SIGTERM);
+  std::this_thread::sleep_for (2s);
+  WriteAll (fd, "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow\r\n"
+                "X-Deadline-Ms: 4000\r\n\r\n");
+  EXPECT_GE (ReadSlowly (fd, kBytesPerPiece, 10ms), kBodyBytes) << node.Log ();
+  close (fd);
+  EXPECT_EQ (node.WaitExit (kGraceMs + 500), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P (ServiceTimeMs, GracefulStop, testing::Values (100, 1200, 2500, 3500));
