LOST: an offered upgrade to HTTP/2 is declined

Seen by callers: a request with "Upgrade: h2c", as HTTP libraries send by themselves, was run and answered with 101 and frames that the caller couldn't use.

Cause: the HTTP library takes the offer by default; hsv_watch_disconnect() then takes the reading of the socket away from it. The server speaks HTTP/1.1 alone, so the offer is declined for all its listeners.

Test, before: NodeTest.OfferedUpgradeToHttp2IsDeclined got status 101. After: passed (200, one run).

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -133,6 +133,7 @@
   h2o_config_init (&server->config);
   server->config.max_request_entity_size = REQUEST_BODY_MAX_BYTES;
   server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
+  server->config.http1.upgrade_to_http2 = 0;
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("cardamomcrank"));
   host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")),
                                    UINT16_MAX);
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -624,6 +624,21 @@
   EXPECT_EQ (node_->Ready ().status, 200);
 }
 
+// Guards against a request that is run but whose caller gets no usable response: HTTP libraries
+// offer an upgrade to HTTP/2 by themselves.
+TEST_F (NodeTest, OfferedUpgradeToHttp2IsDeclined)
+{
+  Start ();
+  Headers headers = WithId ("upgrade");
+  headers["Connection"] = "Upgrade, HTTP2-Settings";
+  headers["Upgrade"] = "h2c";
+  headers["HTTP2-Settings"] = "AAMAAABkAAQCAAAAAAIAAAAA";
+  Reply reply = node_->Call ("POST", "/post/a", headers, "x");
+  EXPECT_EQ (reply.status, 200);
+  EXPECT_EQ (reply.body, "ok");
+  EXPECT_EQ (Runs ("upgrade"), 1);
+}
+
 TEST_F (NodeTest, GracefulStopCompletesRequestsAndExitsInTime)
 {
   Start ();
