--- a/src/frq.c
+++ b/src/frq.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#define RESPONSE_SIZE_DIVISOR 16
+
 /* ---- End of a request ---- */
 
 static void
@@ -151,6 +153,13 @@
   return frq->id != NULL && ups_hash (frq->id) % LOG_SAMPLE == 0;
 }
 
+static void
+record_response_size (NodRouteStats *stats, uint32_t bytes)
+{
+  stats->response_bytes
+      = MAX (bytes, stats->response_bytes - stats->response_bytes / RESPONSE_SIZE_DIVISOR);
+}
+
 void
 frq_forward_response (Frq *frq, const UcnResponse *response)
 {
@@ -165,10 +174,8 @@
 
   node->counters.answered++;
   met_observe (&node->latency, age_ms * 1000);
+  record_response_size (frq->route_stats, response->body->len);
   copy_headers (frq, response);
   h2o_req_t *h2o = frq_detach (frq);
-  if (response->close_delimited)
-    hsv_send_close_delimited (h2o, response->status, response->body->data, response->body->len);
-  else
-    hsv_send (h2o, response->status, response->body->data, response->body->len);
+  nod_send_response (node, h2o, response);
 }
--- a/src/fst.c
+++ b/src/fst.c
@@ -163,6 +163,15 @@
                 > nod_response_deadline_ms (frq->node);
 }
 
+/* True when there is no room for a response as large as those of the route. */
+static bool
+lacks_memory (const Frq *frq)
+{
+  uint32_t bytes = frq->route_stats->response_bytes;
+
+  return bytes > RESPONSE_SMALL_BYTES && !ucn_has_room (&frq->node->ucn, bytes);
+}
+
 static void
 reject_unread (h2o_req_t *h2o, const char *retry_after_s, const char *reason)
 {
@@ -199,6 +208,8 @@
     frq_fail (frq, "stopping");
   else if (adm_misses_deadline (&frq->admission))
     frq_fail (frq, "too_little_time");
+  else if (lacks_memory (frq))
+    frq_fail (frq, "no_memory");
   else
     fwd_dispatch (frq);
 }
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -4,6 +4,7 @@
 #include "lim.h"
 
 #include <h2o/http1.h>
+#include <netinet/tcp.h>
 #include <string.h>
 
 #define LISTEN_BACKLOG 1024
@@ -75,6 +76,17 @@
   return 0;
 }
 
+/* A caller that neither reads nor acknowledges for that long keeps no response in memory. */
+static void
+limit_stalls (const uv_tcp_t *conn)
+{
+  unsigned int timeout_ms = HSV_TCP_USER_TIMEOUT_MS;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *) conn, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
 static void
 on_accept (uv_stream_t *listener, int status)
 {
@@ -92,6 +104,7 @@
       return;
     }
   uv_tcp_nodelay (conn, 1);
+  limit_stalls (conn);
   h2o_accept (&server->accept_ctx, h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free));
 }
 
@@ -266,31 +279,45 @@
 }
 
 static void
-send_body (h2o_req_t *req, int status, const void *body, size_t size, size_t content_length)
+send_response (h2o_req_t *req, int status, h2o_iovec_t body, size_t content_length)
 {
   static h2o_generator_t generator;
-  h2o_iovec_t buf = h2o_strdup (&req->pool, body, size);
 
   req->res.status = status;
   req->res.reason = status < 300 ? "OK" : "Refused";
   req->res.content_length = content_length;
   h2o_start_response (req, &generator);
-  h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
+  h2o_send (req, &body, 1, H2O_SEND_STATE_FINAL);
 }
 
 void
 hsv_send (h2o_req_t *req, int status, const void *body, size_t size)
 {
-  send_body (req, status, body, size, size);
+  send_response (req, status, h2o_strdup (&req->pool, body, size), size);
+}
+
+static void
+on_body_disposed (void *data)
+{
+  HsvBody *body = data;
+
+  body->release (body->user, body->bytes);
 }
 
 /* h2o sends an HTTP/1.0 response without chunked encoding and closes the connection after it. */
 void
-hsv_send_close_delimited (h2o_req_t *req, int status, const void *body, size_t size)
+hsv_send_body (h2o_req_t *req, int status, HsvBody body)
 {
-  req->version = 0x100;
-  req->http1_is_persistent = 0;
-  send_body (req, status, body, size, SIZE_MAX);
+  HsvBody *held = h2o_mem_alloc_shared (&req->pool, sizeof *held, on_body_disposed);
+  h2o_iovec_t buf = h2o_iovec_init (body.bytes->data, body.bytes->len);
+
+  *held = body;
+  if (body.close_delimited)
+    {
+      req->version = 0x100;
+      req->http1_is_persistent = 0;
+    }
+  send_response (req, status, buf, body.close_delimited ? SIZE_MAX : body.bytes->len);
 }
 
 void
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -66,9 +66,21 @@
  * before. */
 void hsv_send (h2o_req_t *req, int status, const void *body, size_t size);
 
-/** hsv_send_close_delimited() - as hsv_send(), but without a Content-Length: the end of the
- * connection ends the body. */
-void hsv_send_close_delimited (h2o_req_t *req, int status, const void *body, size_t size);
+/**
+ * struct HsvBody - a body that is not copied
+ * @close_delimited: it is sent without a Content-Length: the end of the connection ends it
+ * @release: called with @user when the body is written or dropped; frees it
+ */
+typedef struct
+{
+  GByteArray *bytes;
+  bool close_delimited;
+  void (*release) (void *user, GByteArray *bytes);
+  void *user;
+} HsvBody;
+
+/** hsv_send_body() - sends a response with a body that the server then owns. */
+void hsv_send_body (h2o_req_t *req, int status, HsvBody body);
 
 /**
  * hsv_close_if_pipelined() - closes the connection after the response if a pipelined request
--- a/src/lim.h
+++ b/src/lim.h
@@ -112,7 +112,9 @@
 /* Upstream connections of the node process. */
 #define UCN_READ_BUFFER_BYTES (64u * 1024u)
 #define UCN_TCP_USER_TIMEOUT_MS 1500
+#define HSV_TCP_USER_TIMEOUT_MS 30000u
 #define RESPONSE_MAX_BYTES (32u * 1024u * 1024u)
+#define RESPONSE_SMALL_BYTES (64u * 1024u)
 #define RESPONSES_TOTAL_MAX_BYTES (64u * 1024u * 1024u)
 #define UPS_IDLE_MAX_MS 4000
 #define UPS_NON_IDEMPOTENT_IDLE_MAX_MS 1000
--- a/src/nod.c
+++ b/src/nod.c
@@ -285,6 +285,24 @@
   hsv_respond (h2o, ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
 }
 
+/* ---- Responses ---- */
+
+static void
+release_body (void *user, GByteArray *bytes)
+{
+  ucn_release_body (user, bytes);
+}
+
+void
+nod_send_response (Node *node, h2o_req_t *h2o, const UcnResponse *response)
+{
+  hsv_send_body (h2o, response->status,
+                 (HsvBody){ .bytes = ucn_take_body (response),
+                            .close_delimited = response->close_delimited,
+                            .release = release_body,
+                            .user = &node->ucn });
+}
+
 /* ---- Stop deadlines ---- */
 
 /* Requests of callers and of other nodes whose responses the kernel has not taken yet. */
--- a/src/nod.h
+++ b/src/nod.h
@@ -99,12 +99,14 @@
  * @cold_ms: moving average of the service time on upstreams that are cold for the object
  * @warm_ms: the same on upstreams that are warm for it
  * @deadline_ms: longest deadline received, taken as that of a caller's first attempt
+ * @response_bytes: size of a large response, decreasing with each smaller one
  */
 typedef struct
 {
   uint32_t cold_ms;
   uint32_t warm_ms;
   uint32_t deadline_ms;
+  uint32_t response_bytes;
 } NodRouteStats;
 
 /**
@@ -323,6 +325,10 @@
  * processing. */
 void nod_run_control (Node *node);
 
+/** nod_send_response() - sends an upstream's response to the caller or node that asked for it; its
+ * body is moved, and counts as memory in use until it is written. */
+void nod_send_response (Node *node, h2o_req_t *h2o, const UcnResponse *response);
+
 /** nod_stop() - starts a graceful stop, at the end of which the loop ends. */
 void nod_stop (Node *node);
 
--- a/src/rls.c
+++ b/src/rls.c
@@ -139,13 +139,11 @@
 send_response (Rls *rls, const UcnResponse *response)
 {
   h2o_req_t *h2o = rls->h2o;
+  Node *node = rls->node;
 
   copy_headers (rls, response);
   rls_free (rls);
-  if (response->close_delimited)
-    hsv_send_close_delimited (h2o, response->status, response->body->data, response->body->len);
-  else
-    hsv_send (h2o, response->status, response->body->data, response->body->len);
+  nod_send_response (node, h2o, response);
 }
 
 static void
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -35,6 +35,8 @@
  * @reused: an earlier exchange used it
  * @request_written: the kernel has accepted the whole request
  * @discarding: the response being read belongs to an earlier request
+ * @held_bytes: what it counts in &UcnCtx.buffered_bytes
+ * @waits_for_room: it is in &UcnCtx.waiting
  * @open_handles: libuv handles not closed yet; the last one to close frees the connection
  * @keep_alive_ms: timeout from the peer's Keep-Alive header, UINT32_MAX if it sent none
  */
@@ -59,12 +61,17 @@
   bool head_received;
   bool response_complete;
   bool discarding;
+  bool waits_for_room;
+  uint64_t held_bytes;
   uint32_t open_handles;
   uint32_t keep_alive_ms;
   uint64_t connect_start_ms;
   uint64_t idle_since_ms;
 } Conn;
 
+static void on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf);
+static void on_read (uv_stream_t *stream, ssize_t size, const uv_buf_t *buf);
+
 /* ---- Connection lifecycle ---- */
 
 static void
@@ -77,11 +84,38 @@
   g_free (header);
 }
 
+static void
+hold_bytes (Conn *conn, uint64_t bytes)
+{
+  conn->ctx->buffered_bytes += bytes - conn->held_bytes;
+  conn->held_bytes = bytes;
+}
+
+/* Reads again from the connections that have waited longest, as far as there is room. */
+static void
+resume_waiting (UcnCtx *ctx)
+{
+  while (!g_queue_is_empty (&ctx->waiting))
+    {
+      Conn *conn = g_queue_peek_head (&ctx->waiting);
+      uint64_t size = conn->response.body->len + conn->parser.content_length;
+      if (!ucn_has_room (ctx, size - conn->held_bytes))
+        return;
+      g_queue_pop_head (&ctx->waiting);
+      conn->waits_for_room = false;
+      hold_bytes (conn, size);
+      uv_read_start ((uv_stream_t *) &conn->tcp, on_alloc, on_read);
+    }
+}
+
 static void
 clear_body (Conn *conn)
 {
-  conn->ctx->buffered_bytes -= conn->response.body->len;
+  if (conn->waits_for_room)
+    g_queue_remove (&conn->ctx->waiting, conn);
+  conn->waits_for_room = false;
   g_byte_array_set_size (conn->response.body, 0);
+  hold_bytes (conn, 0);
 }
 
 static void
@@ -134,6 +168,7 @@
     }
   conn->state = CONN_CLOSING;
   clear_body (conn);
+  resume_waiting (conn->ctx);
   uv_close ((uv_handle_t *) &conn->tcp, on_handle_closed);
   uv_close ((uv_handle_t *) &conn->timer, on_handle_closed);
 }
@@ -237,6 +272,25 @@
   return strcmp (id, call->id) != 0;
 }
 
+/* Makes room for a body of known length, which is then received whole; without room the connection
+ * waits, except for small bodies. */
+static void
+reserve_body (Conn *conn)
+{
+  uint64_t size = conn->parser.content_length;
+
+  if (size == ULLONG_MAX || conn->call->method_is_head || size > RESPONSE_MAX_BYTES)
+    return;
+  if (size <= RESPONSE_SMALL_BYTES
+      || (g_queue_is_empty (&conn->ctx->waiting) && ucn_has_room (conn->ctx, size)))
+    hold_bytes (conn, size);
+  else
+    {
+      conn->waits_for_room = true;
+      g_queue_push_tail (&conn->ctx->waiting, conn);
+    }
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -252,6 +306,7 @@
   conn->discarding = parser->status_code >= 200 && is_stale_response (conn);
   if (conn->discarding)
     conn->no_reuse = true;
+  reserve_body (conn);
   return conn->call->method_is_head ? 1 : 0;
 }
 
@@ -259,11 +314,16 @@
 on_body (http_parser *parser, const char *at, size_t size)
 {
   Conn *conn = parser->data;
+  uint64_t total = conn->response.body->len + size;
 
-  if (conn->response.body->len + size > RESPONSE_MAX_BYTES
-      || conn->ctx->buffered_bytes + size > RESPONSES_TOTAL_MAX_BYTES)
+  if (total > RESPONSE_MAX_BYTES)
     return 1;
-  conn->ctx->buffered_bytes += size;
+  if (total > conn->held_bytes)
+    {
+      if (!conn->waits_for_room && !ucn_has_room (conn->ctx, total - conn->held_bytes))
+        return 1;
+      hold_bytes (conn, total);
+    }
   g_byte_array_append (conn->response.body, (const guint8 *) at, (guint) size);
   return 0;
 }
@@ -303,6 +363,7 @@
       return;
     }
   clear_body (conn);
+  resume_waiting (conn->ctx);
   g_queue_remove (&pool->busy, conn);
   g_queue_push_head (&pool->idle, conn);
   conn->state = CONN_IDLE;
@@ -325,6 +386,8 @@
     }
   if (failed)
     fail_call (conn, UCN_INVALID);
+  else if (conn->waits_for_room)
+    uv_read_stop ((uv_stream_t *) &conn->tcp);
 }
 
 static void
@@ -638,6 +701,32 @@
   call_free (call);
 }
 
+GByteArray *
+ucn_take_body (const UcnResponse *response)
+{
+  Conn *conn = (Conn *) ((char *) response - offsetof (Conn, response));
+  GByteArray *body = conn->response.body;
+
+  hold_bytes (conn, body->len);
+  conn->held_bytes = 0;
+  conn->response.body = g_byte_array_new ();
+  return body;
+}
+
+void
+ucn_release_body (UcnCtx *ctx, GByteArray *body)
+{
+  ctx->buffered_bytes -= body->len;
+  g_byte_array_unref (body);
+  resume_waiting (ctx);
+}
+
+bool
+ucn_has_room (const UcnCtx *ctx, uint64_t size)
+{
+  return ctx->buffered_bytes + size <= RESPONSES_TOTAL_MAX_BYTES;
+}
+
 bool
 ucn_was_sent (const UcnCall *call)
 {
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -54,7 +54,9 @@
  * @read_buffer: UCN_READ_BUFFER_BYTES, for the read in progress
  * @opened: connections opened since the start, including failed attempts
  * @reused: requests sent on an existing connection since the start
- * @buffered_bytes: total size of the response bodies in memory
+ * @buffered_bytes: total size of the response bodies in memory, those being received with their
+ * announced lengths, until ucn_release_body()
+ * @waiting: connections that are not read until there is room for their responses
  */
 typedef struct
 {
@@ -63,6 +65,7 @@
   uint64_t opened;
   uint64_t reused;
   uint64_t buffered_bytes;
+  GQueue waiting;
 } UcnCtx;
 
 /**
@@ -141,5 +144,15 @@
 /** ucn_was_sent() - true once the request has been passed to the socket, even if only in part. */
 bool ucn_was_sent (const UcnCall *call);
 
+/** ucn_take_body() - passes the body of the response in a callback to the caller, who reports its
+ * end with ucn_release_body(); the response has an empty body then. */
+GByteArray *ucn_take_body (const UcnResponse *response);
+
+/** ucn_release_body() - frees a body taken with ucn_take_body() and makes room for others. */
+void ucn_release_body (UcnCtx *ctx, GByteArray *body);
+
+/** ucn_has_room() - whether a response of @size bytes can be received at once. */
+bool ucn_has_room (const UcnCtx *ctx, uint64_t size);
+
 /** ucn_header() - first value of a response header, or NULL; names are case-insensitive. */
 const char *ucn_header (const UcnResponse *response, const char *name);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -759,6 +759,23 @@
 }
 }
 
+int
+Connect (const std::string &address, int receive_buffer_bytes)
+{
+  size_t colon = address.find (':');
+  sockaddr_in addr = {};
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (std::stoi (address.substr (colon + 1)));
+  inet_pton (AF_INET, address.substr (0, colon).c_str (), &addr.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer_bytes > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+  if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 Reply
 Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
        const Headers &headers, const std::string &body, int timeout_ms)
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -234,6 +234,9 @@
   pid_t pid_ = 0;
 };
 
+// Connects to "IP:port". A small receive buffer makes the peer wait for the reads.
+int Connect (const std::string &address, int receive_buffer_bytes = 0);
+
 // Sends one request on a new connection.
 Reply Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
              const Headers &headers, const std::string &body, int timeout_ms);
--- a/tests/test_nod.cc
+++ b/tests/test_nod.cc
@@ -55,16 +55,8 @@
   bool
   Connect ()
   {
-    size_t colon = front_.find (':');
-    sockaddr_in addr = {};
-    addr.sin_family = AF_INET;
-    addr.sin_port = htons (std::stoi (front_.substr (colon + 1)));
-    inet_pton (AF_INET, front_.substr (0, colon).c_str (), &addr.sin_addr);
-    fd_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (connect (fd_, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
-      return true;
-    Close ();
-    return false;
+    fd_ = ::Connect (front_);
+    return fd_ >= 0;
   }
 
   void
@@ -129,22 +121,6 @@
   std::vector<SentRequest> sent_;
 };
 
-// Connects with a small receive buffer, so that the sender waits for the reads.
-int
-ConnectSlowReader (const std::string &front)
-{
-  size_t colon = front.find (':');
-  sockaddr_in addr = {};
-  int buffer_bytes = 64 << 10;
-  addr.sin_family = AF_INET;
-  addr.sin_port = htons (std::stoi (front.substr (colon + 1)));
-  inet_pton (AF_INET, front.substr (0, colon).c_str (), &addr.sin_addr);
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
-  EXPECT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr), 0);
-  return fd;
-}
-
 // Reads up to a piece at a time until the connection ends. Return: the number of bytes.
 size_t
 ReadSlowly (int fd, size_t piece_bytes, std::chrono::milliseconds pause)
@@ -234,7 +210,7 @@
   NodeProcess node ("vm-1", "east-a", store.address ());
   ASSERT_TRUE (node.WaitReady (5000));
   std::this_thread::sleep_for (500ms);
-  int fd = ConnectSlowReader (node.front ());
+  int fd = Connect (node.front (), 64 << 10);
   node.Signal (SIGTERM);
   std::this_thread::sleep_for (2s);
   WriteAll (fd, "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow\r\n"
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -624,6 +624,47 @@
   EXPECT_EQ (node_->Ready ().status, 200);
 }
 
+// Guards against a node that runs out of memory because callers don't read what they have asked
+// for. Others are served meanwhile, and large responses again once those callers have gone.
+TEST_F (NodeTest, CallersThatDoNotReadStayWithinTheMemoryLimit)
+{
+#ifdef __SANITIZE_ADDRESS__
+  constexpr long kPeakMemoryMaxKb = 1000 * 1024;
+#else
+  constexpr long kPeakMemoryMaxKb = 150 * 1024;
+#endif
+  const size_t kBodyBytes = 16 << 20;
+  Start (10);
+  for (const auto &upstream : upstreams_)
+    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
+      bool is_large = request.target == "/load/large";
+      WriteAll (fd,
+                upstream->SignedResponse (request, std::string (is_large ? kBodyBytes : 2, 'f')));
+    });
+  std::vector<int> callers;
+  for (int i = 0; i < 30; i++)
+    {
+      callers.push_back (Connect (node_->front ()));
+      WriteAll (callers.back (), "GET /load/large HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: l"
+                                     + std::to_string (i) + "\r\nX-Deadline-Ms: 4000\r\n\r\n");
+    }
+  std::this_thread::sleep_for (1500ms);
+  EXPECT_EQ (node_->Call ("GET", "/read/a", WithId ("small")).status, 200);
+  Reply rejected = node_->Call ("GET", "/load/large", WithId ("rejected"));
+  EXPECT_EQ (rejected.status, 503);
+  EXPECT_LE (rejected.elapsed_ms, 500);
+  EXPECT_EQ (Runs ("rejected"), 0);
+  EXPECT_LE (node_->PeakMemoryKb (), kPeakMemoryMaxKb);
+  for (int fd : callers)
+    close (fd);
+  Reply whole;
+  EXPECT_TRUE (WaitUntil (5000, [&] {
+    whole = node_->Call ("GET", "/load/large", WithId ("whole"));
+    return whole.status == 200;
+  }));
+  EXPECT_EQ (whole.body.size (), kBodyBytes);
+}
+
 // Guards against a request that is run but whose caller gets no usable response: HTTP libraries
 // offer an upgrade to HTTP/2 by themselves.
 TEST_F (NodeTest, OfferedUpgradeToHttp2IsDeclined)
