--- a/src/hsv.c
+++ b/src/hsv.c
@@ -296,24 +296,51 @@
   send_response (req, status, h2o_strdup (&req->pool, body, size), size);
 }
 
+/**
+ * struct HeldBody - body of a response that is being written
+ * @reset_on_close: see set_reset_on_close()
+ */
+typedef struct
+{
+  HsvBody body;
+  h2o_socket_t *sock;
+  bool reset_on_close;
+} HeldBody;
+
+/* When enabled, the kernel resets the connection if the process ends: without a length, an orderly
+ * end would make a response look complete. */
+static void
+set_reset_on_close (h2o_socket_t *sock, bool enabled)
+{
+  struct linger linger = { .l_onoff = enabled, .l_linger = 0 };
+
+  setsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* h2o disposes of a request before it closes the connection. */
 static void
 on_body_disposed (void *data)
 {
-  HsvBody *body = data;
+  HeldBody *held = data;
 
-  body->release (body->user, body->bytes);
+  if (held->reset_on_close)
+    set_reset_on_close (held->sock, false);
+  held->body.release (held->body.user, held->body.bytes);
 }
 
 /* h2o sends an HTTP/1.0 response without chunked encoding and closes the connection after it. */
 void
 hsv_send_body (h2o_req_t *req, int status, HsvBody body)
 {
-  HsvBody *held = h2o_mem_alloc_shared (&req->pool, sizeof *held, on_body_disposed);
+  HeldBody *held = h2o_mem_alloc_shared (&req->pool, sizeof *held, on_body_disposed);
   h2o_iovec_t buf = h2o_iovec_init (body.bytes->data, body.bytes->len);
 
-  *held = body;
+  *held = (HeldBody){ .body = body,
+                      .sock = req->conn->callbacks->get_socket (req->conn),
+                      .reset_on_close = body.close_delimited };
   if (body.close_delimited)
     {
+      set_reset_on_close (held->sock, true);
       req->version = 0x100;
       req->http1_is_persistent = 0;
     }
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -68,7 +68,8 @@
 
 /**
  * struct HsvBody - a body that is not copied
- * @close_delimited: it is sent without a Content-Length: the end of the connection ends it
+ * @close_delimited: it is sent without a Content-Length: the end of the connection ends it, and if
+ *   the process ends before, the connection is reset
  * @release: called with @user when the body is written or dropped; frees it
  */
 typedef struct
--- a/tests/test_nod.cc
+++ b/tests/test_nod.cc
@@ -220,4 +220,38 @@
   EXPECT_EQ (node.WaitExit (kGraceMs + 500), 0);
 }
 
+// Guards against a short response that looks complete: it has no length, and the process ends while
+// it is being written.
+TEST (SlowReader, ResponseWithoutLengthIsResetWhenTheProcessIsKilled)
+{
+  const size_t kBodyBytes = 16 << 20;
+  FakeStore store;
+  FakeUpstream upstream ("up-1");
+  upstream.SetBehaviour ([&] (int fd, const Request &request) {
+    WriteAll (fd, "HTTP/1.1 200 OK\r\nX-Response-Signature: 1\r\nX-Request-Id: "
+                      + request.headers.at ("x-request-id") + "\r\nConnection: close\r\n\r\n"
+                      + std::string (kBodyBytes, 'f'));
+    shutdown (fd, SHUT_RDWR);
+  });
+  store.Put ("config", "main", Configuration (7, "", "\"timeout-s\":5,\"goal-s\":0.5"));
+  store.Put ("servers", upstream.id (), upstream.Record ("desk", "east-a"));
+  NodeProcess node ("vm-1", "east-a", store.address ());
+  ASSERT_TRUE (node.WaitReady (5000));
+  std::this_thread::sleep_for (500ms);
+  for (bool killed : { false, true })
+    {
+      int fd = Connect (node.front (), 64 << 10);
+      WriteAll (fd, "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow\r\n"
+                    "X-Deadline-Ms: 4000\r\n\r\n");
+      std::this_thread::sleep_for (700ms);
+      if (killed)
+        node.Signal (SIGKILL);
+      errno = 0;
+      size_t size = ReadSlowly (fd, 60 << 10, 1ms);
+      EXPECT_EQ (size < kBodyBytes, killed);
+      EXPECT_EQ (errno, killed ? ECONNRESET : 0);
+      close (fd);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P (ServiceTimeMs, GracefulStop, testing::Values (100, 1200, 2500, 3500));
