Relay: one reading of the clock for an upstream's pause

A pause that ended between two readings of the clock gave a Retry-After of up to 2^32 s. Found by reading; the two readings are in one function call, so no test can hold the clock between them.

--- a/src/rls.c
+++ b/src/rls.c
@@ -234,9 +234,8 @@
 
 /* The response that the paused upstream itself would give: not run, with a Retry-After time. */
 static void
-reject_paused (const Node *node, h2o_req_t *h2o, const Ups *ups)
+reject_paused (const Node *node, h2o_req_t *h2o, uint64_t pause_ms)
 {
-  uint64_t pause_ms = ups->paused_until_ms - clk_now_ms ();
   char *id = hsv_header (h2o, node->headers.request_id);
   char seconds[32];
 
@@ -264,9 +263,10 @@
       reject (node, h2o, outcome);
       return;
     }
-  if (clk_now_ms () < ups->paused_until_ms)
+  uint64_t now_ms = clk_now_ms ();
+  if (now_ms < ups->paused_until_ms)
     {
-      reject_paused (node, h2o, ups);
+      reject_paused (node, h2o, ups->paused_until_ms - now_ms);
       return;
     }
   Rls *rls = rls_new (node, h2o, ups, remaining_ms);
