FAULT: large request bodies stay within a limit

Seen by callers: a node that gets two bodies of 60 MB at once, within the configured limit, goes over its VM's memory and is killed with all requests at work.

Cause: three copies of each body and no limit on those being received.

Test, before: NodeTest.ConcurrentLargeBodiesStayWithinTheMemoryLimit, four bodies of 60 MB: peak 781,252 KB (245,760 allowed). After: 183,716 KB, all four whole. Passed with it: test_ucn, test_fbk, test_rls, the tests of bodies, memory and pipelining in test_node.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -228,6 +228,7 @@
 {
   UcnPool *pool = frq->relay != NULL ? &frq->relay->pool : &frq->ups->pool;
   UcnSpec spec = { .build = build_message,
+                   .body = frq->message.body,
                    .id_header = frq->id != NULL ? frq->node->headers.request_id : NULL,
                    .id = frq->id,
                    .method_is_head = strcmp (frq->message.method, "HEAD") == 0,
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -2,6 +2,7 @@
 #include "hsv.h"
 
 #include "lim.h"
+#include "rdl.h"
 
 #include <h2o/http1.h>
 #include <netinet/tcp.h>
@@ -24,6 +25,7 @@
   void *hook_user;
   GHashTable *watch_table;
   uint32_t open_requests;
+  Rdl reading;
 };
 
 /** struct Watch - callback for the disconnection of a caller; stored in HsvServer.watch_table by
@@ -105,7 +107,9 @@
     }
   uv_tcp_nodelay (conn, 1);
   limit_stalls (conn);
-  h2o_accept (&server->accept_ctx, h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free));
+  h2o_socket_t *sock = h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free);
+  rdl_add (&server->reading, sock);
+  h2o_accept (&server->accept_ctx, sock);
 }
 
 static bool
@@ -143,10 +147,12 @@
   server->handler = handler;
   server->user = user;
   server->watch_table = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  rdl_init (&server->reading);
   h2o_config_init (&server->config);
   server->config.max_request_entity_size = REQUEST_BODY_MAX_BYTES;
   server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
   server->config.http1.upgrade_to_http2 = 0;
+  h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX; /* /tmp counts as memory and is small */
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("cardamomcrank"));
   host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")),
                                    UINT16_MAX);
@@ -200,6 +206,12 @@
   server->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
+void
+hsv_limit_reading (HsvServer *server, uint64_t now_ms)
+{
+  rdl_check (&server->reading, server->watch_table, now_ms);
+}
+
 void
 hsv_drain_connections (HsvServer *server)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -38,6 +38,10 @@
  * request body. */
 void hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes);
 
+/** hsv_limit_reading() - bounds the memory of requests that are being received; to be called
+ * regularly. Counts requests that hsv_watch_disconnect() watches as received. */
+void hsv_limit_reading (HsvServer *server, uint64_t now_ms);
+
 /** hsv_drain_connections() - each connection is closed after its next response, which announces it
  * ("connection: close"); the listener stays open. */
 void hsv_drain_connections (HsvServer *server);
--- a/src/lim.h
+++ b/src/lim.h
@@ -109,6 +109,12 @@
 #define LOAN_IDLE_MS 500
 #define LOAN_STATEMENT_PERIOD_MS 500
 
+/* Requests that callers send. */
+#define RDL_SMALL_BYTES (256u * 1024u)
+#define RDL_RECEIVED_MAX_BYTES (24u * 1024u * 1024u)
+#define RDL_IDLE_PERIOD_MS 100
+#define RDL_BUSY_PERIOD_MS 20
+
 /* Upstream connections of the node process. */
 #define UCN_READ_BUFFER_BYTES (64u * 1024u)
 #define UCN_TCP_USER_TIMEOUT_MS 1500
--- a/src/msg.c
+++ b/src/msg.c
@@ -73,7 +73,7 @@
 GString *
 msg_build (const MsgRequest *request, const char *extra_headers)
 {
-  GString *message = g_string_sized_new (512 + request->headers->len + request->body->len);
+  GString *message = g_string_sized_new (512 + request->headers->len);
 
   g_string_append_printf (message, "%s %s HTTP/1.1\r\nHost: %s\r\n", request->method, request->path,
                           request->host);
@@ -82,6 +82,5 @@
   if (has_body (request))
     g_string_append_printf (message, "Content-Length: %u\r\n", request->body->len);
   g_string_append (message, "\r\n");
-  g_string_append_len (message, (const char *) request->body->data, (gssize) request->body->len);
   return message;
 }
--- a/src/msg.h
+++ b/src/msg.h
@@ -36,9 +36,9 @@
 void msg_clear (MsgRequest *request);
 
 /**
- * msg_build() - serializes the request as an HTTP/1.1 message
+ * msg_build() - serializes the request as an HTTP/1.1 message, without its body
  * @extra_headers: further complete header lines, each with CRLF
  *
- * Return: a new string with request line, headers and body.
+ * Return: a new string with request line and headers, behind which the body is to be sent.
  */
 GString *msg_build (const MsgRequest *request, const char *extra_headers);
--- a/src/nod.c
+++ b/src/nod.c
@@ -412,7 +412,12 @@
 {
   Node *node = timer->data;
 
+  uint64_t now_ms = clk_now_ms ();
+
   nod_run_control (node);
+  hsv_limit_reading (node->front, now_ms);
+  if (node->relay != NULL)
+    hsv_limit_reading (node->relay, now_ms);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
--- a/src/rls.c
+++ b/src/rls.c
@@ -271,6 +271,7 @@
     }
   Rls *rls = rls_new (node, h2o, ups, remaining_ms);
   UcnSpec spec = { .build = build_message,
+                   .body = rls->message.body,
                    .id_header = rls->id != NULL ? node->headers.request_id : NULL,
                    .id = rls->id,
                    .method_is_head = strcmp (rls->message.method, "HEAD") == 0,
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -24,6 +24,7 @@
   void *user;
   UcnBuildFn build;
   GString *message;
+  GByteArray *body;
   char *id_header;
   char *id;
   bool method_is_head;
@@ -35,6 +36,7 @@
  * @no_reuse: it is closed after the current exchange
  * @reused: an earlier exchange used it
  * @request_written: the kernel has accepted the whole request
+ * @written_body: the body of @write, or NULL
  * @discarding: the response being read belongs to an earlier request
  * @held_bytes: what it counts in &UcnCtx.buffered_bytes
  * @waits_for_room: it is in &UcnCtx.waiting
@@ -59,6 +61,7 @@
   bool no_reuse;
   bool reused;
   bool request_written;
+  GByteArray *written_body;
   bool head_received;
   bool response_complete;
   bool discarding;
@@ -138,6 +141,8 @@
 {
   if (call->message != NULL)
     g_string_free (call->message, TRUE);
+  if (call->body != NULL)
+    g_byte_array_unref (call->body);
   g_free (call->id_header);
   g_free (call->id);
   g_free (call);
@@ -441,13 +446,21 @@
 
 /* ---- Sending ---- */
 
+static void
+release_message (Conn *conn)
+{
+  g_string_free (conn->write.data, TRUE);
+  if (conn->written_body != NULL)
+    g_byte_array_unref (conn->written_body);
+  conn->written_body = NULL;
+}
+
 static void
 on_written (uv_write_t *write, int status)
 {
-  GString *message = write->data;
   Conn *conn = write->handle->data;
 
-  g_string_free (message, TRUE);
+  release_message (conn);
   conn->request_written = status == 0;
 }
 
@@ -463,9 +476,15 @@
 {
   UcnCall *call = conn->call;
   GString *message = call->message;
-  uv_buf_t buf = uv_buf_init (message->str, (unsigned int) message->len);
+  uv_buf_t bufs[] = { uv_buf_init (message->str, (unsigned int) message->len), { 0 } };
+  unsigned int count = 1;
 
   call->message = NULL;
+  if (call->body != NULL && call->body->len > 0)
+    {
+      conn->written_body = g_byte_array_ref (call->body);
+      bufs[count++] = uv_buf_init ((char *) call->body->data, call->body->len);
+    }
   call->sent = true;
   conn->state = CONN_BUSY;
   conn->request_written = false;
@@ -474,9 +493,9 @@
   http_parser_init (&conn->parser, HTTP_RESPONSE);
   conn->parser.data = conn;
   conn->write.data = message;
-  if (uv_write (&conn->write, (uv_stream_t *) &conn->tcp, &buf, 1, on_written) != 0)
+  if (uv_write (&conn->write, (uv_stream_t *) &conn->tcp, bufs, count, on_written) != 0)
     {
-      g_string_free (message, TRUE);
+      release_message (conn);
       conn->no_reuse = true;
       uv_timer_start (&conn->timer, on_write_failed, 0, 0);
     }
@@ -678,6 +697,7 @@
   call->user = user;
   call->build = spec->build;
   call->message = spec->message;
+  call->body = spec->body != NULL ? g_byte_array_ref (spec->body) : NULL;
   call->id_header = g_strdup (spec->id_header);
   call->id = g_strdup (spec->id);
   call->method_is_head = spec->method_is_head;
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -92,14 +92,16 @@
 /**
  * typedef UcnBuildFn - builds a request's message just before it is written
  *
- * Return: request line, headers and body, as a new string; NULL withdraws the request.
+ * Return: as &UcnSpec.message, as a new string; NULL withdraws the request.
  */
 typedef GString *(*UcnBuildFn) (void *user);
 
 /**
  * struct UcnSpec - one request
- * @message: request line, headers and body; ownership is transferred. NULL: @build is called
+ * @message: request line, headers and, without @body, the body; ownership is transferred. NULL:
+ * @build is called
  * @build: builds the message once a connection is available
+ * @body: sent after the message, not copied; the call holds a reference. May be NULL
  * @id_header: response header in which the peer repeats @id; responses with another ID are
  * discarded. NULL: responses are not checked
  * @id: request ID that the message contains
@@ -111,6 +113,7 @@
 {
   GString *message;
   UcnBuildFn build;
+  GByteArray *body;
   const char *id_header;
   const char *id;
   bool method_is_head;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -665,6 +665,36 @@
   EXPECT_EQ (whole.body.size (), kBodyBytes);
 }
 
+// Guards against a node that runs out of memory because callers send large bodies at the same time.
+TEST_F (NodeTest, ConcurrentLargeBodiesStayWithinTheMemoryLimit)
+{
+#ifdef __SANITIZE_ADDRESS__
+  constexpr long kPeakMemoryMaxKb = 1000 * 1024;
+#else
+  constexpr long kPeakMemoryMaxKb = 240 * 1024;
+#endif
+  const size_t kBodyBytes = 60 << 20;
+  Start (4, "\"timeout-s\":15,\"goal-s\":0.5");
+  std::atomic<int> whole{ 0 };
+  SetBehaviours ([&] (int fd, const Request &request) {
+    whole += request.body.size () == kBodyBytes;
+    WriteAll (fd, upstreams_[0]->SignedResponse (request, "ok"));
+  });
+  std::vector<std::thread> callers;
+  std::atomic<int> succeeded{ 0 };
+  for (int i = 0; i < 4; i++)
+    callers.emplace_back ([&, i] {
+      Reply reply = node_->Call ("POST", "/post/a", WithId ("big" + std::to_string (i), 15000),
+                                 std::string (kBodyBytes, 'b'), 20000);
+      succeeded += reply.status == 200;
+    });
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_EQ (succeeded, 4) << node_->Log ();
+  EXPECT_EQ (whole, 4);
+  EXPECT_LE (node_->PeakMemoryKb (), kPeakMemoryMaxKb);
+}
+
 // Guards against a request that is run but whose caller gets no usable response: HTTP libraries
 // offer an upgrade to HTTP/2 by themselves.
 TEST_F (NodeTest, OfferedUpgradeToHttp2IsDeclined)
