--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -44,6 +44,22 @@
     return node_->Call ("GET", "/read/warm", WithId ("warm")).status == 200;
   }
 
+  // Each upstream that runs a request for the target loses its connections and stops listening.
+  void
+  CrashUpstreamsOn (const std::string &target)
+  {
+    for (const auto &upstream : upstreams_)
+      upstream->SetBehaviour ([&upstream, target] (int fd, const Request &request) {
+        if (request.target == target)
+          {
+            shutdown (fd, SHUT_RDWR);
+            std::thread ([&upstream] { upstream->Stop (); }).detach ();
+          }
+        else
+          WriteAll (fd, upstream->SignedResponse (request, "ok"));
+      });
+  }
+
   int
   Arrivals () const
   {
@@ -545,16 +561,7 @@
 TEST_F (NodeTest, RequestThatCrashesUpstreamsIsBlocked)
 {
   Start (3);
-  for (const auto &upstream : upstreams_)
-    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
-      if (request.target == "/read/poison")
-        {
-          shutdown (fd, SHUT_RDWR);
-          std::thread ([&upstream] { upstream->Stop (); }).detach ();
-        }
-      else
-        WriteAll (fd, upstream->SignedResponse (request, "ok"));
-    });
+  CrashUpstreamsOn ("/read/poison");
   for (int i = 0; i < 12; i++)
     {
       node_->Call ("GET", "/read/poison", WithId ("poison-" + std::to_string (i)));
@@ -577,16 +584,7 @@
 {
   const int kRequests = 14;
   Start (6);
-  for (const auto &upstream : upstreams_)
-    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
-      if (request.target == "/read/poison")
-        {
-          shutdown (fd, SHUT_RDWR);
-          std::thread ([&upstream] { upstream->Stop (); }).detach ();
-        }
-      else
-        WriteAll (fd, upstream->SignedResponse (request, "ok"));
-    });
+  CrashUpstreamsOn ("/read/poison");
   for (int i = 0; i < kRequests; i++)
     {
       node_->Call ("GET", "/read/poison", WithId ("poison-" + std::to_string (i)));
