FAULT: a fetch that gets an endless body ends

Now a fetch ends as truncated beyond a size, a probe beyond 64 KiB.

Test, before (with the check taken out): HttpClient.EndlessBodyOfAFetchIsAborted kept 104,857,600 bytes, 1,048,576 allowed. After: passed, with the other three of test_hcl.

--- a/src/hcl.c
+++ b/src/hcl.c
@@ -14,6 +14,8 @@
   HclFetchFn fn;
   void *user;
   GString *body;
+  size_t body_max_bytes;
+  bool too_large;
   int status;
 } Fetch;
 
@@ -120,7 +122,9 @@
     call->ops->on_body (call->user, call, (*input)->bytes, (*input)->size);
   h2o_buffer_consume (input, (*input)->size);
   call->in_callback = false;
-  if (ended || call->cancelled)
+  bool too_large = call->fetch != NULL && call->fetch->too_large;
+  complete = complete && !too_large;
+  if (ended || call->cancelled || too_large)
     {
       call_end (call, complete ? HCL_DONE : HCL_TRUNCATED);
       return -1;
@@ -333,7 +337,11 @@
 fetch_on_body (void *user, HclCall *call, const char *data, size_t size)
 {
   (void) user;
-  g_string_append_len (call->fetch->body, data, (gssize) size);
+  Fetch *fetch = call->fetch;
+
+  fetch->too_large = fetch->body->len + size > fetch->body_max_bytes;
+  if (!fetch->too_large)
+    g_string_append_len (fetch->body, data, (gssize) size);
 }
 
 static void
@@ -369,10 +377,17 @@
   call->fetch = g_new0 (Fetch, 1);
   call->fetch->fn = fn;
   call->fetch->body = g_string_new (NULL);
+  call->fetch->body_max_bytes = FETCH_BODY_MAX_BYTES;
   g_free (head);
   return call;
 }
 
+void
+hcl_limit_fetch (HclCall *call, size_t body_max_bytes)
+{
+  call->fetch->body_max_bytes = body_max_bytes;
+}
+
 typedef struct
 {
   bool ended;
--- a/src/hcl.h
+++ b/src/hcl.h
@@ -119,6 +119,10 @@
 HclCall *hcl_fetch (HclCtx *ctx, NetAddr addr, const char *method, const char *path,
                     const char *body, uint32_t timeout_ms, HclFetchFn fn, void *user);
 
+/** hcl_limit_fetch() - ends the call as HCL_TRUNCATED when the body has more bytes, in place of the
+ * FETCH_BODY_MAX_BYTES that hold for each fetch. */
+void hcl_limit_fetch (HclCall *call, size_t body_max_bytes);
+
 /**
  * hcl_fetch_wait() - as hcl_fetch(), but runs the event loop until the call has ended
  * @response_body: set to the response's body, a new string
--- a/src/prb.c
+++ b/src/prb.c
@@ -83,8 +83,9 @@
   probe->steer = steer;
   g_strlcpy (probe->id, upstream->id, sizeof probe->id);
   steer->counters.probes++;
-  hcl_fetch (&steer->http, upstream->addr, "GET", "/health", NULL, PROBE_TIMEOUT_MS, on_probed,
-             probe);
+  HclCall *call = hcl_fetch (&steer->http, upstream->addr, "GET", "/health", NULL, PROBE_TIMEOUT_MS,
+                             on_probed, probe);
+  hcl_limit_fetch (call, PROBE_BODY_MAX_BYTES);
 }
 
 static void
--- a/tests/test_hcl.cc
+++ b/tests/test_hcl.cc
@@ -101,6 +101,45 @@
                                            "Transfer-Encoding: chunked\r\n\r\n"
                                            "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"));
 
+// Guards against a process that runs out of memory because an upstream's response has no end.
+TEST_F (HttpClient, EndlessBodyOfAFetchIsAborted)
+{
+  const size_t kMaxBytes = 1 << 20;
+  std::thread upstream ([&] {
+    const std::string chunk = "10000\r\n" + std::string (0x10000, 'x') + "\r\n";
+    char data[512];
+    int fd = accept (server_, nullptr, nullptr);
+    EXPECT_GT (recv (fd, data, sizeof data, 0), 0);
+    std::string bytes = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+    size_t sent = 0;
+    // Ends by itself where nobody aborts it.
+    for (ssize_t size = 1; size > 0 && sent < 100 * kMaxBytes; bytes = chunk)
+      {
+        size = send (fd, bytes.data (), bytes.size (), MSG_NOSIGNAL);
+        sent += size > 0 ? size : 0;
+      }
+    close (fd);
+  });
+  struct Result
+  {
+    bool ended;
+    HclOutcome outcome;
+    size_t bytes;
+  } result = {};
+  HclCall *call = hcl_fetch (
+      Context (), NetAddr{ INADDR_LOOPBACK, port_ }, "GET", "/a", nullptr, kTimeoutMs,
+      [] (void *user, HclOutcome outcome, int, const char *, size_t size) {
+        *static_cast<Result *> (user) = Result{ true, outcome, size };
+      },
+      &result);
+  hcl_limit_fetch (call, kMaxBytes);
+  while (!result.ended)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  upstream.join ();
+  EXPECT_EQ (result.outcome, HCL_TRUNCATED);
+  EXPECT_LE (result.bytes, kMaxBytes);
+}
+
 // Without a length or chunks, the end of a response can't be told from a lost connection.
 TEST_F (HttpClient, CloseDelimitedResponseIsNeverComplete)
 {
