--- a/src/hsv.c
+++ b/src/hsv.c
@@ -24,7 +24,7 @@
   HsvHook hook;
   void *hook_user;
   GHashTable *watch_table;
-  uint32_t open_requests;
+  uint32_t unwritten_bodies;
   Rdl reading;
 };
 
@@ -51,28 +51,11 @@
     server->hook (server->hook_user);
 }
 
-static void
-on_request_disposed (void *data)
-{
-  (*(HsvServer **) data)->open_requests--;
-}
-
-/* h2o releases a request's memory once its response is written or its connection is closed. */
-static void
-count_request (HsvServer *server, h2o_req_t *req)
-{
-  HsvServer **link = h2o_mem_alloc_shared (&req->pool, sizeof *link, on_request_disposed);
-
-  *link = server;
-  server->open_requests++;
-}
-
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
   HsvServer *server = ((Handler *) self)->server;
 
-  count_request (server, req);
   run_hook (server);
   server->handler (server->user, req);
   return 0;
@@ -183,9 +166,9 @@
 }
 
 uint32_t
-hsv_open_requests (const HsvServer *server)
+hsv_unwritten_bodies (const HsvServer *server)
 {
-  return server->open_requests;
+  return server->unwritten_bodies;
 }
 
 void
@@ -220,13 +203,17 @@
 
 /* ---- Disconnection of callers ---- */
 
+static HsvServer *
+server_of_conn (const h2o_conn_t *conn)
+{
+  return (HsvServer *) ((char *) conn->ctx - offsetof (HsvServer, ctx));
+}
+
 /* The socket's data is h2o's connection state, whose first member is its h2o_conn_t. */
 static HsvServer *
 server_of_socket (h2o_socket_t *sock)
 {
-  const h2o_conn_t *conn = sock->data;
-
-  return (HsvServer *) ((char *) conn->ctx - offsetof (HsvServer, ctx));
+  return server_of_conn (sock->data);
 }
 
 /* h2o reads no further request until the response is sent; data that arrives before is left in the
@@ -315,6 +302,7 @@
 typedef struct
 {
   HsvBody body;
+  HsvServer *server;
   h2o_socket_t *sock;
   bool reset_on_close;
 } HeldBody;
@@ -335,6 +323,7 @@
 {
   HeldBody *held = data;
 
+  held->server->unwritten_bodies--;
   if (held->reset_on_close)
     set_reset_on_close (held->sock, false);
   held->body.release (held->body.user, held->body.bytes);
@@ -348,8 +337,10 @@
   h2o_iovec_t buf = h2o_iovec_init (body.bytes->data, body.bytes->len);
 
   *held = (HeldBody){ .body = body,
+                      .server = server_of_conn (req->conn),
                       .sock = req->conn->callbacks->get_socket (req->conn),
                       .reset_on_close = body.close_delimited };
+  held->server->unwritten_bodies++;
   if (body.close_delimited)
     {
       set_reset_on_close (held->sock, true);
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -26,9 +26,8 @@
 /** hsv_port() - the port that the server listens on. */
 uint16_t hsv_port (const HsvServer *server);
 
-/** hsv_open_requests() - requests that were read and whose responses aren't written yet, as far as
- * the kernel takes them. */
-uint32_t hsv_open_requests (const HsvServer *server);
+/** hsv_unwritten_bodies() - bodies of hsv_send_body() that the kernel has not taken whole. */
+uint32_t hsv_unwritten_bodies (const HsvServer *server);
 
 /** hsv_stop_listening() - closes the listener; open connections are closed after their
  * current requests. */
--- a/src/nod.c
+++ b/src/nod.c
@@ -305,12 +305,12 @@
 
 /* ---- Stop deadlines ---- */
 
-/* Requests of callers and of other nodes whose responses the kernel has not taken yet. */
+/* Responses of upstreams, to callers and to other nodes, that the kernel has not taken whole. */
 static uint32_t
 unwritten_responses (const Node *node)
 {
-  return hsv_open_requests (node->front)
-         + (node->relay != NULL ? hsv_open_requests (node->relay) : 0);
+  return hsv_unwritten_bodies (node->front)
+         + (node->relay != NULL ? hsv_unwritten_bodies (node->relay) : 0);
 }
 
 static void
--- a/tests/test_nod.cc
+++ b/tests/test_nod.cc
@@ -5,9 +5,12 @@
 
 #include <arpa/inet.h>
 #include <csignal>
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 using namespace std::chrono_literals;
@@ -220,6 +223,59 @@
   EXPECT_EQ (node.WaitExit (kGraceMs + 500), 0);
 }
 
+// Guards against a stop that lasts until the process is killed because requests go on arriving:
+// each is rejected, and some rejection is always on its way.
+TEST (BusyStop, RejectedRequestsDoNotDelayTheEndOfTheProcess)
+{
+  const int kStopMs = 4200; // for which a stopping process still serves, and rejects, requests
+  FakeStore store;
+  FakeUpstream upstream ("up-1");
+  store.Put ("config", "main", Configuration (7, "", "\"timeout-s\":5,\"goal-s\":0.5"));
+  store.Put ("servers", upstream.id (), upstream.Record ("desk", "east-a"));
+  NodeProcess node ("vm-1", "east-a", store.address ());
+  ASSERT_TRUE (node.WaitReady (5000));
+  std::atomic<bool> ending{ false };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 32; i++)
+    callers.emplace_back ([&] {
+      while (!ending)
+        node.Call ("GET", "/read/a", { { "X-Request-Id", "busy" }, { "X-Deadline-Ms", "2000" } });
+    });
+  std::this_thread::sleep_for (500ms);
+  int stop_ms = NowMs ();
+  node.Signal (SIGTERM);
+  EXPECT_EQ (node.WaitExit (kGraceMs + 500), 0);
+  EXPECT_LE (NowMs () - stop_ms, kStopMs + 500) << node.Log ().substr (node.Log ().size () - 300);
+  ending = true;
+  for (std::thread &caller : callers)
+    caller.join ();
+}
+
+// Guards against a process that is ended by a signal which tells it that its settings have changed
+// while it is starting. The settings are a pipe, so that the process waits for them.
+TEST (Start, SignalBeforeTheSettingsAreReadDoesNotEndTheProcess)
+{
+  std::string path = "/tmp/cardamom-start-" + std::to_string (getpid ());
+  ASSERT_EQ (mkfifo (path.c_str (), 0600), 0);
+  pid_t pid = fork ();
+  if (pid == 0)
+    {
+      setenv ("CARDAMOMCRANK_CONFIG", path.c_str (), 1);
+      execl (PROGRAMS_DIR "/cardamom-node", "cardamom-node", nullptr);
+      _exit (127);
+    }
+  int fd = open (path.c_str (), O_WRONLY); // returns when the process reads
+  kill (pid, SIGHUP);
+  std::this_thread::sleep_for (100ms);
+  WriteAll (fd, "{}");
+  close (fd);
+  int status = 0;
+  waitpid (pid, &status, 0);
+  unlink (path.c_str ());
+  ASSERT_TRUE (WIFEXITED (status)) << "ended by signal " << WTERMSIG (status);
+  EXPECT_EQ (WEXITSTATUS (status), 2); // the settings lack all fields
+}
+
 // Guards against a short response that looks complete: it has no length, and the process ends while
 // it is being written.
 TEST (SlowReader, ResponseWithoutLengthIsResetWhenTheProcessIsKilled)
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <gtest/gtest.h>
 #include <random>
+#include <sstream>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -198,7 +199,7 @@
         break;
       case 1:
         node.Signal (SIGTERM);
-        EXPECT_EQ (node.WaitExit (6500), 0);
+        EXPECT_EQ (node.WaitExit (6500), 0) << "seed " << seed_ << "\n" << StopEvents (node);
         node.Start ();
         break;
       case 2:
@@ -225,6 +226,18 @@
       }
   }
 
+  // The lines of the node's log that tell how its stop went.
+  static std::string
+  StopEvents (const NodeProcess &node)
+  {
+    std::istringstream log (node.Log ());
+    std::string lines;
+    for (std::string line; std::getline (log, line);)
+      if (line.find ("event=stop") != std::string::npos)
+        lines += line + "\n";
+    return lines;
+  }
+
   static void
   ApplyFault (FaultProxy &proxy, const std::string &command)
   {
