Socket options, JSON members and memory limits of tests have one copy each

The user timeout of sockets was set in three places, jsc_member() opened the object again for each member, and three tests had the same limit under the sanitizers.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -58,9 +58,11 @@
 admit_retry (Frq *frq)
 {
   Node *node = frq->node;
-  uint32_t crashes = poi_crashes (&node->poison, frq->fingerprint, clk_now_ms ());
+  uint64_t now_ms = clk_now_ms ();
 
-  if (crashes >= POISON_NODE_CRASHES_MAX || (frq->may_have_run && crashes > 0))
+  if (poi_is_blocked (&node->poison, frq->fingerprint, now_ms))
+    return false;
+  if (frq->may_have_run && poi_crashes (&node->poison, frq->fingerprint, now_ms) > 0)
     return false;
   if (frq->may_have_run && !rte_is_idempotent (frq->route))
     return false;
--- a/src/hcl.c
+++ b/src/hcl.c
@@ -183,11 +183,10 @@
 static void
 set_socket_options (h2o_socket_t *sock)
 {
-  unsigned int timeout_ms = TCP_USER_TIMEOUT_MS;
   int one = 1;
   int fd = h2o_socket_get_fd (sock);
 
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  net_set_user_timeout (fd, TCP_USER_TIMEOUT_MS);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -5,7 +5,6 @@
 #include "rdl.h"
 
 #include <h2o/http1.h>
-#include <netinet/tcp.h>
 #include <string.h>
 
 #define LISTEN_BACKLOG 1024
@@ -65,11 +64,10 @@
 static void
 limit_stalls (const uv_tcp_t *conn)
 {
-  unsigned int timeout_ms = HSV_TCP_USER_TIMEOUT_MS;
   uv_os_fd_t fd;
 
   if (uv_fileno ((const uv_handle_t *) conn, &fd) == 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+    net_set_user_timeout (fd, HSV_TCP_USER_TIMEOUT_MS);
 }
 
 static void
@@ -295,16 +293,12 @@
   send_response (req, status, h2o_strdup (&req->pool, body, size), size);
 }
 
-/**
- * struct HeldBody - body of a response that is being written
- * @reset_on_close: see set_reset_on_close()
- */
+/** struct HeldBody - body of a response that is being written */
 typedef struct
 {
   HsvBody body;
   HsvServer *server;
   h2o_socket_t *sock;
-  bool reset_on_close;
 } HeldBody;
 
 /* When enabled, the kernel resets the connection if the process ends: without a length, an orderly
@@ -324,7 +318,7 @@
   HeldBody *held = data;
 
   held->server->unwritten_bodies--;
-  if (held->reset_on_close)
+  if (held->body.close_delimited)
     set_reset_on_close (held->sock, false);
   held->body.release (held->body.user, held->body.bytes);
 }
@@ -338,8 +332,7 @@
 
   *held = (HeldBody){ .body = body,
                       .server = server_of_conn (req->conn),
-                      .sock = req->conn->callbacks->get_socket (req->conn),
-                      .reset_on_close = body.close_delimited };
+                      .sock = req->conn->callbacks->get_socket (req->conn) };
   held->server->unwritten_bodies++;
   if (body.close_delimited)
     {
--- a/src/jsc.c
+++ b/src/jsc.c
@@ -140,15 +140,11 @@
 }
 
 bool
-jsc_member (JscSpan text, const char *name, JscSpan *value)
+jsc_member (JscSpan contents, const char *name, JscSpan *value)
 {
   size_t size = strlen (name);
-  JscSpan contents;
   JscSpan key;
 
-  skip_space (&text);
-  if (text.at >= text.end || *text.at != '{' || !jsc_open (text, &contents))
-    return false;
   while (take_value (&contents, &key) && take_char (&contents, ':')
          && take_value (&contents, value))
     {
--- a/src/jsc.h
+++ b/src/jsc.h
@@ -28,9 +28,9 @@
 /** jsc_is_blank() - true if nothing but white space is left. */
 bool jsc_is_blank (JscSpan text);
 
-/** jsc_member() - value of an object's first member of that name; false without one. Names with
- * escapes are not decoded. */
-bool jsc_member (JscSpan text, const char *name, JscSpan *value);
+/** jsc_member() - value of an object's first member of that name; false without one. @contents:
+ * from jsc_open(). Names with escapes are not decoded. */
+bool jsc_member (JscSpan contents, const char *name, JscSpan *value);
 
 /** jsc_uint() - a decimal integer, or @fallback. */
 uint64_t jsc_uint (JscSpan text, uint64_t fallback);
--- a/src/net.c
+++ b/src/net.c
@@ -2,6 +2,7 @@
 #include "net.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -52,3 +53,9 @@
 
   return out;
 }
+
+void
+net_set_user_timeout (int fd, unsigned int timeout_ms)
+{
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
--- a/src/net.h
+++ b/src/net.h
@@ -28,3 +28,7 @@
 
 /** net_addr_sockaddr() - converts @addr to a socket address (network byte order). */
 struct sockaddr_in net_addr_sockaddr (NetAddr addr);
+
+/** net_set_user_timeout() - closes a TCP connection whose peer acknowledges nothing for that long.
+ */
+void net_set_user_timeout (int fd, unsigned int timeout_ms);
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -504,7 +504,6 @@
 static void
 set_socket_options (Conn *conn)
 {
-  unsigned int timeout_ms = UCN_TCP_USER_TIMEOUT_MS;
   int keepalive_interval_s = 1;
   int keepalive_probes = 2;
   uv_os_fd_t fd;
@@ -513,7 +512,7 @@
   uv_tcp_keepalive (&conn->tcp, 1, 1);
   if (uv_fileno ((uv_handle_t *) &conn->tcp, &fd) != 0)
     return;
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  net_set_user_timeout (fd, UCN_TCP_USER_TIMEOUT_MS);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s, sizeof keepalive_interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &keepalive_probes, sizeof keepalive_probes);
 }
--- a/tests/test_jsc.cc
+++ b/tests/test_jsc.cc
@@ -36,8 +36,10 @@
 std::string
 Member (const std::string &text, const char *name)
 {
+  JscSpan contents;
   JscSpan value;
-  return jsc_member (Span (text), name, &value) ? Text (value) : "";
+  return jsc_open (Span (text), &contents) && jsc_member (contents, name, &value) ? Text (value)
+                                                                                  : "";
 }
 }
 
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -19,6 +19,17 @@
   return { { "X-Request-Id", id }, { "X-Deadline-Ms", std::to_string (deadline_ms) } };
 }
 
+// Limit on a node's peak memory; the sanitizers need more.
+constexpr long
+MemoryLimitKb (long megabytes)
+{
+#ifdef __SANITIZE_ADDRESS__
+  return 1000 * 1024;
+#else
+  return megabytes * 1024;
+#endif
+}
+
 // A store, upstreams in the node's zone, and a node that is ready to serve.
 class NodeTest : public ::testing::Test
 {
@@ -342,11 +353,7 @@
 // A node on a VM with 160 MB of memory must survive several endless responses at a time.
 TEST_F (NodeTest, ConcurrentEndlessResponsesStayWithinTheMemoryLimit)
 {
-#ifdef __SANITIZE_ADDRESS__
-  constexpr long kPeakMemoryMaxKb = 1000 * 1024;
-#else
-  constexpr long kPeakMemoryMaxKb = 150 * 1024;
-#endif
+  constexpr long kPeakMemoryMaxKb = MemoryLimitKb (150);
   std::string chunk = "10000\r\n" + std::string (0x10000, 'x') + "\r\n";
   std::atomic<int> closed{ 0 };
   Start (10);
@@ -626,11 +633,7 @@
 // for. Others are served meanwhile, and large responses again once those callers have gone.
 TEST_F (NodeTest, CallersThatDoNotReadStayWithinTheMemoryLimit)
 {
-#ifdef __SANITIZE_ADDRESS__
-  constexpr long kPeakMemoryMaxKb = 1000 * 1024;
-#else
-  constexpr long kPeakMemoryMaxKb = 150 * 1024;
-#endif
+  constexpr long kPeakMemoryMaxKb = MemoryLimitKb (150);
   const size_t kBodyBytes = 16 << 20;
   Start (10);
   for (const auto &upstream : upstreams_)
@@ -666,11 +669,7 @@
 // Guards against a node that runs out of memory because callers send large bodies at the same time.
 TEST_F (NodeTest, ConcurrentLargeBodiesStayWithinTheMemoryLimit)
 {
-#ifdef __SANITIZE_ADDRESS__
-  constexpr long kPeakMemoryMaxKb = 1000 * 1024;
-#else
-  constexpr long kPeakMemoryMaxKb = 240 * 1024;
-#endif
+  constexpr long kPeakMemoryMaxKb = MemoryLimitKb (240);
   const size_t kBodyBytes = 60 << 20;
   Start (4, "\"timeout-s\":15,\"goal-s\":0.5");
   std::atomic<int> whole{ 0 };
