--- a/src/frq.h
+++ b/src/frq.h
@@ -1,6 +1,7 @@
 /* State of a caller's request on a node, and the responses that end it. */
 #pragma once
 
+#include "acc.h"
 #include "adm.h"
 #include "msg.h"
 #include "nod.h"
@@ -13,6 +14,8 @@
  * @caller_watch: key of hsv_watch_gone(); NULL once the caller has closed its connection
  * @link: allocated in the memory pool of @h2o, whose release ends this state
  * @table: the routing table when the request arrived; a reference is held
+ * @account: the client account that sent it, owned by @table; NULL without one
+ * @priority: that of the account or, without one, of the route; 0 is the highest
  * @message: copy of the request, for sending it to upstreams
  * @id: value of its request ID header, or NULL
  * @key: hash of the object that it concerns, 0 for none
@@ -47,6 +50,8 @@
   struct FrqLink *link;
   RteTable *table;
   RteRoute *route;
+  const AccAccount *account;
+  uint32_t priority;
   NodService *service;
   NodRouteStats *route_stats;
   MsgRequest message;
--- a/src/fst.c
+++ b/src/fst.c
@@ -100,7 +100,7 @@
   if (deadline_ms != DEADLINE_DEFAULT_MS)
     stats->deadline_ms = MAX (stats->deadline_ms, deadline_ms);
   frq->admission
-      = (AdmRequest){ .priority_class = frq->route->priority > frq->table->top_priority ? 1 : 0,
+      = (AdmRequest){ .priority_class = frq->priority > frq->table->top_priority ? 1 : 0,
                       .caller_retry = deadline_ms + CALLER_RETRY_MARGIN_MS < stats->deadline_ms,
                       .objective_ms = frq->route->objective_ms,
                       .remaining_ms = (uint32_t) (frq->deadline_at_ms - frq->received_at_ms),
@@ -121,6 +121,7 @@
   frq->link->frq = frq;
   frq->table = rte_ref (node->table);
   frq->route = route;
+  frq->priority = route->priority;
   frq->service = nod_service (node, destination->service);
   frq->route_stats = nod_route_stats (node, route);
   frq->id = hsv_header (h2o, headers->request_id);
--- a/src/nod.c
+++ b/src/nod.c
@@ -464,6 +464,7 @@
   node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   node->route_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  node->quotas = quo_new (&node->settings.quota);
   for (uint32_t i = 0; i < ZONES_MAX; i++)
     node->zone_rtt_ms[i] = UINT32_MAX;
   cts_init (&node->control, on_control_iteration, node);
@@ -563,6 +564,7 @@
   g_hash_table_unref (node->evacuated);
   g_hash_table_unref (node->services);
   g_hash_table_unref (node->route_stats);
+  quo_free (node->quotas);
   if (node->table != NULL)
     rte_unref (node->table);
 }
--- a/src/nod.h
+++ b/src/nod.h
@@ -12,6 +12,7 @@
 #include "per.h"
 #include "poi.h"
 #include "tpt.h"
+#include "quo.h"
 #include "rbg.h"
 #include "rgn.h"
 #include "rte.h"
@@ -41,6 +42,8 @@
  * @instance: id of the upstream that is to run the request
  * @not_run: set in the response to a request that did not run
  * @leaving: set by an upstream that is about to leave
+ * @account: name of the client account, set by the node for the upstream
+ * @load: load and pace that an upstream reports in its responses
  */
 typedef struct
 {
@@ -51,6 +54,8 @@
   const char *instance;
   const char *not_run;
   const char *leaving;
+  const char *account;
+  const char *load;
 } NodHeaders;
 
 /**
@@ -67,6 +72,7 @@
  * @zone_index: index of the own zone in @zones
  * @region_index: index of the local region in @regions
  * @retry: limits of the retry budget of each service
+ * @quota: allowed excess over the quotas of client accounts
  * @shift_permille: cap on the requests of a service that change their region within
  * SHR_CAP_PERIOD_MS, in thousandths
  * @capacity: CPU capacity of the VM in thousandths of a core
@@ -88,6 +94,7 @@
   uint32_t zone_index;
   uint32_t region_index;
   RbgLimits retry;
+  QuoBounds quota;
   uint32_t shift_permille;
   uint32_t capacity;
   uint32_t grace_ms;
@@ -260,6 +267,7 @@
  * @evacuated: names of the zones under evacuation, whose upstreams get no new requests
  * @services: NodService by name
  * @route_stats: NodRouteStats by name of the route
+ * @quotas: quotas of client accounts
  * @zone_rtt_ms: shortest time measured for connecting to each zone; UINT32_MAX while unknown
  * @open_requests: callers' and relayed requests that have no response yet
  * @requests: callers' requests that have no response yet, as Frq in order of arrival
@@ -291,6 +299,7 @@
   GHashTable *evacuated;
   GHashTable *services;
   GHashTable *route_stats;
+  Quo *quotas;
   uint32_t zone_rtt_ms[ZONES_MAX];
   Rly relays;
   HsvServer *front;
