Look-ups name nodes in proportion to the capacity of their VMs

Callers pick an address at random, so all VMs got the same. Change: a node is listed with a probability in proportion to its capacity; at least 8 addresses are listed, so that callers have others when some fail. VMs that are alike are listed as before.

--- a/tests/test_dir.cc
+++ b/tests/test_dir.cc
@@ -7,6 +7,7 @@
 }
 
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 #include <string>
 
@@ -60,6 +61,18 @@
     return addresses;
   }
 
+  void
+  SetCapacities (uint32_t self, uint32_t large_peers, uint32_t large, uint32_t small)
+  {
+    node_->settings.capacity = self;
+    for (uint32_t i = 0; i < kPeers; i++)
+      {
+        std::string vm = "edge-" + std::to_string (i);
+        auto *peer = static_cast<PerPeer *> (g_hash_table_lookup (node_->peers.peers, vm.c_str ()));
+        peer->capacity = i < large_peers ? large : small;
+      }
+  }
+
   Node *node_ = nullptr;
 };
 }
@@ -77,3 +90,31 @@
     }
   EXPECT_EQ (listed.size (), kPeers + 1);
 }
+
+// Guards against small VMs that get as many requests as those with several times their processors
+// and bandwidth.
+TEST_F (NodeDirectory, NodesAreListedInProportionToTheirCapacity)
+{
+  constexpr uint32_t kLargePeers = 14;
+  constexpr int kLookups = 400;
+  SetCapacities (500, kLargePeers, 500, 100);
+  std::map<std::string, int> listed;
+  for (int i = 0; i < kLookups; i++)
+    for (const std::string &address : Lookup ())
+      listed[address]++;
+  EXPECT_EQ (listed.size (), kPeers + 1);
+  int small = 0;
+  for (const auto &[address, count] : listed)
+    if (count < kLookups)
+      small += count;
+  double mean = static_cast<double> (small) / (kPeers - kLargePeers) / kLookups;
+  EXPECT_NEAR (mean, 0.2, 0.02);
+}
+
+// Guards against a response with so few addresses that a caller runs out of them when some fail.
+TEST_F (NodeDirectory, SmallNodesFillUpAResponseWithFewLargeOnes)
+{
+  SetCapacities (10000, 0, 0, 1);
+  for (int i = 0; i < 20; i++)
+    EXPECT_GE (Lookup ().size (), 8u);
+}
