Large bodies stay in the node's availability zone while it has room

Change: downloads and uploads are placed among the upstreams of the node's zone as long as these are enough for the objects and one of them can take the request, then in the whole region. Uploads are a kind of their own, not idempotent as before.

--- a/src/chs.c
+++ b/src/chs.c
@@ -115,6 +115,7 @@
                             .usable = eligible && is_usable (node, ups, cold_per_s, now_ms),
                             .hash = ups->hash,
                             .region = region,
+                            .local_zone = ups->zone == node->settings.zone_index,
                             .slots = ups->record.slots,
                             .in_flight = ups->in_flight + ups->others,
                             .rtt_ms = expected_rtt_ms (node, ups, region),
@@ -198,6 +199,37 @@
   return (uint32_t) (objects * service->traffic.shares.ppm[region] / SHARE_ONE_PPM);
 }
 
+/* Whether the upstreams of the node's availability zone are enough for the objects of its callers.
+ */
+static bool
+zone_holds_objects (const ChsCandidates *set, uint32_t objects)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < set->upstreams->len; i++)
+    if (set->candidates[i].eligible && set->candidates[i].local_zone)
+      count++;
+  return count > 0 && (uint64_t) count * PLC_OBJECTS_PER_UPSTREAM >= objects;
+}
+
+/* Large bodies stay within the zone as long as it has room, at the cost of a copy of the object in
+ * each zone. */
+static uint32_t
+choose_placement (const ChsCandidates *set, const ChsRequest *request, PlcRequest *placement)
+{
+  if (rte_has_large_bodies (request->route)
+      && placement->standby_region == set->node->settings.region_index
+      && zone_holds_objects (set, placement->objects))
+    {
+      placement->local_zone_only = true;
+      uint32_t index = plc_choose (set->candidates, set->upstreams->len, placement);
+      if (index != PLC_NONE)
+        return index;
+      placement->local_zone_only = false;
+    }
+  return plc_choose (set->candidates, set->upstreams->len, placement);
+}
+
 static Ups *
 choose_in (const ChsCandidates *set, const ChsRequest *request, uint32_t region)
 {
@@ -209,7 +241,7 @@
                            .regions = 1u << region,
                            .wait_max_ms = request->route->objective_ms / PLC_QUEUE_WAIT_DIVISOR,
                            .reserved_slots = adm_reserve (request->admission, set->total_slots) };
-  uint32_t index = plc_choose (set->candidates, set->upstreams->len, &placement);
+  uint32_t index = choose_placement (set, request, &placement);
 
   return index != PLC_NONE ? g_ptr_array_index (set->upstreams, index) : NULL;
 }
--- a/src/plc.c
+++ b/src/plc.c
@@ -62,21 +62,28 @@
     ranking->standby_score = score;
 }
 
+static bool
+is_permitted (const PlcCandidate *candidate, const PlcRequest *request)
+{
+  return candidate->region < REGIONS_MAX && (candidate->local_zone || !request->local_zone_only);
+}
+
 static void
-rank_regions (const PlcCandidate *candidates, uint32_t count, uint32_t key, Ranking *rankings)
+rank_regions (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request,
+              Ranking *rankings)
 {
   for (uint32_t r = 0; r < REGIONS_MAX; r++)
     rankings[r] = (Ranking){ 0 };
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].eligible && candidates[i].region < REGIONS_MAX)
+    if (candidates[i].eligible && is_permitted (&candidates[i], request))
       ranking_add (&rankings[candidates[i].region], &candidates[i],
-                   rendezvous_score (key, candidates[i].hash));
+                   rendezvous_score (request->key, candidates[i].hash));
 }
 
 static bool
 region_is_allowed (const PlcCandidate *candidate, const PlcRequest *request)
 {
-  return candidate->region < REGIONS_MAX && (request->regions >> candidate->region & 1u) != 0;
+  return is_permitted (candidate, request) && (request->regions >> candidate->region & 1u) != 0;
 }
 
 /* Whether the region is assigned the object, with the same result on every node. */
@@ -104,7 +111,7 @@
 warm_likelihood_permille (const PlcCandidate *candidate, const PlcRequest *request,
                           const Ranking *rankings)
 {
-  if (request->key == 0 || candidate->region >= REGIONS_MAX)
+  if (request->key == 0 || !is_permitted (candidate, request))
     return 0;
   const Ranking *region = &rankings[candidate->region];
   uint32_t score = rendezvous_score (request->key, candidate->hash);
@@ -203,7 +210,7 @@
 
   if (request->reserved_slots > 0 && plc_free_slots (candidates, count) <= request->reserved_slots)
     return PLC_NONE;
-  rank_regions (candidates, count, request->key, rankings);
+  rank_regions (candidates, count, request, rankings);
   if (request->standby_region < REGIONS_MAX
       && !has_usable_assigned (candidates, count, request, rankings))
     rankings[request->standby_region].standby_allowed = true;
--- a/src/plc.h
+++ b/src/plc.h
@@ -12,6 +12,7 @@
  * @usable: requests may be sent to it now
  * @hash: hash of its id
  * @region: index of its region
+ * @local_zone: it is in the node's availability zone
  * @slots: requests that it runs at the same time; 0 only when it is not usable
  * @in_flight: requests on it from all nodes
  * @rtt_ms: round-trip time to it
@@ -26,6 +27,7 @@
   bool usable;
   uint32_t hash;
   uint32_t region;
+  bool local_zone;
   uint32_t slots;
   uint32_t in_flight;
   uint32_t rtt_ms;
@@ -44,6 +46,7 @@
  * @objects: estimated number of distinct objects of the service
  * @standby_region: index of the region whose standby upstreams may serve the request
  * @regions: bits of the regions whose upstreams may serve the request
+ * @local_zone_only: only upstreams in the node's availability zone may serve it
  * @wait_max_ms: longest expected time in an upstream's queue
  * @reserved_slots: slots of all candidates together that the request must leave free
  */
@@ -55,6 +58,7 @@
   uint32_t objects;
   uint32_t standby_region;
   uint32_t regions;
+  bool local_zone_only;
   uint32_t wait_max_ms;
   uint32_t reserved_slots;
 } PlcRequest;
--- a/src/rte.c
+++ b/src/rte.c
@@ -241,5 +241,11 @@
 bool
 rte_is_idempotent (const RteRoute *route)
 {
-  return route->kind != RTE_NON_IDEMPOTENT;
+  return route->kind == RTE_IDEMPOTENT || route->kind == RTE_DOWNLOAD;
+}
+
+bool
+rte_has_large_bodies (const RteRoute *route)
+{
+  return route->kind == RTE_DOWNLOAD || route->kind == RTE_UPLOAD;
 }
--- a/src/rte.h
+++ b/src/rte.h
@@ -12,12 +12,14 @@
  * @RTE_NON_IDEMPOTENT: the request runs at most once for each attempt of the caller
  * @RTE_IDEMPOTENT: the request may run more than once
  * @RTE_DOWNLOAD: idempotent, the response may be large
+ * @RTE_UPLOAD: not idempotent, the request body may be large
  */
 typedef enum
 {
   RTE_NON_IDEMPOTENT,
   RTE_IDEMPOTENT,
   RTE_DOWNLOAD,
+  RTE_UPLOAD,
 } RteKind;
 
 /**
@@ -126,3 +128,6 @@
 
 /** rte_is_idempotent() - whether a request of the route may run more than once. */
 bool rte_is_idempotent (const RteRoute *route);
+
+/** rte_has_large_bodies() - whether the route's request or response bodies may be large. */
+bool rte_has_large_bodies (const RteRoute *route);
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "chs.h"
+#include "nsh.h"
 }
 
 #include <gtest/gtest.h>
@@ -184,3 +185,42 @@
     Choose (key);
   EXPECT_LT (CpuMicroseconds () - before_us, 19000u * kSlowdown);
 }
+
+// Guards against large bodies that cross the border of an availability zone, whose bandwidth costs
+// money, while the node's own zone has room for them.
+TEST_F (Selection, LargeBodiesStayInTheZoneWhileItHasRoom)
+{
+  g_array_index (node_->settings.zones, NodZone, 1).region = 0;
+  AddUpstreams (0);
+  nsh_init_split (node_, nod_service (node_, "service"), clk_now_ms ());
+  int other_zone = 0;
+  for (uint32_t key = 1; key < 100; key++)
+    {
+      route_->kind = RTE_IDEMPOTENT;
+      other_zone += Choose (key)->zone == 1;
+      for (RteKind kind : { RTE_DOWNLOAD, RTE_UPLOAD })
+        {
+          route_->kind = kind;
+          EXPECT_EQ (Choose (key)->zone, 0u) << key;
+        }
+    }
+  EXPECT_GT (other_zone, 0);
+}
+
+// Guards against large bodies that are rejected while the other zone of the region has room.
+TEST_F (Selection, LargeBodiesGoToAnotherZoneWhenTheirOwnIsFull)
+{
+  g_array_index (node_->settings.zones, NodZone, 1).region = 0;
+  AddUpstreams (0);
+  nsh_init_split (node_, nod_service (node_, "service"), clk_now_ms ());
+  for (uint32_t i = 0; i < kUpstreams; i += 3)
+    ups_get (&node_->upstreams, ("upstream-" + std::to_string (i)).c_str ())->shed_until_ms
+        = UINT64_MAX;
+  route_->kind = RTE_DOWNLOAD;
+  for (uint32_t key = 1; key < 20; key++)
+    {
+      Ups *ups = Choose (key);
+      ASSERT_NE (ups, nullptr);
+      EXPECT_EQ (ups->zone, 1u);
+    }
+}
--- a/tests/test_rte.cc
+++ b/tests/test_rte.cc
@@ -116,3 +116,15 @@
   EXPECT_TRUE (rte_allows_region (route, "north"));
   rte_unref (table);
 }
+
+// Guards against an upload that is sent to a second upstream after the first may have run it.
+TEST (Rte, UploadsAreNotIdempotent)
+{
+  RteRoute upload = {};
+  RteRoute download = {};
+  upload.kind = RTE_UPLOAD;
+  download.kind = RTE_DOWNLOAD;
+  EXPECT_FALSE (rte_is_idempotent (&upload));
+  EXPECT_TRUE (rte_is_idempotent (&download));
+  EXPECT_TRUE (rte_has_large_bodies (&upload) && rte_has_large_bodies (&download));
+}
