--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -286,6 +286,14 @@
   return lists_;
 }
 
+int
+FakeStore::immediate_watches (const std::string &kind) const
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  auto count = immediate_watches_.find (kind);
+  return count != immediate_watches_.end () ? count->second : 0;
+}
+
 int
 FakeStore::writes () const
 {
@@ -410,6 +418,8 @@
       }
     return !found.empty () || from < history_start_ || ending_ || mode_ != Mode::kUp;
   };
+  if (wait_ms == 0)
+    immediate_watches_[kind]++;
   watches_++;
   changed_.wait_for (lock, std::chrono::milliseconds (wait_ms), scan);
   watches_--;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -110,6 +110,8 @@
   int watches () const;
   // List requests handled so far.
   int lists () const;
+  // Watches of a kind so far that did not wait for a change.
+  int immediate_watches (const std::string &kind) const;
   // Create and replace requests of nodes so far, including rejected ones.
   int writes () const;
 
@@ -142,6 +144,7 @@
   long stale_revision_ = 0;
   bool serves_stale_ = true;
   std::vector<Event> events_;
+  std::map<std::string, int> immediate_watches_;
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -771,6 +771,25 @@
   EXPECT_EQ (removed.arrivals (), before) << behind.Log ();
 }
 
+// Guards against calls of each starting node for kinds whose objects are never deleted: what an old
+// list lacks of them comes from peers.
+TEST_F (NodeTest, StartFromAnOlderConfigurationThanPeersGetsTheNewOneFromThem)
+{
+  store_.Put ("config", "main", Configuration (6, "", "\"timeout-s\":5,\"goal-s\":0.5"));
+  store_.FreezeStaleLists ();
+  store_.ServeStaleLists (false);
+  Start ();
+  store_.ServeStaleLists (true);
+  NodeProcess behind ("vm-2", "east-b", store_.address (), 2);
+  ASSERT_TRUE (behind.WaitReady (5000));
+  EXPECT_TRUE (WaitUntil (4000, [&] {
+    return behind.Log ().find ("event=configured config=7 ") != std::string::npos;
+  })) << behind.Log ();
+  EXPECT_TRUE (WaitUntil (4000, [&] { return store_.immediate_watches ("servers") > 0; }));
+  EXPECT_EQ (store_.immediate_watches ("config"), 0);
+  EXPECT_EQ (store_.immediate_watches ("nodes"), 0);
+}
+
 // Guards against an entry of another writer that ends each node that reads it.
 TEST_F (NodeTest, DeeplyNestedRegistrationEndsNoNode)
 {
