Client accounts: authentication by API key, regions, priority, removal of keys in force

Cause: every caller that reaches a node's front listener is served; there is no way to tell callers apart, to limit them to regions or to withdraw a key.

While the configuration has accounts, Authorization and the account header are not forwarded and the node sets the latter. Candidates of waiting requests are cached by route and regions of the account. A token is returned in frq_free() unless an upstream may have run the request. An invalid rate, burst or priority counts as missing and is logged; any error that leaves it uncertain who holds a key refuses the whole configuration.

--- a/src/acc.h
+++ b/src/acc.h
@@ -4,10 +4,26 @@
 
 #include "lim.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
+#define ACC_SECRET_BYTES 32
+#define ACC_DIGEST_BYTES 32
+
+/** struct AccSecret - random key of the hash of API keys; one for each process */
+typedef struct
+{
+  uint8_t bytes[ACC_SECRET_BYTES];
+} AccSecret;
+
+/** struct AccDigest - keyed hash (HMAC-SHA-256) of an API key */
+typedef struct
+{
+  uint8_t bytes[ACC_DIGEST_BYTES];
+} AccDigest;
+
 /**
  * struct AccAccount - a client account
  * @hash: acc_hash() of its name; identifies it in messages between nodes
@@ -16,6 +32,9 @@
  * @burst: requests that it may send at once beyond @rate_mps
  * @regions: names of the regions that may serve its requests, NULL-terminated; NULL or empty for
  * all
+ * @invalid_field: name of a field whose invalid value is ignored, or NULL
+ * @requests: its requests on this node, carried over to the next version
+ * @over_quota: those of @requests that were rejected because of the quota
  */
 typedef struct
 {
@@ -26,7 +45,64 @@
   uint64_t rate_mps;
   uint32_t burst;
   char **regions;
+  const char *invalid_field;
+  uint64_t requests;
+  uint64_t over_quota;
 } AccAccount;
 
+/**
+ * struct AccTable - all accounts of one version of the configuration
+ * @accounts: AccAccount in order of addition, owned by the table
+ * @by_name: the same by name
+ * @by_digest: the same by the AccDigest of each of their keys
+ */
+typedef struct
+{
+  GPtrArray *accounts;
+  GHashTable *by_name;
+  GHashTable *by_digest;
+} AccTable;
+
 /** acc_hash() - hash of an account's name, not 0. */
 uint32_t acc_hash (const char *name);
+
+AccTable *acc_new (void);
+void acc_free (AccTable *table);
+
+/** acc_is_valid_name() - whether the name can be the value of a header: 1 to ACC_NAME_MAX_BYTES
+ * bytes without blanks and control characters. */
+bool acc_is_valid_name (const char *name);
+
+/** acc_add() - adds an account without keys and limits; NULL when there is one of that name. The
+ * table owns it. */
+AccAccount *acc_add (AccTable *table, const char *name);
+
+/** acc_add_key() - adds a key of an account; false when it is another account's key. */
+bool acc_add_key (AccTable *table, AccAccount *account, const AccDigest *digest);
+
+/** acc_digest() - the keyed hash of an API key. */
+AccDigest acc_digest (const AccSecret *secret, const char *key, size_t size);
+
+/** acc_find() - the account that holds the key with this digest, or NULL. Takes constant time, of
+ * which no part depends on how much of a wrong key is right. */
+AccAccount *acc_find (const AccTable *table, const AccDigest *digest);
+
+/** acc_find_name() - the account of this name, or NULL. */
+AccAccount *acc_find_name (const AccTable *table, const char *name);
+
+/**
+ * acc_parse_bearer() - the key in the value of an Authorization header ("Bearer KEY")
+ * @size: set to the length of the key
+ *
+ * Return: the key within @value, not NUL-terminated, or NULL when there is none.
+ */
+const char *acc_parse_bearer (const char *value, size_t *size);
+
+/** acc_limits_regions() - whether not all regions may serve the account. */
+bool acc_limits_regions (const AccAccount *account);
+
+/** acc_allows_region() - whether the region may serve the account; @account may be NULL. */
+bool acc_allows_region (const AccAccount *account, const char *region);
+
+/** acc_by_requests() - the accounts in descending order of their requests, as a new array. */
+GPtrArray *acc_by_requests (const AccTable *table);
--- /dev/null
+++ b/src/aut.c
@@ -0,0 +1,255 @@
+/* Client accounts in force on a node: authentication of callers' requests by API key, the accounts'
+ * regions and quotas, and rejection of requests whose key has been removed. */
+#include "aut.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_NOT_RUN 503
+
+void
+aut_init (Node *node)
+{
+  if (getentropy (node->account_secret.bytes, sizeof node->account_secret.bytes) != 0)
+    g_error ("the system has no random numbers");
+}
+
+/* ---- Rejections ---- */
+
+/* Returns the request's ID, which the response repeats, as a new string, or NULL. */
+static char *
+repeat_id (const Node *node, h2o_req_t *h2o)
+{
+  char *id = hsv_header (h2o, node->headers.request_id);
+
+  if (id != NULL)
+    hsv_add_header (h2o, node->headers.request_id, id);
+  return id;
+}
+
+static void
+reject_unauthorized (Node *node, h2o_req_t *h2o, const RteRoute *route, const char *reason)
+{
+  char *id = repeat_id (node, h2o);
+
+  node->counters.unauthorized++;
+  log_event (&node->request_log, LOG_INFO, "request_unauthorized",
+             "id=%s route=%s reason=%s config=%llu config_age_ms=%llu", id != NULL ? id : "-",
+             route->name, reason, (unsigned long long) node->table->version,
+             (unsigned long long) (clk_now_ms () - node->configured_at_ms));
+  g_free (id);
+  hsv_add_header (h2o, "www-authenticate", "Bearer");
+  hsv_respond (h2o, STATUS_UNAUTHORIZED, "text/plain", "unauthorized");
+}
+
+static void
+reject (Node *node, h2o_req_t *h2o, const RteRoute *route, const AccAccount *account, int status,
+        const char *reason, uint32_t retry_after_ms)
+{
+  char *id = repeat_id (node, h2o);
+  char seconds[32];
+
+  log_event (&node->request_log, LOG_INFO, "request_failed",
+             "id=%s status=%d reason=%s route=%s account=%s sends=0 retry_after_ms=%u config=%llu",
+             id != NULL ? id : "-", status, reason, route->name, account->name, retry_after_ms,
+             (unsigned long long) node->table->version);
+  g_free (id);
+  g_snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000, retry_after_ms % 1000);
+  hsv_add_header (h2o, "retry-after", seconds);
+  hsv_respond (h2o, status, "text/plain", reason);
+}
+
+/* ---- Arrival of a request ---- */
+
+static AccAccount *
+find_account (const Node *node, h2o_req_t *h2o, AccDigest *digest, const char **reason)
+{
+  char *value = hsv_header (h2o, AUT_HEADER);
+  size_t key_bytes = 0;
+  const char *key = value != NULL ? acc_parse_bearer (value, &key_bytes) : NULL;
+  AccAccount *account = NULL;
+
+  *reason = value == NULL ? "no_key" : "malformed_key";
+  if (key != NULL)
+    {
+      *reason = "unknown_key";
+      *digest = acc_digest (&node->account_secret, key, key_bytes);
+      account = acc_find (node->table->accounts, digest);
+    }
+  g_free (value);
+  return account;
+}
+
+bool
+aut_identify (Node *node, h2o_req_t *h2o, const RteRoute *route, AutIdentity *identity)
+{
+  const char *reason;
+
+  *identity = (AutIdentity){ 0 };
+  if (node->table->accounts == NULL)
+    return true;
+  identity->account = find_account (node, h2o, &identity->digest, &reason);
+  if (identity->account != NULL)
+    identity->account->requests++;
+  if (identity->account != NULL || route->is_public)
+    return true;
+  reject_unauthorized (node, h2o, route, reason);
+  return false;
+}
+
+static bool
+has_common_region (const Node *node, const RteRoute *route, const AccAccount *account)
+{
+  if (!acc_limits_regions (account))
+    return true;
+  for (guint i = 0; i < node->settings.regions->len; i++)
+    {
+      const char *region = g_ptr_array_index (node->settings.regions, i);
+      if (rte_allows_region (route, region) && acc_allows_region (account, region))
+        return true;
+    }
+  return false;
+}
+
+bool
+aut_admit (Node *node, h2o_req_t *h2o, const RteRoute *route, AccAccount *account,
+           uint32_t limit_ms)
+{
+  AdmRequest admission = { .remaining_ms = limit_ms };
+  uint32_t retry_after_max_ms = adm_max_retry_after_ms (&admission);
+  uint32_t retry_after_ms = 0;
+
+  if (account == NULL)
+    return true;
+  if (!has_common_region (node, route, account))
+    {
+      node->counters.refused++;
+      reject (node, h2o, route, account, STATUS_NOT_RUN, "no_region",
+              MIN (retry_after_max_ms, ADM_RETRY_AFTER_MAX_MS));
+      return false;
+    }
+  if (account->rate_mps == 0
+      || quo_admit (node->quotas, account->hash, clk_now_ms (), &retry_after_ms))
+    return true;
+  node->counters.over_quota++;
+  account->over_quota++;
+  reject (node, h2o, route, account, STATUS_TOO_MANY_REQUESTS, "over_quota",
+          MIN (retry_after_ms, retry_after_max_ms));
+  return false;
+}
+
+void
+aut_set_sender (Frq *frq, const AutIdentity *identity)
+{
+  frq->priority = frq->route->priority;
+  if (identity->account == NULL)
+    return;
+  frq->account = identity->account;
+  frq->key_digest = identity->digest;
+  frq->has_quota_token = identity->account->rate_mps > 0;
+  if (identity->account->has_priority)
+    frq->priority = identity->account->priority;
+}
+
+/* ---- New configurations ---- */
+
+static bool
+is_region (const Node *node, const char *name)
+{
+  for (guint i = 0; i < node->settings.regions->len; i++)
+    if (strcmp (g_ptr_array_index (node->settings.regions, i), name) == 0)
+      return true;
+  return false;
+}
+
+static void
+log_errors (const Node *node, const AccAccount *account)
+{
+  if (account->invalid_field != NULL)
+    log_event (&node->log, LOG_WARN, "account_invalid", "account=%s field=%s config=%llu",
+               account->name, account->invalid_field, (unsigned long long) node->table->version);
+  for (char **region = account->regions; region != NULL && *region != NULL; region++)
+    if (!is_region (node, *region))
+      log_event (&node->log, LOG_WARN, "account_invalid",
+                 "account=%s field=allowed-regions region=\"%s\" config=%llu", account->name,
+                 *region, (unsigned long long) node->table->version);
+}
+
+static void
+drop_quotas (Node *node, const AccTable *previous, const AccTable *accounts)
+{
+  for (guint i = 0; previous != NULL && i < previous->accounts->len; i++)
+    {
+      const AccAccount *account = g_ptr_array_index (previous->accounts, i);
+      if (accounts == NULL || acc_find_name (accounts, account->name) == NULL)
+        quo_set_limit (node->quotas, account->hash, 0, 0);
+    }
+}
+
+static void
+apply_account (Node *node, AccAccount *account, const AccTable *previous)
+{
+  const AccAccount *before = previous != NULL ? acc_find_name (previous, account->name) : NULL;
+
+  if (before != NULL)
+    {
+      account->requests = before->requests;
+      account->over_quota = before->over_quota;
+    }
+  quo_set_limit (node->quotas, account->hash, account->rate_mps, account->burst);
+  log_errors (node, account);
+}
+
+static bool
+holds_key (const AccTable *accounts, const Frq *frq)
+{
+  const AccAccount *holder = accounts != NULL ? acc_find (accounts, &frq->key_digest) : NULL;
+
+  return holder != NULL && strcmp (holder->name, frq->account->name) == 0;
+}
+
+static void
+mark_revoked (Node *node, const AccTable *accounts)
+{
+  for (GList *item = node->requests.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      if (frq->account == NULL || frq->is_revoked || holds_key (accounts, frq))
+        continue;
+      frq->is_revoked = true;
+      node->revocations_pending = true;
+    }
+}
+
+/* Quotas of removed accounts are dropped first, as another account may have the same hash. */
+void
+aut_apply_configuration (Node *node, const RteTable *previous)
+{
+  AccTable *accounts = node->table->accounts;
+  const AccTable *accounts_before = previous != NULL ? previous->accounts : NULL;
+
+  node->configured_at_ms = clk_now_ms ();
+  drop_quotas (node, accounts_before, accounts);
+  for (guint i = 0; accounts != NULL && i < accounts->accounts->len; i++)
+    apply_account (node, g_ptr_array_index (accounts->accounts, i), accounts_before);
+  if (accounts_before != NULL)
+    mark_revoked (node, accounts);
+}
+
+void
+aut_reject_revoked (Node *node)
+{
+  if (!node->revocations_pending)
+    return;
+  node->revocations_pending = false;
+  GList *item = node->requests.head;
+  while (item != NULL)
+    {
+      Frq *frq = item->data;
+      item = item->next;
+      if (frq->is_revoked && (frq->call == NULL || !ucn_was_sent (frq->call)))
+        frq_fail (frq, FRQ_KEY_REMOVED);
+    }
+}
--- a/src/chs.c
+++ b/src/chs.c
@@ -45,15 +45,19 @@
   return region == node->settings.region_index ? PLC_LOCAL_RTT_MS : PLC_REMOTE_RTT_MS;
 }
 
-/* Bits of the regions in which the route may be served. */
+/* Bits of the regions that may serve both the route and the account. */
 static uint32_t
 find_allowed_regions (const Node *node, const ChsRequest *request)
 {
   uint32_t allowed_regions = 0;
 
   for (uint32_t r = 0; r < MIN (node->settings.regions->len, REGIONS_MAX); r++)
-    if (rte_allows_region (request->route, g_ptr_array_index (node->settings.regions, r)))
-      allowed_regions |= 1u << r;
+    {
+      const char *region = g_ptr_array_index (node->settings.regions, r);
+      if (rte_allows_region (request->route, region)
+          && acc_allows_region (request->account, region))
+        allowed_regions |= 1u << r;
+    }
   return allowed_regions;
 }
 
--- a/src/chs.h
+++ b/src/chs.h
@@ -6,6 +6,7 @@
 
 /**
  * struct ChsRequest - input of the selection for one request
+ * @account: the client account that sent it, or NULL
  * @key: hash of its object, 0 for none
  * @region_hash: hash that decides the region in which it runs
  * @draw_ppm: random number below SHARE_ONE_PPM, compared with the limits on the traffic split and
@@ -16,6 +17,7 @@
 {
   const RteTable *table;
   const RteRoute *route;
+  const AccAccount *account;
   const NodService *service;
   const NodRouteStats *work;
   const AdmRequest *admission;
@@ -27,10 +29,11 @@
 } ChsRequest;
 
 /**
- * struct ChsCandidates - snapshot of a route's candidates; outdated when the next request is sent
+ * struct ChsCandidates - snapshot of the candidates of a route and account; outdated when the next
+ * request is sent
  * @upstreams: upstreams of the service, NULL for none
  * @candidates: one for each of @upstreams, NULL for none
- * @allowed_regions: bits of the regions in which the route may be served
+ * @allowed_regions: bits of the regions that may serve both the route and the account
  * @total_slots: slots of all @upstreams
  */
 typedef struct
@@ -56,7 +59,8 @@
   bool held_back;
 } ChsChoice;
 
-/** chs_candidates_new() - the current candidates for requests of @request's route. */
+/** chs_candidates_new() - the current candidates for requests of @request's route and
+ * account. */
 ChsCandidates *chs_candidates_new (const Node *node, const ChsRequest *request);
 void chs_candidates_free (ChsCandidates *set);
 
--- a/src/frq.c
+++ b/src/frq.c
@@ -52,9 +52,20 @@
   frq_release_upstream (frq);
 }
 
+/* Returns the token of its account's quota unless an upstream has run it, or may have. */
+static void
+refund_quota (Frq *frq)
+{
+  bool in_flight = frq->call != NULL && ucn_was_sent (frq->call);
+
+  if (frq->has_quota_token && !frq->may_have_run && !in_flight)
+    quo_refund (frq->node->quotas, frq->account->hash, clk_now_ms ());
+}
+
 void
 frq_free (Frq *frq)
 {
+  refund_quota (frq);
   frq_stop_waiting (frq);
   cancel_call (frq);
   if (frq->caller_watch != NULL)
@@ -111,6 +122,11 @@
       return;
     }
   node->counters.refused++;
+  if (frq->is_revoked)
+    {
+      node->counters.revoked++;
+      reason = FRQ_KEY_REMOVED;
+    }
   frq->admission.remaining_ms
       = frq->deadline_at_ms > now_ms ? (uint32_t) (frq->deadline_at_ms - now_ms) : 0;
   uint32_t retry_after_ms
--- a/src/frq.h
+++ b/src/frq.h
@@ -7,6 +7,8 @@
 #include "nod.h"
 
 #define FRQ_SENDS_MAX 5
+/* Reason of the rejection of a request whose API key has been removed. */
+#define FRQ_KEY_REMOVED "key_removed"
 
 /**
  * struct Frq - a request from a caller; times are those of clk_now_ms()
@@ -15,6 +17,9 @@
  * @link: allocated in the memory pool of @h2o, whose release ends this state
  * @table: the routing table when the request arrived; a reference is held
  * @account: the client account that sent it, owned by @table; NULL without one
+ * @key_digest: digest of the API key that identified @account
+ * @has_quota_token: it holds a token of the quota of @account
+ * @is_revoked: @account no longer holds the key, so that the request is not sent any more
  * @priority: that of the account or, without one, of the route; 0 is the highest
  * @message: copy of the request, for sending it to upstreams
  * @id: value of its request ID header, or NULL
@@ -51,6 +56,9 @@
   RteTable *table;
   RteRoute *route;
   const AccAccount *account;
+  AccDigest key_digest;
+  bool has_quota_token;
+  bool is_revoked;
   uint32_t priority;
   NodService *service;
   NodRouteStats *route_stats;
--- a/src/fst.c
+++ b/src/fst.c
@@ -2,6 +2,7 @@
  * those that cannot be served. */
 #include "fst.h"
 
+#include "aut.h"
 #include "fwd.h"
 #include "nsh.h"
 
@@ -108,10 +109,13 @@
 }
 
 static Frq *
-request_new (Node *node, h2o_req_t *h2o, RteRoute *route, const RteDestination *destination)
+request_new (Node *node, h2o_req_t *h2o, RteRoute *route, const RteDestination *destination,
+             const AutIdentity *identity)
 {
   const NodHeaders *headers = &node->headers;
-  const char *dropped[] = { headers->deadline_ms, headers->instance, NULL };
+  const char *dropped[]
+      = { headers->deadline_ms, headers->instance,
+          node->table->accounts != NULL ? AUT_HEADER : NULL, headers->account, NULL };
   uint32_t deadline_ms = read_deadline_ms (node, h2o);
   Frq *frq = g_new0 (Frq, 1);
 
@@ -121,7 +125,7 @@
   frq->link->frq = frq;
   frq->table = rte_ref (node->table);
   frq->route = route;
-  frq->priority = route->priority;
+  aut_set_sender (frq, identity);
   frq->service = nod_service (node, destination->service);
   frq->route_stats = nod_route_stats (node, route);
   frq->id = hsv_header (h2o, headers->request_id);
@@ -192,6 +196,9 @@
     }
   RteRoute *route = rte_match (node->table, h2o->authority.base, h2o->authority.len, h2o->path.base,
                                h2o->path.len);
+  AutIdentity identity = { 0 };
+  if (route != NULL && !aut_identify (node, h2o, route, &identity))
+    return;
   const RteDestination *destination = route != NULL ? rte_choose_destination (route) : NULL;
   if (destination == NULL)
     {
@@ -199,7 +206,11 @@
       hsv_respond (h2o, 404, "text/plain", "no_route");
       return;
     }
-  Frq *frq = request_new (node, h2o, route, destination);
+  if (identity.account != NULL
+      && !aut_admit (node, h2o, route, identity.account,
+                     MIN (read_deadline_ms (node, h2o), route->timeout_ms)))
+    return;
+  Frq *frq = request_new (node, h2o, route, destination, &identity);
   if (!poi_admit (&node->poison, frq->fingerprint, frq->received_at_ms))
     {
       node->counters.poison_refused++;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -21,6 +21,7 @@
 {
   return (ChsRequest){ .table = frq->table,
                        .route = frq->route,
+                       .account = frq->account,
                        .service = frq->service,
                        .work = frq->route_stats,
                        .admission = &frq->admission,
@@ -60,7 +61,7 @@
   Node *node = frq->node;
   uint64_t now_ms = clk_now_ms ();
 
-  if (poi_is_blocked (&node->poison, frq->fingerprint, now_ms))
+  if (frq->is_revoked || poi_is_blocked (&node->poison, frq->fingerprint, now_ms))
     return false;
   if (frq->may_have_run && poi_crashes (&node->poison, frq->fingerprint, now_ms) > 0)
     return false;
@@ -195,21 +196,28 @@
 /* ---- Calls ---- */
 
 /* Called when the connection is ready, so that the deadline header states the time that remains
- * then. Return: NULL when the upstream no longer accepts requests. */
+ * then. Return: NULL when the upstream no longer accepts requests, or the request's API key has
+ * been removed. */
 static GString *
 build_message (void *user)
 {
   const Frq *frq = user;
   const NodHeaders *headers = &frq->node->headers;
   uint64_t now_ms = clk_now_ms ();
-  char extra[256];
+  char extra[512];
 
+  if (frq->is_revoked)
+    return NULL;
   if (!chs_accepts_requests (frq->node, frq->ups) || now_ms < frq->ups->paused_until_ms)
     return NULL;
 
-  g_snprintf (extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", headers->deadline_ms,
-              (unsigned long long) (frq->deadline_at_ms - MIN (now_ms, frq->deadline_at_ms - 1)),
-              headers->instance, frq->ups->record.id);
+  int size = g_snprintf (
+      extra, sizeof extra, "%s: %llu\r\n%s: %s\r\n", headers->deadline_ms,
+      (unsigned long long) (frq->deadline_at_ms - MIN (now_ms, frq->deadline_at_ms - 1)),
+      headers->instance, frq->ups->record.id);
+  if (frq->account != NULL)
+    g_snprintf (extra + size, sizeof extra - (size_t) size, "%s: %s\r\n", headers->account,
+                frq->account->name);
   return msg_build (&frq->message, extra);
 }
 
@@ -407,6 +415,11 @@
   uint64_t now_ms = clk_now_ms ();
   ChsChoice choice = { .region = REGIONS_MAX };
 
+  if (frq->is_revoked)
+    {
+      frq_fail (frq, FRQ_KEY_REMOVED);
+      return;
+    }
   if (now_ms < frq->deadline_at_ms)
     choice = choose_upstream (frq);
   frq->region = choice.region;
@@ -440,17 +453,45 @@
              : 1;
 }
 
-/* The candidates of a route are built once for all its requests, and again after each send. */
+/** struct CacheKey - what a set of candidates depends on; @regions: those of the account, NULL
+ * when it may be served in all */
+typedef struct
+{
+  const RteRoute *route;
+  char **regions;
+} CacheKey;
+
+static guint
+cache_key_hash (gconstpointer data)
+{
+  const CacheKey *key = data;
+
+  return g_direct_hash (key->route) ^ g_direct_hash (key->regions);
+}
+
+static gboolean
+cache_key_equal (gconstpointer a, gconstpointer b)
+{
+  const CacheKey *x = a;
+  const CacheKey *y = b;
+
+  return x->route == y->route && x->regions == y->regions;
+}
+
+/* The candidates of a route, and of an account with limited regions, are built once for all such
+ * requests, and again after each send. */
 static ChsChoice
-choose_cached (GHashTable *candidates_by_route, const Frq *frq)
+choose_cached (GHashTable *candidates_by_key, const Frq *frq)
 {
   ChsRequest request = selection_request (frq);
-  ChsCandidates *candidates = g_hash_table_lookup (candidates_by_route, frq->route);
+  CacheKey key = { .route = frq->route,
+                   .regions = acc_limits_regions (frq->account) ? frq->account->regions : NULL };
+  ChsCandidates *candidates = g_hash_table_lookup (candidates_by_key, &key);
 
   if (candidates == NULL)
     {
       candidates = chs_candidates_new (frq->node, &request);
-      g_hash_table_insert (candidates_by_route, frq->route, candidates);
+      g_hash_table_insert (candidates_by_key, g_memdup2 (&key, sizeof key), candidates);
     }
   return chs_choose (candidates, &request);
 }
@@ -462,8 +503,8 @@
 
   if (g_queue_is_empty (&service->waiting))
     return;
-  GHashTable *candidates_by_route = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
-                                                           (GDestroyNotify) chs_candidates_free);
+  GHashTable *candidates_by_key = g_hash_table_new_full (cache_key_hash, cache_key_equal, g_free,
+                                                         (GDestroyNotify) chs_candidates_free);
   g_queue_sort (&service->waiting, compare_waiting, &now_ms);
   GList *item = service->waiting.head;
   for (uint32_t tries = 0; item != NULL && tries < DISPATCH_TRIES_MAX; tries++)
@@ -471,15 +512,15 @@
       Frq *frq = item->data;
       item = item->next;
       ChsChoice choice = { .region = REGIONS_MAX };
-      if (now_ms < frq->deadline_at_ms)
-        choice = choose_cached (candidates_by_route, frq);
+      if (now_ms < frq->deadline_at_ms && !frq->is_revoked)
+        choice = choose_cached (candidates_by_key, frq);
       if (choice.ups == NULL)
         continue;
       frq_stop_waiting (frq);
       send_to (frq, choice);
-      g_hash_table_remove_all (candidates_by_route);
+      g_hash_table_remove_all (candidates_by_key);
     }
-  g_hash_table_unref (candidates_by_route);
+  g_hash_table_unref (candidates_by_key);
 }
 
 void
--- a/src/lim.h
+++ b/src/lim.h
@@ -15,6 +15,11 @@
 #define REGIONS_MAX 8
 #define ZONE_NONE UINT32_MAX
 
+/* Client accounts. The name is sent in a header, and at most ACC_LISTED_MAX accounts are listed in
+ * the state dump. */
+#define ACC_NAME_MAX_BYTES 128
+#define ACC_LISTED_MAX 64
+
 /* Replication of objects between processes. */
 #define SYNC_PERIOD_MS 300
 #define SYNC_TIMEOUT_MS 1000
--- a/src/nod.c
+++ b/src/nod.c
@@ -2,6 +2,7 @@
  */
 #include "nod.h"
 
+#include "aut.h"
 #include "cld.h"
 #include "exc.h"
 #include "fst.h"
@@ -161,16 +162,19 @@
       rte_unref (table);
       return false;
     }
-  if (node->table != NULL)
-    rte_unref (node->table);
+  RteTable *previous = node->table;
   node->table = table;
+  aut_apply_configuration (node, previous);
+  if (previous != NULL)
+    rte_unref (previous);
   for (guint i = 0; i < table->services->len; i++)
     nod_service (node, ((const RteService *) g_ptr_array_index (table->services, i))->name);
   hsv_set_limits (node->front, table->idle_timeout_ms, table->body_max_bytes);
   if (node->relay != NULL)
     hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, table->body_max_bytes);
-  log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
-             (unsigned long long) table->version, table->routes->len);
+  log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u accounts=%u",
+             (unsigned long long) table->version, table->routes->len,
+             table->accounts != NULL ? table->accounts->accounts->len : 0);
   start_serving (node);
   return true;
 }
@@ -418,6 +422,7 @@
   hsv_limit_reading (node->front, now_ms);
   if (node->relay != NULL)
     hsv_limit_reading (node->relay, now_ms);
+  aut_reject_revoked (node);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
@@ -464,6 +469,7 @@
   node->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   node->route_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  aut_init (node);
   node->quotas = quo_new (&node->settings.quota);
   for (uint32_t i = 0; i < ZONES_MAX; i++)
     node->zone_rtt_ms[i] = UINT32_MAX;
--- a/src/nod.h
+++ b/src/nod.h
@@ -224,6 +224,9 @@
  * @sent_by_relay: attempts sent by way of a relay
  * @relayed: requests of other nodes that this node relayed
  * @relays_lost: attempts by way of a relay that failed or that the relay rejected
+ * @unauthorized: requests rejected for want of a known API key
+ * @revoked: requests rejected because their API key was removed after their arrival
+ * @over_quota: requests rejected because their account was over its quota
  */
 typedef struct
 {
@@ -249,6 +252,9 @@
   uint64_t sent_by_relay;
   uint64_t relayed;
   uint64_t relays_lost;
+  uint64_t unauthorized;
+  uint64_t revoked;
+  uint64_t over_quota;
 } NodCounters;
 
 /**
@@ -264,6 +270,9 @@
  * @store_connections: connections to the platform's store, on the loop of @control
  * @ucn: connections to upstreams and relays
  * @table: routing table in force; NULL until the first configuration
+ * @configured_at_ms: time since which @table is in force
+ * @account_secret: key of the hash of API keys
+ * @revocations_pending: an open request may be marked as revoked and not rejected yet
  * @evacuated: names of the zones under evacuation, whose upstreams get no new requests
  * @services: NodService by name
  * @route_stats: NodRouteStats by name of the route
@@ -296,6 +305,9 @@
   Tpt transport;
   PoiTable poison;
   RteTable *table;
+  uint64_t configured_at_ms;
+  AccSecret account_secret;
+  bool revocations_pending;
   GHashTable *evacuated;
   GHashTable *services;
   GHashTable *route_stats;
--- a/src/nst.c
+++ b/src/nst.c
@@ -26,7 +26,8 @@
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
   COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
   COUNTER (held_back),      COUNTER (sent_by_relay),  COUNTER (relayed),
-  COUNTER (relays_lost),
+  COUNTER (relays_lost),    COUNTER (unauthorized),   COUNTER (revoked),
+  COUNTER (over_quota),
 };
 
 char *
@@ -128,6 +129,35 @@
     }
 }
 
+/* One line for each of the accounts with the most requests, and one for all others together. */
+static void
+dump_accounts (const Node *node, GString *out)
+{
+  uint64_t requests = 0;
+  uint64_t over_quota = 0;
+
+  if (node->table == NULL || node->table->accounts == NULL)
+    return;
+  GPtrArray *accounts = acc_by_requests (node->table->accounts);
+  for (guint i = 0; i < accounts->len; i++)
+    {
+      const AccAccount *account = g_ptr_array_index (accounts, i);
+      if (i < ACC_LISTED_MAX)
+        {
+          g_string_append_printf (out, "account=%s requests=%llu over_quota=%llu\n", account->name,
+                                  (unsigned long long) account->requests,
+                                  (unsigned long long) account->over_quota);
+          continue;
+        }
+      requests += account->requests;
+      over_quota += account->over_quota;
+    }
+  g_string_append_printf (out, "other_accounts=%u requests=%llu over_quota=%llu\n",
+                          accounts->len > ACC_LISTED_MAX ? accounts->len - ACC_LISTED_MAX : 0,
+                          (unsigned long long) requests, (unsigned long long) over_quota);
+  g_ptr_array_unref (accounts);
+}
+
 char *
 nst_dump (const Node *node)
 {
@@ -137,6 +167,7 @@
   dump_node (node, out);
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
+  dump_accounts (node, out);
   return g_string_free (out, FALSE);
 }
 
--- a/src/nst.h
+++ b/src/nst.h
@@ -7,7 +7,7 @@
 char *nst_metrics (const Node *node);
 
 /** nst_dump() - state as lines of key=value pairs: one for the node, then one for each peer and
- * each upstream. Free with g_free(). */
+ * each upstream, then those of the client accounts. Free with g_free(). */
 char *nst_dump (const Node *node);
 
 /** nst_serve() - handles HTTP requests for /metrics and /state; @user: the Node. */
--- a/src/rls.c
+++ b/src/rls.c
@@ -1,6 +1,7 @@
 /* Relay server: forwards requests from nodes of remote regions to upstreams near this node. */
 #include "rls.h"
 
+#include "aut.h"
 #include "fbk.h"
 #include "chs.h"
 #include "msg.h"
@@ -192,7 +193,9 @@
 static Rls *
 rls_new (Node *node, h2o_req_t *h2o, Ups *ups, uint32_t remaining_ms)
 {
-  const char *replaced[] = { node->headers.deadline_ms, node->headers.instance, NULL };
+  bool has_accounts = node->table != NULL && node->table->accounts != NULL;
+  const char *replaced[] = { node->headers.deadline_ms, node->headers.instance,
+                             has_accounts ? AUT_HEADER : NULL, NULL };
   Rls *rls = g_new0 (Rls, 1);
 
   rls->node = node;
--- a/src/rte.c
+++ b/src/rte.c
@@ -25,6 +25,7 @@
   g_ptr_array_unref (table->unindexed);
   g_ptr_array_unref (table->routes);
   g_ptr_array_unref (table->services);
+  acc_free (table->accounts);
 }
 
 RteTable *
@@ -126,6 +127,23 @@
   return service;
 }
 
+void
+rte_set_accounts (RteTable *table, AccTable *accounts)
+{
+  if (accounts->accounts->len == 0)
+    {
+      acc_free (accounts);
+      return;
+    }
+  table->accounts = accounts;
+  for (guint i = 0; i < accounts->accounts->len; i++)
+    {
+      const AccAccount *account = g_ptr_array_index (accounts->accounts, i);
+      if (account->has_priority)
+        table->top_priority = MIN (table->top_priority, account->priority);
+    }
+}
+
 static bool
 matches_host (const RteRoute *route, const char *host, size_t size)
 {
--- a/src/rte.h
+++ b/src/rte.h
@@ -1,6 +1,7 @@
 /* Routing table: maps a request's host and path to a service. Pure: no I/O, no clock. */
 #pragma once
 
+#include "acc.h"
 #include "lim.h"
 
 #include <glib.h>
@@ -40,6 +41,7 @@
  * @attempts: maximum number of attempts that run, or may have run, one request
  * @priority: 0 is the highest
  * @sticky: prefer an upstream that is warm for the object, as it responds faster
+ * @is_public: requests need no API key
  * @regions: names of the regions that may serve the route, NULL-terminated; NULL or empty for all
  * @destinations: array of RteDestination
  */
@@ -54,6 +56,7 @@
   uint32_t attempts;
   uint32_t priority;
   bool sticky;
+  bool is_public;
   char **regions;
   GArray *destinations;
 } RteRoute;
@@ -73,8 +76,9 @@
  * @routes: all RttRoutes, owned by the table
  * @index: routes by host and prefix, for prefixes that begin and end with a slash
  * @unindexed: the other routes, searched linearly
- * @top_priority: lowest priority number of all routes, UINT32_MAX before one is set
+ * @top_priority: lowest priority number of all routes and accounts, UINT32_MAX before one is set
  * @services: all RttServices, owned by the table
+ * @accounts: client accounts, owned by the table; NULL when the configuration has none
  * @body_max_bytes: maximum size of a request body
  * @idle_timeout_ms: time after which an idle connection of a caller is closed
  */
@@ -86,6 +90,7 @@
   GPtrArray *unindexed;
   uint32_t top_priority;
   GPtrArray *services;
+  AccTable *accounts;
   uint32_t body_max_bytes;
   uint32_t idle_timeout_ms;
 } RteTable;
@@ -101,6 +106,10 @@
 void rte_add_destination (RteRoute *route, const char *service, uint32_t weight);
 RteService *rte_add_service (RteTable *table, const char *name);
 
+/** rte_set_accounts() - sets the client accounts, once; the table owns them, and has none when
+ * there is no account in @accounts. */
+void rte_set_accounts (RteTable *table, AccTable *accounts);
+
 /**
  * rte_match() - finds the route of the host with the longest prefix of @path
  * @host: host of the request, with or without a port; compared without case
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -211,6 +211,7 @@
   *request = Request ();
   if (!ReadHead (fd, &head, &request->body))
     return false;
+  request->head = head;
   std::istringstream first (head);
   first >> request->method >> request->target;
   request->headers = ParseHeaders (head);
@@ -576,7 +577,7 @@
 NodeProcess::NodeProcess (const std::string &vm, const std::string &zone,
                           const std::string &store_address, int ip_last)
     : vm_ (vm), zone_ (zone), ip_ ("127.0.0." + std::to_string (ip_last)), front_ (FreePort ()),
-      ready_ (FreePort ()), lookup_ (FreePort ()), peer_ (FreePort ())
+      ready_ (FreePort ()), lookup_ (FreePort ()), metrics_ (FreePort ()), peer_ (FreePort ())
 {
   char folder[] = "/tmp/cardamom-test-XXXXXX";
   folder_ = mkdtemp (folder);
@@ -622,7 +623,8 @@
   dup2 (fd, 1);
   dup2 (fd, 2);
   setenv ("CARDAMOMCRANK_CONFIG", settings.c_str (), 1);
-  execl (PROGRAMS_DIR "/cardamom-node", "cardamom-node", nullptr);
+  std::string metrics = "--metrics-port=" + std::to_string (metrics_);
+  execl (PROGRAMS_DIR "/cardamom-node", "cardamom-node", metrics.c_str (), nullptr);
   _exit (127);
 }
 
@@ -661,6 +663,12 @@
                 "", 1000);
 }
 
+Reply
+NodeProcess::Status (const std::string &path)
+{
+  return Fetch (ip_, metrics_, "GET", path, {}, "", 2000);
+}
+
 Reply
 NodeProcess::Call (const std::string &method, const std::string &path, const Headers &headers,
                    const std::string &body, int timeout_ms)
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -14,8 +14,10 @@
 
 using Headers = std::map<std::string, std::string>; // names in lower case
 
+// `head`: the request line and the headers as they were received.
 struct Request
 {
+  std::string head;
   std::string method;
   std::string target;
   Headers headers;
@@ -212,6 +214,8 @@
               const std::string &body = "", int timeout_ms = 5000);
   Reply Ready ();
   Reply Lookup (const std::string &region);
+  // GET of "/metrics" or "/state".
+  Reply Status (const std::string &path);
   // Exchange() with the node's front address.
   std::string ExchangeBytes (const std::vector<std::string> &pieces, int pause_ms, int timeout_ms);
   std::string Log () const;
@@ -230,7 +234,8 @@
   int front_;
   int ready_;
   int lookup_;
-  int peer_;
+  int metrics_;
+  int peer_; // The relay listens on the port after it.
   pid_t pid_ = 0;
 };
 
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -174,6 +174,30 @@
   chs_candidates_free (set);
 }
 
+// Guards against an account's request that runs in a region that its route does not allow, or the
+// other way round.
+TEST_F (Selection, OnlyRegionsOfBothRouteAndAccountAreUsed)
+{
+  AccAccount account = {};
+  ChsRequest request = Request (0);
+  AddUpstreams (0);
+  request.account = &account;
+  account.regions = g_strsplit ("region-1,region-2,elsewhere", ",", -1);
+  route_->regions = g_strsplit ("region-0,region-1", ",", -1);
+  for (uint32_t key = 1; key < 200; key++)
+    {
+      request.key = request.region_hash = key;
+      const Ups *ups = chs_choose_once (node_, &request).ups;
+      ASSERT_NE (nullptr, ups);
+      EXPECT_EQ (1u, ups->zone);
+    }
+  g_strfreev (account.regions);
+  account.regions = g_strsplit ("region-2", ",", -1);
+  EXPECT_EQ (nullptr, chs_choose_once (node_, &request).ups);
+  EXPECT_EQ (UINT64_MAX, chs_earliest_resume_ms (node_, &request));
+  g_strfreev (account.regions);
+}
+
 // A node on a tenth of a core makes some 340 choices per second while requests wait; control work
 // may use 1.9 % of a core.
 TEST_F (Selection, CpuTimeStaysBelowLimitWhileAllUpstreamsAreCold)
--- a/tests/test_pdc.cc
+++ b/tests/test_pdc.cc
@@ -6,11 +6,13 @@
 #include "pdc.h"
 }
 
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
 
 namespace
 {
+const AccSecret kSecret = { { 1 } };
 const std::string kServices = "\"services\":{\"desk\":{\"cold-per-s\":7.2}}";
 
 std::string
@@ -24,6 +26,24 @@
       "\"goal-s\":0.6,\"priority\":1,\"attempts\":2,\"sticky\":true,\"allowed-regions\":[\"x\"],"
       "\"split\":[{\"service\":\"desk\",\"weight\":90},{\"service\":\"other\",\"weight\":10}]}";
 
+// A configuration with these accounts, a route with a priority of 1, and a public one.
+RteTable *
+WithAccounts (const std::string &accounts, Err *err)
+{
+  std::string public_route = "{\"host\":\"h\",\"path-prefix\":\"/p/"
+                             "\",\"service\":\"desk\",\"priority\":1,\"public\":true}";
+  std::string text = "{\"version\":\"r12\",\"routes\":{\"a\":" + std::string (kRoute) + ",\"p\":"
+                     + public_route + "}," + kServices + ",\"tenants\":" + accounts + "}";
+  return pdc_parse_table (text.c_str (), &kSecret, err);
+}
+
+const AccAccount *
+FindByKey (const RteTable *table, const std::string &key)
+{
+  AccDigest digest = acc_digest (&kSecret, key.data (), key.size ());
+  return acc_find (table->accounts, &digest);
+}
+
 bool
 Upstream (const std::string &text, UpsRecord *record)
 {
@@ -35,7 +55,7 @@
 TEST (Pdc, ParsesValidConfiguration)
 {
   Err err = {};
-  RteTable *table = pdc_parse_table (Table (kRoute).c_str (), &err);
+  RteTable *table = pdc_parse_table (Table (kRoute).c_str (), &kSecret, &err);
   ASSERT_NE (table, nullptr) << err.text;
   EXPECT_EQ (table->version, 12u);
   const RteRoute *route = rte_match (table, "h", 1, "/a/b", 4);
@@ -56,7 +76,7 @@
        { std::string ("{"), std::string ("[]"), std::string ("{}"), Table ("7"), Table ("{}"),
          std::string ("{\"version\":12,\"routes\":{}," + kServices + "}"),
          std::string ("{\"version\":\"x1\",\"routes\":{}," + kServices + "}") })
-    EXPECT_EQ (pdc_parse_table (text.c_str (), &err), nullptr) << text;
+    EXPECT_EQ (pdc_parse_table (text.c_str (), &kSecret, &err), nullptr) << text;
 }
 
 TEST (Pdc, UnknownKindIsNotIdempotent)
@@ -65,12 +85,124 @@
   RteTable *table = pdc_parse_table (
       Table ("{\"host\":\"h\",\"path-prefix\":\"/a/\",\"kind\":\"new\",\"service\":\"desk\"}")
           .c_str (),
-      &err);
+      &kSecret, &err);
   ASSERT_NE (table, nullptr);
   EXPECT_FALSE (rte_is_idempotent (rte_match (table, "h", 1, "/a/", 3)));
   rte_unref (table);
 }
 
+TEST (Pdc, ParsesAccounts)
+{
+  Err err = {};
+  RteTable *table = WithAccounts ("{\"kaje80\":{\"api-keys\":[\"dedev3nax7u27gxprymh\","
+                                  "\"2rrytapjsujqurtyiikd\"],\"priority\":0,"
+                                  "\"rate-per-s\":456.5,\"burst\":400,\"allowed-regions\":[\"x\"]},"
+                                  "\"free\":{\"api-keys\":[\"k3\"],\"allowed-regions\":[]},"
+                                  "\"slow\":{\"api-keys\":[],\"rate-per-s\":0.00001,\"burst\":0}}",
+                                  &err);
+  ASSERT_NE (table, nullptr) << err.text;
+  ASSERT_NE (table->accounts, nullptr);
+  const AccAccount *account = FindByKey (table, "2rrytapjsujqurtyiikd");
+  ASSERT_NE (account, nullptr);
+  EXPECT_EQ (FindByKey (table, "dedev3nax7u27gxprymh"), account);
+  EXPECT_STREQ (account->name, "kaje80");
+  EXPECT_EQ (account->hash, acc_hash ("kaje80"));
+  EXPECT_TRUE (account->has_priority);
+  EXPECT_EQ (account->priority, 0u);
+  EXPECT_EQ (account->rate_mps, 456500u);
+  EXPECT_EQ (account->burst, 400u);
+  EXPECT_TRUE (acc_allows_region (account, "x"));
+  EXPECT_FALSE (acc_allows_region (account, "y"));
+  EXPECT_EQ (table->top_priority, 0u);
+  const AccAccount *free = FindByKey (table, "k3");
+  ASSERT_NE (free, nullptr);
+  EXPECT_FALSE (free->has_priority);
+  EXPECT_EQ (free->rate_mps, 0u);
+  EXPECT_TRUE (acc_allows_region (free, "y"));
+  EXPECT_EQ (free->invalid_field, nullptr);
+  const AccAccount *slow = acc_find_name (table->accounts, "slow");
+  EXPECT_EQ (slow->rate_mps, 1u) << "a limit above 0 must not become none";
+  EXPECT_EQ (slow->burst, 1u) << "no request passes a bucket that holds no token";
+  EXPECT_FALSE (rte_match (table, "h", 1, "/a/", 3)->is_public);
+  EXPECT_TRUE (rte_match (table, "h", 1, "/p/", 3)->is_public);
+  rte_unref (table);
+}
+
+TEST (Pdc, ConfigurationWithoutAccountsHasNoTableOfThem)
+{
+  Err err = {};
+  for (const char *accounts : { "{}", "null" })
+    {
+      RteTable *table = WithAccounts (accounts, &err);
+      ASSERT_NE (table, nullptr) << err.text;
+      EXPECT_EQ (table->accounts, nullptr);
+      rte_unref (table);
+    }
+}
+
+// Guards against a configuration in which it is not certain who holds a key, and against one that
+// turns authentication off because it cannot be read. No error names a key.
+TEST (Pdc, RejectsAccountsWithInvalidKeys)
+{
+  for (const char *accounts :
+       { "{\"one\":{\"api-keys\":[\"\"]}}", "{\"one\":{\"api-keys\":[\"secret\",7]}}",
+         "{\"one\":{\"api-keys\":\"secret\"}}", "{\"one\":[\"secret\"]}", "[\"secret\"]",
+         "\"secret\"",
+         "{\"two\":{\"api-keys\":[\"secret\"]},\"one\":{\"api-keys\":[\"other\",\"secret\"]}}",
+         "{\"a b\":{\"api-keys\":[\"secret\"]}}", "{\"\":{\"api-keys\":[\"secret\"]}}",
+         "{\"one\\r\\nX: y\":{\"api-keys\":[\"secret\"]}}" })
+    {
+      Err err = {};
+      EXPECT_EQ (WithAccounts (accounts, &err), nullptr) << accounts;
+      EXPECT_NE (err.code, 0) << accounts;
+      EXPECT_EQ (strstr (err.text, "secret"), nullptr) << err.text;
+      bool is_named = strstr (err.text, "one") != nullptr;
+      EXPECT_TRUE (is_named || strstr (accounts, "\"one\":{") == nullptr) << err.text;
+    }
+}
+
+TEST (Pdc, InvalidNumbersOfAnAccountCountAsMissing)
+{
+  const std::pair<const char *, const char *> cases[] = {
+    { "\"rate-per-s\":-1", "rate-per-s" },
+    { "\"rate-per-s\":\"many\"", "rate-per-s" },
+    { "\"rate-per-s\":1e999", "rate-per-s" },
+    { "\"rate-per-s\":[]", "rate-per-s" },
+    { "\"rate-per-s\":5,\"burst\":-2", "burst" },
+    { "\"rate-per-s\":5,\"burst\":true", "burst" },
+    { "\"priority\":-1", "priority" },
+    { "\"priority\":\"top\"", "priority" },
+  };
+  for (const auto &[fields, name] : cases)
+    {
+      Err err = {};
+      RteTable *table
+          = WithAccounts (std::string ("{\"one\":{\"api-keys\":[\"key\"],") + fields + "}}", &err);
+      ASSERT_NE (table, nullptr) << err.text;
+      const AccAccount *account = FindByKey (table, "key");
+      EXPECT_STREQ (account->invalid_field, name) << fields;
+      EXPECT_EQ (account->rate_mps, strcmp (name, "burst") == 0 ? 5000u : 0u) << fields;
+      EXPECT_FALSE (account->has_priority);
+      EXPECT_EQ (table->top_priority, 1u);
+      rte_unref (table);
+    }
+}
+
+// Guards against a list with an error that allows every region.
+TEST (Pdc, InvalidRegionsOfAnAccountAllowNothing)
+{
+  for (const char *regions : { "[7]", "[\"\"]", "\"x\"", "{}", "[[\"x\"]]" })
+    {
+      Err err = {};
+      RteTable *table = WithAccounts (
+          std::string ("{\"one\":{\"api-keys\":[\"key\"],\"allowed-regions\":") + regions + "}}",
+          &err);
+      ASSERT_NE (table, nullptr) << err.text;
+      EXPECT_FALSE (acc_allows_region (FindByKey (table, "key"), "x")) << regions;
+      rte_unref (table);
+    }
+}
+
 TEST (Pdc, ParsesValidRegistration)
 {
   UpsRecord record;
--- a/tests/test_rte.cc
+++ b/tests/test_rte.cc
@@ -79,6 +79,29 @@
   rte_unref (table);
 }
 
+TEST (Rte, TopPriorityIncludesThoseOfAccounts)
+{
+  RteTable *table = rte_new (1);
+  rte_set_priority (table, AddRoute (table, "route", "/r/"), 2);
+  AccTable *accounts = acc_new ();
+  acc_add (accounts, "without");
+  AccAccount *urgent = acc_add (accounts, "urgent");
+  urgent->has_priority = true;
+  urgent->priority = 1;
+  rte_set_accounts (table, accounts);
+  EXPECT_EQ (table->top_priority, 1u);
+  EXPECT_EQ (table->accounts, accounts);
+  rte_unref (table);
+}
+
+TEST (Rte, EmptySetOfAccountsIsNone)
+{
+  RteTable *table = rte_new (1);
+  rte_set_accounts (table, acc_new ());
+  EXPECT_EQ (table->accounts, nullptr);
+  rte_unref (table);
+}
+
 TEST (Rte, RequestsAreSplitByWeightAfterEachRequest)
 {
   RteTable *table = rte_new (1);
