--- a/src/aut.c
+++ b/src/aut.c
@@ -29,16 +29,30 @@
   return id;
 }
 
+/* Callers without a key, or over their quota, must not use up the log's lines for other requests.
+ */
+static bool
+may_log (Node *node)
+{
+  uint64_t second = clk_now_ms () / 1000;
+
+  if (second != node->rejects_logged_at_s)
+    node->rejects_logged = 0;
+  node->rejects_logged_at_s = second;
+  return node->rejects_logged++ < LOG_REJECTS_PER_S;
+}
+
 static void
 reject_unauthorized (Node *node, h2o_req_t *h2o, const RteRoute *route, const char *reason)
 {
   char *id = repeat_id (node, h2o);
 
   node->counters.unauthorized++;
-  log_event (&node->request_log, LOG_INFO, "request_unauthorized",
-             "id=%s route=%s reason=%s config=%llu config_age_ms=%llu", id != NULL ? id : "-",
-             route->name, reason, (unsigned long long) node->table->version,
-             (unsigned long long) (clk_now_ms () - node->configured_at_ms));
+  if (may_log (node))
+    log_event (&node->request_log, LOG_INFO, "request_unauthorized",
+               "id=%s route=%s reason=%s config=%llu config_age_ms=%llu", id != NULL ? id : "-",
+               route->name, reason, (unsigned long long) node->table->version,
+               (unsigned long long) (clk_now_ms () - node->configured_at_ms));
   g_free (id);
   hsv_add_header (h2o, "www-authenticate", "Bearer");
   hsv_respond (h2o, STATUS_UNAUTHORIZED, "text/plain", "unauthorized");
@@ -51,10 +65,12 @@
   char *id = repeat_id (node, h2o);
   char seconds[32];
 
-  log_event (&node->request_log, LOG_INFO, "request_failed",
-             "id=%s status=%d reason=%s route=%s account=%s sends=0 retry_after_ms=%u config=%llu",
-             id != NULL ? id : "-", status, reason, route->name, account->name, retry_after_ms,
-             (unsigned long long) node->table->version);
+  if (may_log (node))
+    log_event (
+        &node->request_log, LOG_INFO, "request_failed",
+        "id=%s status=%d reason=%s route=%s account=%s sends=0 retry_after_ms=%u config=%llu",
+        id != NULL ? id : "-", status, reason, route->name, account->name, retry_after_ms,
+        (unsigned long long) node->table->version);
   g_free (id);
   g_snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000, retry_after_ms % 1000);
   hsv_add_header (h2o, "retry-after", seconds);
--- a/src/lim.h
+++ b/src/lim.h
@@ -239,4 +239,5 @@
 
 /* Logs of the node process. */
 #define LOG_LINES_PER_S 200
+#define LOG_REJECTS_PER_S 50
 #define LOG_SAMPLE 64
--- a/src/nod.h
+++ b/src/nod.h
@@ -272,6 +272,8 @@
  * @table: routing table in force; NULL until the first configuration
  * @configured_at_ms: time since which @table is in force
  * @account_secret: key of the hash of API keys
+ * @rejects_logged_at_s: last second in which a rejection on arrival was logged
+ * @rejects_logged: rejections logged in that second
  * @revocations_pending: an open request may be marked as revoked and not rejected yet
  * @evacuated: names of the zones under evacuation, whose upstreams get no new requests
  * @services: NodService by name
@@ -307,6 +309,8 @@
   RteTable *table;
   uint64_t configured_at_ms;
   AccSecret account_secret;
+  uint64_t rejects_logged_at_s;
+  uint32_t rejects_logged;
   bool revocations_pending;
   GHashTable *evacuated;
   GHashTable *services;
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -473,6 +473,23 @@
   EXPECT_EQ (without_store.Call ("GET", "/read/a", WithKey ("k3", "key-two")).status, 200);
 }
 
+// Guards against a restarted node that accepts a removed key again: lists of the store that may be
+// stale still have it.
+TEST_F (AccountsTest, NodeThatStartsFromStaleListsDoesNotAcceptARemovedKey)
+{
+  store_.Put ("config", "main", WithAccounts (7, Account ("one", "\"key-a\"")));
+  store_.FreezeStaleLists ();
+  store_.Put ("config", "main", WithAccounts (8, Account ("one", "\"key-b\"")));
+  NodeProcess node ("vm-1", "east-a", store_.address ());
+  int status = 0;
+  ASSERT_TRUE (WaitUntil (3000, [&] {
+    Reply reply = node.Call ("GET", "/read/a", WithKey ("removed", "key-a"));
+    status = reply.status;
+    return status != 0 && reply.body != "no_configuration";
+  }));
+  EXPECT_EQ (status, 401);
+}
+
 // ---- Errors in accounts ----
 
 TEST_F (AccountsTest, ConfigurationWithInvalidKeysIsRefusedAndTheOneInForceStays)
