--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -490,6 +490,23 @@
   EXPECT_EQ (status, 401);
 }
 
+// Guards against accounts of replaced versions that stay in memory: the sanitizers' build ends with
+// an error then.
+TEST_F (AccountsTest, NodeStopsCleanlyAfterChangesOfAccounts)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+  EXPECT_EQ (Get ("/read/a", "wrong"), 401);
+  Configure (8, Account ("one", "\"key-one\"", "\"east\"", ",\"rate-per-s\":100"));
+  EXPECT_EQ (Get ("/read/a", "key-two"), 401);
+  store_.Put ("config", "main", WithAccounts (9, Account ("one", "\"key-one\",\"\"")));
+  ASSERT_TRUE (WaitUntil (3000, [&] { return Contains (node_->Log (), "configuration_invalid"); }));
+  Configure (10, "");
+  EXPECT_EQ (Get ("/read/a", ""), 200);
+  node_->Signal (SIGTERM);
+  EXPECT_EQ (node_->WaitExit (9000), 0) << node_->Log ();
+}
+
 // ---- Errors in accounts ----
 
 TEST_F (AccountsTest, ConfigurationWithInvalidKeysIsRefusedAndTheOneInForceStays)
