--- a/src/exc.c
+++ b/src/exc.c
@@ -41,11 +41,56 @@
   xdr_destroy (&xdr);
 }
 
+/* ---- Quotas ---- */
+
+static bool
+is_known (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  (void) per;
+  if (per_is_alive (peer, now_ms))
+    return true;
+  if (peer->left || peer->state == PER_STOPPING)
+    return false;
+  return peer->last_seen_ms != 0 ? now_ms - peer->last_seen_ms < QUO_PEER_GONE_MS
+                                 : now_ms - peer->known_since_ms < PER_LONG_SILENT_MS;
+}
+
+/* The node's counts arrive: in views, or in summaries of its zone. */
+static bool
+is_counted (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  uint32_t view_limit_ms = MAX (PER_RECENT_MS, 3 * per_view_period_ms (per));
+
+  if (!per_is_alive (peer, now_ms))
+    return false;
+  if (!peer->in_summaries)
+    return peer->last_view_ms != 0 && now_ms - peer->last_view_ms < view_limit_ms;
+  return peer->zone < ZONES_MAX && per->summary_received_ms[peer->zone] != 0
+         && now_ms - per->summary_received_ms[peer->zone] < QUO_ZONE_SILENT_MS;
+}
+
+static void
+update_quotas (Per *per, uint64_t now_ms)
+{
+  uint32_t period_ms = per_view_period_ms (per);
+  QuoFleet fleet = { .node = per->self.hash,
+                     .known = 1 + per_count_if (per, is_known, now_ms),
+                     .heard = 1 + per_count_if (per, is_counted, now_ms),
+                     .report_delay_ms = period_ms + QUO_TRANSIT_MS,
+                     .view_hold_ms = 2 * period_ms + PER_TICK_MS };
+
+  if (per->zoned)
+    fleet.report_delay_ms += SUM_PERIOD_MS + PER_TICK_MS;
+  quo_set_fleet (per->quotas, &fleet, now_ms);
+}
+
 void
 exc_tick (Per *per, uint64_t now_ms)
 {
   per_compensate_pause (per, now_ms);
   per_update_cells (per, now_ms);
+  if (quo_is_active (per->quotas))
+    update_quotas (per, now_ms);
   vws_tick (per, now_ms);
   sum_tick (per, now_ms);
   if (now_ms - per->totals_updated_ms < TOTALS_PERIOD_MS)
--- a/src/nod.c
+++ b/src/nod.c
@@ -450,6 +450,7 @@
   peers->user = node;
   peers->upstreams = &node->upstreams;
   peers->poison = &node->poison;
+  peers->quotas = node->quotas;
 }
 
 void
--- a/src/nst.c
+++ b/src/nst.c
@@ -137,6 +137,7 @@
   dump_node (node, out);
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
+  quo_dump (node->quotas, now_ms, out);
   return g_string_free (out, FALSE);
 }
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -45,6 +45,12 @@
 };
 typedef struct peer_crash peer_crash;
 
+struct peer_quota {
+	u_int account;
+	u_int count;
+};
+typedef struct peer_quota peer_quota;
+
 struct peer_leaving {
 	u_int upstream;
 	u_quad_t born_ms;
@@ -92,6 +98,10 @@
 		u_int leaving_len;
 		peer_leaving *leaving_val;
 	} leaving;
+	struct {
+		u_int quotas_len;
+		peer_quota *quotas_val;
+	} quotas;
 };
 typedef struct peer_view peer_view;
 
@@ -133,6 +143,11 @@
 		u_int leaving_len;
 		peer_leaving *leaving_val;
 	} leaving;
+	u_quad_t quota_source;
+	struct {
+		u_int quotas_len;
+		peer_quota *quotas_val;
+	} quotas;
 };
 typedef struct peer_summary peer_summary;
 
@@ -199,6 +214,7 @@
 extern  bool_t xdr_peer_count (XDR *, peer_count*);
 extern  bool_t xdr_peer_service (XDR *, peer_service*);
 extern  bool_t xdr_peer_crash (XDR *, peer_crash*);
+extern  bool_t xdr_peer_quota (XDR *, peer_quota*);
 extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_view (XDR *, peer_view*);
@@ -217,6 +233,7 @@
 extern bool_t xdr_peer_count ();
 extern bool_t xdr_peer_service ();
 extern bool_t xdr_peer_crash ();
+extern bool_t xdr_peer_quota ();
 extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_view ();
--- a/src/peer.x
+++ b/src/peer.x
@@ -32,6 +32,13 @@
   unsigned int age_ms;
 };
 
+/* Requests of a client account that were admitted since the sender started. @account is the hash of
+ * its name. */
+struct peer_quota {
+  unsigned int account;
+  unsigned int count;
+};
+
 /* An upstream that leaves and is not yet marked as draining in the platform's objects. @upstream
  * is the hash of its id; @born_ms is the start of the incarnation that leaves. */
 struct peer_leaving {
@@ -63,7 +70,8 @@
  * starts when a node reaches the store again after none could; registrations that lapsed
  * meanwhile are renewed in it.
  * @loads are the node's requests in flight by upstream.
- * @down are the upstreams that do not answer the node, by the hash of their ids. */
+ * @down are the upstreams that do not answer the node, by the hash of their ids.
+ * @quotas are the node's own counts of accounts with a quota that were used lately. */
 struct peer_view {
   peer_member self;
   unsigned int removal_defer_ms;
@@ -73,6 +81,7 @@
   peer_crash crashes<64>;
   peer_service services<32>;
   peer_leaving leaving<64>;
+  peer_quota quotas<64>;
 };
 
 /* A node of the zone that a summary covers. @age_ms is the time since its last message. */
@@ -85,7 +94,9 @@
  * receiver forwards it to the nodes of its own zone when @relay is set, and clears @relay in these
  * copies.
  * @loads are the zone's requests in flight by upstream.
- * @down are the numbers of nodes that an upstream does not answer. */
+ * @down are the numbers of nodes that an upstream does not answer.
+ * @quotas are what the sender has counted for its zone since it started; @quota_source changes when
+ * another node sends, or the same one after a restart. */
 struct peer_summary {
   peer_name zone;
   bool relay;
@@ -97,6 +108,8 @@
   peer_crash crashes<64>;
   peer_service services<32>;
   peer_leaving leaving<64>;
+  unsigned hyper quota_source;
+  peer_quota quotas<512>;
 };
 
 /* One version of an object; value is empty when @deleted is set. */
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -68,6 +68,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_quota (XDR *xdrs, peer_quota *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
 {
@@ -214,6 +226,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, 64,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, 64,
+		sizeof (peer_quota), (xdrproc_t) xdr_peer_quota))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -261,6 +276,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, 64,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->quota_source))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, 512,
+		sizeof (peer_quota), (xdrproc_t) xdr_peer_quota))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/per.c
+++ b/src/per.c
@@ -45,6 +45,15 @@
   peer->capacity = capacity;
 }
 
+void
+per_mark_left (Per *per, const char *vm)
+{
+  PerPeer *peer = g_hash_table_lookup (per->peers, vm);
+
+  if (peer != NULL)
+    peer->left = true;
+}
+
 bool
 per_is_alive (const PerPeer *peer, uint64_t now_ms)
 {
@@ -107,6 +116,7 @@
   peer->watch = (PerWatch) MIN (member->watch, (u_int) PER_WATCH_FAILING);
   peer->state = (PerState) MIN (member->state, (u_int) PER_STOPPING);
   peer->last_seen_ms = last_seen_ms;
+  peer->left = false;
   if (!was_alive)
     log_event (per->log, LOG_INFO, "peer_heard", "peer=%s incarnation=%llu", peer->vm,
                (unsigned long long) peer->incarnation);
--- a/src/per.h
+++ b/src/per.h
@@ -7,6 +7,7 @@
 #include "ovl.h"
 #include "peer.h"
 #include "poi.h"
+#include "quo.h"
 #include "rep.h"
 #include "ups.h"
 
@@ -43,6 +44,7 @@
  * @in_summaries: it is in another cell and reported in summaries
  * @is_head: it is a head of another cell
  * @in_totals: its view is part of the totals of the upstreams
+ * @left: the platform has removed it, and nothing was heard of it since
  * @view: its last view
  */
 typedef struct
@@ -65,6 +67,7 @@
   bool in_summaries;
   bool is_head;
   bool in_totals;
+  bool left;
   peer_view view;
 } PerPeer;
 
@@ -118,6 +121,7 @@
  * @user: argument of @zone_of and @region_of
  * @read_store: may be NULL
  * @store_user: argument of @read_store
+ * @quotas: quotas of client accounts; may be NULL
  * @services: demand of the services that the own node reports, @service_count of them
  * @service_ppm: traffic split of each of them in ppm by region
  * @peers: PerPeer by VM name
@@ -153,6 +157,7 @@
   UpsTable *upstreams;
   Rep rep;
   PoiTable *poison;
+  Quo *quotas;
   peer_service services[PER_SERVICES_MAX];
   u_int service_ppm[PER_SERVICES_MAX][REGIONS_MAX];
   u_int service_count;
@@ -200,6 +205,9 @@
 void per_add (Per *per, const char *vm, NetAddr addr, uint32_t zone, uint32_t capacity,
               uint64_t now_ms);
 
+/** per_mark_left() - records that the platform has removed a node. */
+void per_mark_left (Per *per, const char *vm);
+
 /** per_apply_member() - applies what a node reported of itself at @last_seen_ms. Return: the peer;
  * NULL when newer data is known or the node is the own one. */
 PerPeer *per_apply_member (Per *per, const peer_member *member, uint64_t last_seen_ms,
--- a/src/quo.c
+++ b/src/quo.c
@@ -1,51 +1,702 @@
 /* Quotas of client accounts: rate limits that hold over all nodes together. */
 #include "quo.h"
 
-#include <glib.h>
+#include <math.h>
+#include <string.h>
 
+#define BIN_MS 50
+#define OWN_BINS 32
+#define WINDOW_BINS 64
+#define DELAY_MAX_MS ((OWN_BINS - 2) * BIN_MS)
+
+/* A count in a message: the spell of use in the upper bits, requests since its start in the lower.
+ */
+#define SPELL_BITS 8
+#define COUNT_BITS 24
+#define COUNT_MAX ((1u << COUNT_BITS) - 1)
+
+/* Part of the allowed excess that is used; the rest is for lost messages. */
+#define EXCESS_USED 0.9
+
+/* Part of the shares that is divided evenly, so that a node without use can admit. */
+#define EVEN_PART 0.25
+
+/* Weight of the even division in tokens while little use is reported. */
+#define PRIOR_USE 0.5
+
+/* Unreported requests that any node may have of an account that is far from its limit. Nodes that
+ * see a request of an account every few seconds sometimes see two within the report delay. */
+#define SPARE_TOKENS 2.0
+
+#define RETRY_AFTER_MIN_MS 50
+
+/**
+ * struct Tally - a count as messages carry it
+ * @spell: number of the spell of use, which ends after QUO_IDLE_MS without any
+ * @count: requests in this spell
+ * @listed: @count when it was last listed for a message
+ * @changed_ms: last change; 0 for never
+ */
+typedef struct
+{
+  uint32_t spell;
+  uint32_t count;
+  uint32_t listed;
+  uint64_t changed_ms;
+} Tally;
+
+/**
+ * struct Account - quota of a client account
+ * @active: it is in the list of accounts that were used lately
+ * @own: what this node has admitted
+ * @zone: the same plus what the nodes of the zone have reported
+ * @credits: refunded requests whose counts are not taken back, since counts never decrease
+ * @credited_ms: time of the last refund
+ * @level: tokens of the bucket after all reported requests and all own ones; may be negative
+ * @updated_ms: time of @level and of the uses; 0 until the first use
+ * @own_use: own requests older than the report delay, decaying with QUO_USE_DECAY_MS
+ * @all_use: the same plus reported ones of others
+ * @own_bin: number of the newest element of @own_bins
+ * @own_bins: own requests by time, as a ring of BIN_MS each
+ * @settled_bin: bins up to this one are part of @own_use
+ * @window_bin: number of the newest element of @window_bins
+ * @window_sum: sum of @window_bins
+ * @window_bins: known requests of all nodes within a window and the report delay
+ * @refused: requests that this node has refused
+ */
+typedef struct
+{
+  uint32_t hash;
+  uint64_t rate_mps;
+  uint32_t burst;
+  Tally own;
+  Tally zone;
+  bool active;
+  uint32_t credits;
+  uint64_t credited_ms;
+  double level;
+  uint64_t updated_ms;
+  double own_use;
+  double all_use;
+  uint64_t own_bin;
+  uint64_t settled_bin;
+  uint32_t own_bins[OWN_BINS];
+  uint64_t window_bin;
+  uint32_t window_sum;
+  uint32_t window_bins[WINDOW_BINS];
+  uint64_t refused;
+} Account;
+
+/** struct Report - last count of an account from a source */
+typedef struct
+{
+  uint32_t spell;
+  uint32_t count;
+  uint64_t heard_ms;
+} Report;
+
+/**
+ * struct Source - a node or zone reporter
+ * @incarnation: changes when it restarts
+ * @heard_since_ms: since when it has been heard without a long silence
+ * @heard_ms: time of its last message
+ * @swept_ms: when old reports were last removed
+ * @reports: Report by account
+ */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t heard_since_ms;
+  uint64_t heard_ms;
+  uint64_t swept_ms;
+  GHashTable *reports;
+} Source;
+
+/**
+ * struct Quo - quotas of all accounts
+ * @window_bin_ms: length of a window bin
+ * @accounts: Account by hash
+ * @sources: Source by hash
+ * @active: accounts that were used lately
+ */
 struct Quo
 {
   QuoBounds bounds;
+  QuoFleet fleet;
+  uint32_t window_bin_ms;
+  GHashTable *accounts;
+  GHashTable *sources;
+  GPtrArray *active;
 };
 
+/* ---- Creation and release ---- */
+
+static void
+source_free (gpointer data)
+{
+  Source *source = data;
+
+  g_hash_table_unref (source->reports);
+  g_free (source);
+}
+
 Quo *
 quo_new (const QuoBounds *bounds)
 {
   Quo *quotas = g_new0 (Quo, 1);
 
   quotas->bounds = *bounds;
+  quotas->fleet = (QuoFleet){ .known = 1, .heard = 1, .view_hold_ms = QUO_SOURCE_SILENT_MS };
+  quotas->window_bin_ms = (bounds->window_ms + DELAY_MAX_MS) / (WINDOW_BINS - 2) + 1;
+  quotas->accounts = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  quotas->sources = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, source_free);
+  quotas->active = g_ptr_array_new ();
   return quotas;
 }
 
 void
 quo_free (Quo *quotas)
 {
+  if (quotas == NULL)
+    return;
+  g_ptr_array_unref (quotas->active);
+  g_hash_table_unref (quotas->sources);
+  g_hash_table_unref (quotas->accounts);
   g_free (quotas);
 }
 
+/* ---- Limits ---- */
+
+static Account *
+find_account (const Quo *quotas, uint32_t hash)
+{
+  return g_hash_table_lookup (quotas->accounts, GUINT_TO_POINTER (hash));
+}
+
+/* Part of a limit that this node's side of a partition may use. */
+static double
+heard_part (const Quo *quotas)
+{
+  return (double) quotas->fleet.heard / quotas->fleet.known;
+}
+
+static double
+rate_per_s (const Quo *quotas, const Account *account)
+{
+  return account->rate_mps / 1000.0 * heard_part (quotas);
+}
+
+static double
+burst_of (const Quo *quotas, const Account *account)
+{
+  return account->burst * heard_part (quotas);
+}
+
+static double
+window_quota (const Quo *quotas, const Account *account)
+{
+  return rate_per_s (quotas, account) * quotas->bounds.window_ms / 1000.0
+         + burst_of (quotas, account);
+}
+
+static double
+excess_of (const Quo *quotas, const Account *account)
+{
+  double slack = quotas->bounds.slack * heard_part (quotas);
+
+  return EXCESS_USED
+         * (window_quota (quotas, account) * quotas->bounds.excess_permille / 1000.0 + slack);
+}
+
+static void
+lower_limit (Account *account, uint64_t rate_mps, uint32_t burst)
+{
+  double factor = (double) rate_mps / account->rate_mps;
+
+  account->window_sum = 0;
+  for (int i = 0; i < WINDOW_BINS; i++)
+    {
+      account->window_bins[i] = (uint32_t) (account->window_bins[i] * factor);
+      account->window_sum += account->window_bins[i];
+    }
+  account->level = account->level > 0 ? MIN (account->level, burst) : account->level * factor;
+}
+
 void
-quo_set_limit (Quo *quotas, uint32_t account, uint64_t rate_mps, uint32_t burst)
+quo_set_limit (Quo *quotas, uint32_t hash, uint64_t rate_mps, uint32_t burst)
+{
+  Account *account = find_account (quotas, hash);
+
+  if (rate_mps == 0)
+    {
+      if (account != NULL)
+        g_ptr_array_remove_fast (quotas->active, account);
+      g_hash_table_remove (quotas->accounts, GUINT_TO_POINTER (hash));
+      return;
+    }
+  if (account == NULL)
+    {
+      account = g_new0 (Account, 1);
+      account->hash = hash;
+      g_hash_table_insert (quotas->accounts, GUINT_TO_POINTER (hash), account);
+    }
+  else if (rate_mps < account->rate_mps)
+    lower_limit (account, rate_mps, burst);
+  account->rate_mps = rate_mps;
+  account->burst = burst;
+}
+
+bool
+quo_is_active (const Quo *quotas)
+{
+  return quotas != NULL && g_hash_table_size (quotas->accounts) > 0;
+}
+
+/* ---- Passing of time ---- */
+
+/* Moves own requests that are older than the report delay into the uses, as the other nodes have
+ * done by now. */
+static void
+settle_own_bins (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  uint64_t now_bin = now_ms / BIN_MS;
+  uint64_t settled = (now_ms - MIN (quotas->fleet.report_delay_ms, now_ms)) / BIN_MS - 1;
+
+  if (settled <= account->settled_bin)
+    settled = account->settled_bin;
+  for (uint64_t bin = account->settled_bin + 1; bin <= MIN (settled, account->own_bin); bin++)
+    {
+      account->own_use += account->own_bins[bin % OWN_BINS];
+      account->all_use += account->own_bins[bin % OWN_BINS];
+      account->own_bins[bin % OWN_BINS] = 0;
+    }
+  account->settled_bin = settled;
+  account->own_bin = MAX (account->own_bin, now_bin);
+}
+
+static void
+advance_window (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  uint64_t now_bin = now_ms / quotas->window_bin_ms;
+  uint64_t steps = MIN (now_bin - account->window_bin, WINDOW_BINS);
+
+  for (uint64_t i = 0; i < steps; i++)
+    {
+      uint32_t *bin = &account->window_bins[(now_bin - i) % WINDOW_BINS];
+      account->window_sum -= *bin;
+      *bin = 0;
+    }
+  account->window_bin = now_bin;
+}
+
+/* A bucket starts half-way into the allowed excess: two restarts of all nodes within a window then
+ * use no more than the excess, and a single restarted node soon admits again. */
+static void
+start_account (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  account->level = -excess_of (quotas, account) / 2;
+  account->updated_ms = now_ms;
+  account->own_bin = now_ms / BIN_MS;
+  account->settled_bin = account->own_bin - 1;
+  account->window_bin = now_ms / quotas->window_bin_ms;
+}
+
+static void
+advance (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  if (account->updated_ms == 0)
+    start_account (quotas, account, now_ms);
+  if (now_ms <= account->updated_ms)
+    return;
+  double elapsed_ms = (double) (now_ms - account->updated_ms);
+  double refill = rate_per_s (quotas, account) * elapsed_ms / 1000.0;
+  double kept = exp (-elapsed_ms / QUO_USE_DECAY_MS);
+  account->level = MIN (account->level + refill, burst_of (quotas, account));
+  account->own_use *= kept;
+  account->all_use *= kept;
+  account->updated_ms = now_ms;
+  settle_own_bins (quotas, account, now_ms);
+  advance_window (quotas, account, now_ms);
+}
+
+/* ---- Decision ---- */
+
+static double
+unreported_of (const Account *account)
+{
+  uint32_t sum = 0;
+
+  for (int i = 0; i < OWN_BINS; i++)
+    sum += account->own_bins[i];
+  return sum;
+}
+
+/* The own part of what all nodes together may admit unreported. The parts of the nodes that hear
+ * each other add up to 1. */
+static double
+share_of (const Quo *quotas, const Account *account)
+{
+  double even = 1.0 / quotas->fleet.heard;
+  double by_use = (account->own_use + PRIOR_USE * even) / (account->all_use + PRIOR_USE);
+
+  return (1 - EVEN_PART) * by_use + EVEN_PART * even;
+}
+
+static uint32_t
+mix (uint32_t value)
+{
+  value = (value ^ (value >> 16)) * 0x7feb352dU;
+  value = (value ^ (value >> 15)) * 0x846ca68bU;
+  return value ^ (value >> 16);
+}
+
+/* Number in [0, 1) that differs between nodes and changes with each report delay. Added before
+ * rounding down, it gives fractions of a token to as many nodes as there are whole tokens. */
+static double
+rounding_of (const Quo *quotas, const Account *account, uint64_t now_ms)
+{
+  uint32_t delay_ms = MAX (quotas->fleet.report_delay_ms, BIN_MS);
+  uint32_t epoch = (uint32_t) (now_ms / delay_ms);
+
+  return mix (mix (mix (quotas->fleet.node) ^ account->hash) ^ epoch) / 4294967296.0;
+}
+
+/* Strict rule: the own unreported requests stay within the own share of the bucket and excess. */
+static double
+strict_allowance (const Quo *quotas, const Account *account, double unreported)
 {
-  (void) quotas;
-  (void) account;
-  (void) rate_mps;
-  (void) burst;
+  double tokens = account->level + unreported + excess_of (quotas, account);
+
+  return MAX (0, share_of (quotas, account) * tokens);
+}
+
+/* What the other nodes are likely to have admitted since their counts were sent. */
+static double
+predicted_use (const Quo *quotas, const Account *account)
+{
+  double others_per_ms = MAX (0, account->all_use - account->own_use) / QUO_USE_DECAY_MS;
+
+  return others_per_ms * quotas->fleet.report_delay_ms / 2;
+}
+
+/* Rule of an account that is far from its limit: the own unreported requests stay within the own
+ * share of what the window leaves, and SPARE_TOKENS. */
+static double
+relaxed_allowance (const Quo *quotas, const Account *account, double unreported)
+{
+  double excess = excess_of (quotas, account);
+  double left = window_quota (quotas, account) + excess - account->window_sum + unreported;
+
+  if (account->level + excess / 2 <= predicted_use (quotas, account) || left <= 0)
+    return 0;
+  return share_of (quotas, account) * left + SPARE_TOKENS;
+}
+
+static uint32_t
+retry_after_ms_of (const Quo *quotas, const Account *account, double unreported)
+{
+  double excess = excess_of (quotas, account);
+  double needed = (unreported + 1) / share_of (quotas, account);
+  double missing = needed - (account->level + unreported + excess);
+  double wait_ms = CLAMP (missing, 1, 1 + excess / 2) * 1000 / rate_per_s (quotas, account);
+
+  return (uint32_t) CLAMP (wait_ms, RETRY_AFTER_MIN_MS, quotas->bounds.window_ms);
+}
+
+static void
+count_use (Quo *quotas, Account *account, Tally *tally, uint32_t requests, uint64_t now_ms)
+{
+  bool is_new_spell = tally->changed_ms != 0 && now_ms - tally->changed_ms >= QUO_IDLE_MS;
+
+  if (is_new_spell || tally->count + requests > COUNT_MAX)
+    {
+      tally->spell = (tally->spell + 1) % (1u << SPELL_BITS);
+      tally->count = 0;
+      tally->listed = 0;
+    }
+  tally->count += requests;
+  tally->changed_ms = now_ms;
+  if (!account->active)
+    g_ptr_array_add (quotas->active, account);
+  account->active = true;
+}
+
+static void
+take_token (Quo *quotas, Account *account, uint64_t now_ms)
+{
+  account->level -= 1;
+  account->window_bins[account->window_bin % WINDOW_BINS]++;
+  account->window_sum++;
+  if (account->credits > 0 && now_ms - account->credited_ms < quotas->bounds.window_ms)
+    {
+      account->credits--;
+      return;
+    }
+  account->credits = 0;
+  account->own_bins[account->own_bin % OWN_BINS]++;
+  count_use (quotas, account, &account->own, 1, now_ms);
+  count_use (quotas, account, &account->zone, 1, now_ms);
 }
 
 bool
-quo_admit (Quo *quotas, uint32_t account, uint64_t now_ms, uint32_t *retry_after_ms)
+quo_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
 {
-  (void) quotas;
-  (void) account;
-  (void) now_ms;
+  Account *account = find_account (quotas, hash);
+
   *retry_after_ms = 0;
-  return true;
+  if (account == NULL)
+    return true;
+  advance (quotas, account, now_ms);
+  double unreported = unreported_of (account);
+  double allowance = MAX (strict_allowance (quotas, account, unreported),
+                          relaxed_allowance (quotas, account, unreported));
+  if (floor (allowance + rounding_of (quotas, account, now_ms)) > unreported)
+    {
+      take_token (quotas, account, now_ms);
+      return true;
+    }
+  account->refused++;
+  *retry_after_ms = retry_after_ms_of (quotas, account, unreported);
+  return false;
+}
+
+void
+quo_refund (Quo *quotas, uint32_t hash, uint64_t now_ms)
+{
+  Account *account = find_account (quotas, hash);
+
+  if (account == NULL || account->updated_ms == 0)
+    return;
+  advance (quotas, account, now_ms);
+  account->level += 1;
+  if (account->window_bins[account->window_bin % WINDOW_BINS] > 0)
+    {
+      account->window_bins[account->window_bin % WINDOW_BINS]--;
+      account->window_sum--;
+    }
+  account->credits++;
+  account->credited_ms = now_ms;
+}
+
+/* ---- Messages ---- */
+
+void
+quo_set_fleet (Quo *quotas, const QuoFleet *fleet, uint64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  quotas->fleet = *fleet;
+  quotas->fleet.report_delay_ms = MIN (fleet->report_delay_ms, DELAY_MAX_MS);
+  g_hash_table_iter_init (&iter, quotas->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - ((const Source *) value)->heard_ms >= QUO_FORGET_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer now_ms)
+{
+  (void) key;
+  return *(const uint64_t *) now_ms - ((const Report *) value)->heard_ms >= QUO_FORGET_MS;
+}
+
+/* After a long silence, what the source has admitted was within its part of the quota: its counts
+ * are a new baseline. */
+static Source *
+hear_source (Quo *quotas, uint32_t hash, uint64_t incarnation, uint64_t now_ms)
+{
+  Source *source = g_hash_table_lookup (quotas->sources, GUINT_TO_POINTER (hash));
+
+  if (source == NULL)
+    {
+      source = g_new0 (Source, 1);
+      source->incarnation = incarnation;
+      source->reports = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+      g_hash_table_insert (quotas->sources, GUINT_TO_POINTER (hash), source);
+    }
+  bool was_silent = now_ms - source->heard_ms >= QUO_SOURCE_SILENT_MS;
+  if (was_silent)
+    source->heard_since_ms = now_ms;
+  if (was_silent || source->incarnation != incarnation)
+    g_hash_table_remove_all (source->reports);
+  source->incarnation = incarnation;
+  source->heard_ms = now_ms;
+  if (now_ms - source->swept_ms >= QUO_FORGET_MS)
+    {
+      g_hash_table_foreach_remove (source->reports, is_forgotten, &now_ms);
+      source->swept_ms = now_ms;
+    }
+  return source;
+}
+
+/* Requests that a count reports anew. An account that is listed was used at least once; from a
+ * source that has been heard for less than a spell, the rest may be older. */
+static uint32_t
+apply_report (Source *source, const peer_quota *reported, uint64_t now_ms)
+{
+  Report *last = g_hash_table_lookup (source->reports, GUINT_TO_POINTER (reported->account));
+  uint32_t spell = reported->count >> COUNT_BITS;
+  uint32_t count = reported->count & COUNT_MAX;
+  uint32_t added = count;
+
+  if (last == NULL)
+    {
+      last = g_new0 (Report, 1);
+      g_hash_table_insert (source->reports, GUINT_TO_POINTER (reported->account), last);
+      if (now_ms - source->heard_since_ms < QUO_FORGET_MS)
+        added = MIN (count, 1);
+    }
+  else if (last->spell == spell && count >= last->count)
+    added = count - last->count;
+  else if (last->spell == spell)
+    return 0;
+  *last = (Report){ .spell = spell, .count = count, .heard_ms = now_ms };
+  return added;
+}
+
+void
+quo_apply_counts (Quo *quotas, uint32_t source_hash, uint64_t incarnation, bool in_zone,
+                  const peer_quota *counts, u_int length, uint64_t now_ms)
+{
+  Source *source = hear_source (quotas, source_hash, incarnation, now_ms);
+
+  for (u_int i = 0; i < length; i++)
+    {
+      Account *account = find_account (quotas, counts[i].account);
+      if (account == NULL)
+        continue;
+      uint32_t added = apply_report (source, &counts[i], now_ms);
+      if (added == 0)
+        continue;
+      advance (quotas, account, now_ms);
+      account->level -= added;
+      account->all_use += added;
+      account->window_bins[account->window_bin % WINDOW_BINS] += added;
+      account->window_sum += added;
+      if (in_zone)
+        count_use (quotas, account, &account->zone, added, now_ms);
+    }
+}
+
+static Tally *
+own_tally (Account *account)
+{
+  return &account->own;
+}
+
+static Tally *
+zone_tally (Account *account)
+{
+  return &account->zone;
+}
+
+typedef Tally *(*TallyFn) (Account *account);
+
+static gint
+compare_unlisted (const Tally *a, const Tally *b)
+{
+  uint32_t unlisted_a = a->count - a->listed;
+  uint32_t unlisted_b = b->count - b->listed;
+
+  if (unlisted_a != unlisted_b)
+    return unlisted_a > unlisted_b ? -1 : 1;
+  return (a->changed_ms < b->changed_ms) - (a->changed_ms > b->changed_ms);
+}
+
+static gint
+compare_own (gconstpointer a, gconstpointer b)
+{
+  return compare_unlisted (&(*(Account *const *) a)->own, &(*(Account *const *) b)->own);
+}
+
+static gint
+compare_zone (gconstpointer a, gconstpointer b)
+{
+  return compare_unlisted (&(*(Account *const *) a)->zone, &(*(Account *const *) b)->zone);
+}
+
+static void
+drop_idle_accounts (Quo *quotas, uint64_t now_ms)
+{
+  for (guint i = quotas->active->len; i > 0; i--)
+    {
+      Account *account = g_ptr_array_index (quotas->active, i - 1);
+      if (now_ms - account->zone.changed_ms < QUO_IDLE_MS)
+        continue;
+      account->active = false;
+      g_ptr_array_remove_index_fast (quotas->active, i - 1);
+    }
+}
+
+static u_int
+list_counts (Quo *quotas, TallyFn tally_of, GCompareFunc compare, uint32_t hold_ms,
+             peer_quota *counts, u_int capacity, uint64_t now_ms)
+{
+  u_int length = 0;
+
+  drop_idle_accounts (quotas, now_ms);
+  if (quotas->active->len > capacity)
+    g_ptr_array_sort (quotas->active, compare);
+  for (guint i = 0; i < quotas->active->len && length < capacity; i++)
+    {
+      Account *account = g_ptr_array_index (quotas->active, i);
+      Tally *tally = tally_of (account);
+      bool is_recent = tally->changed_ms != 0 && now_ms - tally->changed_ms < hold_ms;
+      if (!is_recent && tally->listed == tally->count)
+        continue;
+      tally->listed = tally->count;
+      counts[length++] = (peer_quota){ .account = account->hash,
+                                       .count = tally->spell << COUNT_BITS | tally->count };
+    }
+  return length;
+}
+
+u_int
+quo_list_own (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms)
+{
+  return list_counts (quotas, own_tally, compare_own, quotas->fleet.view_hold_ms, counts, capacity,
+                      now_ms);
+}
+
+u_int
+quo_list_zone (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms)
+{
+  return list_counts (quotas, zone_tally, compare_zone, 3 * SUM_PERIOD_MS, counts, capacity,
+                      now_ms);
+}
+
+/* ---- State dump ---- */
+
+static gint
+compare_use (gconstpointer a, gconstpointer b)
+{
+  const Account *x = *(Account *const *) a;
+  const Account *y = *(Account *const *) b;
+
+  return (x->all_use < y->all_use) - (x->all_use > y->all_use);
 }
 
 void
-quo_refund (Quo *quotas, uint32_t account, uint64_t now_ms)
+quo_dump (Quo *quotas, uint64_t now_ms, GString *out)
 {
-  (void) quotas;
-  (void) account;
-  (void) now_ms;
+  if (!quo_is_active (quotas))
+    return;
+  g_string_append_printf (out, "quotas accounts=%u used=%u known=%u heard=%u report_delay_ms=%u\n",
+                          g_hash_table_size (quotas->accounts), quotas->active->len,
+                          quotas->fleet.known, quotas->fleet.heard, quotas->fleet.report_delay_ms);
+  g_ptr_array_sort (quotas->active, compare_use);
+  for (guint i = 0; i < MIN (quotas->active->len, QUO_DUMP_MAX); i++)
+    {
+      Account *account = g_ptr_array_index (quotas->active, i);
+      advance (quotas, account, now_ms);
+      g_string_append_printf (
+          out,
+          "quota account=%08x rate_mps=%llu burst=%u level=%.1f excess=%.1f share_ppm=%u "
+          "unreported=%u use_mps=%u window=%u refused=%llu\n",
+          account->hash, (unsigned long long) account->rate_mps, account->burst, account->level,
+          excess_of (quotas, account), (uint32_t) (share_of (quotas, account) * SHARE_ONE_PPM),
+          (uint32_t) unreported_of (account), (uint32_t) (account->all_use * 1000),
+          account->window_sum, (unsigned long long) account->refused);
+    }
 }
--- a/src/quo.h
+++ b/src/quo.h
@@ -1,9 +1,14 @@
 /* Quotas of client accounts: rate limits that hold over all nodes together. Pure: no I/O, no clock.
+ *
+ * Each node counts what it admits, messages carry the counts (peer_quota), and each node computes
+ * the same token bucket from them. docs/design/quotas.md has the argument for the bound.
  */
 #pragma once
 
 #include "lim.h"
+#include "peer.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,6 +25,23 @@
   uint32_t slack;
 } QuoBounds;
 
+/**
+ * struct QuoFleet - what the exchange knows of the nodes
+ * @node: hash of the own node's name
+ * @known: nodes that are not known to have left, including the own one; at least 1
+ * @heard: those of them whose counts arrive, including the own one; at least 1
+ * @report_delay_ms: time within which the counts of a node reach all others that hear it
+ * @view_hold_ms: how long a view repeats a count after its last change
+ */
+typedef struct
+{
+  uint32_t node;
+  uint32_t known;
+  uint32_t heard;
+  uint32_t report_delay_ms;
+  uint32_t view_hold_ms;
+} QuoFleet;
+
 typedef struct Quo Quo;
 
 Quo *quo_new (const QuoBounds *bounds);
@@ -43,3 +65,29 @@
 
 /** quo_refund() - returns the token of a request that no upstream can have run. */
 void quo_refund (Quo *quotas, uint32_t account, uint64_t now_ms);
+
+/** quo_is_active() - whether any account has a limit; without one, nothing is sent or applied. */
+bool quo_is_active (const Quo *quotas);
+
+/** quo_set_fleet() - sets what is known of the nodes; called at each tick of the exchange. */
+void quo_set_fleet (Quo *quotas, const QuoFleet *fleet, uint64_t now_ms);
+
+/**
+ * quo_apply_counts() - applies the counts of a message; also called for a message without any
+ * @source: node or zone reporter that counted
+ * @incarnation: changes when the source restarts and its counts begin again
+ * @in_zone: the source is a node whose counts belong to the sums of the own zone
+ */
+void quo_apply_counts (Quo *quotas, uint32_t source, uint64_t incarnation, bool in_zone,
+                       const peer_quota *counts, u_int length, uint64_t now_ms);
+
+/** quo_list_own() - counts of the own node that changed lately, those with the largest unsent
+ * change first, @capacity at most. Return: number of entries written. */
+u_int quo_list_own (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms);
+
+/** quo_list_zone() - the same of the sums over the own zone, as this node knows them. */
+u_int quo_list_zone (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms);
+
+/** quo_dump() - appends one line for the fleet and one for each of the QUO_DUMP_MAX accounts that
+ * were used most lately. */
+void quo_dump (Quo *quotas, uint64_t now_ms, GString *out);
--- a/src/sum.c
+++ b/src/sum.c
@@ -56,6 +56,16 @@
     }
 }
 
+/* A node that reports its zone also sends views of its own, whose source is its hash itself. */
+static void
+apply_quotas (const Per *per, const peer_summary *summary, uint64_t now_ms)
+{
+  if (quo_is_active (per->quotas))
+    quo_apply_counts (per->quotas, ~(uint32_t) (summary->quota_source >> 32),
+                      (uint32_t) summary->quota_source, false, summary->quotas.quotas_val,
+                      summary->quotas.quotas_len, now_ms);
+}
+
 static void
 forward_in_zone (Per *per, const peer_summary *summary)
 {
@@ -91,7 +101,10 @@
   memset (summary, 0, sizeof *summary);
   per->summary_received_ms[zone] = now_ms;
   if (sum_is_current (per, zone, now_ms))
-    count_reports (per, &per->summaries[zone], true);
+    {
+      count_reports (per, &per->summaries[zone], true);
+      apply_quotas (per, &per->summaries[zone], now_ms);
+    }
 }
 
 /* ---- Sending ---- */
@@ -185,6 +198,13 @@
   return true;
 }
 
+/* Identifies the sender of a zone's counts and its incarnation. */
+static uint64_t
+own_quota_source (const Per *per)
+{
+  return (uint64_t) per->self.hash << 32 | (uint32_t) per->self.incarnation;
+}
+
 static void
 send_summary (Per *per, uint64_t now_ms)
 {
@@ -195,6 +215,7 @@
   peer_revision revisions[PER_REVISIONS_MAX];
   peer_service services[PER_SERVICES_MAX];
   peer_leaving leaving[PER_LEAVING_MAX];
+  peer_quota quotas[QUO_SUMMARY_MAX];
   PerPeer *relays[ZONES_MAX];
   peer_message message = { .kind = PEER_SUMMARY };
   peer_summary *summary = &message.peer_message_u.summary;
@@ -213,6 +234,10 @@
   summary->revisions.revisions_len = per_list_revisions (per, revisions, PER_REVISIONS_MAX);
   summary->leaving.leaving_val = leaving;
   summary->leaving.leaving_len = vws_list_leaving (per, leaving, PER_LEAVING_MAX);
+  summary->quota_source = own_quota_source (per);
+  summary->quotas.quotas_val = quotas;
+  if (quo_is_active (per->quotas))
+    summary->quotas.quotas_len = quo_list_zone (per->quotas, quotas, QUO_SUMMARY_MAX, now_ms);
   summary->services.services_val = services;
   summary->services.services_len = dms_cell_demand (per, services, PER_SERVICES_MAX, now_ms);
   per_send (per, &message, relays, find_relays (per, relays, now_ms));
--- a/src/vws.c
+++ b/src/vws.c
@@ -104,6 +104,14 @@
 
 /* ---- Receiving ---- */
 
+static void
+apply_quotas (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  if (quo_is_active (per->quotas))
+    quo_apply_counts (per->quotas, peer->hash, peer->incarnation, peer->own_cell,
+                      peer->view.quotas.quotas_val, peer->view.quotas.quotas_len, now_ms);
+}
+
 void
 vws_apply (Per *per, peer_view *view, NetAddr from, uint64_t now_ms)
 {
@@ -118,7 +126,10 @@
   peer->view = *view;
   memset (view, 0, sizeof *view);
   if (reports_directly (peer))
-    count_reports (per, peer, true);
+    {
+      count_reports (per, peer, true);
+      apply_quotas (per, peer, now_ms);
+    }
   per_defer_removal (per, peer->view.removal_defer_ms, now_ms);
   vws_apply_leaving (per, peer->view.leaving.leaving_val, peer->view.leaving.leaving_len);
   per_apply_crashes (per, peer->view.crashes.crashes_val, peer->view.crashes.crashes_len, now_ms);
@@ -159,8 +170,8 @@
   return length;
 }
 
-/* Views for nodes of other cells contain neither loads nor down upstreams nor services, which those
- * nodes get in summaries. */
+/* Views for nodes of other cells contain neither loads nor down upstreams, services or quotas,
+ * which those nodes get in summaries. */
 static void
 send_view (Per *per, bool with_counts, GPtrArray *peers, uint64_t now_ms)
 {
@@ -168,6 +179,7 @@
   peer_count loads[PER_LOADS_MAX];
   peer_revision revisions[PER_REVISIONS_MAX];
   peer_leaving leaving[PER_LEAVING_MAX];
+  peer_quota quotas[PER_QUOTAS_MAX];
   u_int down[PER_DOWN_MAX];
   peer_message message = { .kind = PEER_VIEW };
   peer_view *view = &message.peer_message_u.view;
@@ -186,6 +198,9 @@
   view->services.services_len = with_counts ? per->service_count : 0;
   view->leaving.leaving_val = leaving;
   view->leaving.leaving_len = vws_list_leaving (per, leaving, PER_LEAVING_MAX);
+  view->quotas.quotas_val = quotas;
+  if (with_counts && quo_is_active (per->quotas))
+    view->quotas.quotas_len = quo_list_own (per->quotas, quotas, PER_QUOTAS_MAX, now_ms);
   view->revisions.revisions_val = revisions;
   view->revisions.revisions_len = per_list_revisions (per, revisions, PER_REVISIONS_MAX);
   per_send (per, &message, (PerPeer *const *) peers->pdata, peers->len);
