--- a/src/exc.c
+++ b/src/exc.c
@@ -55,30 +55,54 @@
                                  : now_ms - peer->known_since_ms < PER_LONG_SILENT_MS;
 }
 
+static uint32_t
+view_limit_ms (const Per *per)
+{
+  return MAX (PER_RECENT_MS, 3 * per_view_period_ms (per));
+}
+
 /* The node's counts arrive: in views, or in summaries of its zone. */
 static bool
 is_counted (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  uint32_t view_limit_ms = MAX (PER_RECENT_MS, 3 * per_view_period_ms (per));
-
   if (!per_is_alive (peer, now_ms))
     return false;
   if (!peer->in_summaries)
-    return peer->last_view_ms != 0 && now_ms - peer->last_view_ms < view_limit_ms;
+    return peer->last_view_ms != 0 && now_ms - peer->last_view_ms < view_limit_ms (per);
   return peer->zone < ZONES_MAX && per->summary_received_ms[peer->zone] != 0
          && now_ms - per->summary_received_ms[peer->zone] < QUO_ZONE_SILENT_MS;
 }
 
+/* It has counted for a window, as its last view says. */
+static bool
+is_settled (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  return !peer->in_summaries && is_counted (per, peer, now_ms)
+         && quo_is_settled (per->quotas, peer->view.quota_age_ms);
+}
+
+static bool
+is_direct (const Per *per, const PerPeer *peer, uint64_t now_ms)
+{
+  return !peer->in_summaries && is_counted (per, peer, now_ms);
+}
+
 static void
 update_quotas (Per *per, uint64_t now_ms)
 {
   uint32_t period_ms = per_view_period_ms (per);
+  uint32_t direct = per_count_if (per, is_direct, now_ms);
+  uint32_t settled = per_count_if (per, is_settled, now_ms);
   QuoFleet fleet = { .node = per->self.hash,
                      .known = 1 + per_count_if (per, is_known, now_ms),
                      .heard = 1 + per_count_if (per, is_counted, now_ms),
                      .report_delay_ms = period_ms + QUO_TRANSIT_MS,
+                     .silence_ms = view_limit_ms (per),
+                     .settled_permille = settled * 1000 / MAX (direct, 1),
                      .view_hold_ms = 2 * period_ms + PER_TICK_MS };
 
+  if (per->zoned)
+    fleet.silence_ms = MAX (fleet.silence_ms, QUO_ZONE_SILENT_MS);
   if (per->zoned)
     fleet.report_delay_ms += SUM_PERIOD_MS + PER_TICK_MS;
   quo_set_fleet (per->quotas, &fleet, now_ms);
--- a/src/lim.h
+++ b/src/lim.h
@@ -214,16 +214,16 @@
 #define SUM_AGE_MAX_MS 4000
 #define SUM_MEMBERS_MAX 128
 
-/* Quotas of client accounts. A count that was not used for QUO_IDLE_MS starts again; receivers forget
- * it later than that and earlier than it can repeat. */
+/* Quotas of client accounts. A count that was not used for QUO_IDLE_MS starts again. Messages repeat
+ * counts for less than that, and receivers forget them later than that. */
 #define QUO_SUMMARY_MAX 512
-#define QUO_IDLE_MS 8000
+#define QUO_IDLE_MS 2000
 #define QUO_FORGET_MS 12000
 #define QUO_SOURCE_SILENT_MS 2000
 #define QUO_ZONE_SILENT_MS 1300
 #define QUO_PEER_GONE_MS 600000u
 #define QUO_TRANSIT_MS 150u
-#define QUO_USE_DECAY_MS 1000
+#define QUO_USE_DECAY_MIN_MS 300
 #define QUO_DUMP_MAX 64
 
 /* Updates of changed objects, passed from node to node. */
--- a/src/peer.h
+++ b/src/peer.h
@@ -98,6 +98,7 @@
 		u_int leaving_len;
 		peer_leaving *leaving_val;
 	} leaving;
+	u_int quota_age_ms;
 	struct {
 		u_int quotas_len;
 		peer_quota *quotas_val;
--- a/src/peer.x
+++ b/src/peer.x
@@ -71,7 +71,8 @@
  * meanwhile are renewed in it.
  * @loads are the node's requests in flight by upstream.
  * @down are the upstreams that do not answer the node, by the hash of their ids.
- * @quotas are the node's own counts of accounts with a quota that were used lately. */
+ * @quotas are the node's own counts of accounts with a quota that were used lately, and
+ * @quota_age_ms is the time for which the node has counted. */
 struct peer_view {
   peer_member self;
   unsigned int removal_defer_ms;
@@ -81,6 +82,7 @@
   peer_crash crashes<64>;
   peer_service services<32>;
   peer_leaving leaving<64>;
+  unsigned int quota_age_ms;
   peer_quota quotas<64>;
 };
 
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -226,6 +226,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, 64,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->quota_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->quotas.quotas_val, (u_int *) &objp->quotas.quotas_len, 64,
 		sizeof (peer_quota), (xdrproc_t) xdr_peer_quota))
 		 return FALSE;
--- a/src/quo.c
+++ b/src/quo.c
@@ -24,9 +24,19 @@
 /* Weight of the even division in tokens while little use is reported. */
 #define PRIOR_USE 0.5
 
-/* Unreported requests that any node may have of an account that is far from its limit. Nodes that
- * see a request of an account every few seconds sometimes see two within the report delay. */
+/* Unreported requests that any node may have of an account that is far from its limit, beyond the
+ * usual ones, and in standard deviations of these. Nodes that see a request of an account every few
+ * seconds sometimes see two within the report delay. */
 #define SPARE_TOKENS 2.0
+#define SPARE_DEVIATIONS 4.0
+
+/* By chance, a bucket that is refilled at r and used at 0.62 r at random is lower than full by more
+ * than this in 1 of 200,000 cases. */
+#define FLUCTUATION_TOKENS 14.0
+
+/* Time in which the part of the limit that this node's side uses rises from 0 to 1 after a
+ * partition, so that the other side's counts arrive before both use the whole limit. */
+#define HEARD_RISE_MS 2000.0
 
 #define RETRY_AFTER_MIN_MS 50
 
@@ -52,15 +62,17 @@
  * @zone: the same plus what the nodes of the zone have reported
  * @credits: refunded requests whose counts are not taken back, since counts never decrease
  * @credited_ms: time of the last refund
+ * @heard_part: part of the limit that @level is about
+ * @is_corrected: @level was corrected by what other nodes know, or need not be
  * @level: tokens of the bucket after all reported requests and all own ones; may be negative
- * @updated_ms: time of @level and of the uses; 0 until the first use
- * @own_use: own requests older than the report delay, decaying with QUO_USE_DECAY_MS
+ * @started_ms: time of the first use that this node knows of; 0 before
+ * @updated_ms: time of @level and of the uses
+ * @own_use: own requests older than the report delay, decaying with use_decay_ms()
  * @all_use: the same plus reported ones of others
  * @own_bin: number of the newest element of @own_bins
  * @own_bins: own requests by time, as a ring of BIN_MS each
  * @settled_bin: bins up to this one are part of @own_use
  * @window_bin: number of the newest element of @window_bins
- * @window_sum: sum of @window_bins
  * @window_bins: known requests of all nodes within a window and the report delay
  * @refused: requests that this node has refused
  */
@@ -74,7 +86,10 @@
   bool active;
   uint32_t credits;
   uint64_t credited_ms;
+  double heard_part;
+  bool is_corrected;
   double level;
+  uint64_t started_ms;
   uint64_t updated_ms;
   double own_use;
   double all_use;
@@ -82,7 +97,6 @@
   uint64_t settled_bin;
   uint32_t own_bins[OWN_BINS];
   uint64_t window_bin;
-  uint32_t window_sum;
   uint32_t window_bins[WINDOW_BINS];
   uint64_t refused;
 } Account;
@@ -115,6 +129,9 @@
 /**
  * struct Quo - quotas of all accounts
  * @window_bin_ms: length of a window bin
+ * @heard_part: part of the limits that this node's side of a partition uses
+ * @fleet_set_ms: time of the last quo_set_fleet()
+ * @since_ms: when the node began to count; 0 before
  * @accounts: Account by hash
  * @sources: Source by hash
  * @active: accounts that were used lately
@@ -124,6 +141,9 @@
   QuoBounds bounds;
   QuoFleet fleet;
   uint32_t window_bin_ms;
+  double heard_part;
+  uint64_t since_ms;
+  uint64_t fleet_set_ms;
   GHashTable *accounts;
   GHashTable *sources;
   GPtrArray *active;
@@ -146,6 +166,7 @@
   Quo *quotas = g_new0 (Quo, 1);
 
   quotas->bounds = *bounds;
+  quotas->heard_part = 1;
   quotas->fleet = (QuoFleet){ .known = 1, .heard = 1, .view_hold_ms = QUO_SOURCE_SILENT_MS };
   quotas->window_bin_ms = (bounds->window_ms + DELAY_MAX_MS) / (WINDOW_BINS - 2) + 1;
   quotas->accounts = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
@@ -177,7 +198,7 @@
 static double
 heard_part (const Quo *quotas)
 {
-  return (double) quotas->fleet.heard / quotas->fleet.known;
+  return quotas->heard_part;
 }
 
 static double
@@ -213,12 +234,8 @@
 {
   double factor = (double) rate_mps / account->rate_mps;
 
-  account->window_sum = 0;
   for (int i = 0; i < WINDOW_BINS; i++)
-    {
-      account->window_bins[i] = (uint32_t) (account->window_bins[i] * factor);
-      account->window_sum += account->window_bins[i];
-    }
+    account->window_bins[i] = (uint32_t) (account->window_bins[i] * factor);
   account->level = account->level > 0 ? MIN (account->level, burst) : account->level * factor;
 }
 
@@ -281,42 +298,100 @@
   uint64_t steps = MIN (now_bin - account->window_bin, WINDOW_BINS);
 
   for (uint64_t i = 0; i < steps; i++)
-    {
-      uint32_t *bin = &account->window_bins[(now_bin - i) % WINDOW_BINS];
-      account->window_sum -= *bin;
-      *bin = 0;
-    }
+    account->window_bins[(now_bin - i) % WINDOW_BINS] = 0;
   account->window_bin = now_bin;
 }
 
-/* A bucket starts half-way into the allowed excess: two restarts of all nodes within a window then
- * use no more than the excess, and a single restarted node soon admits again. */
+/* Requests of all nodes that this one has known of for up to @age_ms. */
+static uint32_t
+used_within (const Quo *quotas, const Account *account, uint32_t age_ms)
+{
+  uint32_t bins = MIN (age_ms / quotas->window_bin_ms + 1, WINDOW_BINS - 1);
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i <= bins; i++)
+    sum += account->window_bins[(account->window_bin - i) % WINDOW_BINS];
+  return sum;
+}
+
+/* Without use in a window, the bucket is full. A node that has counted for less than a window
+ * starts half-way into the allowed excess: two restarts of all nodes within a window then use no
+ * more than the excess. */
 static void
 start_account (const Quo *quotas, Account *account, uint64_t now_ms)
 {
-  account->level = -excess_of (quotas, account) / 2;
+  account->is_corrected = quo_is_settled (quotas, quo_age_ms (quotas, now_ms));
+  account->level
+      = account->is_corrected ? burst_of (quotas, account) : -excess_of (quotas, account) / 2;
+  account->heard_part = heard_part (quotas);
+  account->started_ms = now_ms;
   account->updated_ms = now_ms;
   account->own_bin = now_ms / BIN_MS;
   account->settled_bin = account->own_bin - 1;
   account->window_bin = now_ms / quotas->window_bin_ms;
 }
 
+/* Where the other nodes have counted for longer than this one, they don't admit the excess that
+ * this one has held back. */
+static void
+correct_start (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  if (account->is_corrected || now_ms - account->started_ms < quotas->fleet.report_delay_ms)
+    return;
+  account->is_corrected = true;
+  account->level += excess_of (quotas, account) / 2 * quotas->fleet.settled_permille / 1000.0;
+}
+
+/* Adapts the level when nodes fall silent or are heard again. Of the level when they fell silent,
+ * they keep their part; since then, this side has refilled and used it alone. */
+static void
+follow_heard_part (const Quo *quotas, Account *account)
+{
+  double part = heard_part (quotas);
+  double kept = part / account->heard_part;
+
+  if (part == account->heard_part)
+    return;
+  account->level *= kept;
+  if (kept < 1)
+    account->level -= (1 - kept) * used_within (quotas, account, quotas->fleet.silence_ms);
+  account->heard_part = part;
+}
+
+/* Until the first reports can have arrived, the other nodes are taken to use up the refill. */
+static double
+refill_of (const Quo *quotas, const Account *account, uint64_t now_ms)
+{
+  uint64_t from_ms = account->updated_ms;
+
+  if (!account->is_corrected && quotas->fleet.known > 1)
+    from_ms = MAX (from_ms, account->started_ms + quotas->fleet.report_delay_ms);
+  return now_ms > from_ms ? rate_per_s (quotas, account) * (double) (now_ms - from_ms) / 1000.0 : 0;
+}
+
+static double
+use_decay_ms (const Quo *quotas)
+{
+  return MAX (quotas->fleet.report_delay_ms / 2, QUO_USE_DECAY_MIN_MS);
+}
+
 static void
 advance (const Quo *quotas, Account *account, uint64_t now_ms)
 {
-  if (account->updated_ms == 0)
+  if (account->started_ms == 0)
     start_account (quotas, account, now_ms);
   if (now_ms <= account->updated_ms)
     return;
-  double elapsed_ms = (double) (now_ms - account->updated_ms);
-  double refill = rate_per_s (quotas, account) * elapsed_ms / 1000.0;
-  double kept = exp (-elapsed_ms / QUO_USE_DECAY_MS);
-  account->level = MIN (account->level + refill, burst_of (quotas, account));
+  double kept = exp (-(double) (now_ms - account->updated_ms) / use_decay_ms (quotas));
+  advance_window (quotas, account, now_ms);
+  follow_heard_part (quotas, account);
+  account->level
+      = MIN (account->level + refill_of (quotas, account, now_ms), burst_of (quotas, account));
+  correct_start (quotas, account, now_ms);
   account->own_use *= kept;
   account->all_use *= kept;
   account->updated_ms = now_ms;
   settle_own_bins (quotas, account, now_ms);
-  advance_window (quotas, account, now_ms);
 }
 
 /* ---- Decision ---- */
@@ -370,26 +445,61 @@
   return MAX (0, share_of (quotas, account) * tokens);
 }
 
-/* What the other nodes are likely to have admitted since their counts were sent. */
+/* What the other nodes have probably admitted since their counts were sent. */
 static double
 predicted_use (const Quo *quotas, const Account *account)
 {
-  double others_per_ms = MAX (0, account->all_use - account->own_use) / QUO_USE_DECAY_MS;
+  double others_per_ms = MAX (0, account->all_use - account->own_use) / use_decay_ms (quotas);
 
   return others_per_ms * quotas->fleet.report_delay_ms / 2;
 }
 
-/* Rule of an account that is far from its limit: the own unreported requests stay within the own
- * share of what the window leaves, and SPARE_TOKENS. */
+/* What the window leaves after all requests that may lie in it. */
+static double
+left_in_window (const Quo *quotas, const Account *account)
+{
+  uint32_t age_ms = quotas->bounds.window_ms + quotas->fleet.report_delay_ms;
+
+  return window_quota (quotas, account) + excess_of (quotas, account)
+         - used_within (quotas, account, age_ms);
+}
+
+/* Unreported requests that a node has by chance while the account is used as in the last window,
+ * and within its rate of late. */
+static double
+usual_allowance (const Quo *quotas, const Account *account)
+{
+  double within_rate = rate_per_s (quotas, account) * use_decay_ms (quotas) / 1000;
+  double share = MAX (share_of (quotas, account), 1.0 / quotas->fleet.heard);
+  double used = used_within (quotas, account, quotas->bounds.window_ms);
+  double usual = share * used * quotas->fleet.report_delay_ms / quotas->bounds.window_ms;
+
+  if (account->all_use > within_rate + SPARE_DEVIATIONS * sqrt (within_rate) + SPARE_TOKENS)
+    return 0;
+  return usual + SPARE_DEVIATIONS * sqrt (usual) + SPARE_TOKENS;
+}
+
+/* How far the level of an account with a small burst falls below 0 by chance. */
+static double
+fluctuation_of (const Quo *quotas, const Account *account)
+{
+  double missing = FLUCTUATION_TOKENS - burst_of (quotas, account);
+
+  return CLAMP (missing, 0, excess_of (quotas, account) / 2);
+}
+
+/* Rule of an account that is far from its limit, also after what the others have probably admitted:
+ * the own unreported requests stay within the own share of what the window leaves, or close to what
+ * is usual at this node. */
 static double
 relaxed_allowance (const Quo *quotas, const Account *account, double unreported)
 {
-  double excess = excess_of (quotas, account);
-  double left = window_quota (quotas, account) + excess - account->window_sum + unreported;
+  double reserve = account->level + fluctuation_of (quotas, account);
+  double left = left_in_window (quotas, account) + unreported;
 
-  if (account->level + excess / 2 <= predicted_use (quotas, account) || left <= 0)
+  if (reserve <= predicted_use (quotas, account) || left <= 0)
     return 0;
-  return share_of (quotas, account) * left + SPARE_TOKENS;
+  return MAX (share_of (quotas, account) * left, usual_allowance (quotas, account));
 }
 
 static uint32_t
@@ -406,9 +516,9 @@
 static void
 count_use (Quo *quotas, Account *account, Tally *tally, uint32_t requests, uint64_t now_ms)
 {
-  bool is_new_spell = tally->changed_ms != 0 && now_ms - tally->changed_ms >= QUO_IDLE_MS;
+  bool was_idle = tally->changed_ms != 0 && now_ms - tally->changed_ms >= QUO_IDLE_MS;
 
-  if (is_new_spell || tally->count + requests > COUNT_MAX)
+  if ((was_idle && tally->listed == tally->count) || tally->count + requests > COUNT_MAX)
     {
       tally->spell = (tally->spell + 1) % (1u << SPELL_BITS);
       tally->count = 0;
@@ -426,7 +536,6 @@
 {
   account->level -= 1;
   account->window_bins[account->window_bin % WINDOW_BINS]++;
-  account->window_sum++;
   if (account->credits > 0 && now_ms - account->credited_ms < quotas->bounds.window_ms)
     {
       account->credits--;
@@ -465,27 +574,42 @@
 {
   Account *account = find_account (quotas, hash);
 
-  if (account == NULL || account->updated_ms == 0)
+  if (account == NULL || account->started_ms == 0)
     return;
   advance (quotas, account, now_ms);
   account->level += 1;
   if (account->window_bins[account->window_bin % WINDOW_BINS] > 0)
-    {
-      account->window_bins[account->window_bin % WINDOW_BINS]--;
-      account->window_sum--;
-    }
+    account->window_bins[account->window_bin % WINDOW_BINS]--;
   account->credits++;
   account->credited_ms = now_ms;
 }
 
 /* ---- Messages ---- */
 
+uint32_t
+quo_age_ms (const Quo *quotas, uint64_t now_ms)
+{
+  return quotas->since_ms != 0 ? (uint32_t) MIN (now_ms - quotas->since_ms, UINT32_MAX) : 0;
+}
+
+bool
+quo_is_settled (const Quo *quotas, uint32_t age_ms)
+{
+  return age_ms >= quotas->bounds.window_ms + DELAY_MAX_MS;
+}
+
 void
 quo_set_fleet (Quo *quotas, const QuoFleet *fleet, uint64_t now_ms)
 {
   GHashTableIter iter;
   gpointer value;
+  double heard_part = (double) fleet->heard / fleet->known;
+  double rise = (double) (now_ms - quotas->fleet_set_ms) / HEARD_RISE_MS;
 
+  if (quotas->since_ms == 0)
+    quotas->since_ms = now_ms;
+  quotas->heard_part = MIN (heard_part, quotas->heard_part + rise);
+  quotas->fleet_set_ms = now_ms;
   quotas->fleet = *fleet;
   quotas->fleet.report_delay_ms = MIN (fleet->report_delay_ms, DELAY_MAX_MS);
   g_hash_table_iter_init (&iter, quotas->sources);
@@ -530,27 +654,25 @@
   return source;
 }
 
-/* Requests that a count reports anew. An account that is listed was used at least once; from a
- * source that has been heard for less than a spell, the rest may be older. */
+/* Requests that a count reports anew. In the first message of a source, only the last one of each
+ * account is certain to be new. Later, a count without an earlier one is that of a new spell. */
 static uint32_t
 apply_report (Source *source, const peer_quota *reported, uint64_t now_ms)
 {
   Report *last = g_hash_table_lookup (source->reports, GUINT_TO_POINTER (reported->account));
   uint32_t spell = reported->count >> COUNT_BITS;
   uint32_t count = reported->count & COUNT_MAX;
-  uint32_t added = count;
+  uint32_t added = source->heard_since_ms == now_ms ? MIN (count, 1) : count;
 
   if (last == NULL)
     {
       last = g_new0 (Report, 1);
       g_hash_table_insert (source->reports, GUINT_TO_POINTER (reported->account), last);
-      if (now_ms - source->heard_since_ms < QUO_FORGET_MS)
-        added = MIN (count, 1);
     }
-  else if (last->spell == spell && count >= last->count)
-    added = count - last->count;
-  else if (last->spell == spell)
+  else if (last->spell == spell && count < last->count)
     return 0;
+  else if (last->spell == spell)
+    added = count - last->count;
   *last = (Report){ .spell = spell, .count = count, .heard_ms = now_ms };
   return added;
 }
@@ -573,7 +695,6 @@
       account->level -= added;
       account->all_use += added;
       account->window_bins[account->window_bin % WINDOW_BINS] += added;
-      account->window_sum += added;
       if (in_zone)
         count_use (quotas, account, &account->zone, added, now_ms);
     }
@@ -622,7 +743,8 @@
   for (guint i = quotas->active->len; i > 0; i--)
     {
       Account *account = g_ptr_array_index (quotas->active, i - 1);
-      if (now_ms - account->zone.changed_ms < QUO_IDLE_MS)
+      bool is_listed = account->own.listed == account->own.count;
+      if (now_ms - account->zone.changed_ms < QUO_IDLE_MS || !is_listed)
         continue;
       account->active = false;
       g_ptr_array_remove_index_fast (quotas->active, i - 1);
@@ -696,7 +818,9 @@
           "unreported=%u use_mps=%u window=%u refused=%llu\n",
           account->hash, (unsigned long long) account->rate_mps, account->burst, account->level,
           excess_of (quotas, account), (uint32_t) (share_of (quotas, account) * SHARE_ONE_PPM),
-          (uint32_t) unreported_of (account), (uint32_t) (account->all_use * 1000),
-          account->window_sum, (unsigned long long) account->refused);
+          (uint32_t) unreported_of (account),
+          (uint32_t) (account->all_use * 1e6 / use_decay_ms (quotas)),
+          used_within (quotas, account, quotas->bounds.window_ms),
+          (unsigned long long) account->refused);
     }
 }
--- a/src/quo.h
+++ b/src/quo.h
@@ -31,6 +31,8 @@
  * @known: nodes that are not known to have left, including the own one; at least 1
  * @heard: those of them whose counts arrive, including the own one; at least 1
  * @report_delay_ms: time within which the counts of a node reach all others that hear it
+ * @silence_ms: time without a message after which a node is not heard any more
+ * @settled_permille: part of the nodes that this one hears directly that have counted for a window
  * @view_hold_ms: how long a view repeats a count after its last change
  */
 typedef struct
@@ -39,6 +41,8 @@
   uint32_t known;
   uint32_t heard;
   uint32_t report_delay_ms;
+  uint32_t silence_ms;
+  uint32_t settled_permille;
   uint32_t view_hold_ms;
 } QuoFleet;
 
@@ -69,6 +73,12 @@
 /** quo_is_active() - whether any account has a limit; without one, nothing is sent or applied. */
 bool quo_is_active (const Quo *quotas);
 
+/** quo_age_ms() - time for which the node has counted; starts with the first quo_set_fleet(). */
+uint32_t quo_age_ms (const Quo *quotas, uint64_t now_ms);
+
+/** quo_is_settled() - whether a node that has counted for @age_ms knows the use of a window. */
+bool quo_is_settled (const Quo *quotas, uint32_t age_ms);
+
 /** quo_set_fleet() - sets what is known of the nodes; called at each tick of the exchange. */
 void quo_set_fleet (Quo *quotas, const QuoFleet *fleet, uint64_t now_ms);
 
--- a/src/vws.c
+++ b/src/vws.c
@@ -199,6 +199,8 @@
   view->leaving.leaving_val = leaving;
   view->leaving.leaving_len = vws_list_leaving (per, leaving, PER_LEAVING_MAX);
   view->quotas.quotas_val = quotas;
+  if (quo_is_active (per->quotas))
+    view->quota_age_ms = quo_age_ms (per->quotas, now_ms);
   if (with_counts && quo_is_active (per->quotas))
     view->quotas.quotas_len = quo_list_own (per->quotas, quotas, PER_QUOTAS_MAX, now_ms);
   view->revisions.revisions_val = revisions;
