--- a/src/exc.c
+++ b/src/exc.c
@@ -99,7 +99,7 @@
                      .report_delay_ms = period_ms + QUO_TRANSIT_MS,
                      .silence_ms = view_limit_ms (per),
                      .settled_permille = settled * 1000 / MAX (direct, 1),
-                     .view_hold_ms = 2 * period_ms + PER_TICK_MS };
+                     .view_hold_ms = period_ms + PER_TICK_MS };
 
   if (per->zoned)
     fleet.silence_ms = MAX (fleet.silence_ms, QUO_ZONE_SILENT_MS);
--- a/src/quo.c
+++ b/src/quo.c
@@ -16,7 +16,7 @@
 #define COUNT_MAX ((1u << COUNT_BITS) - 1)
 
 /* Part of the allowed excess that is used; the rest is for lost messages. */
-#define EXCESS_USED 0.9
+#define EXCESS_USED 0.8
 
 /* Part of the shares that is divided evenly, so that a node without use can admit. */
 #define EVEN_PART 0.25
@@ -25,14 +25,18 @@
 #define PRIOR_USE 0.5
 
 /* Unreported requests that any node may have of an account that is far from its limit, beyond the
- * usual ones, and in standard deviations of these. Nodes that see a request of an account every few
- * seconds sometimes see two within the report delay. */
+ * usual ones, and in standard deviations of these, and more where the account is in use. Nodes that
+ * see a request of an account every few seconds sometimes see two within the report delay. */
 #define SPARE_TOKENS 2.0
-#define SPARE_DEVIATIONS 4.0
+#define SPARE_USED_TOKENS 1.5
+#define SPARE_USED_FACTOR 10.0
+#define SPARE_DEVIATIONS 5.0
 
-/* By chance, a bucket that is refilled at r and used at 0.62 r at random is lower than full by more
- * than this in 1 of 200,000 cases. */
-#define FLUCTUATION_TOKENS 14.0
+/* How far below full a bucket may fall before the account counts as close to its limit: used at
+ * 0.62 of its rate at random, it falls so low by chance in 1 of 5 million cases. For small bursts,
+ * this reaches into the excess, of which the rest is kept for accounts that do use their limit. */
+#define FLUCTUATION_TOKENS 18.0
+#define FLUCTUATION_PART 0.6
 
 /* Time in which the part of the limit that this node's side uses rises from 0 to 1 after a
  * partition, so that the other side's counts arrive before both use the whole limit. */
@@ -65,7 +69,7 @@
  * @heard_part: part of the limit that @level is about
  * @is_corrected: @level was corrected by what other nodes know, or need not be
  * @level: tokens of the bucket after all reported requests and all own ones; may be negative
- * @started_ms: time of the first use that this node knows of; 0 before
+ * @started_ms: since when this node would have known of its use; 0 before the first use
  * @updated_ms: time of @level and of the uses
  * @own_use: own requests older than the report delay, decaying with use_decay_ms()
  * @all_use: the same plus reported ones of others
@@ -324,8 +328,8 @@
   account->level
       = account->is_corrected ? burst_of (quotas, account) : -excess_of (quotas, account) / 2;
   account->heard_part = heard_part (quotas);
-  account->started_ms = now_ms;
-  account->updated_ms = now_ms;
+  account->started_ms = quotas->since_ms != 0 ? quotas->since_ms : now_ms;
+  account->updated_ms = account->is_corrected ? now_ms : account->started_ms;
   account->own_bin = now_ms / BIN_MS;
   account->settled_bin = account->own_bin - 1;
   account->window_bin = now_ms / quotas->window_bin_ms;
@@ -445,13 +449,15 @@
   return MAX (0, share_of (quotas, account) * tokens);
 }
 
-/* What the other nodes have probably admitted since their counts were sent. */
+/* What the other nodes have at least admitted since their counts were sent, if they go on as of
+ * late; the latest use of a small account is high by chance. */
 static double
 predicted_use (const Quo *quotas, const Account *account)
 {
   double others_per_ms = MAX (0, account->all_use - account->own_use) / use_decay_ms (quotas);
+  double predicted = others_per_ms * quotas->fleet.report_delay_ms / 2;
 
-  return others_per_ms * quotas->fleet.report_delay_ms / 2;
+  return MAX (0, predicted - 2 * sqrt (predicted));
 }
 
 /* What the window leaves after all requests that may lie in it. */
@@ -476,7 +482,8 @@
 
   if (account->all_use > within_rate + SPARE_DEVIATIONS * sqrt (within_rate) + SPARE_TOKENS)
     return 0;
-  return usual + SPARE_DEVIATIONS * sqrt (usual) + SPARE_TOKENS;
+  double spare = SPARE_TOKENS + MIN (SPARE_USED_TOKENS, SPARE_USED_FACTOR * usual);
+  return usual + SPARE_DEVIATIONS * sqrt (usual) + spare;
 }
 
 /* How far the level of an account with a small burst falls below 0 by chance. */
@@ -485,7 +492,7 @@
 {
   double missing = FLUCTUATION_TOKENS - burst_of (quotas, account);
 
-  return CLAMP (missing, 0, excess_of (quotas, account) / 2);
+  return CLAMP (missing, 0, excess_of (quotas, account) * FLUCTUATION_PART);
 }
 
 /* Rule of an account that is far from its limit, also after what the others have probably admitted:
@@ -714,6 +721,7 @@
 
 typedef Tally *(*TallyFn) (Account *account);
 
+/* The largest change that no message has carried first, then the oldest change. */
 static gint
 compare_unlisted (const Tally *a, const Tally *b)
 {
@@ -722,7 +730,7 @@
 
   if (unlisted_a != unlisted_b)
     return unlisted_a > unlisted_b ? -1 : 1;
-  return (a->changed_ms < b->changed_ms) - (a->changed_ms > b->changed_ms);
+  return (a->changed_ms > b->changed_ms) - (a->changed_ms < b->changed_ms);
 }
 
 static gint
@@ -784,8 +792,8 @@
 u_int
 quo_list_zone (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms)
 {
-  return list_counts (quotas, zone_tally, compare_zone, 3 * SUM_PERIOD_MS, counts, capacity,
-                      now_ms);
+  return list_counts (quotas, zone_tally, compare_zone, SUM_PERIOD_MS + PER_TICK_MS, counts,
+                      capacity, now_ms);
 }
 
 /* ---- State dump ---- */
@@ -799,28 +807,54 @@
   return (x->all_use < y->all_use) - (x->all_use > y->all_use);
 }
 
+/* Accounts that were used within a window, the most used first. */
+static GPtrArray *
+list_used (const Quo *quotas, uint64_t now_ms)
+{
+  GPtrArray *used = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quotas->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Account *account = value;
+      if (account->started_ms == 0)
+        continue;
+      advance (quotas, account, now_ms);
+      if (used_within (quotas, account, quotas->bounds.window_ms) > 0)
+        g_ptr_array_add (used, account);
+    }
+  g_ptr_array_sort (used, compare_use);
+  return used;
+}
+
+static void
+dump_account (const Quo *quotas, const Account *account, GString *out)
+{
+  g_string_append_printf (
+      out,
+      "quota account=%08x rate_mps=%llu burst=%u level=%.1f excess=%.1f share_ppm=%u "
+      "unreported=%u use_mps=%u window=%u refused=%llu\n",
+      account->hash, (unsigned long long) account->rate_mps, account->burst, account->level,
+      excess_of (quotas, account), (uint32_t) (share_of (quotas, account) * SHARE_ONE_PPM),
+      (uint32_t) unreported_of (account),
+      (uint32_t) (account->all_use * 1e6 / use_decay_ms (quotas)),
+      used_within (quotas, account, quotas->bounds.window_ms),
+      (unsigned long long) account->refused);
+}
+
 void
 quo_dump (Quo *quotas, uint64_t now_ms, GString *out)
 {
   if (!quo_is_active (quotas))
     return;
-  g_string_append_printf (out, "quotas accounts=%u used=%u known=%u heard=%u report_delay_ms=%u\n",
-                          g_hash_table_size (quotas->accounts), quotas->active->len,
-                          quotas->fleet.known, quotas->fleet.heard, quotas->fleet.report_delay_ms);
-  g_ptr_array_sort (quotas->active, compare_use);
-  for (guint i = 0; i < MIN (quotas->active->len, QUO_DUMP_MAX); i++)
-    {
-      Account *account = g_ptr_array_index (quotas->active, i);
-      advance (quotas, account, now_ms);
-      g_string_append_printf (
-          out,
-          "quota account=%08x rate_mps=%llu burst=%u level=%.1f excess=%.1f share_ppm=%u "
-          "unreported=%u use_mps=%u window=%u refused=%llu\n",
-          account->hash, (unsigned long long) account->rate_mps, account->burst, account->level,
-          excess_of (quotas, account), (uint32_t) (share_of (quotas, account) * SHARE_ONE_PPM),
-          (uint32_t) unreported_of (account),
-          (uint32_t) (account->all_use * 1e6 / use_decay_ms (quotas)),
-          used_within (quotas, account, quotas->bounds.window_ms),
-          (unsigned long long) account->refused);
-    }
+  GPtrArray *used = list_used (quotas, now_ms);
+  g_string_append_printf (
+      out, "quotas accounts=%u used=%u known=%u heard=%u part_permille=%u report_delay_ms=%u\n",
+      g_hash_table_size (quotas->accounts), used->len, quotas->fleet.known, quotas->fleet.heard,
+      (uint32_t) (quotas->heard_part * 1000), quotas->fleet.report_delay_ms);
+  for (guint i = 0; i < MIN (used->len, QUO_DUMP_MAX); i++)
+    dump_account (quotas, g_ptr_array_index (used, i), out);
+  g_ptr_array_unref (used);
 }
--- a/tests/test_exc.cc
+++ b/tests/test_exc.cc
@@ -23,6 +23,92 @@
   std::unique_ptr<Fleet> fleet_;
 };
 
+// Quotas of accounts 1 to @accounts on all nodes of a fleet.
+class QuotaSet
+{
+public:
+  QuotaSet (Fleet &fleet, uint32_t accounts) : fleet_ (fleet), accounts_ (accounts)
+  {
+    for (uint32_t i = 0; i < fleet.size (); i++)
+      {
+        fleet.node (i).per.quotas = New ();
+        // The node has counted for longer than a window.
+        QuoFleet alone = {};
+        alone.known = 1;
+        alone.heard = 1;
+        quo_set_fleet (fleet.node (i).per.quotas, &alone, fleet.now_ms () - 10000);
+      }
+  }
+
+  ~QuotaSet ()
+  {
+    for (uint32_t i = 0; i < fleet_.size (); i++)
+      {
+        quo_free (fleet_.node (i).per.quotas);
+        fleet_.node (i).per.quotas = nullptr;
+      }
+  }
+
+  void
+  Admit (uint32_t node, uint32_t account, uint32_t requests)
+  {
+    uint32_t retry_after_ms;
+    for (uint32_t i = 0; i < requests; i++)
+      EXPECT_TRUE (
+          quo_admit (fleet_.node (node).per.quotas, account, fleet_.now_ms (), &retry_after_ms));
+  }
+
+  void
+  Restart (uint32_t node)
+  {
+    Per *per = &fleet_.node (node).per;
+    quo_free (per->quotas);
+    per->quotas = New ();
+    per->self.incarnation++;
+  }
+
+  // A number in the state dump of a node.
+  uint32_t
+  DumpedValue (uint32_t node, const std::string &key)
+  {
+    GString *text = g_string_new (nullptr);
+    quo_dump (fleet_.node (node).per.quotas, fleet_.now_ms (), text);
+    std::string dump (text->str);
+    g_string_free (text, TRUE);
+    size_t at = dump.find (key);
+    return at != std::string::npos ? (uint32_t) atoi (dump.c_str () + at + key.size ()) : 0;
+  }
+
+  // Requests of an account within a window, as a node knows them.
+  uint32_t
+  KnownUse (uint32_t node, uint32_t account)
+  {
+    GString *text = g_string_new (nullptr);
+    quo_dump (fleet_.node (node).per.quotas, fleet_.now_ms (), text);
+    std::string dump (text->str);
+    g_string_free (text, TRUE);
+    char line[32];
+    g_snprintf (line, sizeof line, "quota account=%08x", account);
+    size_t at = dump.find (line);
+    at = at != std::string::npos ? dump.find ("window=", at) : at;
+    return at != std::string::npos ? (uint32_t) atoi (dump.c_str () + at + strlen ("window=")) : 0;
+  }
+
+private:
+  Quo *
+  New () const
+  {
+    QuoBounds bounds = { 5000, 100, 20 };
+    Quo *quotas = quo_new (&bounds);
+    for (uint32_t account = 1; account <= accounts_; account++)
+      quo_set_limit (quotas, account, 20000, 20);
+    return quotas;
+  }
+
+  Fleet &fleet_;
+  uint32_t accounts_;
+};
+
 std::string
 FormatIndexes (const std::vector<uint32_t> &nodes)
 {
@@ -165,6 +251,9 @@
       ups->failures = UPS_DOWN_FAILURES;
       poi_merge (per->poison, (uint64_t) i + 1, 1, fleet.now_ms ());
     }
+  QuotaSet quotas (fleet, 600);
+  for (uint32_t account = 1; account <= 600; account++)
+    quotas.Admit (0, account, 1);
   for (int i = 0; i < 120; i++)
     {
       std::string vm = "edge-of-a-zone-with-a-long-name-" + std::to_string (i);
@@ -182,6 +271,68 @@
   EXPECT_GT (per->summary_sequence, 0u);
 }
 
+// A quota can only hold over all nodes when what one node admits becomes known to all others.
+TEST_P (Exchange, CountsOfAnAccountReachAllNodes)
+{
+  QuotaSet quotas (*fleet_, 3);
+  fleet_->Run (2000);
+  quotas.Admit (5, 1, 3);
+  quotas.Admit (fleet_->size () - 1, 1, 2);
+  fleet_->Run (2000);
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    EXPECT_EQ (quotas.KnownUse (i, 1), 5u) << "node " << i;
+}
+
+// A node that restarts counts from 0 again: neither its old requests twice, nor its new ones never.
+TEST_P (Exchange, CountsOfARestartedNodeReachAllNodes)
+{
+  QuotaSet quotas (*fleet_, 1);
+  fleet_->Run (2000);
+  quotas.Admit (5, 1, 3);
+  fleet_->Run (1200);
+  quotas.Restart (5);
+  fleet_->Run (2000);
+  quotas.Admit (5, 1, 2);
+  fleet_->Run (1500);
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    EXPECT_EQ (quotas.KnownUse (i, 1), i == 5 ? 2u : 5u) << "node " << i;
+}
+
+// Nodes that fall silent may be on the other side of a partition: this side must not use their part
+// until the platform removes them.
+TEST_P (Exchange, SilentNodesKeepTheirPartOfAQuotaUntilTheyHaveLeft)
+{
+  QuotaSet quotas (*fleet_, 1);
+  uint32_t alive = 0;
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    {
+      fleet_->node (i).alive = fleet_->node (i).zone % 2 == 0;
+      alive += fleet_->node (i).alive;
+    }
+  fleet_->Run (2500);
+  EXPECT_EQ (quotas.DumpedValue (0, "known="), fleet_->size ());
+  EXPECT_EQ (quotas.DumpedValue (0, "heard="), alive);
+  fleet_->Run (4000);
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    if (!fleet_->node (i).alive)
+      per_mark_left (&fleet_->node (0).per, fleet_->node (i).per.self.vm);
+  fleet_->Run (200);
+  EXPECT_EQ (quotas.DumpedValue (0, "known="), alive);
+}
+
+// Without an account that has a limit, no view carries counts.
+TEST_P (Exchange, WithoutLimitsNoCountsAreSent)
+{
+  QuotaSet quotas (*fleet_, 0);
+  quotas.Admit (1, 1, 5);
+  fleet_->Run (1000);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet_->node (0).per.peers);
+  while (g_hash_table_iter_next (&iter, nullptr, &value))
+    EXPECT_EQ (static_cast<PerPeer *> (value)->view.quotas.quotas_len, 0u);
+}
+
 // One node defers the removal of vanished registrations. The deferral reaches all nodes and ends on
 // all of them: nodes don't keep extending it by their messages to each other.
 TEST_P (Exchange, RemovalDeferReachesAllNodesAndEnds)
