--- a/src/quo.c
+++ b/src/quo.c
@@ -29,7 +29,7 @@
  * see a request of an account every few seconds sometimes see two within the report delay. */
 #define SPARE_TOKENS 2.0
 #define SPARE_USED_TOKENS 1.5
-#define SPARE_USED_FACTOR 10.0
+#define SPARE_USED_FACTOR 20.0
 #define SPARE_DEVIATIONS 5.0
 
 /* How far below full a bucket may fall before the account counts as close to its limit: used at
