--- a/src/peer.x
+++ b/src/peer.x
@@ -32,8 +32,8 @@
   unsigned int age_ms;
 };
 
-/* Requests of a client account that were admitted since the sender started. @account is the hash of
- * its name. */
+/* Requests of a client account that were admitted. @account is the hash of its name; the upper 8 bits
+ * of @count are the number of the spell of use, the lower 24 the requests since its start. */
 struct peer_quota {
   unsigned int account;
   unsigned int count;
--- a/src/quo.c
+++ b/src/quo.c
@@ -116,6 +116,7 @@
 /**
  * struct Source - a node or zone reporter
  * @incarnation: changes when it restarts
+ * @in_zone: it is a node of the own zone
  * @heard_since_ms: since when it has been heard without a long silence
  * @heard_ms: time of its last message
  * @swept_ms: when old reports were last removed
@@ -124,6 +125,7 @@
 typedef struct
 {
   uint64_t incarnation;
+  bool in_zone;
   uint64_t heard_since_ms;
   uint64_t heard_ms;
   uint64_t swept_ms;
@@ -362,17 +364,6 @@
   account->heard_part = part;
 }
 
-/* Until the first reports can have arrived, the other nodes are taken to use up the refill. */
-static double
-refill_of (const Quo *quotas, const Account *account, uint64_t now_ms)
-{
-  uint64_t from_ms = account->updated_ms;
-
-  if (!account->is_corrected && quotas->fleet.known > 1)
-    from_ms = MAX (from_ms, account->started_ms + quotas->fleet.report_delay_ms);
-  return now_ms > from_ms ? rate_per_s (quotas, account) * (double) (now_ms - from_ms) / 1000.0 : 0;
-}
-
 static double
 use_decay_ms (const Quo *quotas)
 {
@@ -386,11 +377,12 @@
     start_account (quotas, account, now_ms);
   if (now_ms <= account->updated_ms)
     return;
-  double kept = exp (-(double) (now_ms - account->updated_ms) / use_decay_ms (quotas));
+  double elapsed_ms = (double) (now_ms - account->updated_ms);
+  double refill = rate_per_s (quotas, account) * elapsed_ms / 1000;
+  double kept = exp (-elapsed_ms / use_decay_ms (quotas));
   advance_window (quotas, account, now_ms);
   follow_heard_part (quotas, account);
-  account->level
-      = MIN (account->level + refill_of (quotas, account, now_ms), burst_of (quotas, account));
+  account->level = MIN (account->level + refill, burst_of (quotas, account));
   correct_start (quotas, account, now_ms);
   account->own_use *= kept;
   account->all_use *= kept;
@@ -635,7 +627,7 @@
 /* After a long silence, what the source has admitted was within its part of the quota: its counts
  * are a new baseline. */
 static Source *
-hear_source (Quo *quotas, uint32_t hash, uint64_t incarnation, uint64_t now_ms)
+hear_source (Quo *quotas, uint32_t hash, uint64_t incarnation, bool in_zone, uint64_t now_ms)
 {
   Source *source = g_hash_table_lookup (quotas->sources, GUINT_TO_POINTER (hash));
 
@@ -652,6 +644,7 @@
   if (was_silent || source->incarnation != incarnation)
     g_hash_table_remove_all (source->reports);
   source->incarnation = incarnation;
+  source->in_zone = in_zone;
   source->heard_ms = now_ms;
   if (now_ms - source->swept_ms >= QUO_FORGET_MS)
     {
@@ -661,20 +654,56 @@
   return source;
 }
 
-/* Requests that a count reports anew. In the first message of a source, only the last one of each
- * account is certain to be new. Later, a count without an earlier one is that of a new spell. */
+/* Sources that report for the same kind of part of the fleet, a node or a zone, and the own part.
+ */
+static uint32_t
+count_parts (const Quo *quotas, bool in_zone)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 1;
+
+  g_hash_table_iter_init (&iter, quotas->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const Source *) value)->in_zone == in_zone)
+      count++;
+  return count;
+}
+
+/* Part of a count without an earlier one that is new. A source that has been heard for as long as a
+ * spell of use lasts without use would have listed the account before, so that the spell is new.
+ * Before, the spell may be old. Then the count is new as far as the source is likely to have
+ * admitted it since it is heard, or since this node counts. */
+static uint32_t
+new_part (const Quo *quotas, const Account *account, const Source *source, uint32_t count,
+          uint64_t now_ms)
+{
+  uint64_t heard_ms = now_ms - source->heard_since_ms;
+  uint32_t age_ms = quo_age_ms (quotas, now_ms);
+
+  if (heard_ms >= QUO_IDLE_MS + DELAY_MAX_MS)
+    return count;
+  if (!quo_is_settled (quotas, age_ms))
+    heard_ms = MIN (heard_ms + quotas->fleet.report_delay_ms, age_ms);
+  double likely = rate_per_s (quotas, account) * (double) heard_ms / 1000;
+  return MIN (count, 1 + (uint32_t) (likely / count_parts (quotas, source->in_zone)));
+}
+
+/* Requests that a count reports anew. */
 static uint32_t
-apply_report (Source *source, const peer_quota *reported, uint64_t now_ms)
+apply_report (const Quo *quotas, const Account *account, Source *source, const peer_quota *reported,
+              uint64_t now_ms)
 {
-  Report *last = g_hash_table_lookup (source->reports, GUINT_TO_POINTER (reported->account));
+  Report *last = g_hash_table_lookup (source->reports, GUINT_TO_POINTER (account->hash));
   uint32_t spell = reported->count >> COUNT_BITS;
   uint32_t count = reported->count & COUNT_MAX;
-  uint32_t added = source->heard_since_ms == now_ms ? MIN (count, 1) : count;
+  uint32_t added = count;
 
   if (last == NULL)
     {
       last = g_new0 (Report, 1);
-      g_hash_table_insert (source->reports, GUINT_TO_POINTER (reported->account), last);
+      g_hash_table_insert (source->reports, GUINT_TO_POINTER (account->hash), last);
+      added = new_part (quotas, account, source, count, now_ms);
     }
   else if (last->spell == spell && count < last->count)
     return 0;
@@ -688,14 +717,14 @@
 quo_apply_counts (Quo *quotas, uint32_t source_hash, uint64_t incarnation, bool in_zone,
                   const peer_quota *counts, u_int length, uint64_t now_ms)
 {
-  Source *source = hear_source (quotas, source_hash, incarnation, now_ms);
+  Source *source = hear_source (quotas, source_hash, incarnation, in_zone, now_ms);
 
   for (u_int i = 0; i < length; i++)
     {
       Account *account = find_account (quotas, counts[i].account);
       if (account == NULL)
         continue;
-      uint32_t added = apply_report (source, &counts[i], now_ms);
+      uint32_t added = apply_report (quotas, account, source, &counts[i], now_ms);
       if (added == 0)
         continue;
       advance (quotas, account, now_ms);
