--- a/src/quo.c
+++ b/src/quo.c
@@ -39,7 +39,8 @@
 #define FLUCTUATION_PART 0.6
 
 /* Time in which the part of the limit that this node's side uses rises from 0 to 1 after a
- * partition, so that the other side's counts arrive before both use the whole limit. */
+ * partition, so that the other side's counts arrive before both use the whole limit. A node that
+ * has just started rises at once. */
 #define HEARD_RISE_MS 2000.0
 
 #define RETRY_AFTER_MIN_MS 50
@@ -116,7 +117,7 @@
 /**
  * struct Source - a node or zone reporter
  * @incarnation: changes when it restarts
- * @in_zone: it is a node of the own zone
+ * @nodes: number of nodes that it counts for
  * @heard_since_ms: since when it has been heard without a long silence
  * @heard_ms: time of its last message
  * @swept_ms: when old reports were last removed
@@ -125,7 +126,7 @@
 typedef struct
 {
   uint64_t incarnation;
-  bool in_zone;
+  uint32_t nodes;
   uint64_t heard_since_ms;
   uint64_t heard_ms;
   uint64_t swept_ms;
@@ -607,7 +608,9 @@
 
   if (quotas->since_ms == 0)
     quotas->since_ms = now_ms;
-  quotas->heard_part = MIN (heard_part, quotas->heard_part + rise);
+  if (quo_is_settled (quotas, quo_age_ms (quotas, now_ms)))
+    heard_part = MIN (heard_part, quotas->heard_part + rise);
+  quotas->heard_part = heard_part;
   quotas->fleet_set_ms = now_ms;
   quotas->fleet = *fleet;
   quotas->fleet.report_delay_ms = MIN (fleet->report_delay_ms, DELAY_MAX_MS);
@@ -627,7 +630,7 @@
 /* After a long silence, what the source has admitted was within its part of the quota: its counts
  * are a new baseline. */
 static Source *
-hear_source (Quo *quotas, uint32_t hash, uint64_t incarnation, bool in_zone, uint64_t now_ms)
+hear_source (Quo *quotas, uint32_t hash, uint64_t incarnation, uint32_t nodes, uint64_t now_ms)
 {
   Source *source = g_hash_table_lookup (quotas->sources, GUINT_TO_POINTER (hash));
 
@@ -644,7 +647,7 @@
   if (was_silent || source->incarnation != incarnation)
     g_hash_table_remove_all (source->reports);
   source->incarnation = incarnation;
-  source->in_zone = in_zone;
+  source->nodes = nodes;
   source->heard_ms = now_ms;
   if (now_ms - source->swept_ms >= QUO_FORGET_MS)
     {
@@ -654,22 +657,6 @@
   return source;
 }
 
-/* Sources that report for the same kind of part of the fleet, a node or a zone, and the own part.
- */
-static uint32_t
-count_parts (const Quo *quotas, bool in_zone)
-{
-  GHashTableIter iter;
-  gpointer value;
-  uint32_t count = 1;
-
-  g_hash_table_iter_init (&iter, quotas->sources);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const Source *) value)->in_zone == in_zone)
-      count++;
-  return count;
-}
-
 /* Part of a count without an earlier one that is new. A source that has been heard for as long as a
  * spell of use lasts without use would have listed the account before, so that the spell is new.
  * Before, the spell may be old. Then the count is new as far as the source is likely to have
@@ -685,8 +672,9 @@
     return count;
   if (!quo_is_settled (quotas, age_ms))
     heard_ms = MIN (heard_ms + quotas->fleet.report_delay_ms, age_ms);
-  double likely = rate_per_s (quotas, account) * (double) heard_ms / 1000;
-  return MIN (count, 1 + (uint32_t) (likely / count_parts (quotas, source->in_zone)));
+  double all = rate_per_s (quotas, account) * (double) heard_ms / 1000;
+  double likely = all * source->nodes / quotas->fleet.heard;
+  return MIN (count, 1 + (uint32_t) likely);
 }
 
 /* Requests that a count reports anew. */
@@ -714,10 +702,10 @@
 }
 
 void
-quo_apply_counts (Quo *quotas, uint32_t source_hash, uint64_t incarnation, bool in_zone,
-                  const peer_quota *counts, u_int length, uint64_t now_ms)
+quo_apply_counts (Quo *quotas, uint32_t source_hash, uint64_t incarnation, uint32_t nodes,
+                  bool in_zone, const peer_quota *counts, u_int length, uint64_t now_ms)
 {
-  Source *source = hear_source (quotas, source_hash, incarnation, in_zone, now_ms);
+  Source *source = hear_source (quotas, source_hash, incarnation, nodes, now_ms);
 
   for (u_int i = 0; i < length; i++)
     {
--- a/src/quo.h
+++ b/src/quo.h
@@ -86,10 +86,11 @@
  * quo_apply_counts() - applies the counts of a message; also called for a message without any
  * @source: node or zone reporter that counted
  * @incarnation: changes when the source restarts and its counts begin again
+ * @nodes: number of nodes that the source counts for
  * @in_zone: the source is a node whose counts belong to the sums of the own zone
  */
-void quo_apply_counts (Quo *quotas, uint32_t source, uint64_t incarnation, bool in_zone,
-                       const peer_quota *counts, u_int length, uint64_t now_ms);
+void quo_apply_counts (Quo *quotas, uint32_t source, uint64_t incarnation, uint32_t nodes,
+                       bool in_zone, const peer_quota *counts, u_int length, uint64_t now_ms);
 
 /** quo_list_own() - counts of the own node that changed lately, those with the largest unsent
  * change first, @capacity at most. Return: number of entries written. */
--- a/src/sum.c
+++ b/src/sum.c
@@ -62,8 +62,8 @@
 {
   if (quo_is_active (per->quotas))
     quo_apply_counts (per->quotas, ~(uint32_t) (summary->quota_source >> 32),
-                      (uint32_t) summary->quota_source, false, summary->quotas.quotas_val,
-                      summary->quotas.quotas_len, now_ms);
+                      (uint32_t) summary->quota_source, summary->members.members_len, false,
+                      summary->quotas.quotas_val, summary->quotas.quotas_len, now_ms);
 }
 
 static void
--- a/src/vws.c
+++ b/src/vws.c
@@ -108,7 +108,7 @@
 apply_quotas (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
   if (quo_is_active (per->quotas))
-    quo_apply_counts (per->quotas, peer->hash, peer->incarnation, peer->own_cell,
+    quo_apply_counts (per->quotas, peer->hash, peer->incarnation, 1, peer->own_cell,
                       peer->view.quotas.quotas_val, peer->view.quotas.quotas_len, now_ms);
 }
 
--- a/tests/test_quo.cc
+++ b/tests/test_quo.cc
@@ -143,9 +143,9 @@
   }
 
   void
-  Apply (uint32_t to, uint32_t source, uint64_t incarnation, bool in_zone, const Counts &counts)
+  Apply (uint32_t to, uint32_t source, uint64_t incarnation, uint32_t nodes, const Counts &counts)
   {
-    quo_apply_counts (quotas_[to], source, incarnation, in_zone, counts.data (),
+    quo_apply_counts (quotas_[to], source, incarnation, nodes, nodes == 1, counts.data (),
                       (u_int) counts.size (), now_ms_);
   }
 
@@ -159,7 +159,7 @@
       if (to != from)
         Send (from, to, [=] {
           heard_ms_[to][from] = now_ms_;
-          Apply (to, 1000 + from, incarnation, true, counts);
+          Apply (to, 1000 + from, incarnation, 1, counts);
         });
   }
 
@@ -168,7 +168,7 @@
   {
     for (uint32_t i = from % zones_; i < size (); i += zones_)
       heard_ms_[to][i] = now_ms_;
-    Apply (to, 9000 + from, incarnation_[from], false, counts);
+    Apply (to, 9000 + from, incarnation_[from], size () / zones_, counts);
   }
 
   void
@@ -504,6 +504,26 @@
   ExpectBound ();
 }
 
+// Load: accounts use 0.62 of their limits at all nodes, and a tenth of the nodes restarts. These
+// nodes know nothing at first, and must not refuse what the others admit.
+TEST_P (Fleets, RestartedNodesSoonAdmitSteadyUse)
+{
+  for (uint32_t rate : { 2u, 8u, 60u, 456u })
+    replay_.Add ({ rate, rate, Steady (0.62 * rate), AnyNode });
+  replay_.Run (20000);
+  for (uint32_t i = 0; i < replay_.size (); i += 10)
+    replay_.Restart (i);
+  uint64_t restarted_ms = replay_.now_ms ();
+  replay_.Run (20000);
+  ExpectBound ();
+  for (const Load &load : replay_.loads)
+    {
+      printf ("limit %u: %u refused after the restart\n", load.rate_per_s,
+              CountSince (load.refused_ms, restarted_ms));
+      EXPECT_EQ (CountSince (load.refused_ms, restarted_ms + 5000), 0u) << load.rate_per_s;
+    }
+}
+
 // Load: a fifth of the messages is lost; accounts use 5 times their usual rate for 8 s.
 TEST_P (Fleets, LostMessagesKeepTheBound)
 {
