--- a/src/quo.c
+++ b/src/quo.c
@@ -227,13 +227,19 @@
          + burst_of (quotas, account);
 }
 
+/* Excess that all nodes together may use. */
 static double
-excess_of (const Quo *quotas, const Account *account)
+whole_excess_of (const Quo *quotas, const Account *account)
 {
-  double slack = quotas->bounds.slack * heard_part (quotas);
+  double quota = account->rate_mps / 1000.0 * quotas->bounds.window_ms / 1000 + account->burst;
 
-  return EXCESS_USED
-         * (window_quota (quotas, account) * quotas->bounds.excess_permille / 1000.0 + slack);
+  return EXCESS_USED * (quota * quotas->bounds.excess_permille / 1000 + quotas->bounds.slack);
+}
+
+static double
+excess_of (const Quo *quotas, const Account *account)
+{
+  return whole_excess_of (quotas, account) * heard_part (quotas);
 }
 
 static void
@@ -329,7 +335,7 @@
 {
   account->is_corrected = quo_is_settled (quotas, quo_age_ms (quotas, now_ms));
   account->level
-      = account->is_corrected ? burst_of (quotas, account) : -excess_of (quotas, account) / 2;
+      = account->is_corrected ? burst_of (quotas, account) : -whole_excess_of (quotas, account) / 2;
   account->heard_part = heard_part (quotas);
   account->started_ms = quotas->since_ms != 0 ? quotas->since_ms : now_ms;
   account->updated_ms = account->is_corrected ? now_ms : account->started_ms;
@@ -350,19 +356,22 @@
 }
 
 /* Adapts the level when nodes fall silent or are heard again. Of the level when they fell silent,
- * they keep their part; since then, this side has refilled and used it alone. */
+ * they keep their part; since then, this side has refilled and used it alone. When they are heard
+ * again, their side is taken to be as far from its limit as this one. A node that has just started
+ * has no such part. */
 static void
 follow_heard_part (const Quo *quotas, Account *account)
 {
   double part = heard_part (quotas);
   double kept = part / account->heard_part;
 
-  if (part == account->heard_part)
-    return;
-  account->level *= kept;
-  if (kept < 1)
-    account->level -= (1 - kept) * used_within (quotas, account, quotas->fleet.silence_ms);
   account->heard_part = part;
+  if (kept < 1)
+    account->level = account->level * kept
+                     - (1 - kept) * used_within (quotas, account, quotas->fleet.silence_ms);
+  else if (kept > 1 && account->is_corrected)
+    account->level
+        = MAX (account->level * kept, MIN (account->level, -excess_of (quotas, account)));
 }
 
 static double
