--- a/src/exc.c
+++ b/src/exc.c
@@ -87,19 +87,31 @@
   return !peer->in_summaries && is_counted (per, peer, now_ms);
 }
 
+/* The longest view period in any zone: the larger a zone, the later its sums know of a request. */
+static uint32_t
+longest_view_period_ms (const Per *per, uint64_t now_ms)
+{
+  uint32_t longest_ms = per_view_period_ms (per);
+
+  for (uint32_t zone = 0; zone < ZONES_MAX; zone++)
+    if (sum_is_current (per, zone, now_ms))
+      longest_ms
+          = MAX (longest_ms, per->summaries[zone].members.members_len * 1000 / PER_VIEWS_PER_S);
+  return longest_ms;
+}
+
 static void
 update_quotas (Per *per, uint64_t now_ms)
 {
-  uint32_t period_ms = per_view_period_ms (per);
   uint32_t direct = per_count_if (per, is_direct, now_ms);
   uint32_t settled = per_count_if (per, is_settled, now_ms);
   QuoFleet fleet = { .node = per->self.hash,
                      .known = 1 + per_count_if (per, is_known, now_ms),
                      .heard = 1 + per_count_if (per, is_counted, now_ms),
-                     .report_delay_ms = period_ms + QUO_TRANSIT_MS,
+                     .report_delay_ms = longest_view_period_ms (per, now_ms) + QUO_TRANSIT_MS,
                      .silence_ms = view_limit_ms (per),
                      .settled_permille = settled * 1000 / MAX (direct, 1),
-                     .view_hold_ms = period_ms + PER_TICK_MS };
+                     .view_hold_ms = 2 * per_view_period_ms (per) + PER_TICK_MS };
 
   if (per->zoned)
     fleet.silence_ms = MAX (fleet.silence_ms, QUO_ZONE_SILENT_MS);
--- a/src/quo.c
+++ b/src/quo.c
@@ -818,7 +818,7 @@
 u_int
 quo_list_zone (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms)
 {
-  return list_counts (quotas, zone_tally, compare_zone, SUM_PERIOD_MS + PER_TICK_MS, counts,
+  return list_counts (quotas, zone_tally, compare_zone, 2 * SUM_PERIOD_MS + PER_TICK_MS, counts,
                       capacity, now_ms);
 }
 
