--- a/src/lim.h
+++ b/src/lim.h
@@ -214,8 +214,8 @@
 #define SUM_AGE_MAX_MS 4000
 #define SUM_MEMBERS_MAX 128
 
-/* Quotas of client accounts. A count that was not used for QUO_IDLE_MS starts again. Messages repeat
- * counts for less than that, and receivers forget them later than that. */
+/* Quotas of client accounts. A count that was not used for QUO_IDLE_MS starts again. Messages
+ * repeat counts for less than that, and receivers forget them later than that. */
 #define QUO_SUMMARY_MAX 512
 #define QUO_IDLE_MS 2000
 #define QUO_FORGET_MS 12000
