--- a/src/nst.c
+++ b/src/nst.c
@@ -168,6 +168,7 @@
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
   dump_accounts (node, out);
+  quo_dump (node->quotas, now_ms, out);
   return g_string_free (out, FALSE);
 }
 
