Tests of untrusted callers: loads and bounds, on the code as it stands

Callers can take more memory or descriptors of a node than its machine has. The bound is the stated memory, for resident memory and the bytes that sockets hold unread.

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -574,13 +574,13 @@
 // ---- Node ----
 
 NodeProcess::NodeProcess (const std::string &vm, const std::string &zone,
-                          const std::string &store_address, int ip_last)
+                          const std::string &store_address, int ip_last, const std::string &limits)
     : vm_ (vm), zone_ (zone), ip_ ("127.0.0." + std::to_string (ip_last)), front_ (FreePort ()),
       ready_ (FreePort ()), lookup_ (FreePort ()), peer_ (FreePort ())
 {
   char folder[] = "/tmp/cardamom-test-XXXXXX";
   folder_ = mkdtemp (folder);
-  WriteSettings (store_address);
+  WriteSettings (store_address, limits);
   Start ();
 }
 
@@ -597,11 +597,12 @@
 }
 
 void
-NodeProcess::WriteSettings (const std::string &store_address)
+NodeProcess::WriteSettings (const std::string &store_address, const std::string &limits)
 {
   std::ofstream out (folder_ + "/node.json");
   auto addr = [this] (int port) { return "\"" + ip_ + ":" + std::to_string (port) + "\""; };
-  out << "{\"self\":{\"node\":\"" << vm_ << "\",\"zone\":\"" << zone_ << "\"},"
+  out << "{\"self\":{\"node\":\"" << vm_ << "\",\"zone\":\"" << zone_ << "\""
+      << (limits.empty () ? "" : ",\"limits\":" + limits) << "},"
       << "\"network\":{\"listen\":{\"front\":" << addr (front_) << ",\"ready\":" << addr (ready_)
       << ",\"directory\":" << addr (lookup_) << "},\"internal-ports\":[" << peer_ << ","
       << peer_ + 9 << "],\"zones\":{\"east-a\":\"east\",\"east-b\":\"east\",\"west-a\":\"west\"}},"
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -200,8 +200,9 @@
 class NodeProcess
 {
 public:
+  // `limits`: JSON object with the limits of the machine; none if empty.
   NodeProcess (const std::string &vm, const std::string &zone, const std::string &store_address,
-               int ip_last = 1);
+               int ip_last = 1, const std::string &limits = "");
   ~NodeProcess ();
   void Start ();
   void Signal (int signal);
@@ -215,6 +216,11 @@
   // Exchange() with the node's front address.
   std::string ExchangeBytes (const std::vector<std::string> &pieces, int pause_ms, int timeout_ms);
   std::string Log () const;
+  pid_t
+  pid () const
+  {
+    return pid_;
+  }
   // Peak resident memory of the process; -1 if it isn't running.
   long PeakMemoryKb () const;
   std::string front () const;
@@ -222,7 +228,7 @@
   std::string peer () const;
 
 private:
-  void WriteSettings (const std::string &store_address);
+  void WriteSettings (const std::string &store_address, const std::string &limits);
   std::string vm_;
   std::string zone_;
   std::string ip_;
--- /dev/null
+++ b/tests/test_untrusted.cc
@@ -0,0 +1,461 @@
+// End-to-end tests of a node process whose callers try to exhaust its memory or its descriptors.
+// None of them checks times or how many requests are served.
+#include "fakes.h"
+
+#include <atomic>
+#include <csignal>
+#include <dirent.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+// Limits of the machine that the settings state. The bound of all loads is the machine's memory:
+// the platform kills what exceeds it.
+constexpr long kMemoryMb = 64;
+constexpr int kMaxFds = 400;
+constexpr size_t kBodyMaxBytes = 8 << 20;
+constexpr int kCallers = 30;
+constexpr int kLoadMaxMs = 4000;
+constexpr int kAnswerMaxMs = 20000;
+
+// Peak of the process's resident memory and of the bytes that its sockets have received but it has
+// not read, which the platform counts as the process's memory.
+class MemoryWatch
+{
+public:
+  MemoryWatch (pid_t pid, int port) : pid_ (pid), port_ (port), thread_ ([this] { Run (); }) {}
+  ~MemoryWatch ()
+  {
+    ended_ = true;
+    thread_.join ();
+  }
+  void
+  Sample ()
+  {
+    long kb = ResidentKb () + UnreadKb ();
+    int descriptors = Descriptors ();
+    std::lock_guard<std::mutex> lock (mutex_);
+    peak_kb_ = std::max (peak_kb_, kb);
+    peak_descriptors_ = std::max (peak_descriptors_, descriptors);
+  }
+  long
+  PeakKb () const
+  {
+    return peak_kb_;
+  }
+  int
+  PeakDescriptors () const
+  {
+    return peak_descriptors_;
+  }
+
+private:
+  long
+  ResidentKb () const
+  {
+    std::ifstream status ("/proc/" + std::to_string (pid_) + "/status");
+    std::string line;
+    while (std::getline (status, line))
+      if (line.rfind ("VmRSS:", 0) == 0)
+        return atol (line.c_str () + strlen ("VmRSS:"));
+    return 0;
+  }
+
+  long
+  UnreadKb () const
+  {
+    std::ifstream sockets ("/proc/net/tcp");
+    std::string line;
+    long bytes = 0;
+    while (std::getline (sockets, line))
+      {
+        unsigned ip, port, peer_ip, peer_port, state, sent, unread;
+        if (sscanf (line.c_str (), " %*d: %x:%x %x:%x %x %x:%x", &ip, &port, &peer_ip, &peer_port,
+                    &state, &sent, &unread)
+                == 7
+            && state == 1 && static_cast<int> (port) == port_)
+          bytes += unread;
+      }
+    return bytes / 1024;
+  }
+
+  int
+  Descriptors () const
+  {
+    int count = 0;
+    DIR *folder = opendir (("/proc/" + std::to_string (pid_) + "/fd").c_str ());
+    while (folder != nullptr && readdir (folder) != nullptr)
+      count++;
+    if (folder != nullptr)
+      closedir (folder);
+    return count - 2;
+  }
+
+  void
+  Run ()
+  {
+    while (!ended_)
+      {
+        Sample ();
+        std::this_thread::sleep_for (10ms);
+      }
+  }
+
+  pid_t pid_;
+  int port_;
+  std::atomic<bool> ended_{ false };
+  std::mutex mutex_;
+  long peak_kb_ = 0;
+  int peak_descriptors_ = 0;
+  std::thread thread_;
+};
+
+// What one caller sends: the head, then the piece, up to a number of bytes, and the end.
+struct Load
+{
+  std::string head;
+  std::string piece;
+  size_t bytes = SIZE_MAX;
+  std::string end;
+  int pause_ms = 0;
+};
+
+std::string
+Head (const std::string &framing)
+{
+  static std::atomic<int> count{ 0 };
+  return "POST /post/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: u" + std::to_string (count++)
+         + "\r\nX-Deadline-Ms: 15000\r\n" + framing + "\r\n";
+}
+
+std::string
+Announce (size_t bytes)
+{
+  return Head ("Content-Length: " + std::to_string (bytes) + "\r\n");
+}
+
+std::string
+Chunk (size_t bytes)
+{
+  std::stringstream out;
+  out << std::hex << bytes << "\r\n" << std::string (bytes, 'c') << "\r\n";
+  return out.str ();
+}
+
+std::string
+Repeat (const std::string &text, int times)
+{
+  std::string out;
+  while (times-- > 0)
+    out += text;
+  return out;
+}
+
+// Callers on threads of their own that send their loads at the same time and then keep their
+// connections open, until Close().
+class Crowd
+{
+public:
+  Crowd (const std::string &address, int size, const std::function<Load (int)> &load)
+      : until_ms_ (NowMs () + kLoadMaxMs)
+  {
+    for (int i = 0; i < size; i++)
+      {
+        int fd = Connect (address);
+        if (fd < 0)
+          continue;
+        fds_.push_back (fd);
+        threads_.emplace_back ([this, fd, caller = load (i)] { Run (fd, caller); });
+      }
+  }
+  ~Crowd () { Close (); }
+  void
+  Join ()
+  {
+    for (std::thread &thread : threads_)
+      thread.join ();
+    threads_.clear ();
+  }
+  void
+  Close ()
+  {
+    Join ();
+    for (int fd : fds_)
+      close (fd);
+    fds_.clear ();
+  }
+
+private:
+  // False when the connection is closed or the load's time has passed.
+  bool
+  Send (int fd, const std::string &bytes, size_t size)
+  {
+    size_t sent = 0;
+    while (sent < size && NowMs () < until_ms_)
+      {
+        pollfd ready = { .fd = fd, .events = POLLOUT, .revents = 0 };
+        if (poll (&ready, 1, 50) == 0)
+          continue;
+        ssize_t n = send (fd, bytes.data () + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n < 0 && errno != EAGAIN)
+          return false;
+        sent += n > 0 ? static_cast<size_t> (n) : 0;
+      }
+    return sent == size;
+  }
+
+  void
+  Run (int fd, const Load &load)
+  {
+    if (!Send (fd, load.head, load.head.size ()))
+      return;
+    size_t sent = 0;
+    while (sent < load.bytes)
+      {
+        size_t size = std::min (load.piece.size (), load.bytes - sent);
+        if (!Send (fd, load.piece, size))
+          return;
+        sent += size;
+        std::this_thread::sleep_for (std::chrono::milliseconds (load.pause_ms));
+      }
+    Send (fd, load.end, load.end.size ());
+  }
+
+  int until_ms_;
+  std::vector<int> fds_;
+  std::vector<std::thread> threads_;
+};
+
+class UntrustedTest : public ::testing::Test
+{
+protected:
+  void
+  Start (long memory_mb = kMemoryMb, int max_fds = kMaxFds, size_t body_max_bytes = kBodyMaxBytes)
+  {
+    memory_mb_ = memory_mb;
+    max_fds_ = max_fds;
+    std::string configuration = Configuration (7, "", "\"timeout-s\":15,\"goal-s\":0.5");
+    std::string limit = "\"max-body-bytes\":";
+    size_t at = configuration.find (limit) + limit.size ();
+    configuration.replace (at, configuration.find (',', at) - at, std::to_string (body_max_bytes));
+    store_.Put ("config", "main", configuration);
+    for (int i = 0; i < 4; i++)
+      {
+        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
+        store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
+      }
+    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address (), 1,
+                                           "{\"memory-mb\":" + std::to_string (memory_mb)
+                                               + ",\"max-fds\":" + std::to_string (max_fds) + "}");
+    ASSERT_TRUE (node_->WaitReady (5000));
+    ASSERT_TRUE (WaitUntil (5000, [&] { return IsAnswering (); }));
+    std::string front = node_->front ();
+    watch_ = std::make_unique<MemoryWatch> (node_->pid (),
+                                            std::stoi (front.substr (front.find (':') + 1)));
+  }
+
+  bool
+  IsAnswering ()
+  {
+    return node_->Call ("GET", "/read/a", { { "X-Request-Id", "o" }, { "X-Deadline-Ms", "4000" } })
+               .status
+           == 200;
+  }
+
+  // One ordinary request is answered while the crowd's connections are still open.
+  void
+  Check (Crowd *crowd)
+  {
+    crowd->Join ();
+    watch_->Sample ();
+    EXPECT_TRUE (WaitUntil (kAnswerMaxMs, [&] { return IsAnswering (); }));
+    crowd->Close ();
+    CheckBounds ();
+  }
+
+  void
+  CheckBounds ()
+  {
+    EXPECT_EQ (node_->WaitExit (0), -1) << "the process has ended";
+    long peak_kb = std::max (watch_->PeakKb (), node_->PeakMemoryKb ());
+    RecordProperty ("peak_kb", std::to_string (peak_kb));
+    printf ("peak: %ld MB resident and unread, %ld MB resident, %d descriptors\n",
+            watch_->PeakKb () / 1024, node_->PeakMemoryKb () / 1024, watch_->PeakDescriptors ());
+#ifndef __SANITIZE_ADDRESS__
+    EXPECT_LE (peak_kb, memory_mb_ * 1024);
+#endif
+    EXPECT_LE (watch_->PeakDescriptors (), max_fds_);
+  }
+
+  // Three of four callers stop just before the end of what they announced.
+  static bool
+  StopsShort (int caller)
+  {
+    return caller % 4 != 0;
+  }
+
+  long memory_mb_ = 0;
+  int max_fds_ = 0;
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::unique_ptr<NodeProcess> node_;
+  std::unique_ptr<MemoryWatch> watch_;
+};
+}
+
+// Guards against a node that runs out of memory when many legal bodies arrive at once.
+TEST_F (UntrustedTest, WholeLargeBodies)
+{
+  Start ();
+  Crowd crowd (node_->front (), kCallers, [] (int) {
+    return Load{ Announce (kBodyMaxBytes - 1), std::string (1 << 20, 'b'), kBodyMaxBytes - 1, "" };
+  });
+  Check (&crowd);
+}
+
+// The same with bodies in pieces whose callers stop just before the end and stay connected.
+TEST_F (UntrustedTest, LargeBodiesInPiecesThatStopShort)
+{
+  Start ();
+  Crowd crowd (node_->front (), kCallers, [] (int i) {
+    size_t bytes = kBodyMaxBytes - 1;
+    return Load{ Announce (bytes), std::string (64 << 10, 'b'), bytes - (StopsShort (i) ? 100 : 0),
+                 "", 1 };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node that keeps bytes of a body announced as over the limit. The callers don't
+// wait for the response.
+TEST_F (UntrustedTest, AnnouncedBodiesOverTheLimit)
+{
+  Start ();
+  Reply reply = node_->Call ("POST", "/post/a", { { "Content-Length", "9000000" } });
+  EXPECT_EQ (reply.status, 413);
+  Crowd crowd (node_->front (), kCallers, [] (int) {
+    return Load{ Announce (100 * kBodyMaxBytes), std::string (1 << 20, 'b'), SIZE_MAX, "" };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node that keeps chunked bodies of any size.
+TEST_F (UntrustedTest, EndlessChunkedBodies)
+{
+  Start ();
+  Crowd crowd (node_->front (), kCallers, [] (int) {
+    return Load{ Head ("Transfer-Encoding: chunked\r\n"), Chunk (64 << 10), SIZE_MAX, "" };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node whose memory is held by chunked bodies that never end.
+TEST_F (UntrustedTest, LargeChunksThatStopShort)
+{
+  Start ();
+  std::string chunk = Chunk (1 << 20);
+  Crowd crowd (node_->front (), kCallers, [&] (int i) {
+    return Load{ Head ("Transfer-Encoding: chunked\r\n"), chunk, 7 * chunk.size (),
+                 StopsShort (i) ? "" : "0\r\n\r\n" };
+  });
+  Check (&crowd);
+}
+
+// The same with chunks of 16 bytes, each of which is a small part of what the caller sends.
+TEST_F (UntrustedTest, SmallChunksThatStopShort)
+{
+  Start ();
+  std::string chunks = Repeat (Chunk (16), 4096);
+  Crowd crowd (node_->front (), kCallers, [&] (int i) {
+    return Load{ Head ("Transfer-Encoding: chunked\r\n"), chunks, 112 * chunks.size (),
+                 StopsShort (i) ? "" : "0\r\n\r\n" };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node whose memory is held by heads that never end.
+TEST_F (UntrustedTest, EndlessHeads)
+{
+  Start ();
+  Crowd crowd (node_->front (), 5 * kCallers, [] (int) {
+    return Load{ "GET /read/a HTTP/1.1\r\nHost: host.example\r\n",
+                 "X-Fill: " + std::string (1000, 'x') + "\r\n", SIZE_MAX, "" };
+  });
+  Check (&crowd);
+}
+
+// The same with heads of 100,000 bytes that stop short, below the HTTP library's own limit.
+TEST_F (UntrustedTest, LargeHeadsThatStopShort)
+{
+  Start ();
+  Crowd crowd (node_->front (), 9 * kCallers, [] (int) {
+    return Load{ "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Fill: ", std::string (1000, 'x'),
+                 390000, "" };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node whose memory is held by what callers send behind a request at work.
+TEST_F (UntrustedTest, EndlessBytesBehindARequest)
+{
+  Start ();
+  for (const auto &upstream : upstreams_)
+    upstream->SetWork (2000);
+  Crowd crowd (node_->front (), kCallers, [] (int i) {
+    return Load{ "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: p"
+                     + std::to_string (i) + "\r\nX-Deadline-Ms: 15000\r\n\r\n",
+                 std::string (64 << 10, 'p'), SIZE_MAX, "" };
+  });
+  for (const auto &upstream : upstreams_)
+    upstream->SetWork (0);
+  Check (&crowd);
+}
+
+// Guards against a node that has no descriptors left for its upstreams and its store.
+TEST_F (UntrustedTest, ManyIdleConnections)
+{
+  Start ();
+  std::vector<int> idle;
+  for (int i = 0; i < 2 * kMaxFds; i++)
+    if (int fd = Connect (node_->front ()); fd >= 0)
+      idle.push_back (fd);
+  watch_->Sample ();
+  EXPECT_TRUE (WaitUntil (kAnswerMaxMs, [&] { return IsAnswering (); }));
+  CheckBounds ();
+  for (int fd : idle)
+    close (fd);
+}
+
+// The largest body that the users' configuration allows is served on their smallest VM.
+TEST_F (UntrustedTest, LargestBodyIsServedOnTheSmallestMachine)
+{
+  Start (112, 2870, 64 << 20);
+  std::string body (64 << 20, 'b');
+  Reply reply = node_->Call (
+      "POST", "/post/a", { { "X-Request-Id", "l" }, { "X-Deadline-Ms", "15000" } }, body, 20000);
+  EXPECT_EQ (reply.status, 200);
+  bool whole = false;
+  for (const auto &upstream : upstreams_)
+    for (const Request &request : upstream->requests ())
+      whole = whole || request.body == body;
+  EXPECT_TRUE (whole);
+  CheckBounds ();
+}
+
+// The same without an announced length.
+TEST_F (UntrustedTest, LargestChunkedBodyIsServedOnTheSmallestMachine)
+{
+  Start (112, 2870, 64 << 20);
+  std::string chunk = Chunk (1 << 20);
+  std::string message = Head ("Transfer-Encoding: chunked\r\nConnection: close\r\n")
+                        + Repeat (chunk, 63) + "0\r\n\r\n";
+  std::string response = node_->ExchangeBytes ({ message }, 0, 15000);
+  EXPECT_EQ (response.rfind ("HTTP/1.1 200", 0), 0u) << response;
+  CheckBounds ();
+}
