Memory budget of a process: requests are received within the memory of the machine

Callers could take any multiple of the memory: what was received was summed every 20 to 100 ms only, small requests were not counted, h2o's buffers doubled, and each body was copied once more.

The new module mbg divides memory-mb and max-fds of the settings. rdl asks it on each read for what the request needs in the end (announced length, or for a chunked body a small part and then as much as the largest one); a request waits unread, is rejected, or is closed if it makes no progress while others wait. Buffers get their final size at once, and bodies over 8 KB are sent to upstreams from where h2o received them. Heads over 64 KB get 431. Bytes behind a request at work are bounded, and so are connections, of which those idle for longest are closed.

--- a/src/fst.c
+++ b/src/fst.c
@@ -131,7 +131,8 @@
   nsh_count_request (node, frq->service, frq->route_stats->cold_ms);
   msg_init (&frq->message, h2o, dropped);
   frq->fingerprint = poi_fingerprint (frq->message.method, frq->message.path,
-                                      frq->message.body->data, frq->message.body->len);
+                                      g_bytes_get_data (frq->message.body, NULL),
+                                      g_bytes_get_size (frq->message.body));
   frq->received_at_ms = clk_now_ms ();
   if (frq->key != 0)
     crd_add (&frq->service->objects, frq->key, frq->received_at_ms);
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -27,12 +27,18 @@
   Rdl reading;
 };
 
-/** struct Watch - callback for the disconnection of a caller; stored in HsvServer.watch_table by
- * socket */
+/**
+ * struct Watch - callback for the disconnection of a caller; stored in HsvServer.watch_table by
+ * socket
+ * @request_bytes: size of the input when the watch began
+ * @must_not_move: the input must stay where it is in memory
+ */
 typedef struct
 {
   HsvDisconnectFn fn;
   void *user;
+  size_t request_bytes;
+  bool must_not_move;
 } Watch;
 
 typedef struct
@@ -41,6 +47,12 @@
   HsvServer *server;
 } Handler;
 
+typedef struct
+{
+  h2o_logger_t super;
+  HsvServer *server;
+} Logger;
+
 /* ---- Connections ---- */
 
 static void
@@ -60,6 +72,17 @@
   return 0;
 }
 
+/* h2o has sent the response to a request, and is about to free its memory. */
+static void
+on_request_end (h2o_logger_t *self, h2o_req_t *req)
+{
+  HsvServer *server = ((Logger *) self)->server;
+
+  if (server->reading.mbg != NULL && req->res.status == 413)
+    server->reading.mbg->counters.bodies_over_limit++;
+  rdl_answered (&server->reading, req->conn->callbacks->get_socket (req->conn));
+}
+
 /* A caller that neither reads nor acknowledges for that long keeps no response in memory. */
 static void
 limit_stalls (const uv_tcp_t *conn)
@@ -81,7 +104,7 @@
   run_hook (server);
   conn = h2o_mem_alloc (sizeof *conn);
   uv_tcp_init (listener->loop, conn);
-  if (uv_accept (listener, (uv_stream_t *) conn) != 0)
+  if (uv_accept (listener, (uv_stream_t *) conn) != 0 || !rdl_admit (&server->reading))
     {
       uv_close ((uv_handle_t *) conn, (uv_close_cb) free);
       return;
@@ -89,8 +112,8 @@
   uv_tcp_nodelay (conn, 1);
   limit_stalls (conn);
   h2o_socket_t *sock = h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free);
-  rdl_add (&server->reading, sock);
   h2o_accept (&server->accept_ctx, sock);
+  rdl_add (&server->reading, sock);
 }
 
 static bool
@@ -118,6 +141,15 @@
   return true;
 }
 
+static void
+add_logger (HsvServer *server, h2o_pathconf_t *path)
+{
+  Logger *logger = (Logger *) h2o_create_logger (path, sizeof *logger);
+
+  logger->super.log_access = on_request_end;
+  logger->server = server;
+}
+
 HsvServer *
 hsv_start (uv_loop_t *loop, NetAddr addr, HsvHandler handler, void *user, Err *err)
 {
@@ -128,7 +160,7 @@
   server->handler = handler;
   server->user = user;
   server->watch_table = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
-  rdl_init (&server->reading);
+  rdl_init (&server->reading, loop);
   h2o_config_init (&server->config);
   server->config.max_request_entity_size = REQUEST_BODY_MAX_BYTES;
   server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
@@ -141,6 +173,8 @@
   Handler *h2o_handler = (Handler *) h2o_create_handler (path, sizeof *h2o_handler);
   h2o_handler->super.on_req = on_request;
   h2o_handler->server = server;
+  add_logger (server, path);
+  add_logger (server, &host->fallback_path);
   h2o_context_init (&server->ctx, loop, &server->config);
   server->accept_ctx.ctx = &server->ctx;
   server->accept_ctx.hosts = server->config.hosts;
@@ -182,15 +216,25 @@
 void
 hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes)
 {
+  if (server->reading.mbg != NULL)
+    body_bytes = mbg_body_max_bytes (server->reading.mbg, body_bytes);
+  server->reading.body_max_bytes = body_bytes;
   server->config.max_request_entity_size = body_bytes;
   server->config.http1.req_timeout = idle_ms;
   server->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
 void
-hsv_limit_reading (HsvServer *server, uint64_t now_ms)
+hsv_set_budget (HsvServer *server, Mbg *mbg, bool is_relay)
 {
-  rdl_check (&server->reading, server->watch_table, now_ms);
+  server->reading.body_max_bytes = server->config.max_request_entity_size;
+  rdl_set_budget (&server->reading, mbg, is_relay);
+}
+
+void
+hsv_close_stalled (HsvServer *server)
+{
+  rdl_tick (&server->reading);
 }
 
 void
@@ -214,6 +258,13 @@
   return server_of_conn (sock->data);
 }
 
+static bool
+can_read_on (const Watch *watch, const h2o_socket_t *sock)
+{
+  return sock->input->size - watch->request_bytes < HSV_PIPELINED_MAX_BYTES
+         && (!watch->must_not_move || rdl_has_room (sock));
+}
+
 /* h2o reads no further request until the response is sent; data that arrives before is left in the
  * socket's buffer, and only the end of the connection is reported. */
 static void
@@ -222,10 +273,10 @@
   GHashTable *watch_table = server_of_socket (sock)->watch_table;
   Watch *watch = g_hash_table_lookup (watch_table, sock);
 
-  if (watch != NULL && err == NULL)
+  if (watch != NULL && err == NULL && can_read_on (watch, sock))
     return;
   h2o_socket_read_stop (sock);
-  if (watch == NULL)
+  if (watch == NULL || err == NULL)
     return;
   Watch disconnected = *watch;
   g_hash_table_remove (watch_table, sock);
@@ -238,9 +289,13 @@
   h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
   Watch *watch = g_new (Watch, 1);
 
-  *watch = (Watch){ .fn = fn, .user = user };
+  *watch = (Watch){ .fn = fn,
+                    .user = user,
+                    .request_bytes = sock->input->size,
+                    .must_not_move = req->entity.len > HSV_COPIED_BODY_MAX_BYTES };
   g_hash_table_insert (server->watch_table, sock, watch);
-  h2o_socket_read_start (sock, on_watched_read);
+  if (can_read_on (watch, sock))
+    h2o_socket_read_start (sock, on_watched_read);
   return sock;
 }
 
@@ -358,6 +413,14 @@
   return g_strndup (req->path_normalized.base, req->path_normalized.len);
 }
 
+GBytes *
+hsv_body (h2o_req_t *req)
+{
+  if (req->entity.len > HSV_COPIED_BODY_MAX_BYTES)
+    return g_bytes_new_static (req->entity.base, req->entity.len);
+  return g_bytes_new (req->entity.base, req->entity.len);
+}
+
 char *
 hsv_query (h2o_req_t *req, const char *name)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "err.h"
+#include "mbg.h"
 #include "net.h"
 
 #include <glib.h>
@@ -37,9 +38,15 @@
  * request body. */
 void hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes);
 
-/** hsv_limit_reading() - bounds the memory of requests that are being received; to be called
- * regularly. Counts requests that hsv_watch_disconnect() watches as received. */
-void hsv_limit_reading (HsvServer *server, uint64_t now_ms);
+/**
+ * hsv_set_budget() - receives requests within the process's memory budget
+ * @is_relay: the connections are those of other nodes, whose number isn't limited
+ */
+void hsv_set_budget (HsvServer *server, Mbg *mbg, bool is_relay);
+
+/** hsv_close_stalled() - closes connections without progress while others wait for their memory; to
+ * be called regularly on one of the servers that share a budget. */
+void hsv_close_stalled (HsvServer *server);
 
 /** hsv_drain_connections() - each connection is closed after its next response, which announces it
  * ("connection: close"); the listener stays open. */
@@ -58,6 +65,9 @@
 /**
  * hsv_watch_disconnect() - calls @fn, at most once, when the caller closes its connection
  *
+ * Not after the caller has sent more than HSV_PIPELINED_MAX_BYTES behind its request. Bodies of
+ * more than HSV_COPIED_BODY_MAX_BYTES stay where they are in memory.
+ *
  * Return: the key for hsv_unwatch_disconnect().
  */
 void *hsv_watch_disconnect (HsvServer *server, h2o_req_t *req, HsvDisconnectFn fn, void *user);
@@ -101,6 +111,10 @@
 /** hsv_path() - the normalized path without the query, as a new string. */
 char *hsv_path (h2o_req_t *req);
 
+/** hsv_body() - the request's body, without a copy if it is larger than HSV_COPIED_BODY_MAX_BYTES:
+ * its bytes are valid until the request is disposed of. */
+GBytes *hsv_body (h2o_req_t *req);
+
 /** hsv_query() - value of a query parameter as a new string, NULL if absent. */
 char *hsv_query (h2o_req_t *req, const char *name);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -111,11 +111,37 @@
 #define LOAN_IDLE_MS 500
 #define LOAN_STATEMENT_PERIOD_MS 500
 
-/* Requests that callers send. */
-#define RDL_SMALL_BYTES (256u * 1024u)
+/* Requests that callers send, in processes whose memory is not stated. */
 #define RDL_RECEIVED_MAX_BYTES (24u * 1024u * 1024u)
-#define RDL_IDLE_PERIOD_MS 100
-#define RDL_BUSY_PERIOD_MS 20
+
+/* Memory budget of a process. MBG_PROCESS_BYTES covers the process without callers and its control
+ * messages; connections, unread bytes, small requests and responses get 1 / MBG_PART_DIVISOR of the
+ * memory each, so that 64 MB remain for one body on a VM with 112 MB. Heads up to
+ * MBG_HEAD_MAX_BYTES are four times as large as configurations allow. */
+#define MBG_PROCESS_BYTES (16u * 1024u * 1024u)
+#define MBG_PART_DIVISOR 16
+#define MBG_LARGE_MIN_BYTES (4u * 1024u * 1024u)
+#define MBG_FREE_BYTES (8u * 1024u)
+#define MBG_SMALL_BYTES (512u * 1024u)
+#define MBG_HEAD_MAX_BYTES (64u * 1024u)
+#define MBG_SPARE_BYTES (16u * 1024u)
+#define MBG_PROGRESS_BYTES (16u * 1024u)
+#define MBG_STALL_MS 2000
+#define MBG_RESERVED_FDS 200
+#define MBG_OUTGOING_FDS_DIVISOR 3
+
+/* Socket buffers of callers in processes whose memory is stated. The kernel doubles the sizes. A
+ * connection that waits holds up to MBG_UNREAD_BYTES unread. */
+#define MBG_UNREAD_BYTES (64u * 1024u)
+#define RDL_RECEIVE_BUFFER_BYTES (64 * 1024)
+#define RDL_LARGE_RECEIVE_BUFFER_BYTES (128 * 1024)
+#define RDL_WAITING_RECEIVE_BUFFER_BYTES (4 * 1024)
+#define RDL_SEND_BUFFER_BYTES (64 * 1024)
+
+/* Bytes behind a request at work that are read to notice the end of its connection. */
+#define HSV_PIPELINED_MAX_BYTES (16u * 1024u)
+#define HSV_READ_MIN_BYTES 4096u
+#define HSV_COPIED_BODY_MAX_BYTES (8u * 1024u)
 
 /* Upstream connections of the node process. */
 #define UCN_READ_BUFFER_BYTES (64u * 1024u)
--- a/src/msg.c
+++ b/src/msg.c
@@ -46,9 +46,7 @@
   request->path = g_strndup (h2o->path.base, h2o->path.len);
   request->host = g_strndup (h2o->authority.base, h2o->authority.len);
   request->headers = g_string_new (NULL);
-  request->body = g_byte_array_new ();
-  if (h2o->entity.len > 0)
-    g_byte_array_append (request->body, (const guint8 *) h2o->entity.base, (guint) h2o->entity.len);
+  request->body = hsv_body (h2o);
   copy_headers (request, h2o, excluded);
 }
 
@@ -59,14 +57,14 @@
   g_free (request->path);
   g_free (request->host);
   g_string_free (request->headers, TRUE);
-  g_byte_array_unref (request->body);
+  g_bytes_unref (request->body);
 }
 
 /* Requests with these methods carry Content-Length also when the body is empty. */
 static bool
 has_body (const MsgRequest *request)
 {
-  return request->body->len > 0 || strcmp (request->method, "POST") == 0
+  return g_bytes_get_size (request->body) > 0 || strcmp (request->method, "POST") == 0
          || strcmp (request->method, "PUT") == 0 || strcmp (request->method, "PATCH") == 0;
 }
 
@@ -80,7 +78,7 @@
   g_string_append_len (message, request->headers->str, (gssize) request->headers->len);
   g_string_append (message, extra_headers);
   if (has_body (request))
-    g_string_append_printf (message, "Content-Length: %u\r\n", request->body->len);
+    g_string_append_printf (message, "Content-Length: %zu\r\n", g_bytes_get_size (request->body));
   g_string_append (message, "\r\n");
   return message;
 }
--- a/src/msg.h
+++ b/src/msg.h
@@ -6,9 +6,10 @@
 #include <stdbool.h>
 
 /**
- * struct MsgRequest - a copy of a caller's request
+ * struct MsgRequest - a copy of a caller's request; a large body isn't copied
  * @host: value of the Host header
  * @headers: complete header lines to forward, each with CRLF
+ * @body: from hsv_body(): valid until the caller's request is disposed of
  */
 typedef struct
 {
@@ -16,7 +17,7 @@
   char *path;
   char *host;
   GString *headers;
-  GByteArray *body;
+  GBytes *body;
 } MsgRequest;
 
 /**
--- a/src/nod.c
+++ b/src/nod.c
@@ -412,12 +412,8 @@
 {
   Node *node = timer->data;
 
-  uint64_t now_ms = clk_now_ms ();
-
   nod_run_control (node);
-  hsv_limit_reading (node->front, now_ms);
-  if (node->relay != NULL)
-    hsv_limit_reading (node->relay, now_ms);
+  hsv_close_stalled (node->front);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
@@ -470,6 +466,9 @@
   cts_init (&node->control, on_control_iteration, node);
   ucn_ctx_init (&node->store_connections, &node->control.loop);
   ucn_ctx_init (&node->ucn, loop);
+  MbgLimits limits = mbg_limits (node->settings.memory_mb, node->settings.max_fds);
+  mbg_init (&node->memory, &limits);
+  node->ucn.mbg = &node->memory;
   rly_init (&node->relays);
   poi_init (&node->poison, POISON_NODE_CRASHES_MAX);
   ups_init (&node->upstreams, &node->ucn);
@@ -504,6 +503,7 @@
       log_event (&node->log, LOG_WARN, "relay_server_failed", "error=\"%s\"", err.text);
       return;
     }
+  hsv_set_budget (node->relay, &node->memory, true);
   hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, REQUEST_BODY_MAX_BYTES);
   hsv_set_hook (node->relay, before_request_step, node);
   node->peers.self.relay_port = node->settings.relay.port;
@@ -538,6 +538,7 @@
                      : NULL;
   if (node->lookup == NULL)
     return false;
+  hsv_set_budget (node->front, &node->memory, false);
   hsv_set_hook (node->front, before_request_step, node);
   hsv_set_hook (node->lookup, before_request_step, node);
   start_relay_server (node);
--- a/src/nod.h
+++ b/src/nod.h
@@ -8,6 +8,7 @@
 #include "hsv.h"
 #include "lag.h"
 #include "log.h"
+#include "mbg.h"
 #include "met.h"
 #include "per.h"
 #include "poi.h"
@@ -78,6 +79,8 @@
  * @capacity: CPU capacity of the VM in thousandths of a core
  * @grace_ms: time between the signal to stop and the forced end of the process
  * @lookup_ttl_ms: longest time for which callers may cache the response to a lookup
+ * @memory_mb: memory of the VM; 0 if not stated
+ * @max_fds: file descriptors that the process may open; 0 if not stated
  */
 typedef struct
 {
@@ -99,6 +102,8 @@
   uint32_t capacity;
   uint32_t grace_ms;
   uint32_t lookup_ttl_ms;
+  uint32_t memory_mb;
+  uint32_t max_fds;
 } NodSettings;
 
 /**
@@ -257,6 +262,7 @@
  * @log_load: rate limit of @log
  * @request_log: log of single requests, whose lines don't count towards the rate limit of @log
  * @request_log_load: rate limit of @request_log
+ * @memory: budget of the process's memory and descriptors
  * @store_lost: the platform's store cannot be reached
  * @splits_updated_at_ms: time of the last update of the traffic splits
  * @sent_by_region: requests sent since the last log line, by region
@@ -281,6 +287,7 @@
   Log request_log;
   LogRateLimit request_log_load;
   NodSettings settings;
+  Mbg memory;
   NodHeaders headers;
   NodState state;
   uint64_t started_at_ms;
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -1,138 +1,421 @@
-/* Read limits: bounds the memory of the requests that a server's connections are receiving. */
+/* Read limits: reads requests from a server's connections within the process's memory budget. */
 #include "rdl.h"
 
 #include "lim.h"
 
+#include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#define RETRY_LATER                                                                                \
+  "HTTP/1.1 503 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
+#define TIMED_OUT                                                                                  \
+  "HTTP/1.1 408 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
+#define HEAD_TOO_LARGE "HTTP/1.1 431 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+
 /**
- * struct RdlConn - a connection
- * @paused_read: h2o's read callback while reading is paused, else NULL
+ * struct Framing - how a request's body is delimited
+ * @head_bytes: size of the head, 0 while it isn't complete
  */
 typedef struct
 {
+  size_t head_bytes;
+  uint64_t body_bytes;
+  bool is_chunked;
+} Framing;
+
+/**
+ * struct RdlConn - a connection
+ * @reading_link: in &Rdl.reading
+ * @is_reading: a request is expected or being received
+ * @is_paused: it waits for the budget
+ */
+typedef struct RdlConn
+{
+  MbgClaim claim;
   Rdl *rdl;
   h2o_socket_t *sock;
-  h2o_socket_cb paused_read;
+  GList reading_link;
+  Framing framing;
+  bool is_reading;
+  bool is_paused;
 } RdlConn;
 
-void
-rdl_init (Rdl *rdl)
+static void on_guarded_read (h2o_socket_t *sock, const char *err);
+static void resume_waiting (Mbg *mbg, uint64_t now_ms);
+
+/* ---- Sockets ---- */
+
+static void
+set_buffer (h2o_socket_t *sock, int option, int bytes)
 {
-  rdl->conns = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  setsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, option, &bytes, sizeof bytes);
+}
+
+bool
+rdl_has_room (const h2o_socket_t *sock)
+{
+  const h2o_buffer_t *input = sock->input;
+
+  if (input->bytes == NULL)
+    return true;
+  size_t used = (size_t) (input->bytes - input->_buf) + input->size;
+  return used + HSV_READ_MIN_BYTES <= input->capacity;
+}
+
+/* Moves the request to a buffer of its final size. The kernel provides memory only for what is
+ * received, whereas h2o's doubling would copy the request several times. */
+static void
+resize_input (h2o_socket_t *sock, size_t bytes)
+{
+  h2o_buffer_t *input = sock->input;
+  h2o_buffer_t *resized;
+
+  if (input->bytes == NULL || input->capacity >= bytes)
+    return;
+  h2o_buffer_init (&resized, input->_prototype);
+  h2o_buffer_reserve (&resized, bytes);
+  memcpy (resized->bytes, input->bytes, input->size);
+  resized->size = input->size;
+  h2o_buffer_dispose (&sock->input);
+  sock->input = resized;
+}
+
+/* ---- Connections ---- */
+
+static void
+set_reading (RdlConn *conn, bool is_reading)
+{
+  if (conn->is_reading)
+    g_queue_unlink (&conn->rdl->reading, &conn->reading_link);
+  conn->is_reading = is_reading;
+  if (is_reading)
+    g_queue_push_tail_link (&conn->rdl->reading, &conn->reading_link);
 }
 
 static void
 on_socket_closed (void *data)
 {
   RdlConn *conn = data;
+  Rdl *rdl = conn->rdl;
+  Mbg *mbg = rdl->mbg;
 
-  g_hash_table_remove (conn->rdl->conns, conn->sock);
+  if (rdl->current == conn)
+    rdl->current = NULL;
+  set_reading (conn, false);
+  while (g_ptr_array_remove_fast (rdl->answered, conn->sock))
+    continue;
+  mbg_release (mbg, &conn->claim);
+  if (!rdl->is_relay)
+    mbg->connections--;
+  g_hash_table_remove (rdl->conns, conn->sock);
+  resume_waiting (mbg, uv_now (rdl->loop));
 }
 
-void
-rdl_add (Rdl *rdl, h2o_socket_t *sock)
+/* h2o closes a connection whose read fails. The response may be lost if the caller is sending. */
+static void
+close_conn (RdlConn *conn, const char *response)
 {
-  RdlConn *conn = g_new (RdlConn, 1);
+  if (response != NULL)
+    (void) !send (h2o_socket_get_fd (conn->sock), response, strlen (response),
+                  MSG_DONTWAIT | MSG_NOSIGNAL);
+  conn->rdl->h2o_read (conn->sock, h2o_socket_error_closed);
+}
 
-  *conn = (RdlConn){ .rdl = rdl, .sock = sock };
-  sock->on_close.cb = on_socket_closed;
-  sock->on_close.data = conn;
-  g_hash_table_insert (rdl->conns, sock, conn);
+/* ---- Framing ---- */
+
+static bool
+has_name (const char *line, size_t size, const char *name)
+{
+  return size > strlen (name) && g_ascii_strncasecmp (line, name, strlen (name)) == 0;
+}
+
+/* Finds the end of the head, and what it says of the body. h2o has the last word on both: what is
+ * read wrongly here costs only memory. */
+static Framing
+read_framing (const char *bytes, size_t size)
+{
+  Framing framing = { 0 };
+  size_t at = 0;
+
+  while (at < size)
+    {
+      const char *line = bytes + at;
+      const char *end = memchr (line, '\n', size - at);
+      if (end == NULL)
+        return (Framing){ 0 };
+      size_t line_size = (size_t) (end - line);
+      at += line_size + 1;
+      if (line_size == 0 || (line_size == 1 && line[0] == '\r'))
+        {
+          framing.head_bytes = at;
+          return framing;
+        }
+      if (has_name (line, line_size, "content-length:"))
+        framing.body_bytes = g_ascii_strtoull (line + strlen ("content-length:"), NULL, 10);
+      else if (has_name (line, line_size, "transfer-encoding:"))
+        framing.is_chunked = true;
+    }
+  return (Framing){ 0 };
+}
+
+/* ---- Budget ---- */
+
+static bool
+is_head_over_limit (const RdlConn *conn)
+{
+  return conn->framing.head_bytes == 0 && conn->sock->input->size > MBG_HEAD_MAX_BYTES;
+}
+
+/* Memory that the request takes in the end, as far as it is known. A chunked body takes a small
+ * part first, then as much as the largest one. */
+static uint64_t
+needed_bytes (const RdlConn *conn)
+{
+  const Framing *framing = &conn->framing;
+  size_t size = conn->sock->input->size;
+  uint64_t most_bytes
+      = framing->head_bytes + conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+
+  if (framing->head_bytes == 0)
+    return MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+  if (framing->is_chunked)
+    return size <= MBG_SMALL_BYTES / 2 ? MBG_SMALL_BYTES : most_bytes;
+  return MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
+}
+
+static void
+pause_conn (RdlConn *conn)
+{
+  conn->is_paused = true;
+  h2o_socket_read_stop (conn->sock);
+  if (conn->rdl->mbg->limits.bounded)
+    set_buffer (conn->sock, SO_RCVBUF, RDL_WAITING_RECEIVE_BUFFER_BYTES);
+}
+
+/* Reads on with what the claim has been granted. */
+static void
+use_grant (RdlConn *conn)
+{
+  bool is_large = conn->claim.bytes > MBG_SMALL_BYTES;
+
+  resize_input (conn->sock, conn->claim.bytes);
+  if (conn->rdl->mbg->limits.bounded && (is_large || conn->is_paused))
+    set_buffer (conn->sock, SO_RCVBUF,
+                is_large ? RDL_LARGE_RECEIVE_BUFFER_BYTES : RDL_RECEIVE_BUFFER_BYTES);
+  if (conn->is_paused)
+    h2o_socket_read_start (conn->sock, on_guarded_read);
+  conn->is_paused = false;
 }
 
 static void
-set_paused (RdlConn *conn, bool paused)
+resume_waiting (Mbg *mbg, uint64_t now_ms)
 {
-  if (paused && conn->paused_read == NULL && conn->sock->_cb.read != NULL)
+  MbgClaim *claim;
+
+  while ((claim = mbg_next (mbg, now_ms)) != NULL)
+    use_grant ((RdlConn *) claim);
+}
+
+/* Asks the budget for what the request being received needs. */
+static void
+check_request (RdlConn *conn)
+{
+  size_t size = conn->sock->input->size;
+  uint64_t now_ms = uv_now (conn->rdl->loop);
+
+  if (size <= MBG_FREE_BYTES)
+    return;
+  if (conn->framing.head_bytes == 0)
+    conn->framing = read_framing (conn->sock->input->bytes, size);
+  if (is_head_over_limit (conn))
     {
-      conn->paused_read = conn->sock->_cb.read;
-      h2o_socket_read_stop (conn->sock);
+      conn->rdl->mbg->counters.heads_over_limit++;
+      close_conn (conn, HEAD_TOO_LARGE);
+      return;
     }
-  else if (!paused && conn->paused_read != NULL)
+  mbg_progress (&conn->claim, size, now_ms);
+  uint64_t granted_bytes = conn->claim.bytes;
+  switch (mbg_take (conn->rdl->mbg, &conn->claim, needed_bytes (conn), now_ms))
     {
-      h2o_socket_cb read = conn->paused_read;
-      conn->paused_read = NULL;
-      h2o_socket_read_start (conn->sock, read);
+    case MBG_TAKE:
+      if (conn->claim.bytes > granted_bytes)
+        use_grant (conn);
+      return;
+    case MBG_WAIT:
+      pause_conn (conn);
+      return;
+    case MBG_REJECT:
+      close_conn (conn, RETRY_LATER);
+      return;
     }
 }
 
-/** struct Received - sums over the larger requests; @largest: of those not handled yet, or NULL */
-typedef struct
+/* The request is received, or h2o rejects it. */
+static void
+on_request_received (RdlConn *conn)
 {
-  uint64_t handled_bytes;
-  uint64_t reading_bytes;
-  RdlConn *largest;
-} Received;
+  set_reading (conn, false);
+  if (conn->claim.bytes == 0)
+    return;
+  mbg_complete (conn->rdl->mbg, &conn->claim, conn->sock->input->size + MBG_SPARE_BYTES);
+  resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
+}
 
-static bool
-is_large (const RdlConn *conn)
+static void
+on_guarded_read (h2o_socket_t *sock, const char *err)
 {
-  return conn->sock->input->size > RDL_SMALL_BYTES;
+  RdlConn *conn = sock->on_close.data;
+  Rdl *rdl = conn->rdl;
+
+  if (err != NULL)
+    {
+      rdl->h2o_read (sock, err);
+      return;
+    }
+  set_reading (conn, true);
+  rdl->current = conn;
+  rdl->h2o_read (sock, NULL);
+  if (rdl->current == NULL)
+    return;
+  rdl->current = NULL;
+  if (sock->_cb.read == on_guarded_read)
+    check_request (conn);
+  else
+    on_request_received (conn);
 }
 
-static Received
-sum_received (const Rdl *rdl, GHashTable *handled)
+/* ---- Start and end of requests ---- */
+
+static void
+guard (RdlConn *conn)
+{
+  if (conn->sock->_cb.read != conn->rdl->h2o_read)
+    return;
+  conn->sock->_cb.read = on_guarded_read;
+  conn->framing = (Framing){ 0 };
+  set_reading (conn, true);
+  check_request (conn);
+}
+
+/* h2o reads the next request of a connection after it has freed the one before. */
+static void
+on_restart (uv_prepare_t *prepare)
 {
-  Received received = { 0 };
-  GHashTableIter iter;
-  gpointer value;
+  Rdl *rdl = prepare->data;
 
-  g_hash_table_iter_init (&iter, rdl->conns);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  uv_prepare_stop (prepare);
+  while (rdl->answered->len > 0)
     {
-      RdlConn *conn = value;
-      uint64_t size = conn->sock->input->size;
-      if (!is_large (conn))
-        continue;
-      if (g_hash_table_contains (handled, conn->sock))
-        {
-          received.handled_bytes += size;
-          continue;
-        }
-      received.reading_bytes += size;
-      if (received.largest == NULL || size > received.largest->sock->input->size)
-        received.largest = conn;
+      h2o_socket_t *sock = g_ptr_array_remove_index_fast (rdl->answered, rdl->answered->len - 1);
+      guard (sock->on_close.data);
     }
-  return received;
 }
 
-static bool
-must_pause (const RdlConn *conn, const Received *received)
+void
+rdl_answered (Rdl *rdl, h2o_socket_t *sock)
 {
-  if (!is_large (conn))
-    return false;
-  if (received->handled_bytes > RDL_RECEIVED_MAX_BYTES)
-    return true;
-  return received->handled_bytes + received->reading_bytes > RDL_RECEIVED_MAX_BYTES
-         && conn != received->largest;
+  RdlConn *conn = rdl->mbg != NULL ? g_hash_table_lookup (rdl->conns, sock) : NULL;
+
+  if (conn == NULL)
+    return;
+  mbg_release (rdl->mbg, &conn->claim);
+  resume_waiting (rdl->mbg, uv_now (rdl->loop));
+  g_ptr_array_add (rdl->answered, sock);
+  uv_prepare_start (&rdl->restart, on_restart);
 }
 
+void
+rdl_init (Rdl *rdl, uv_loop_t *loop)
+{
+  rdl->loop = loop;
+  rdl->conns = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  rdl->answered = g_ptr_array_new ();
+  uv_prepare_init (loop, &rdl->restart);
+  rdl->restart.data = rdl;
+  uv_unref ((uv_handle_t *) &rdl->restart);
+}
+
+void
+rdl_set_budget (Rdl *rdl, Mbg *mbg, bool is_relay)
+{
+  rdl->mbg = mbg;
+  rdl->is_relay = is_relay;
+}
+
+void
+rdl_add (Rdl *rdl, h2o_socket_t *sock)
+{
+  if (rdl->mbg == NULL)
+    return;
+  RdlConn *conn = g_new0 (RdlConn, 1);
+  conn->claim.is_relayed = rdl->is_relay;
+  conn->rdl = rdl;
+  conn->sock = sock;
+  conn->reading_link.data = conn;
+  sock->on_close.cb = on_socket_closed;
+  sock->on_close.data = conn;
+  g_hash_table_insert (rdl->conns, sock, conn);
+  rdl->h2o_read = sock->_cb.read;
+  if (!rdl->is_relay)
+    rdl->mbg->connections++;
+  if (!rdl->is_relay && rdl->mbg->limits.bounded)
+    {
+      set_buffer (sock, SO_RCVBUF, RDL_RECEIVE_BUFFER_BYTES);
+      set_buffer (sock, SO_SNDBUF, RDL_SEND_BUFFER_BYTES);
+    }
+  guard (conn);
+}
+
+/* ---- Connections to close ---- */
+
+/* Waiting requests have their own limit; one with unread bytes may be a request just sent. */
 static bool
-is_due (const Rdl *rdl, uint64_t now_ms)
+may_close (const RdlConn *conn)
+{
+  int unread = 0;
+
+  return !conn->is_paused
+         && (ioctl (h2o_socket_get_fd (conn->sock), FIONREAD, &unread) != 0 || unread == 0);
+}
+
+static RdlConn *
+longest_idle (Rdl *rdl)
 {
-  uint32_t period_ms = rdl->received_bytes > 0 ? RDL_BUSY_PERIOD_MS : RDL_IDLE_PERIOD_MS;
+  for (GList *item = rdl->reading.head; item != NULL; item = item->next)
+    if (may_close (item->data))
+      return item->data;
+  return NULL;
+}
 
-  return now_ms - rdl->checked_at_ms >= period_ms;
+bool
+rdl_admit (Rdl *rdl)
+{
+  if (rdl->mbg == NULL || rdl->is_relay)
+    return true;
+  while (rdl->mbg->connections >= rdl->mbg->limits.callers)
+    {
+      RdlConn *conn = longest_idle (rdl);
+      if (conn == NULL)
+        {
+          rdl->mbg->counters.connections_refused++;
+          return false;
+        }
+      rdl->mbg->counters.connections_closed++;
+      close_conn (conn, NULL);
+    }
+  return true;
 }
 
 void
-rdl_check (Rdl *rdl, GHashTable *handled, uint64_t now_ms)
+rdl_tick (Rdl *rdl)
 {
-  GHashTableIter iter;
-  gpointer value;
+  MbgClaim *claim;
 
-  if (!is_due (rdl, now_ms))
-    return;
-  Received received = sum_received (rdl, handled);
-  uint64_t previous_bytes = rdl->received_bytes;
-  rdl->checked_at_ms = now_ms;
-  rdl->received_bytes = received.handled_bytes + received.reading_bytes;
-  if (rdl->received_bytes == 0 && previous_bytes == 0)
-    return;
-  g_hash_table_iter_init (&iter, rdl->conns);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (rdl->mbg != NULL && (claim = mbg_victim (rdl->mbg, uv_now (rdl->loop))) != NULL)
     {
-      RdlConn *conn = value;
-      if (!g_hash_table_contains (handled, conn->sock))
-        set_paused (conn, must_pause (conn, &received));
+      RdlConn *conn = (RdlConn *) claim;
+      rdl->mbg->counters.stalled++;
+      close_conn (conn, conn->is_paused ? RETRY_LATER : TIMED_OUT);
     }
 }
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -1,6 +1,8 @@
-/* Read limits: bounds the memory of the requests that a server's connections are receiving. */
+/* Read limits: reads requests from a server's connections within the process's memory budget. */
 #pragma once
 
+#include "mbg.h"
+
 #include <glib.h>
 #include <h2o.h>
 #include <stdbool.h>
@@ -8,27 +10,46 @@
 
 /**
  * struct Rdl - connections of a server
+ * @mbg: budget; NULL: nothing is limited
+ * @is_relay: the connections are those of other nodes, whose number isn't limited
+ * @body_max_bytes: largest body that the server accepts
  * @conns: RdlConn by socket
- * @checked_at_ms: time of the last check
- * @received_bytes: at the last check, memory of the larger requests, received or being received
+ * @reading: RdlConn that read or wait, those without data for longest first
+ * @answered: sockets whose requests have ended in this iteration of the loop
+ * @restart: observes these connections again before the next poll
+ * @h2o_read: h2o's callback for reading a request
+ * @current: connection whose read callback runs, NULL once it is closed
  */
 typedef struct
 {
+  uv_loop_t *loop;
+  Mbg *mbg;
+  bool is_relay;
+  size_t body_max_bytes;
   GHashTable *conns;
-  uint64_t checked_at_ms;
-  uint64_t received_bytes;
+  GQueue reading;
+  GPtrArray *answered;
+  uv_prepare_t restart;
+  h2o_socket_cb h2o_read;
+  struct RdlConn *current;
 } Rdl;
 
-void rdl_init (Rdl *rdl);
+void rdl_init (Rdl *rdl, uv_loop_t *loop);
+
+/** rdl_set_budget() - limits the connections that are added from now on. */
+void rdl_set_budget (Rdl *rdl, Mbg *mbg, bool is_relay);
 
-/** rdl_add() - adds a connection, which is removed when it is closed. */
+/** rdl_admit() - whether a new connection may be served; closes others if there are too many. */
+bool rdl_admit (Rdl *rdl);
+
+/** rdl_add() - adds a connection that h2o has begun to read, until it is closed. */
 void rdl_add (Rdl *rdl, h2o_socket_t *sock);
 
-/**
- * rdl_check() - pauses and resumes reading
- * @handled: set of the sockets whose requests are received and have no response yet
- *
- * While requests larger than RDL_SMALL_BYTES have more than RDL_RECEIVED_MAX_BYTES together, only
- * the largest of those being received goes on; none while those at work alone have so much.
- */
-void rdl_check (Rdl *rdl, GHashTable *handled, uint64_t now_ms);
+/** rdl_answered() - a request of the connection has ended, and its memory is freed. */
+void rdl_answered (Rdl *rdl, h2o_socket_t *sock);
+
+/** rdl_tick() - closes requests without progress while others wait. */
+void rdl_tick (Rdl *rdl);
+
+/** rdl_has_room() - whether the next read leaves the request's memory where it is. */
+bool rdl_has_room (const h2o_socket_t *sock);
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -24,7 +24,7 @@
   void *user;
   UcnBuildFn build;
   GString *message;
-  GByteArray *body;
+  GBytes *body;
   char *id_header;
   char *id;
   bool method_is_head;
@@ -61,7 +61,7 @@
   bool no_reuse;
   bool reused;
   bool request_written;
-  GByteArray *written_body;
+  GBytes *written_body;
   bool head_received;
   bool response_complete;
   bool discarding;
@@ -88,11 +88,19 @@
   g_free (header);
 }
 
+static void
+record_bytes (UcnCtx *ctx)
+{
+  if (ctx->mbg != NULL)
+    mbg_set_responses (ctx->mbg, ctx->buffered_bytes, ctx->taken_bytes);
+}
+
 static void
 hold_bytes (Conn *conn, uint64_t bytes)
 {
   conn->ctx->buffered_bytes += bytes - conn->held_bytes;
   conn->held_bytes = bytes;
+  record_bytes (conn->ctx);
 }
 
 /* Reads again from the connections that have waited longest, as far as there is room. */
@@ -142,7 +150,7 @@
   if (call->message != NULL)
     g_string_free (call->message, TRUE);
   if (call->body != NULL)
-    g_byte_array_unref (call->body);
+    g_bytes_unref (call->body);
   g_free (call->id_header);
   g_free (call->id);
   g_free (call);
@@ -451,7 +459,7 @@
 {
   g_string_free (conn->write.data, TRUE);
   if (conn->written_body != NULL)
-    g_byte_array_unref (conn->written_body);
+    g_bytes_unref (conn->written_body);
   conn->written_body = NULL;
 }
 
@@ -480,10 +488,12 @@
   unsigned int count = 1;
 
   call->message = NULL;
-  if (call->body != NULL && call->body->len > 0)
+  if (call->body != NULL && g_bytes_get_size (call->body) > 0)
     {
-      conn->written_body = g_byte_array_ref (call->body);
-      bufs[count++] = uv_buf_init ((char *) call->body->data, call->body->len);
+      gsize size;
+      conn->written_body = g_bytes_ref (call->body);
+      char *data = (char *) g_bytes_get_data (call->body, &size);
+      bufs[count++] = uv_buf_init (data, (unsigned int) size);
     }
   call->sent = true;
   conn->state = CONN_BUSY;
@@ -696,7 +706,7 @@
   call->user = user;
   call->build = spec->build;
   call->message = spec->message;
-  call->body = spec->body != NULL ? g_byte_array_ref (spec->body) : NULL;
+  call->body = spec->body != NULL ? g_bytes_ref (spec->body) : NULL;
   call->id_header = g_strdup (spec->id_header);
   call->id = g_strdup (spec->id);
   call->method_is_head = spec->method_is_head;
@@ -739,6 +749,8 @@
 
   hold_bytes (conn, body->len);
   conn->held_bytes = 0;
+  conn->ctx->taken_bytes += body->len;
+  record_bytes (conn->ctx);
   conn->response.body = g_byte_array_new ();
   return body;
 }
@@ -747,6 +759,8 @@
 ucn_release_body (UcnCtx *ctx, GByteArray *body)
 {
   ctx->buffered_bytes -= body->len;
+  ctx->taken_bytes -= body->len;
+  record_bytes (ctx);
   g_byte_array_unref (body);
   resume_waiting (ctx);
 }
@@ -754,6 +768,8 @@
 bool
 ucn_has_room (const UcnCtx *ctx, uint64_t size)
 {
+  if (ctx->mbg != NULL)
+    return mbg_has_response_room (ctx->mbg, size);
   return ctx->buffered_bytes + size <= RESPONSES_TOTAL_MAX_BYTES;
 }
 
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -1,6 +1,7 @@
 /* Upstream connections: pools of persistent HTTP/1.1 connections, one request at a time on each. */
 #pragma once
 
+#include "mbg.h"
 #include "net.h"
 
 #include <glib.h>
@@ -16,7 +17,7 @@
  * @UCN_LOST: the connection ended before the response's headers were complete
  * @UCN_TRUNCATED: the connection ended within the response's body
  * @UCN_INVALID: the response is malformed or exceeds RESPONSE_MAX_BYTES or, with other responses,
- * RESPONSES_TOTAL_MAX_BYTES
+ * RESPONSES_TOTAL_MAX_BYTES or the budget
  */
 typedef enum
 {
@@ -56,7 +57,9 @@
  * @reused: requests sent on an existing connection since the start
  * @buffered_bytes: total size of the response bodies in memory, those being received with their
  * announced lengths, until ucn_release_body()
+ * @taken_bytes: the part of it that ucn_take_body() has passed on
  * @waiting: connections that are not read until there is room for their responses
+ * @mbg: budget that limits @buffered_bytes; NULL: RESPONSES_TOTAL_MAX_BYTES
  */
 typedef struct
 {
@@ -65,7 +68,9 @@
   uint64_t opened;
   uint64_t reused;
   uint64_t buffered_bytes;
+  uint64_t taken_bytes;
   GQueue waiting;
+  Mbg *mbg;
 } UcnCtx;
 
 /**
@@ -113,7 +118,7 @@
 {
   GString *message;
   UcnBuildFn build;
-  GByteArray *body;
+  GBytes *body;
   const char *id_header;
   const char *id;
   bool method_is_head;
