Memory budget: unread responses, other listeners, counters and state dump

Callers that read nothing could hold the memory of responses until they went away, and the listeners for lookups, probes and metrics received bodies without a limit on their number.

A caller that reads nothing for 4 s loses its connection while unread responses take more than half of their part. The other listeners take part in the budget, with bodies up to 4 KB and few connections. A chunked body of exactly max-body-bytes is served (h2o rejects it). Metrics and the state dump have each part, its limit, and who was turned away.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -9,6 +9,7 @@
 
 #define LISTEN_BACKLOG 1024
 #define REQUEST_TIMEOUT_MS 30000
+#define PROBE_REQUEST_MAX_BYTES 4096
 
 struct _HsvServer
 {
@@ -24,6 +25,7 @@
   void *hook_user;
   GHashTable *watch_table;
   uint32_t unwritten_bodies;
+  GQueue held_bodies;
   Rdl reading;
 };
 
@@ -113,7 +115,7 @@
   limit_stalls (conn);
   h2o_socket_t *sock = h2o_uv_socket_create ((uv_stream_t *) conn, (uv_close_cb) free);
   h2o_accept (&server->accept_ctx, sock);
-  rdl_add (&server->reading, sock);
+  rdl_add (&server->reading, sock, (uv_stream_t *) conn);
 }
 
 static bool
@@ -213,28 +215,31 @@
   h2o_context_request_shutdown (&server->ctx);
 }
 
-void
-hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes)
+/* h2o also rejects a chunked body that is as large as its limit. */
+static void
+set_body_limit (HsvServer *server, size_t body_bytes)
 {
-  if (server->reading.mbg != NULL)
+  bool has_budget = server->reading.mbg != NULL;
+
+  if (has_budget)
     body_bytes = mbg_body_max_bytes (server->reading.mbg, body_bytes);
   server->reading.body_max_bytes = body_bytes;
-  server->config.max_request_entity_size = body_bytes;
-  server->config.http1.req_timeout = idle_ms;
-  server->ctx.http1.req_timeout.timeout = idle_ms;
+  server->config.max_request_entity_size = body_bytes + (has_budget ? 1 : 0);
 }
 
 void
-hsv_set_budget (HsvServer *server, Mbg *mbg, bool is_relay)
+hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes)
 {
-  server->reading.body_max_bytes = server->config.max_request_entity_size;
-  rdl_set_budget (&server->reading, mbg, is_relay);
+  set_body_limit (server, body_bytes);
+  server->config.http1.req_timeout = idle_ms;
+  server->ctx.http1.req_timeout.timeout = idle_ms;
 }
 
 void
-hsv_close_stalled (HsvServer *server)
+hsv_set_budget (HsvServer *server, Mbg *mbg, RdlRole role)
 {
-  rdl_tick (&server->reading);
+  rdl_set_budget (&server->reading, mbg, role);
+  set_body_limit (server, role == RDL_PROBES ? PROBE_REQUEST_MAX_BYTES : REQUEST_BODY_MAX_BYTES);
 }
 
 void
@@ -348,12 +353,20 @@
   send_response (req, status, h2o_strdup (&req->pool, body, size), size);
 }
 
-/** struct HeldBody - body of a response that is being written */
+/**
+ * struct HeldBody - body of a response that is being written
+ * @link: in &HsvServer.held_bodies
+ * @unsent_bytes: what the kernel had not taken at @progress_at_ms
+ * @progress_at_ms: when the kernel last took bytes
+ */
 typedef struct
 {
   HsvBody body;
   HsvServer *server;
   h2o_socket_t *sock;
+  GList link;
+  size_t unsent_bytes;
+  uint64_t progress_at_ms;
 } HeldBody;
 
 /* When enabled, the kernel resets the connection if the process ends: without a length, an orderly
@@ -373,6 +386,7 @@
   HeldBody *held = data;
 
   held->server->unwritten_bodies--;
+  g_queue_unlink (&held->server->held_bodies, &held->link);
   if (held->body.close_delimited)
     set_reset_on_close (held->sock, false);
   held->body.release (held->body.user, held->body.bytes);
@@ -387,8 +401,11 @@
 
   *held = (HeldBody){ .body = body,
                       .server = server_of_conn (req->conn),
-                      .sock = req->conn->callbacks->get_socket (req->conn) };
+                      .sock = req->conn->callbacks->get_socket (req->conn),
+                      .link = { .data = held },
+                      .unsent_bytes = SIZE_MAX };
   held->server->unwritten_bodies++;
+  g_queue_push_tail_link (&held->server->held_bodies, &held->link);
   if (body.close_delimited)
     {
       set_reset_on_close (held->sock, true);
@@ -398,6 +415,45 @@
   send_response (req, status, buf, body.close_delimited ? SIZE_MAX : body.bytes->len);
 }
 
+static bool
+is_stalled (HeldBody *held, uint64_t now_ms)
+{
+  size_t unsent = rdl_unsent_bytes (held->sock);
+
+  if (unsent < held->unsent_bytes)
+    {
+      held->unsent_bytes = unsent;
+      held->progress_at_ms = now_ms;
+    }
+  return held->body.bytes->len > RESPONSE_SMALL_BYTES
+         && mbg_must_close_unread (held->server->reading.mbg, now_ms - held->progress_at_ms);
+}
+
+/* h2o frees the response when its write fails. */
+static void
+close_unread (HsvServer *server, uint64_t now_ms)
+{
+  GList *next;
+
+  for (GList *item = server->held_bodies.head; item != NULL; item = next)
+    {
+      HeldBody *held = item->data;
+      next = item->next;
+      if (!is_stalled (held, now_ms))
+        continue;
+      server->reading.mbg->counters.unread_closed++;
+      shutdown (h2o_socket_get_fd (held->sock), SHUT_RDWR);
+    }
+}
+
+void
+hsv_close_stalled (HsvServer *server)
+{
+  rdl_tick (&server->reading);
+  if (server->reading.mbg != NULL && mbg_is_full_of_unread (server->reading.mbg))
+    close_unread (server, uv_now (server->reading.loop));
+}
+
 void
 hsv_respond (h2o_req_t *req, int status, const char *media_type, const char *body)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -4,6 +4,7 @@
 #include "err.h"
 #include "mbg.h"
 #include "net.h"
+#include "rdl.h"
 
 #include <glib.h>
 #include <h2o.h>
@@ -38,14 +39,11 @@
  * request body. */
 void hsv_set_limits (HsvServer *server, uint32_t idle_ms, size_t body_bytes);
 
-/**
- * hsv_set_budget() - receives requests within the process's memory budget
- * @is_relay: the connections are those of other nodes, whose number isn't limited
- */
-void hsv_set_budget (HsvServer *server, Mbg *mbg, bool is_relay);
+/** hsv_set_budget() - receives requests and sends responses within the process's memory budget. */
+void hsv_set_budget (HsvServer *server, Mbg *mbg, RdlRole role);
 
-/** hsv_close_stalled() - closes connections without progress while others wait for their memory; to
- * be called regularly on one of the servers that share a budget. */
+/** hsv_close_stalled() - closes connections without progress that hold memory which others need; to
+ * be called regularly. */
 void hsv_close_stalled (HsvServer *server);
 
 /** hsv_drain_connections() - each connection is closed after its next response, which announces it
--- a/src/lim.h
+++ b/src/lim.h
@@ -127,8 +127,10 @@
 #define MBG_SPARE_BYTES (16u * 1024u)
 #define MBG_PROGRESS_BYTES (16u * 1024u)
 #define MBG_STALL_MS 2000
+#define MBG_UNREAD_STALL_MS 4000
 #define MBG_RESERVED_FDS 200
 #define MBG_OUTGOING_FDS_DIVISOR 3
+#define MBG_PROBES_DIVISOR 16
 
 /* Socket buffers of callers in processes whose memory is stated. The kernel doubles the sizes. A
  * connection that waits holds up to MBG_UNREAD_BYTES unread. */
--- a/src/mbg.c
+++ b/src/mbg.c
@@ -257,6 +257,18 @@
   mbg->unread_bytes = unread_bytes;
 }
 
+bool
+mbg_is_full_of_unread (const Mbg *mbg)
+{
+  return mbg->limits.bounded && mbg->unread_bytes > mbg->limits.responses_bytes / 2;
+}
+
+bool
+mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms)
+{
+  return mbg_is_full_of_unread (mbg) && idle_ms >= MBG_UNREAD_STALL_MS;
+}
+
 /* Nothing more is lent while large requests wait, which would otherwise never be read. */
 bool
 mbg_has_response_room (const Mbg *mbg, uint64_t bytes)
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -43,6 +43,7 @@
  * @stalled: requests without progress that were closed to make room
  * @heads_over_limit: requests whose head exceeds MBG_HEAD_MAX_BYTES
  * @bodies_over_limit: requests whose body exceeds the configuration's limit
+ * @unread_closed: connections closed because their callers did not read a response
  * @connections_closed: connections closed because of the number of connections
  * @connections_refused: new connections closed because no other could be
  */
@@ -53,6 +54,7 @@
   uint64_t stalled;
   uint64_t heads_over_limit;
   uint64_t bodies_over_limit;
+  uint64_t unread_closed;
   uint64_t connections_closed;
   uint64_t connections_refused;
 } MbgCounters;
@@ -164,5 +166,13 @@
 /** mbg_set_responses() - records the memory of responses; @total_bytes includes @unread_bytes. */
 void mbg_set_responses (Mbg *mbg, uint64_t total_bytes, uint64_t unread_bytes);
 
+/** mbg_is_full_of_unread() - whether responses that callers have not read take so much that
+ * mbg_must_close_unread() can be true. */
+bool mbg_is_full_of_unread (const Mbg *mbg);
+
+/** mbg_must_close_unread() - whether a caller that has read nothing for @idle_ms must lose its
+ * connection. */
+bool mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms);
+
 /** mbg_has_response_room() - whether a response of @bytes can be received at once. */
 bool mbg_has_response_room (const Mbg *mbg, uint64_t bytes);
--- a/src/nod.c
+++ b/src/nod.c
@@ -414,6 +414,8 @@
 
   nod_run_control (node);
   hsv_close_stalled (node->front);
+  if (node->relay != NULL)
+    hsv_close_stalled (node->relay);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
@@ -503,7 +505,7 @@
       log_event (&node->log, LOG_WARN, "relay_server_failed", "error=\"%s\"", err.text);
       return;
     }
-  hsv_set_budget (node->relay, &node->memory, true);
+  hsv_set_budget (node->relay, &node->memory, RDL_NODES);
   hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, REQUEST_BODY_MAX_BYTES);
   hsv_set_hook (node->relay, before_request_step, node);
   node->peers.self.relay_port = node->settings.relay.port;
@@ -518,7 +520,9 @@
   if (node->settings.metrics.port == 0)
     return;
   node->metrics = hsv_start (node->loop, node->settings.metrics, nst_serve, node, &err);
-  if (node->metrics == NULL)
+  if (node->metrics != NULL)
+    hsv_set_budget (node->metrics, &node->memory, RDL_PROBES);
+  else
     log_event (&node->log, LOG_WARN, "metrics_server_failed", "error=\"%s\"", err.text);
 }
 
@@ -538,7 +542,9 @@
                      : NULL;
   if (node->lookup == NULL)
     return false;
-  hsv_set_budget (node->front, &node->memory, false);
+  hsv_set_budget (node->front, &node->memory, RDL_CALLERS);
+  hsv_set_budget (node->ready, &node->memory, RDL_PROBES);
+  hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
   hsv_set_hook (node->lookup, before_request_step, node);
   start_relay_server (node);
--- a/src/nst.c
+++ b/src/nst.c
@@ -29,6 +29,56 @@
   COUNTER (relays_lost),
 };
 
+/** struct BudgetValue - a value of the memory budget */
+typedef struct
+{
+  const char *name;
+  size_t offset;
+} BudgetValue;
+
+static const BudgetValue budget_counters[] = {
+  { "memory_waited", offsetof (MbgCounters, waited) },
+  { "memory_rejected", offsetof (MbgCounters, rejected) },
+  { "memory_stalled", offsetof (MbgCounters, stalled) },
+  { "memory_unread_closed", offsetof (MbgCounters, unread_closed) },
+  { "heads_over_limit", offsetof (MbgCounters, heads_over_limit) },
+  { "bodies_over_limit", offsetof (MbgCounters, bodies_over_limit) },
+  { "connections_closed", offsetof (MbgCounters, connections_closed) },
+  { "connections_refused", offsetof (MbgCounters, connections_refused) },
+};
+
+static const BudgetValue budget_parts[] = {
+  { "memory_small_requests_bytes", offsetof (Mbg, used_bytes[MBG_SMALL]) },
+  { "memory_large_requests_bytes", offsetof (Mbg, used_bytes[MBG_LARGE]) },
+  { "memory_relayed_requests_bytes", offsetof (Mbg, relayed_bytes) },
+  { "memory_received_answers_bytes", offsetof (Mbg, receiving_bytes) },
+  { "memory_unread_answers_bytes", offsetof (Mbg, unread_bytes) },
+};
+
+static uint64_t
+value_at (const void *base, const BudgetValue *value)
+{
+  return *(const uint64_t *) ((const char *) base + value->offset);
+}
+
+static void
+write_budget (const Mbg *mbg, GString *out)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (budget_counters); i++)
+    {
+      char name[64];
+      g_snprintf (name, sizeof name, PREFIX "%s_total", budget_counters[i].name);
+      met_write_value (out, name, NULL, value_at (&mbg->counters, &budget_counters[i]));
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (budget_parts); i++)
+    {
+      char name[64];
+      g_snprintf (name, sizeof name, PREFIX "%s", budget_parts[i].name);
+      met_write_value (out, name, NULL, value_at (mbg, &budget_parts[i]));
+    }
+  met_write_value (out, PREFIX "caller_connections", NULL, mbg->connections);
+}
+
 char *
 nst_metrics (const Node *node)
 {
@@ -40,6 +90,7 @@
       const char *counter = (const char *) &node->counters + counters[i].offset;
       met_write_value (out, counters[i].name, NULL, *(const uint64_t *) counter);
     }
+  write_budget (&node->memory, out);
   met_write_value (out, PREFIX "log_lines_dropped_total", NULL,
                    log_dropped (&node->log) + log_dropped (&node->request_log));
   met_write_value (out, PREFIX "open_requests", NULL, node->open_requests);
@@ -90,6 +141,31 @@
       (unsigned long long) node->control.longest_gap_ms);
 }
 
+static void
+dump_budget (const Mbg *mbg, GString *out)
+{
+  const MbgLimits *limits = &mbg->limits;
+
+  g_string_append_printf (
+      out,
+      "memory process_max=%llu connections_max=%llu unread_max=%llu small=%llu small_max=%llu "
+      "large=%llu large_max=%llu relayed=%llu received=%llu unread=%llu answers_max=%llu "
+      "waiting=%u waiting_max=%u callers=%u callers_max=%u\n",
+      (unsigned long long) limits->process_bytes, (unsigned long long) limits->connections_bytes,
+      (unsigned long long) limits->unread_bytes, (unsigned long long) mbg->used_bytes[MBG_SMALL],
+      (unsigned long long) limits->small_bytes, (unsigned long long) mbg->used_bytes[MBG_LARGE],
+      (unsigned long long) limits->large_bytes, (unsigned long long) mbg->relayed_bytes,
+      (unsigned long long) mbg->receiving_bytes, (unsigned long long) mbg->unread_bytes,
+      (unsigned long long) limits->responses_bytes,
+      mbg->waiting[MBG_SMALL].length + mbg->waiting[MBG_LARGE].length, limits->waiting,
+      mbg->connections, limits->callers);
+  g_string_append (out, "turned_away");
+  for (size_t i = 0; i < G_N_ELEMENTS (budget_counters); i++)
+    g_string_append_printf (out, " %s=%llu", budget_counters[i].name,
+                            (unsigned long long) value_at (&mbg->counters, &budget_counters[i]));
+  g_string_append_c (out, '\n');
+}
+
 static void
 dump_peers (const Node *node, uint64_t now_ms, GString *out)
 {
@@ -135,6 +211,7 @@
   uint64_t now_ms = clk_now_ms ();
 
   dump_node (node, out);
+  dump_budget (&node->memory, out);
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
   return g_string_free (out, FALSE);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -11,6 +11,7 @@
   "HTTP/1.1 503 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
 #define TIMED_OUT                                                                                  \
   "HTTP/1.1 408 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
+#define BODY_TOO_LARGE "HTTP/1.1 413 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
 #define HEAD_TOO_LARGE "HTTP/1.1 431 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
 
 /**
@@ -35,6 +36,7 @@
   MbgClaim claim;
   Rdl *rdl;
   h2o_socket_t *sock;
+  uv_stream_t *stream;
   GList reading_link;
   Framing framing;
   bool is_reading;
@@ -63,6 +65,14 @@
   return used + HSV_READ_MIN_BYTES <= input->capacity;
 }
 
+size_t
+rdl_unsent_bytes (const h2o_socket_t *sock)
+{
+  const RdlConn *conn = sock->on_close.data;
+
+  return uv_stream_get_write_queue_size (conn->stream);
+}
+
 /* Moves the request to a buffer of its final size. The kernel provides memory only for what is
  * received, whereas h2o's doubling would copy the request several times. */
 static void
@@ -106,7 +116,7 @@
   while (g_ptr_array_remove_fast (rdl->answered, conn->sock))
     continue;
   mbg_release (mbg, &conn->claim);
-  if (!rdl->is_relay)
+  if (rdl->role == RDL_CALLERS)
     mbg->connections--;
   g_hash_table_remove (rdl->conns, conn->sock);
   resume_waiting (mbg, uv_now (rdl->loop));
@@ -234,6 +244,12 @@
       close_conn (conn, HEAD_TOO_LARGE);
       return;
     }
+  if (!conn->framing.is_chunked && conn->framing.body_bytes > conn->rdl->body_max_bytes)
+    {
+      conn->rdl->mbg->counters.bodies_over_limit++;
+      close_conn (conn, BODY_TOO_LARGE);
+      return;
+    }
   mbg_progress (&conn->claim, size, now_ms);
   uint64_t granted_bytes = conn->claim.bytes;
   switch (mbg_take (conn->rdl->mbg, &conn->claim, needed_bytes (conn), now_ms))
@@ -337,29 +353,37 @@
 }
 
 void
-rdl_set_budget (Rdl *rdl, Mbg *mbg, bool is_relay)
+rdl_set_budget (Rdl *rdl, Mbg *mbg, RdlRole role)
 {
+  const uint32_t connections_max[] = {
+    [RDL_CALLERS] = mbg->limits.callers,
+    [RDL_PROBES] = MAX (mbg->limits.callers / MBG_PROBES_DIVISOR, 1),
+    [RDL_NODES] = UINT32_MAX,
+  };
+
   rdl->mbg = mbg;
-  rdl->is_relay = is_relay;
+  rdl->role = role;
+  rdl->connections_max = connections_max[role];
 }
 
 void
-rdl_add (Rdl *rdl, h2o_socket_t *sock)
+rdl_add (Rdl *rdl, h2o_socket_t *sock, uv_stream_t *stream)
 {
   if (rdl->mbg == NULL)
     return;
   RdlConn *conn = g_new0 (RdlConn, 1);
-  conn->claim.is_relayed = rdl->is_relay;
+  conn->claim.is_relayed = rdl->role == RDL_NODES;
   conn->rdl = rdl;
   conn->sock = sock;
+  conn->stream = stream;
   conn->reading_link.data = conn;
   sock->on_close.cb = on_socket_closed;
   sock->on_close.data = conn;
   g_hash_table_insert (rdl->conns, sock, conn);
   rdl->h2o_read = sock->_cb.read;
-  if (!rdl->is_relay)
+  if (rdl->role == RDL_CALLERS)
     rdl->mbg->connections++;
-  if (!rdl->is_relay && rdl->mbg->limits.bounded)
+  if (rdl->role != RDL_NODES && rdl->mbg->limits.bounded)
     {
       set_buffer (sock, SO_RCVBUF, RDL_RECEIVE_BUFFER_BYTES);
       set_buffer (sock, SO_SNDBUF, RDL_SEND_BUFFER_BYTES);
@@ -391,9 +415,9 @@
 bool
 rdl_admit (Rdl *rdl)
 {
-  if (rdl->mbg == NULL || rdl->is_relay)
+  if (rdl->mbg == NULL)
     return true;
-  while (rdl->mbg->connections >= rdl->mbg->limits.callers)
+  while (g_hash_table_size (rdl->conns) >= rdl->connections_max)
     {
       RdlConn *conn = longest_idle (rdl);
       if (conn == NULL)
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -8,10 +8,23 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/**
+ * typedef RdlRole - who connects to a server
+ * @RDL_CALLERS: callers with requests
+ * @RDL_PROBES: lookups, readiness probes and metrics; few connections and no bodies
+ * @RDL_NODES: other nodes with relayed requests; the number of connections isn't limited
+ */
+typedef enum
+{
+  RDL_CALLERS,
+  RDL_PROBES,
+  RDL_NODES,
+} RdlRole;
+
 /**
  * struct Rdl - connections of a server
  * @mbg: budget; NULL: nothing is limited
- * @is_relay: the connections are those of other nodes, whose number isn't limited
+ * @connections_max: connections that it may have at the same time
  * @body_max_bytes: largest body that the server accepts
  * @conns: RdlConn by socket
  * @reading: RdlConn that read or wait, those without data for longest first
@@ -24,7 +37,8 @@
 {
   uv_loop_t *loop;
   Mbg *mbg;
-  bool is_relay;
+  RdlRole role;
+  uint32_t connections_max;
   size_t body_max_bytes;
   GHashTable *conns;
   GQueue reading;
@@ -37,13 +51,14 @@
 void rdl_init (Rdl *rdl, uv_loop_t *loop);
 
 /** rdl_set_budget() - limits the connections that are added from now on. */
-void rdl_set_budget (Rdl *rdl, Mbg *mbg, bool is_relay);
+void rdl_set_budget (Rdl *rdl, Mbg *mbg, RdlRole role);
 
 /** rdl_admit() - whether a new connection may be served; closes others if there are too many. */
 bool rdl_admit (Rdl *rdl);
 
-/** rdl_add() - adds a connection that h2o has begun to read, until it is closed. */
-void rdl_add (Rdl *rdl, h2o_socket_t *sock);
+/** rdl_add() - adds a connection that h2o has begun to read, until it is closed; @stream: its
+ * handle. */
+void rdl_add (Rdl *rdl, h2o_socket_t *sock, uv_stream_t *stream);
 
 /** rdl_answered() - a request of the connection has ended, and its memory is freed. */
 void rdl_answered (Rdl *rdl, h2o_socket_t *sock);
@@ -51,5 +66,8 @@
 /** rdl_tick() - closes requests without progress while others wait. */
 void rdl_tick (Rdl *rdl);
 
+/** rdl_unsent_bytes() - bytes for the connection that the kernel has not taken. */
+size_t rdl_unsent_bytes (const h2o_socket_t *sock);
+
 /** rdl_has_room() - whether the next read leaves the request's memory where it is. */
 bool rdl_has_room (const h2o_socket_t *sock);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -695,6 +695,12 @@
   return ip_ + ":" + std::to_string (front_);
 }
 
+std::string
+NodeProcess::lookup () const
+{
+  return ip_ + ":" + std::to_string (lookup_);
+}
+
 std::string
 NodeProcess::peer () const
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -224,6 +224,7 @@
   // Peak resident memory of the process; -1 if it isn't running.
   long PeakMemoryKb () const;
   std::string front () const;
+  std::string lookup () const;
   // Address for messages from other nodes.
   std::string peer () const;
 
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -68,6 +68,7 @@
     return 0;
   }
 
+  // Also bytes that the process has sent and its callers have not read.
   long
   UnreadKb () const
   {
@@ -81,7 +82,7 @@
                     &state, &sent, &unread)
                 == 7
             && state == 1 && static_cast<int> (port) == port_)
-          bytes += unread;
+          bytes += sent + unread;
       }
     return bytes / 1024;
   }
@@ -117,14 +118,16 @@
   std::thread thread_;
 };
 
-// What one caller sends: the head, then the piece, up to a number of bytes, and the end.
+// What one caller sends: a first request whose response it awaits, if any; the head; then the
+// piece, up to a number of bytes; and the end.
 struct Load
 {
   std::string head;
   std::string piece;
   size_t bytes = SIZE_MAX;
-  std::string end;
+  std::string end = "";
   int pause_ms = 0;
+  std::string first = "";
 };
 
 std::string
@@ -214,6 +217,14 @@
   void
   Run (int fd, const Load &load)
   {
+    if (!load.first.empty ())
+      {
+        timeval limit{ 2, 0 };
+        char bytes[4096];
+        setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        if (!Send (fd, load.first, load.first.size ()) || recv (fd, bytes, sizeof bytes, 0) <= 0)
+          return;
+      }
     if (!Send (fd, load.head, load.head.size ()))
       return;
     size_t sent = 0;
@@ -417,6 +428,64 @@
   Check (&crowd);
 }
 
+// Guards against a node that limits only the first request of a connection, also when that is
+// answered by the HTTP library itself.
+TEST_F (UntrustedTest, EndlessChunkedBodiesOnUsedConnections)
+{
+  Start ();
+  std::string get = "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Deadline-Ms: 4000\r\n\r\n";
+  std::string expect = "POST /post/a HTTP/1.1\r\nHost: host.example\r\nExpect: x\r\n"
+                       "Content-Length: 0\r\n\r\n";
+  Crowd crowd (node_->front (), kCallers, [&] (int i) {
+    return Load{ Head ("Transfer-Encoding: chunked\r\n"),
+                 Chunk (64 << 10),
+                 SIZE_MAX,
+                 "",
+                 0,
+                 i % 2 == 0 ? get : expect };
+  });
+  Check (&crowd);
+}
+
+// Guards against a node whose memory is taken by way of its other listeners.
+TEST_F (UntrustedTest, EndlessChunkedLookups)
+{
+  Start ();
+  Crowd crowd (node_->lookup (), 5 * kCallers, [] (int) {
+    return Load{ "POST /resolve HTTP/1.1\r\nHost: host.example\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n",
+                 Chunk (64 << 10), SIZE_MAX, "" };
+  });
+  EXPECT_EQ (node_->Lookup ("east").status, 200);
+  Check (&crowd);
+}
+
+// Guards against a node whose memory is held by responses that callers don't read. A large response
+// is served again while they keep their connections.
+TEST_F (UntrustedTest, CallersThatDoNotRead)
+{
+  Start ();
+  for (const auto &upstream : upstreams_)
+    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
+      bool is_large = request.target == "/load/large";
+      WriteAll (fd, upstream->SignedResponse (request, std::string (is_large ? 8 << 20 : 2, 'f')));
+    });
+  Crowd crowd (node_->front (), kCallers, [] (int i) {
+    return Load{ "GET /load/large HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: r"
+                     + std::to_string (i) + "\r\nX-Deadline-Ms: 15000\r\n\r\n",
+                 "", 0, "" };
+  });
+  crowd.Join ();
+  std::this_thread::sleep_for (1500ms);
+  watch_->Sample ();
+  EXPECT_TRUE (WaitUntil (kAnswerMaxMs, [&] {
+    Reply reply = node_->Call ("GET", "/load/large",
+                               { { "X-Request-Id", "w" }, { "X-Deadline-Ms", "15000" } });
+    return reply.status == 200 && reply.whole;
+  }));
+  Check (&crowd);
+}
+
 // Guards against a node that has no descriptors left for its upstreams and its store.
 TEST_F (UntrustedTest, ManyIdleConnections)
 {
@@ -448,7 +517,23 @@
   CheckBounds ();
 }
 
-// The same without an announced length.
+// A chunked body of exactly the largest size is served, and one byte more is not.
+TEST_F (UntrustedTest, ChunkedBodyOfExactlyTheLimit)
+{
+  Start ();
+  std::string start
+      = Head ("Transfer-Encoding: chunked\r\nConnection: close\r\n") + Repeat (Chunk (1 << 20), 8);
+  std::string response = node_->ExchangeBytes ({ start + "0\r\n\r\n" }, 0, 15000);
+  EXPECT_EQ (response.rfind ("HTTP/1.1 200", 0), 0u) << response;
+  response = node_->ExchangeBytes ({ start + Chunk (1) + "0\r\n\r\n" }, 0, 15000);
+  EXPECT_EQ (response.rfind ("HTTP/1.1 413", 0), 0u) << response;
+  Reply reply = node_->Call ("POST", "/post/a", { { "X-Deadline-Ms", "15000" } },
+                             std::string (kBodyMaxBytes + 1, 'b'));
+  EXPECT_NE (reply.status, 200);
+  CheckBounds ();
+}
+
+// The same as the largest body without an announced length.
 TEST_F (UntrustedTest, LargestChunkedBodyIsServedOnTheSmallestMachine)
 {
   Start (112, 2870, 64 << 20);
