Memory budget: small requests borrow what large ones leave; test of state dump and metrics

Small requests waited for their part of the memory although most of it was free.

They may now use what large requests leave, as responses do, unless large ones wait; a borrower without progress is closed then. Test nodes have a metrics listener.

--- a/src/mbg.c
+++ b/src/mbg.c
@@ -78,31 +78,63 @@
   return bytes <= MBG_SMALL_BYTES ? MBG_SMALL : MBG_LARGE;
 }
 
-/* Memory of large bodies that is lent to responses. */
 static uint64_t
-lent_bytes (const Mbg *mbg)
+excess (uint64_t bytes, uint64_t limit_bytes)
 {
-  uint64_t responses = mbg->receiving_bytes + mbg->unread_bytes;
+  return bytes > limit_bytes ? bytes - limit_bytes : 0;
+}
+
+/* Memory of large requests that is in use, by them or by small requests and responses to which it
+ * is lent. */
+static uint64_t
+used_of_large (const Mbg *mbg, uint64_t small_bytes, uint64_t large_bytes, uint64_t responses_bytes)
+{
+  const MbgLimits *limits = &mbg->limits;
+
+  if (!limits->bounded)
+    return large_bytes;
+  return large_bytes + excess (small_bytes, limits->small_bytes)
+         + excess (responses_bytes, limits->responses_bytes);
+}
+
+/* Nothing is lent while large requests wait, which would otherwise never be read. */
+static bool
+may_lend (const Mbg *mbg)
+{
+  return mbg->limits.bounded && g_queue_is_empty ((GQueue *) &mbg->waiting[MBG_LARGE]);
+}
 
-  if (!mbg->limits.bounded || responses <= mbg->limits.responses_bytes)
-    return 0;
-  return responses - mbg->limits.responses_bytes;
+static uint64_t
+response_bytes (const Mbg *mbg)
+{
+  return mbg->receiving_bytes + mbg->unread_bytes;
+}
+
+static bool
+fits_small (const Mbg *mbg, uint64_t small_bytes)
+{
+  if (small_bytes <= mbg->limits.small_bytes)
+    return true;
+  return may_lend (mbg)
+         && used_of_large (mbg, small_bytes, mbg->used_bytes[MBG_LARGE], response_bytes (mbg))
+                <= mbg->limits.large_bytes;
 }
 
-/* A large request that is the only one is received in any case. */
+/* Without limits, a large request that is the only one is received in any case. */
 static bool
 fits (const Mbg *mbg, const MbgClaim *claim, uint64_t bytes)
 {
   MbgPool pool = pool_of (bytes);
-  uint64_t own_bytes = pool_of (claim->bytes) == pool ? claim->bytes : 0;
-  uint32_t others = mbg->used_claims[pool] - (own_bytes > 0);
-  uint64_t used_bytes = mbg->used_bytes[pool] - own_bytes;
+  uint64_t used_bytes[] = { mbg->used_bytes[MBG_SMALL], mbg->used_bytes[MBG_LARGE] };
 
+  used_bytes[pool_of (claim->bytes)] -= claim->bytes;
+  used_bytes[pool] += bytes;
   if (pool == MBG_SMALL)
-    return used_bytes + bytes <= mbg->limits.small_bytes;
-  if (!mbg->limits.bounded && others == 0)
+    return fits_small (mbg, used_bytes[MBG_SMALL]);
+  if (!mbg->limits.bounded && mbg->used_claims[MBG_LARGE] == 0)
     return true;
-  return used_bytes + bytes + lent_bytes (mbg) <= mbg->limits.large_bytes;
+  return used_of_large (mbg, used_bytes[MBG_SMALL], used_bytes[MBG_LARGE], response_bytes (mbg))
+         <= mbg->limits.large_bytes;
 }
 
 static void
@@ -227,7 +259,10 @@
 MbgClaim *
 mbg_victim (const Mbg *mbg, uint64_t now_ms)
 {
-  bool blocked[] = { is_blocked (mbg, MBG_SMALL), is_blocked (mbg, MBG_LARGE) };
+  bool large_blocked = is_blocked (mbg, MBG_LARGE);
+  bool small_is_lent = mbg->used_bytes[MBG_SMALL] > mbg->limits.small_bytes;
+  bool blocked[]
+      = { is_blocked (mbg, MBG_SMALL) || (large_blocked && small_is_lent), large_blocked };
   MbgClaim *victim = NULL;
   double victim_score = 0;
 
@@ -269,17 +304,16 @@
   return mbg_is_full_of_unread (mbg) && idle_ms >= MBG_UNREAD_STALL_MS;
 }
 
-/* Nothing more is lent while large requests wait, which would otherwise never be read. */
 bool
 mbg_has_response_room (const Mbg *mbg, uint64_t bytes)
 {
   const MbgLimits *limits = &mbg->limits;
-  uint64_t total_bytes = mbg->receiving_bytes + mbg->unread_bytes + bytes;
+  uint64_t total_bytes = response_bytes (mbg) + bytes;
 
   if (total_bytes <= limits->responses_bytes)
     return true;
-  if (!limits->bounded || total_bytes > limits->responses_max_bytes
-      || !g_queue_is_empty ((GQueue *) &mbg->waiting[MBG_LARGE]))
+  if (total_bytes > limits->responses_max_bytes || !may_lend (mbg))
     return false;
-  return total_bytes - limits->responses_bytes + mbg->used_bytes[MBG_LARGE] <= limits->large_bytes;
+  return used_of_large (mbg, mbg->used_bytes[MBG_SMALL], mbg->used_bytes[MBG_LARGE], total_bytes)
+         <= limits->large_bytes;
 }
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -14,7 +14,7 @@
  * @connections_bytes: MBG_FREE_BYTES for each connection of a caller
  * @unread_bytes: MBG_UNREAD_BYTES in the kernel for each connection that waits
  * @small_bytes: claims of up to MBG_SMALL_BYTES: request heads and small bodies
- * @large_bytes: larger request bodies; responses may use what is free of it
+ * @large_bytes: larger request bodies; small requests and responses may use what is free of it
  * @responses_bytes: responses that are being received or not yet read by callers
  * @responses_max_bytes: the same, including what is lent to them
  * @waiting: connections that may wait at the same time
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -223,6 +223,8 @@
   }
   // Peak resident memory of the process; -1 if it isn't running.
   long PeakMemoryKb () const;
+  // "/metrics" or "/state".
+  Reply Status (const std::string &path);
   std::string front () const;
   std::string lookup () const;
   // Address for messages from other nodes.
@@ -234,6 +236,7 @@
   std::string zone_;
   std::string ip_;
   std::string folder_;
+  int metrics_;
   int front_;
   int ready_;
   int lookup_;
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -501,6 +501,24 @@
     close (fd);
 }
 
+// Guards against limits that an operator can't see.
+TEST_F (UntrustedTest, StateAndMetricsShowTheBudgetAndWhoWasTurnedAway)
+{
+  Start ();
+  Reply reply = node_->Call ("POST", "/post/a", { { "Content-Length", "9000000" } });
+  EXPECT_EQ (reply.status, 413);
+  std::string head = "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Fill: ";
+  std::string response = node_->ExchangeBytes ({ head + std::string (100000, 'x') }, 0, 2000);
+  EXPECT_TRUE (response.empty () || response.rfind ("HTTP/1.1 431", 0) == 0) << response;
+  std::string state = node_->Status ("/state").body;
+  for (const char *text : { "large_max=", "small_max=", "answers_max=4194304", "callers_max=134",
+                            "heads_over_limit=1", "bodies_over_limit=1", "memory_stalled=0" })
+    EXPECT_NE (state.find (text), std::string::npos) << text << "\n" << state;
+  std::string metrics = node_->Status ("/metrics").body;
+  EXPECT_NE (metrics.find ("cardamom_node_heads_over_limit_total 1"), std::string::npos) << metrics;
+  EXPECT_NE (metrics.find ("cardamom_node_memory_large_requests_bytes 0"), std::string::npos);
+}
+
 // The largest body that the users' configuration allows is served on their smallest VM.
 TEST_F (UntrustedTest, LargestBodyIsServedOnTheSmallestMachine)
 {
