--- a/src/mbg.c
+++ b/src/mbg.c
@@ -285,6 +285,16 @@
 
 /* ---- Responses and connections ---- */
 
+uint64_t
+mbg_turned_away (const Mbg *mbg)
+{
+  const MbgCounters *counters = &mbg->counters;
+
+  return counters->rejected + counters->stalled + counters->heads_over_limit
+         + counters->bodies_over_limit + counters->unread_closed + counters->connections_closed
+         + counters->connections_refused;
+}
+
 void
 mbg_set_responses (Mbg *mbg, uint64_t total_bytes, uint64_t unread_bytes)
 {
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -163,6 +163,9 @@
  */
 MbgClaim *mbg_victim (const Mbg *mbg, uint64_t now_ms);
 
+/** mbg_turned_away() - connections and requests of callers that were turned away so far. */
+uint64_t mbg_turned_away (const Mbg *mbg);
+
 /** mbg_set_responses() - records the memory of responses; @total_bytes includes @unread_bytes. */
 void mbg_set_responses (Mbg *mbg, uint64_t total_bytes, uint64_t unread_bytes);
 
--- a/src/nod.c
+++ b/src/nod.c
@@ -153,6 +153,18 @@
              (unsigned long long) node->table->version);
 }
 
+/* On a VM with little memory, bodies within the configuration's limit may not fit. */
+static void
+log_body_limit (Node *node, const RteTable *table)
+{
+  uint64_t body_max_bytes = mbg_body_max_bytes (&node->memory, table->body_max_bytes);
+
+  if (body_max_bytes < table->body_max_bytes)
+    log_event (&node->log, LOG_WARN, "body_limit_reduced",
+               "configured_bytes=%u body_max_bytes=%llu memory_mb=%u", table->body_max_bytes,
+               (unsigned long long) body_max_bytes, node->settings.memory_mb);
+}
+
 bool
 nod_configure (Node *node, RteTable *table)
 {
@@ -171,6 +183,7 @@
     hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, table->body_max_bytes);
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u",
              (unsigned long long) table->version, table->routes->len);
+  log_body_limit (node, table);
   start_serving (node);
   return true;
 }
@@ -367,6 +380,31 @@
 
 /* ---- Timer and control work ---- */
 
+static void
+log_turned_away (Node *node)
+{
+  const Mbg *mbg = &node->memory;
+  const MbgCounters *counters = &mbg->counters;
+
+  if (mbg_turned_away (mbg) == node->turned_away_logged)
+    return;
+  node->turned_away_logged = mbg_turned_away (mbg);
+  log_event (&node->log, LOG_WARN, "callers_turned_away",
+             "rejected=%llu stalled=%llu unread=%llu heads=%llu bodies=%llu closed=%llu "
+             "refused=%llu small_bytes=%llu large_bytes=%llu answer_bytes=%llu waiting=%u "
+             "connections=%u",
+             (unsigned long long) counters->rejected, (unsigned long long) counters->stalled,
+             (unsigned long long) counters->unread_closed,
+             (unsigned long long) counters->heads_over_limit,
+             (unsigned long long) counters->bodies_over_limit,
+             (unsigned long long) counters->connections_closed,
+             (unsigned long long) counters->connections_refused,
+             (unsigned long long) mbg->used_bytes[MBG_SMALL],
+             (unsigned long long) mbg->used_bytes[MBG_LARGE],
+             (unsigned long long) (mbg->receiving_bytes + mbg->unread_bytes),
+             mbg->waiting[MBG_SMALL].length + mbg->waiting[MBG_LARGE].length, mbg->connections);
+}
+
 static void
 tick_peers (Node *node, uint64_t now_ms)
 {
@@ -380,6 +418,7 @@
       expire_objects (node, now_ms);
       rgn_log (&node->sent_by_region, node->settings.regions->len, &node->log);
       nsh_log_splits (node);
+      log_turned_away (node);
       poi_expire (&node->poison, now_ms);
     }
 }
--- a/src/nod.h
+++ b/src/nod.h
@@ -263,6 +263,7 @@
  * @request_log: log of single requests, whose lines don't count towards the rate limit of @log
  * @request_log_load: rate limit of @request_log
  * @memory: budget of the process's memory and descriptors
+ * @turned_away_logged: mbg_turned_away() of the last log line
  * @store_lost: the platform's store cannot be reached
  * @splits_updated_at_ms: time of the last update of the traffic splits
  * @sent_by_region: requests sent since the last log line, by region
@@ -288,6 +289,7 @@
   LogRateLimit request_log_load;
   NodSettings settings;
   Mbg memory;
+  uint64_t turned_away_logged;
   NodHeaders headers;
   NodState state;
   uint64_t started_at_ms;
