Memory budget: requests that are received count in full

A request that arrived within 16 KB without asking was not counted, and one whose buffer had less than 4 KB left was not watched for the end of its connection.

Complete requests count in full; bodies of up to 16 KB are copied, so that a larger one always has a buffer of its final size. Also small unread responses lose their connections under pressure.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -425,8 +425,7 @@
       held->unsent_bytes = unsent;
       held->progress_at_ms = now_ms;
     }
-  return held->body.bytes->len > RESPONSE_SMALL_BYTES
-         && mbg_must_close_unread (held->server->reading.mbg, now_ms - held->progress_at_ms);
+  return mbg_must_close_unread (held->server->reading.mbg, now_ms - held->progress_at_ms);
 }
 
 /* h2o frees the response when its write fails. */
--- a/src/lim.h
+++ b/src/lim.h
@@ -143,7 +143,7 @@
 /* Bytes behind a request at work that are read to notice the end of its connection. */
 #define HSV_PIPELINED_MAX_BYTES (16u * 1024u)
 #define HSV_READ_MIN_BYTES 4096u
-#define HSV_COPIED_BODY_MAX_BYTES (8u * 1024u)
+#define HSV_COPIED_BODY_MAX_BYTES (16u * 1024u)
 
 /* Upstream connections of the node process. */
 #define UCN_READ_BUFFER_BYTES (64u * 1024u)
--- a/src/mbg.c
+++ b/src/mbg.c
@@ -208,8 +208,7 @@
 mbg_complete (Mbg *mbg, MbgClaim *claim, uint64_t bytes)
 {
   claim->is_complete = true;
-  if (bytes < claim->bytes)
-    set_granted (mbg, claim, bytes);
+  set_granted (mbg, claim, bytes);
 }
 
 void
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -145,7 +145,7 @@
 /** mbg_progress() - records how much of a request has been received. */
 void mbg_progress (MbgClaim *claim, uint64_t received_bytes, uint64_t now_ms);
 
-/** mbg_complete() - the request is received and takes @bytes, unless it was granted less. */
+/** mbg_complete() - the request is received and takes @bytes, also if it was granted less. */
 void mbg_complete (Mbg *mbg, MbgClaim *claim, uint64_t bytes);
 
 /** mbg_release() - returns what was granted and ends the wait. */
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -234,7 +234,7 @@
   size_t size = conn->sock->input->size;
   uint64_t now_ms = uv_now (conn->rdl->loop);
 
-  if (size <= MBG_FREE_BYTES)
+  if (size < MBG_FREE_BYTES)
     return;
   if (conn->framing.head_bytes == 0)
     conn->framing = read_framing (conn->sock->input->bytes, size);
@@ -271,10 +271,12 @@
 static void
 on_request_received (RdlConn *conn)
 {
+  size_t size = conn->sock->input->size;
+
   set_reading (conn, false);
-  if (conn->claim.bytes == 0)
+  if (size <= MBG_FREE_BYTES && conn->claim.bytes == 0)
     return;
-  mbg_complete (conn->rdl->mbg, &conn->claim, conn->sock->input->size + MBG_SPARE_BYTES);
+  mbg_complete (conn->rdl->mbg, &conn->claim, size + MBG_SPARE_BYTES);
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
 }
 
--- a/tests/test_mbg.cc
+++ b/tests/test_mbg.cc
@@ -181,6 +181,21 @@
   EXPECT_EQ (mbg_next (&mbg_, MBG_STALL_MS), &large);
 }
 
+// Guards against received requests that are counted only as far as they asked.
+TEST_F (BudgetTest, CompleteRequestsCountInFull)
+{
+  SetMemory (112);
+  MbgClaim unasked = {}, chunked = {}, waiting = {};
+  mbg_complete (&mbg_, &unasked, 30 * 1024);
+  EXPECT_EQ (mbg_.used_bytes[MBG_SMALL], 30u * 1024);
+  EXPECT_EQ (Take (&chunked, 60 * kMb), MBG_TAKE);
+  EXPECT_EQ (Take (&waiting, 60 * kMb), MBG_WAIT);
+  mbg_complete (&mbg_, &chunked, kMb);
+  EXPECT_EQ (mbg_next (&mbg_, 0), &waiting);
+  mbg_release (&mbg_, &unasked);
+  EXPECT_EQ (mbg_.used_bytes[MBG_SMALL], 0u);
+}
+
 TEST_F (BudgetTest, CallersThatReadNothingLoseTheirConnectionsWhenTheirPartIsShort)
 {
   SetMemory (112);
