--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -488,7 +488,17 @@
   Check (&crowd);
 }
 
-// Guards against a node that has no descriptors left for its upstreams and its store.
+// True if the peer has closed the connection.
+static bool
+IsClosed (int fd)
+{
+  char byte;
+  ssize_t n = recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+// Guards against a node that has no descriptors left for its upstreams and its store, and against
+// one that closes connections in another order than by their idle time.
 TEST_F (UntrustedTest, ManyIdleConnections)
 {
   Start ();
@@ -499,6 +509,12 @@
   watch_->Sample ();
   EXPECT_TRUE (WaitUntil (kAnswerMaxMs, [&] { return IsAnswering (); }));
   CheckBounds ();
+  size_t closed = 0;
+  while (closed < idle.size () && IsClosed (idle[closed]))
+    closed++;
+  EXPECT_GT (closed, idle.size () - kMaxFds);
+  for (size_t i = closed; i < idle.size (); i++)
+    EXPECT_FALSE (IsClosed (idle[i])) << i << " of " << idle.size () << ", first open " << closed;
   for (int fd : idle)
     close (fd);
 }
