Merge the memory budget of a process against callers that are not trusted

Cause: callers with many large, chunked or endless requests took a node to several times the memory of its VM.

--- a/src/nod.c
+++ b/src/nod.c
@@ -154,6 +154,18 @@
              (unsigned long long) node->table->version);
 }
 
+/* On a VM with little memory, bodies within the configuration's limit may not fit. */
+static void
+log_body_limit (Node *node, const RteTable *table)
+{
+  uint64_t body_max_bytes = mbg_body_max_bytes (&node->memory, table->body_max_bytes);
+
+  if (body_max_bytes < table->body_max_bytes)
+    log_event (&node->log, LOG_WARN, "body_limit_reduced",
+               "configured_bytes=%u body_max_bytes=%llu memory_mb=%u", table->body_max_bytes,
+               (unsigned long long) body_max_bytes, node->settings.memory_mb);
+}
+
 bool
 nod_configure (Node *node, RteTable *table)
 {
@@ -175,6 +187,7 @@
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u accounts=%u",
              (unsigned long long) table->version, table->routes->len,
              table->accounts != NULL ? table->accounts->accounts->len : 0);
+  log_body_limit (node, table);
   start_serving (node);
   return true;
 }
@@ -371,6 +384,31 @@
 
 /* ---- Timer and control work ---- */
 
+static void
+log_turned_away (Node *node)
+{
+  const Mbg *mbg = &node->memory;
+  const MbgCounters *counters = &mbg->counters;
+
+  if (mbg_turned_away (mbg) == node->turned_away_logged)
+    return;
+  node->turned_away_logged = mbg_turned_away (mbg);
+  log_event (&node->log, LOG_WARN, "callers_turned_away",
+             "rejected=%llu stalled=%llu unread=%llu heads=%llu bodies=%llu closed=%llu "
+             "refused=%llu small_bytes=%llu large_bytes=%llu answer_bytes=%llu waiting=%u "
+             "connections=%u",
+             (unsigned long long) counters->rejected, (unsigned long long) counters->stalled,
+             (unsigned long long) counters->unread_closed,
+             (unsigned long long) counters->heads_over_limit,
+             (unsigned long long) counters->bodies_over_limit,
+             (unsigned long long) counters->connections_closed,
+             (unsigned long long) counters->connections_refused,
+             (unsigned long long) mbg->used_bytes[MBG_SMALL],
+             (unsigned long long) mbg->used_bytes[MBG_LARGE],
+             (unsigned long long) (mbg->receiving_bytes + mbg->unread_bytes),
+             mbg->waiting[MBG_SMALL].length + mbg->waiting[MBG_LARGE].length, mbg->connections);
+}
+
 static void
 tick_peers (Node *node, uint64_t now_ms)
 {
@@ -384,6 +422,7 @@
       expire_objects (node, now_ms);
       rgn_log (&node->sent_by_region, node->settings.regions->len, &node->log);
       nsh_log_splits (node);
+      log_turned_away (node);
       poi_expire (&node->poison, now_ms);
     }
 }
@@ -416,12 +455,10 @@
 {
   Node *node = timer->data;
 
-  uint64_t now_ms = clk_now_ms ();
-
   nod_run_control (node);
-  hsv_limit_reading (node->front, now_ms);
+  hsv_close_stalled (node->front);
   if (node->relay != NULL)
-    hsv_limit_reading (node->relay, now_ms);
+    hsv_close_stalled (node->relay);
   aut_reject_revoked (node);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
@@ -477,6 +514,9 @@
   cts_init (&node->control, on_control_iteration, node);
   ucn_ctx_init (&node->store_connections, &node->control.loop);
   ucn_ctx_init (&node->ucn, loop);
+  MbgLimits limits = mbg_limits (node->settings.memory_mb, node->settings.max_fds);
+  mbg_init (&node->memory, &limits);
+  node->ucn.mbg = &node->memory;
   rly_init (&node->relays);
   poi_init (&node->poison, POISON_NODE_CRASHES_MAX);
   ups_init (&node->upstreams, &node->ucn);
@@ -511,6 +551,7 @@
       log_event (&node->log, LOG_WARN, "relay_server_failed", "error=\"%s\"", err.text);
       return;
     }
+  hsv_set_budget (node->relay, &node->memory, RDL_NODES);
   hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, REQUEST_BODY_MAX_BYTES);
   hsv_set_hook (node->relay, before_request_step, node);
   node->peers.self.relay_port = node->settings.relay.port;
@@ -525,7 +566,9 @@
   if (node->settings.metrics.port == 0)
     return;
   node->metrics = hsv_start (node->loop, node->settings.metrics, nst_serve, node, &err);
-  if (node->metrics == NULL)
+  if (node->metrics != NULL)
+    hsv_set_budget (node->metrics, &node->memory, RDL_PROBES);
+  else
     log_event (&node->log, LOG_WARN, "metrics_server_failed", "error=\"%s\"", err.text);
 }
 
@@ -545,6 +588,9 @@
                      : NULL;
   if (node->lookup == NULL)
     return false;
+  hsv_set_budget (node->front, &node->memory, RDL_CALLERS);
+  hsv_set_budget (node->ready, &node->memory, RDL_PROBES);
+  hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
   hsv_set_hook (node->lookup, before_request_step, node);
   start_relay_server (node);
