Learned capacity of each upstream: module lrn, load header, setting; model with differing machines

Cause: placement, admission and the regions' capacity took the registered slots for granted, and the load that upstreams report in their responses was not read.

--- a/src/chs.c
+++ b/src/chs.c
@@ -34,7 +34,15 @@
 }
 
 static uint32_t
-expected_rtt_ms (const Node *node, const Ups *ups, uint32_t region)
+region_of (const Node *node, const Ups *ups)
+{
+  return ups->zone < node->settings.zones->len
+             ? g_array_index (node->settings.zones, NodZone, ups->zone).region
+             : REGIONS_MAX;
+}
+
+uint32_t
+chs_expected_rtt_ms (const Node *node, const Ups *ups)
 {
   uint32_t zone_ms = ups->zone < ZONES_MAX ? node->zone_rtt_ms[ups->zone] : UINT32_MAX;
 
@@ -42,7 +50,31 @@
     return ups->pool.min_connect_ms;
   if (zone_ms != UINT32_MAX)
     return zone_ms;
-  return region == node->settings.region_index ? PLC_LOCAL_RTT_MS : PLC_REMOTE_RTT_MS;
+  return region_of (node, ups) == node->settings.region_index ? PLC_LOCAL_RTT_MS
+                                                              : PLC_REMOTE_RTT_MS;
+}
+
+uint32_t
+chs_slots (const Node *node, const Ups *ups, uint64_t now_ms)
+{
+  return node->settings.learned_capacity ? lrn_slots (&ups->learned, ups->record.slots, now_ms)
+                                         : ups->record.slots;
+}
+
+uint32_t
+chs_in_flight (const Node *node, const Ups *ups, uint64_t now_ms)
+{
+  return node->settings.learned_capacity
+             ? lrn_in_flight (&ups->learned, ups->in_flight, ups->others, now_ms)
+             : ups->in_flight + ups->others;
+}
+
+static uint32_t
+slowness_permille (const Node *node, const Ups *ups, uint64_t now_ms)
+{
+  return node->settings.learned_capacity
+             ? lrn_slowness_permille (&ups->learned, ups->in_flight, now_ms)
+             : ups->slowness_permille;
 }
 
 /* Bits of the regions in which the route may be served. */
@@ -88,20 +120,13 @@
   return cold_limit_allows (node, ups, cold_per_s, now_ms);
 }
 
-static uint32_t
-region_of (const Node *node, const Ups *ups)
-{
-  return ups->zone < node->settings.zones->len
-             ? g_array_index (node->settings.zones, NodZone, ups->zone).region
-             : REGIONS_MAX;
-}
-
 static PlcCandidate *
 new_candidates (const Node *node, const ChsRequest *request, uint32_t allowed_regions,
                 const GPtrArray *upstreams, uint64_t now_ms)
 {
   PlcCandidate *candidates = g_new0 (PlcCandidate, MAX (upstreams->len, 1));
   uint32_t cold_per_s = cold_rate_per_s (request);
+  bool learned = node->settings.learned_capacity;
 
   for (guint i = 0; i < upstreams->len; i++)
     {
@@ -110,31 +135,33 @@
       if (region >= REGIONS_MAX)
         continue;
       bool eligible = is_eligible (node, allowed_regions, ups, region);
-      candidates[i]
-          = (PlcCandidate){ .eligible = eligible && !ups_is_down (ups),
-                            .usable = eligible && is_usable (node, ups, cold_per_s, now_ms),
-                            .hash = ups->hash,
-                            .region = region,
-                            .slots = ups->record.slots,
-                            .in_flight = ups->in_flight + ups->others,
-                            .rtt_ms = expected_rtt_ms (node, ups, region),
-                            .slowness_permille = ups->slowness_permille,
-                            .fault_permille = ups->fault_permille,
-                            .untried
-                            = ups->objects[0] == 0 && region == node->settings.region_index,
-                            .objects = ups->objects,
-                            .object_count = UPS_OBJECTS_MAX };
+      candidates[i] = (PlcCandidate){
+        .eligible = eligible && !ups_is_down (ups),
+        .usable = eligible && is_usable (node, ups, cold_per_s, now_ms),
+        .hash = ups->hash,
+        .region = region,
+        .slots = chs_slots (node, ups, now_ms),
+        .in_flight = chs_in_flight (node, ups, now_ms),
+        .rtt_ms = chs_expected_rtt_ms (node, ups),
+        .slowness_permille = slowness_permille (node, ups, now_ms),
+        .slow = learned && ups->learned.slow,
+        .pace_permille = learned ? lrn_pace_permille (&ups->learned, now_ms) : 0,
+        .fault_permille = ups->fault_permille,
+        .untried = ups->objects[0] == 0 && region == node->settings.region_index,
+        .objects = ups->objects,
+        .object_count = UPS_OBJECTS_MAX
+      };
     }
   return candidates;
 }
 
 static uint32_t
-sum_slots (const GPtrArray *upstreams)
+sum_slots (const Node *node, const GPtrArray *upstreams, uint64_t now_ms)
 {
   uint32_t slots = 0;
 
   for (guint i = 0; i < upstreams->len; i++)
-    slots += ((const Ups *) g_ptr_array_index (upstreams, i))->record.slots;
+    slots += chs_slots (node, g_ptr_array_index (upstreams, i), now_ms);
   return slots;
 }
 
@@ -143,14 +170,15 @@
 {
   GPtrArray *upstreams = ups_by_service (&node->upstreams, request->service->name);
   ChsCandidates *set = g_new0 (ChsCandidates, 1);
+  uint64_t now_ms = clk_now_ms ();
 
   set->node = node;
   set->upstreams = upstreams;
   if (upstreams == NULL || upstreams->len == 0)
     return set;
   set->allowed_regions = find_allowed_regions (node, request);
-  set->candidates = new_candidates (node, request, set->allowed_regions, upstreams, clk_now_ms ());
-  set->total_slots = sum_slots (upstreams);
+  set->candidates = new_candidates (node, request, set->allowed_regions, upstreams, now_ms);
+  set->total_slots = sum_slots (node, upstreams, now_ms);
   return set;
 }
 
--- a/src/chs.h
+++ b/src/chs.h
@@ -69,6 +69,16 @@
  * leaving nor draining, and its zone is not evacuated. */
 bool chs_accepts_requests (const Node *node, const Ups *ups);
 
+/** chs_slots() - concurrent requests that an upstream takes well: its registered slots, or fewer
+ * that were learned. */
+uint32_t chs_slots (const Node *node, const Ups *ups, uint64_t now_ms);
+
+/** chs_in_flight() - estimate of the requests on an upstream from all nodes. */
+uint32_t chs_in_flight (const Node *node, const Ups *ups, uint64_t now_ms);
+
+/** chs_expected_rtt_ms() - round-trip time to an upstream, or an assumption by its region. */
+uint32_t chs_expected_rtt_ms (const Node *node, const Ups *ups);
+
 /** chs_choose() - the region and the upstream of a request; upstreams in @tried are excluded. */
 ChsChoice chs_choose (ChsCandidates *set, const ChsRequest *request);
 
--- a/src/fbk.c
+++ b/src/fbk.c
@@ -1,4 +1,4 @@
-/* Feedback in upstreams' response headers: shutdown notice and Retry-After. */
+/* Feedback in upstreams' response headers: shutdown notice, Retry-After and load. */
 #include "fbk.h"
 
 #include <math.h>
@@ -48,9 +48,25 @@
              pause_ms);
 }
 
+static void
+apply_load (Node *node, Ups *ups, const UcnResponse *response)
+{
+  const char *text = node->headers.load != NULL ? ucn_header (response, node->headers.load) : NULL;
+  LrnReport report;
+
+  if (text == NULL || !node->settings.learned_capacity)
+    return;
+  node->counters.load_reports++;
+  if (lrn_parse_report (text, &report))
+    lrn_apply_report (&ups->learned, &report, ups->in_flight, ups->others, clk_now_ms ());
+  else
+    node->counters.load_reports_invalid++;
+}
+
 void
 fbk_apply (Node *node, Ups *ups, const UcnResponse *response)
 {
   apply_leaving (node, ups, response);
   apply_retry_after (node, ups, response);
+  apply_load (node, ups, response);
 }
--- a/src/fbk.h
+++ b/src/fbk.h
@@ -1,4 +1,4 @@
-/* Feedback in upstreams' response headers: shutdown notice and Retry-After. */
+/* Feedback in upstreams' response headers: shutdown notice, Retry-After and load. */
 #pragma once
 
 #include "nod.h"
@@ -8,7 +8,8 @@
  *
  * The leaving header (NodHeaders) marks the upstream as leaving: this incarnation gets no further
  * requests. A 503 that has the not-run header and Retry-After pauses the upstream for this
- * node; a Retry-After that is not valid is logged and ignored.
+ * node; a Retry-After that is not valid is logged and ignored. The load header goes into
+ * the learned capacity; a malformed one is counted and ignored.
  */
 void fbk_apply (Node *node, Ups *ups, const UcnResponse *response);
 
--- a/src/frq.h
+++ b/src/frq.h
@@ -29,6 +29,7 @@
  * @waits_until_ms: end of its admitted waiting time in the queue for a free slot
  * @retry_after_min_ms: least Retry-After time of a rejection: no upstream accepts it before
  * @sent_at_ms: time of the last send
+ * @load_at_send: requests on the upstream from all nodes after the last send, as estimated
  * @sends: number of times that it was sent
  * @runs: number of sends after which it ran or may have run
  * @misdirects: number of 421 (Misdirected Request) responses from upstreams
@@ -68,6 +69,7 @@
   uint64_t waiting_since_ms;
   uint32_t retry_after_min_ms;
   uint64_t sent_at_ms;
+  uint32_t load_at_send;
   uint32_t sends;
   uint32_t runs;
   uint32_t misdirects;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -53,6 +53,19 @@
   nsh_record_service_time (frq->service, service_time_ms);
 }
 
+static void
+learn_service_time (const Frq *frq, Ups *ups, uint32_t service_time_ms)
+{
+  LrnSample sample = { .time_ms = service_time_ms,
+                       .rtt_ms = chs_expected_rtt_ms (frq->node, ups),
+                       .expected_ms = frq_expected_ms (frq),
+                       .load = frq->load_at_send,
+                       .slots = ups->record.slots };
+
+  ups_record_service_time (ups, service_time_ms, sample.expected_ms);
+  lrn_record_service_time (&ups->learned, &sample, clk_now_ms ());
+}
+
 /* Consumes the retry budget when it returns true. */
 static bool
 admit_retry (Frq *frq)
@@ -138,7 +151,7 @@
     {
       ups_record_success (ups, clk_now_ms ());
       poi_record_response (&frq->node->poison, frq->fingerprint, clk_now_ms ());
-      ups_record_service_time (ups, service_time_ms, frq_expected_ms (frq));
+      learn_service_time (frq, ups, service_time_ms);
       record_service_time (frq, service_time_ms);
       if (frq->key != 0)
         ups_record_object (ups, frq->key);
@@ -341,6 +354,7 @@
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_is_warm_for (ups, frq->key);
   ups->in_flight++;
+  frq->load_at_send = chs_in_flight (node, ups, now_ms);
   if (region < REGIONS_MAX)
     nsh_count_sent (node, frq->service, choice.region, region);
   if (frq->sends == 1)
--- a/src/lim.h
+++ b/src/lim.h
@@ -148,6 +148,27 @@
 /* Pauses that upstreams ask for in responses. */
 #define FBK_PAUSE_MAX_MS 600000u
 
+/* Learned capacity of upstreams. The registered slots are divided into LRN_BANDS ranges of the
+ * load, a range is known after LRN_BAND_SAMPLES_MIN requests, for LRN_BAND_TTL_MS. An upstream is
+ * slow from LRN_SLOW_PERMILLE of its peers' time on until it falls below LRN_RECOVERED_PERMILLE; an
+ * average over LRN_LASTING_MS passes over slowdowns of some hundred ms. A slow upstream is tried
+ * again after LRN_TRIAL_MIN_MS without requests. */
+#define LRN_BANDS 4
+#define LRN_BAND_SAMPLES_MIN 12
+#define LRN_BAND_TTL_MS 15000
+#define LRN_REPORT_FRESH_MS 100
+#define LRN_REPORT_MAX_AGE_MS 400
+#define LRN_SLOTS_MAX_AGE_MS 5000
+#define LRN_WORK_MIN_MS 10
+#define LRN_LASTING_MS 3000
+#define LRN_SLOW_PERMILLE 1500u
+#define LRN_RECOVERED_PERMILLE 1250u
+#define LRN_FAST_PERMILLE 800u
+#define LRN_CAPACITY_MIN_PERMILLE 500u
+#define LRN_CAPACITY_MAX_PERMILLE 4000u
+#define LRN_TRIAL_MIN_MS 2000
+#define LRN_TRIAL_MAX_MS 16000
+
 /* Relays in remote regions. */
 #define RLY_SELECTION_PERIOD_MS 500
 #define RLY_FAILURE_BACKOFF_MS 3000
--- /dev/null
+++ b/src/lrn.c
@@ -0,0 +1,340 @@
+/* Learned capacity: how much load an upstream handles well, learned from its reports and from
+ * service times. Pure: no I/O, no clock. */
+#include "lrn.h"
+
+#include <string.h>
+
+#define PERMILLE 1000u
+#define PPM 1000000u
+#define PPM_OF_PERMILLE (PPM / PERMILLE)
+#define PACE_USUAL_PCT 100u
+#define PACE_MAX_PCT 10000u
+#define LRN_PACE_SCALE 64u
+#define COUNT_MAX 1000000u
+
+/* Moving averages: a new value has a weight of 1 / divisor. */
+#define RECENT_DIVISOR 4
+#define TRIAL_DIVISOR 2
+#define BAND_DIVISOR 16
+#define TRUST_DIVISOR 16
+#define LASTING_DIVISOR_MIN 16
+
+#define TIME_MIN_PERMILLE 200u
+#define TIME_MAX_PERMILLE 20000u
+#define RELATIVE_PACE_MIN_PERMILLE 250u
+#define RELATIVE_PACE_MAX_PERMILLE 4000u
+
+/* A band is chosen when it reaches this part of the best band's throughput: more concurrency then
+ * lengthens the responses rather than serving more. */
+#define THROUGHPUT_ENOUGH_PCT 95u
+
+static uint32_t
+clamp (uint64_t value, uint32_t min, uint32_t max)
+{
+  if (value < min)
+    return min;
+  return value > max ? max : (uint32_t) value;
+}
+
+static uint32_t
+average (uint32_t old, uint32_t value, int64_t divisor)
+{
+  return (uint32_t) (old + ((int64_t) value - (int64_t) old) / divisor);
+}
+
+void
+lrn_init (Lrn *lrn)
+{
+  memset (lrn, 0, sizeof *lrn);
+  lrn->pace_permille = PERMILLE;
+  lrn->usual_pace_pct = PACE_USUAL_PCT * LRN_PACE_SCALE;
+  lrn->trust_permille = PERMILLE / 2;
+  lrn->trial_period_ms = LRN_TRIAL_MIN_MS;
+  lrn->recent_permille = PERMILLE;
+  lrn->lasting_ppm = PPM;
+}
+
+/* ---- Reports ---- */
+
+/* Parses a decimal number up to @max and moves @text behind it. */
+static bool
+parse_number (const char **text, uint32_t max, uint32_t *number)
+{
+  const char *start = *text;
+  uint32_t value = 0;
+
+  for (; **text >= '0' && **text <= '9'; (*text)++)
+    {
+      value = value * 10 + (uint32_t) (**text - '0');
+      if (value > max)
+        return false;
+    }
+  *number = value;
+  return *text != start;
+}
+
+static bool
+parse_comma (const char **text)
+{
+  if (**text != ',')
+    return false;
+  (*text)++;
+  return true;
+}
+
+bool
+lrn_parse_report (const char *text, LrnReport *report)
+{
+  report->pace_pct = PACE_USUAL_PCT;
+  if (!parse_number (&text, COUNT_MAX, &report->running) || !parse_comma (&text))
+    return false;
+  if (!parse_number (&text, COUNT_MAX, &report->waiting) || !parse_comma (&text))
+    return false;
+  if (!parse_number (&text, UPS_SLOTS_MAX, &report->slots))
+    return false;
+  if (*text != '\0'
+      && (!parse_comma (&text) || !parse_number (&text, PACE_MAX_PCT, &report->pace_pct)))
+    return false;
+  return *text == '\0' && report->slots > 0 && report->pace_pct > 0;
+}
+
+/* Views of other nodes are old and requests may be under way, so that only a large difference is a
+ * contradiction. */
+static bool
+contradicts (const LrnReport *report, uint32_t known)
+{
+  uint32_t reported = report->running + report->waiting;
+
+  if (known >= 2 && reported * 2 < known)
+    return true;
+  return reported > known * 2 + report->slots;
+}
+
+void
+lrn_apply_report (Lrn *lrn, const LrnReport *report, uint32_t own, uint32_t others, uint64_t now_ms)
+{
+  uint32_t reported = report->running + report->waiting;
+  uint32_t ended_or_own = own > 1 ? own : 1;
+  uint32_t others_max = report->slots * 2;
+
+  lrn->trust_permille = average (lrn->trust_permille,
+                                 contradicts (report, own + others) ? 0 : PERMILLE, TRUST_DIVISOR);
+  lrn->reported_others = reported > ended_or_own ? reported - ended_or_own : 0;
+  if (lrn->reported_others > others_max)
+    lrn->reported_others = others_max;
+  lrn->reported_slots = report->slots;
+  lrn->usual_pace_pct
+      = lrn->usual_pace_pct + report->pace_pct - lrn->usual_pace_pct / LRN_PACE_SCALE;
+  lrn->pace_permille
+      = clamp ((uint64_t) report->pace_pct * LRN_PACE_SCALE * PERMILLE / lrn->usual_pace_pct,
+               RELATIVE_PACE_MIN_PERMILLE, RELATIVE_PACE_MAX_PERMILLE);
+  lrn->reported_at_ms = now_ms;
+}
+
+/* Weight of the last report, by its age. */
+static uint32_t
+freshness_permille (const Lrn *lrn, uint64_t now_ms)
+{
+  uint64_t age_ms = now_ms > lrn->reported_at_ms ? now_ms - lrn->reported_at_ms : 0;
+
+  if (lrn->reported_at_ms == 0 || age_ms >= LRN_REPORT_MAX_AGE_MS)
+    return 0;
+  if (age_ms <= LRN_REPORT_FRESH_MS)
+    return PERMILLE;
+  return (uint32_t) ((LRN_REPORT_MAX_AGE_MS - age_ms) * PERMILLE
+                     / (LRN_REPORT_MAX_AGE_MS - LRN_REPORT_FRESH_MS));
+}
+
+static uint32_t
+blend (uint32_t known, uint32_t reported, uint32_t weight_permille)
+{
+  int64_t difference = (int64_t) reported - (int64_t) known;
+
+  return (uint32_t) (known + difference * weight_permille / (int64_t) PERMILLE);
+}
+
+uint32_t
+lrn_in_flight (const Lrn *lrn, uint32_t own, uint32_t others, uint64_t now_ms)
+{
+  uint32_t weight_permille = freshness_permille (lrn, now_ms) * lrn->trust_permille / PERMILLE;
+
+  return own + blend (others, lrn->reported_others, weight_permille);
+}
+
+uint32_t
+lrn_pace_permille (const Lrn *lrn, uint64_t now_ms)
+{
+  return blend (PERMILLE, lrn->pace_permille, freshness_permille (lrn, now_ms));
+}
+
+/* ---- Service times ---- */
+
+static uint32_t
+relative_time_permille (uint64_t time_ms, uint32_t expected_ms)
+{
+  if (expected_ms == 0)
+    return PERMILLE;
+  return clamp (time_ms * PERMILLE / expected_ms, TIME_MIN_PERMILLE, TIME_MAX_PERMILLE);
+}
+
+static bool
+is_trial (const Lrn *lrn, uint64_t now_ms)
+{
+  return lrn->recent_permille >= LRN_SLOW_PERMILLE
+         && now_ms - lrn->measured_at_ms >= lrn->trial_period_ms;
+}
+
+/* Trials of an upstream that stays slow become rarer. */
+static void
+record_recent (Lrn *lrn, uint32_t time_permille, uint64_t now_ms)
+{
+  bool trial = is_trial (lrn, now_ms);
+
+  if (trial && time_permille >= LRN_SLOW_PERMILLE)
+    lrn->trial_period_ms = clamp ((uint64_t) lrn->trial_period_ms * 2, 0, LRN_TRIAL_MAX_MS);
+  else if (time_permille < LRN_SLOW_PERMILLE)
+    lrn->trial_period_ms = LRN_TRIAL_MIN_MS;
+  bool recovers = trial && time_permille < lrn->recent_permille;
+  lrn->recent_permille
+      = average (lrn->recent_permille, time_permille, recovers ? TRIAL_DIVISOR : RECENT_DIVISOR);
+  if (recovers)
+    lrn->lasting_ppm = average (lrn->lasting_ppm, time_permille * PPM_OF_PERMILLE, TRIAL_DIVISOR);
+}
+
+/* The weight of a sample grows with the time since the last one, so that the average spans about
+ * LRN_LASTING_MS whatever the rate. */
+static void
+record_lasting (Lrn *lrn, uint32_t time_permille, uint64_t now_ms)
+{
+  uint64_t elapsed_ms = now_ms - lrn->measured_at_ms;
+  int64_t divisor = (int64_t) (1 + LRN_LASTING_MS / (elapsed_ms > 0 ? elapsed_ms : 1));
+
+  if (divisor < LASTING_DIVISOR_MIN)
+    divisor = LASTING_DIVISOR_MIN;
+  lrn->lasting_ppm = average (lrn->lasting_ppm, time_permille * PPM_OF_PERMILLE, divisor);
+  if (lrn->lasting_ppm >= LRN_SLOW_PERMILLE * PPM_OF_PERMILLE)
+    lrn->slow = true;
+  else if (lrn->lasting_ppm < LRN_RECOVERED_PERMILLE * PPM_OF_PERMILLE)
+    lrn->slow = false;
+}
+
+static uint32_t
+band_of (uint32_t load, uint32_t slots)
+{
+  uint32_t band = load > 0 ? (load * LRN_BANDS - 1) / slots : 0;
+
+  return band < LRN_BANDS ? band : LRN_BANDS - 1;
+}
+
+static bool
+is_band_known (const LrnBand *band, uint64_t now_ms)
+{
+  return band->samples >= LRN_BAND_SAMPLES_MIN && now_ms - band->measured_at_ms < LRN_BAND_TTL_MS;
+}
+
+static void
+record_band (LrnBand *band, uint32_t time_permille, uint64_t now_ms)
+{
+  if (band->samples == 0 || now_ms - band->measured_at_ms >= LRN_BAND_TTL_MS)
+    *band = (LrnBand){ .time_permille = time_permille };
+  uint32_t divisor = band->samples + 1 < BAND_DIVISOR ? band->samples + 1 : BAND_DIVISOR;
+  band->time_permille = average (band->time_permille, time_permille, divisor);
+  if (band->samples < LRN_BAND_SAMPLES_MIN)
+    band->samples++;
+  band->measured_at_ms = now_ms;
+}
+
+/* Time at the usual pace. */
+static uint64_t
+without_pace_ms (const Lrn *lrn, uint32_t time_ms, uint64_t now_ms)
+{
+  return (uint64_t) time_ms * PERMILLE / lrn_pace_permille (lrn, now_ms);
+}
+
+void
+lrn_record_service_time (Lrn *lrn, const LrnSample *sample, uint64_t now_ms)
+{
+  uint32_t work_ms = sample->time_ms > sample->rtt_ms ? sample->time_ms - sample->rtt_ms : 0;
+  uint64_t usual_work_ms = without_pace_ms (lrn, work_ms, now_ms);
+
+  record_recent (
+      lrn,
+      relative_time_permille (without_pace_ms (lrn, sample->time_ms, now_ms), sample->expected_ms),
+      now_ms);
+  if (sample->slots > 0 && sample->expected_ms >= LRN_WORK_MIN_MS)
+    {
+      /* A request behind a full set of slots waits; that is load, not slowness. */
+      if (sample->load > sample->slots)
+        usual_work_ms = usual_work_ms * sample->slots / sample->load;
+      uint32_t time_permille = relative_time_permille (usual_work_ms, sample->expected_ms);
+      record_lasting (lrn, time_permille, now_ms);
+      record_band (&lrn->bands[band_of (sample->load, sample->slots)], time_permille, now_ms);
+    }
+  lrn->measured_at_ms = now_ms;
+}
+
+/* ---- Results ---- */
+
+/* Slots that the upstream itself states are used when they are fewer than the registered ones. */
+static uint32_t
+stated_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
+{
+  bool usable = lrn->reported_at_ms != 0 && now_ms - lrn->reported_at_ms < LRN_SLOTS_MAX_AGE_MS
+                && lrn->trust_permille >= PERMILLE / 2;
+
+  return usable && lrn->reported_slots < slots ? lrn->reported_slots : slots;
+}
+
+static uint32_t
+band_slots (uint32_t band, uint32_t slots)
+{
+  uint32_t upper = slots * (band + 1) / LRN_BANDS;
+
+  return upper > 0 ? upper : 1;
+}
+
+static uint64_t
+throughput (const LrnBand *band, uint32_t slots)
+{
+  return (uint64_t) slots * PERMILLE * PERMILLE / band->time_permille;
+}
+
+uint32_t
+lrn_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
+{
+  uint64_t best = 0;
+
+  slots = stated_slots (lrn, slots, now_ms);
+  if (!is_band_known (&lrn->bands[LRN_BANDS - 1], now_ms))
+    return slots;
+  for (uint32_t b = 0; b < LRN_BANDS; b++)
+    if (is_band_known (&lrn->bands[b], now_ms))
+      {
+        uint64_t rate = throughput (&lrn->bands[b], band_slots (b, slots));
+        best = rate > best ? rate : best;
+      }
+  for (uint32_t b = 0; b < LRN_BANDS; b++)
+    if (is_band_known (&lrn->bands[b], now_ms)
+        && throughput (&lrn->bands[b], band_slots (b, slots)) * 100 >= best * THROUGHPUT_ENOUGH_PCT)
+      return band_slots (b, slots);
+  return slots;
+}
+
+uint32_t
+lrn_slowness_permille (const Lrn *lrn, uint32_t own, uint64_t now_ms)
+{
+  return own == 0 && is_trial (lrn, now_ms) ? PERMILLE : lrn->recent_permille;
+}
+
+uint64_t
+lrn_capacity_mslots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
+{
+  uint64_t mslots = (uint64_t) lrn_slots (lrn, slots, now_ms) * PERMILLE;
+  uint32_t lasting_permille = lrn->lasting_ppm / PPM_OF_PERMILLE;
+  bool is_usual = lasting_permille > LRN_FAST_PERMILLE && lasting_permille < LRN_RECOVERED_PERMILLE;
+
+  if (is_usual || now_ms - lrn->measured_at_ms >= LRN_BAND_TTL_MS)
+    return mslots;
+  return mslots * PERMILLE
+         / clamp (lasting_permille, LRN_CAPACITY_MIN_PERMILLE, LRN_CAPACITY_MAX_PERMILLE);
+}
--- a/src/nod.h
+++ b/src/nod.h
@@ -77,6 +77,7 @@
  * SHR_CAP_PERIOD_MS, in thousandths
  * @capacity: CPU capacity of the VM in thousandths of a core
  * @grace_ms: time between the signal to stop and the forced end of the process
+ * @learned_capacity: use the learned capacity of upstreams
  * @lookup_ttl_ms: longest time for which callers may cache the response to a lookup
  */
 typedef struct
@@ -98,6 +99,7 @@
   uint32_t shift_permille;
   uint32_t capacity;
   uint32_t grace_ms;
+  bool learned_capacity;
   uint32_t lookup_ttl_ms;
 } NodSettings;
 
@@ -224,6 +226,8 @@
  * @sent_by_relay: attempts sent by way of a relay
  * @relayed: requests of other nodes that this node relayed
  * @relays_lost: attempts by way of a relay that failed or that the relay rejected
+ * @load_reports: reports of their load in upstreams' responses
+ * @load_reports_invalid: those of them that were malformed and ignored
  */
 typedef struct
 {
@@ -249,6 +253,8 @@
   uint64_t sent_by_relay;
   uint64_t relayed;
   uint64_t relays_lost;
+  uint64_t load_reports;
+  uint64_t load_reports_invalid;
 } NodCounters;
 
 /**
--- a/src/nst.c
+++ b/src/nst.c
@@ -26,7 +26,7 @@
   COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
   COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
   COUNTER (held_back),      COUNTER (sent_by_relay),  COUNTER (relayed),
-  COUNTER (relays_lost),
+  COUNTER (relays_lost),    COUNTER (load_reports),   COUNTER (load_reports_invalid),
 };
 
 char *
@@ -107,6 +107,20 @@
     }
 }
 
+static void
+dump_learned (const Lrn *learned, uint32_t slots, uint64_t now_ms, GString *out)
+{
+  long long report_age_ms
+      = learned->reported_at_ms != 0 ? (long long) (now_ms - learned->reported_at_ms) : -1;
+
+  g_string_append_printf (
+      out,
+      " learned_slots=%u learned_slowness=%u lasting_slowness=%u slow=%d "
+      "pace=%u report_trust=%u report_age_ms=%lld\n",
+      lrn_slots (learned, slots, now_ms), learned->recent_permille, learned->lasting_ppm / 1000,
+      learned->slow, lrn_pace_permille (learned, now_ms), learned->trust_permille, report_age_ms);
+}
+
 static void
 dump_upstreams (const Node *node, uint64_t now_ms, GString *out)
 {
@@ -120,11 +134,12 @@
       g_string_append_printf (
           out,
           "upstream=%s service=%s zone=%s draining=%d gone=%d cold=%d in_flight=%u others=%u "
-          "slots=%u failures=%u resting=%d misdirected=%d doubted=%d slowness=%u faults=%u\n",
+          "slots=%u failures=%u resting=%d misdirected=%d doubted=%d slowness=%u faults=%u",
           ups->record.id, ups->record.service, ups->record.zone, ups->record.draining, ups->gone,
           ups_is_cold (ups, now_ms), ups->in_flight, ups->others, ups->record.slots, ups->failures,
           now_ms < ups->backoff_until_ms, ups->misdirected, ups_is_suspected (ups, now_ms),
           ups->slowness_permille, ups->fault_permille);
+      dump_learned (&ups->learned, ups->record.slots, now_ms, out);
     }
 }
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -43,7 +43,7 @@
 static bool
 is_degraded (const PlcCandidate *candidate)
 {
-  return candidate->slowness_permille >= SLOW_PERMILLE
+  return candidate->slow || candidate->slowness_permille >= SLOW_PERMILLE
          || candidate->fault_permille >= FAULTY_PERMILLE;
 }
 
@@ -136,7 +136,10 @@
   uint64_t weighted_ms = (uint64_t) request->warm_ms * warm_permille
                          + (uint64_t) request->cold_ms * (PERMILLE - warm_permille);
 
-  return (uint32_t) (weighted_ms / PERMILLE * candidate->slowness_permille / PERMILLE);
+  uint64_t work_ms = weighted_ms / PERMILLE * candidate->slowness_permille / PERMILLE;
+  if (candidate->pace_permille == 0)
+    return (uint32_t) work_ms;
+  return (uint32_t) (work_ms * candidate->pace_permille / PERMILLE);
 }
 
 static uint32_t
--- a/src/plc.h
+++ b/src/plc.h
@@ -16,6 +16,9 @@
  * @in_flight: requests on it from all nodes
  * @rtt_ms: round-trip time to it
  * @slowness_permille: its work times relative to the usual ones of the routes, 1000 for equal
+ * @slow: it has been slower than its peers for seconds, not only for a moment
+ * @pace_permille: current pace relative to the one in @slowness_permille, 0 for unknown; it passes
+ *   within fractions of a second, so that no object moves because of it
  * @fault_permille: recent share of requests that it failed
  * @objects: hashes of the objects for which this node sent it requests lately
  * @untried: this node has sent it no request since it joined
@@ -30,6 +33,8 @@
   uint32_t in_flight;
   uint32_t rtt_ms;
   uint32_t slowness_permille;
+  bool slow;
+  uint32_t pace_permille;
   uint32_t fault_permille;
   const uint32_t *objects;
   uint32_t object_count;
--- a/src/ups.c
+++ b/src/ups.c
@@ -98,6 +98,7 @@
   ups->record = *record;
   ups->hash = ups_hash (record->id);
   ups->slowness_permille = PERMILLE;
+  lrn_init (&ups->learned);
   ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
   g_hash_table_insert (table->by_id, ups->record.id, ups);
   g_hash_table_insert (table->by_hash, GUINT_TO_POINTER (ups->hash), ups);
@@ -121,6 +122,7 @@
   ups->paused_until_ms = 0;
   ups->leaving = false;
   ups->slowness_permille = PERMILLE;
+  lrn_init (&ups->learned);
   ups->fault_permille = 0;
   memset (ups->objects, 0, sizeof ups->objects);
   if (!is_same_addr (ups->record.addr, record->addr))
--- a/src/ups.h
+++ b/src/ups.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lim.h"
+#include "lrn.h"
 #include "ucn.h"
 
 #include <glib.h>
@@ -49,6 +50,7 @@
  * @leaving: it announced, in a response or to a peer, that this incarnation shuts down
  * @misdirected: another upstream uses its address; cleared by the next registration
  * @slowness_permille: moving average of its service time relative to the expected one
+ * @learned: what this node has learned of its capacity, without effect while learning is off
  * @fault_permille: moving average of the share of requests that failed
  * @cold_assigned: while it is cold, it is assigned to this node
  * @cold_sent_ms: ring buffer of the times of the last requests sent while it was cold
@@ -80,6 +82,7 @@
   bool leaving;
   bool misdirected;
   uint32_t slowness_permille;
+  Lrn learned;
   uint32_t fault_permille;
   bool cold_assigned;
   uint64_t cold_sent_ms[UPS_COLD_SENDS_MAX];
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -26,13 +26,31 @@
 #define DEVIATION_WEIGHT 20
 #define HOT_OBJECT 1u
 #define ADVICE_SLACK_MS 500
+#define AGE_BIN_MS 5
+#define AGE_BINS 2000
+#define NOISE_FACTOR_PERMILLE 2500u
+#define DEGRADED_FACTOR 5
+#define DEGRADED_EVERY 8
+#define KNEE_FACTOR 2
+#define PACE_USUAL_PCT 100
 
-/** struct Up - an upstream; @known: objects that it is warm for, most recent first */
+/**
+ * struct Up - an upstream
+ * @speed_permille: speed of its machine
+ * @degrades: it is slow for the time that the load states
+ * @reports: what it reports of its load
+ * @noise_until_ms: end of a slowdown by a neighbour
+ * @cached: objects that it is warm for, most recent first
+ */
 typedef struct
 {
   uint32_t hash;
   uint32_t region;
   bool slow;
+  uint32_t speed_permille;
+  bool degrades;
+  MdlReports reports;
+  uint64_t noise_until_ms;
   bool advises;
   uint64_t down_until_ms;
   uint32_t cached[CACHE_OBJECTS_MAX];
@@ -89,6 +107,7 @@
   uint64_t arrives_at_ms;
   uint64_t sent_at_ms;
   uint64_t ends_at_ms;
+  uint32_t load;
   uint32_t up;
   uint32_t rtt_ms;
   bool sent_warm;
@@ -109,6 +128,7 @@
   GQueue retrying;
   uint64_t runs;
   uint64_t warm_runs;
+  uint32_t ages[AGE_BINS];
   double requests_due[REGIONS_MAX];
   Mds *shift;
   MdlReport report;
@@ -136,6 +156,80 @@
   return warm;
 }
 
+/* ---- Machines ---- */
+
+static bool
+is_between (const Model *model, uint32_t from_s, uint32_t to_s)
+{
+  return model->now_ms >= (uint64_t) from_s * 1000 && model->now_ms < (uint64_t) to_s * 1000;
+}
+
+static uint32_t
+knee_slots (const Model *model)
+{
+  return MAX (model->load->slots * model->load->machines.knee_permille / PERMILLE, 1);
+}
+
+/* Factor on the time of work on the machine at the moment, besides its speed. */
+static uint64_t
+pace_permille (const Model *model, const Up *up)
+{
+  const MdlMachines *machines = &model->load->machines;
+  uint64_t pace = model->now_ms < up->noise_until_ms ? NOISE_FACTOR_PERMILLE : PERMILLE;
+
+  if (is_between (model, machines->all_slow_from_s, machines->all_slow_to_s))
+    pace = pace * NOISE_FACTOR_PERMILLE / PERMILLE;
+  if (up->degrades && is_between (model, machines->slow_from_s, machines->slow_to_s))
+    pace *= DEGRADED_FACTOR;
+  return pace;
+}
+
+static uint32_t
+machine_time_ms (const Model *model, const Up *up, uint32_t work_ms)
+{
+  uint64_t time_ms = (uint64_t) work_ms * pace_permille (model, up) / up->speed_permille;
+
+  if (model->load->machines.knee_permille > 0 && up->running.length >= knee_slots (model))
+    time_ms *= KNEE_FACTOR;
+  return (uint32_t) time_ms;
+}
+
+static void
+step_noise (Model *model)
+{
+  const MdlMachines *machines = &model->load->machines;
+
+  if (machines->noise_permille == 0)
+    return;
+  for (uint32_t i = 0; i < model->up_count; i++)
+    if (model->now_ms >= model->ups[i].noise_until_ms
+        && g_rand_double (model->random) * machines->noise_ms
+                   * (PERMILLE - machines->noise_permille)
+               < (double) STEP_MS * machines->noise_permille)
+      model->ups[i].noise_until_ms = model->now_ms + machines->noise_ms;
+}
+
+/* Applies the load that an upstream reports in the response to a request. */
+static void
+apply_load_report (const Model *model, const Up *up, Ups *ups, uint32_t others)
+{
+  LrnReport report = { .running = up->running.length,
+                       .waiting = up->queue.length,
+                       .slots = model->load->slots,
+                       .pace_pct = (uint32_t) (pace_permille (model, up) / 10) };
+
+  if (up->reports == MDL_REPORTS_NONE || model->load->machines.knowledge != MDL_KNOWS_LEARNED)
+    return;
+  if (up->reports == MDL_REPORTS_IDLE)
+    report = (LrnReport){ .slots = model->load->slots, .pace_pct = PACE_USUAL_PCT };
+  if (up->reports == MDL_REPORTS_FULL)
+    report = (LrnReport){ .running = model->load->slots,
+                          .waiting = model->load->queue,
+                          .slots = model->load->slots,
+                          .pace_pct = 10 * PACE_USUAL_PCT };
+  lrn_apply_report (&ups->learned, &report, ups->in_flight + 1, others, model->now_ms);
+}
+
 static void
 run_job (Model *model, Up *up, Job *job)
 {
@@ -147,6 +241,7 @@
       = (uint32_t) ((int64_t) service_ms * (int32_t) (PERMILLE + spread) / (int32_t) PERMILLE);
   if (up->slow)
     service_ms *= SLOW_FACTOR;
+  service_ms = machine_time_ms (model, up, service_ms);
   model->runs++;
   model->warm_runs += warm;
   mds_run (model->shift, job->vm->region, up->region, model->now_ms);
@@ -241,7 +336,15 @@
 
   ups->in_flight--;
   apply_advice (model, job);
+  apply_load_report (model, &model->ups[job->up], ups, job->vm->views[job->up]);
+  LrnSample sample = { .time_ms = took_ms,
+                       .rtt_ms = job->rtt_ms,
+                       .expected_ms = *usual_ms,
+                       .load = job->load,
+                       .slots = model->load->slots };
+  lrn_record_service_time (&ups->learned, &sample, model->now_ms);
   ups_record_service_time (ups, took_ms, *usual_ms);
+  model->ages[MIN (age_ms / AGE_BIN_MS, AGE_BINS - 1)]++;
   *usual_ms
       = (uint32_t) ((int64_t) *usual_ms + ((int64_t) took_ms - *usual_ms) / SERVICE_TIME_WEIGHT);
   job->vm->service_ms
@@ -287,9 +390,46 @@
 }
 
 static uint32_t
-in_flight_on (const Vm *vm, uint32_t up)
+in_flight_on (const Model *model, const Vm *vm, uint32_t up)
+{
+  const Ups *ups = &vm->ups[up];
+
+  if (model->load->machines.knowledge == MDL_KNOWS_LEARNED)
+    return lrn_in_flight (&ups->learned, ups->in_flight, vm->views[up], model->now_ms);
+  return ups->in_flight + vm->views[up];
+}
+
+static uint32_t
+slots_of (const Model *model, const Vm *vm, uint32_t up)
 {
-  return vm->ups[up].in_flight + vm->views[up];
+  const MdlMachines *machines = &model->load->machines;
+
+  if (machines->knowledge == MDL_KNOWS_LEARNED)
+    return lrn_slots (&vm->ups[up].learned, model->load->slots, model->now_ms);
+  bool knows_knee = machines->knowledge == MDL_KNOWS_ALL && machines->knee_permille > 0;
+  return knows_knee ? knee_slots (model) : model->load->slots;
+}
+
+static void
+add_knowledge (const Model *model, const Vm *vm, uint32_t up, PlcCandidate *candidate)
+{
+  const Lrn *learned = &vm->ups[up].learned;
+  uint32_t own = vm->ups[up].in_flight;
+
+  switch (model->load->machines.knowledge)
+    {
+    case MDL_KNOWS_LEARNED:
+      candidate->slowness_permille = lrn_slowness_permille (learned, own, model->now_ms);
+      candidate->slow = learned->slow;
+      candidate->pace_permille = lrn_pace_permille (learned, model->now_ms);
+      break;
+    case MDL_KNOWS_ALL:
+      candidate->slowness_permille = PERMILLE * PERMILLE / model->ups[up].speed_permille;
+      break;
+    case MDL_KNOWS_REGISTRATION:
+    case MDL_KNOWS_WEIGHTS:
+      break;
+    }
 }
 
 static PlcCandidate *
@@ -306,13 +446,14 @@
                             .usable = is_usable (model, ups),
                             .hash = model->ups[i].hash,
                             .region = model->ups[i].region,
-                            .slots = model->load->slots,
-                            .in_flight = in_flight_on (vm, i),
+                            .slots = slots_of (model, vm, i),
+                            .in_flight = in_flight_on (model, vm, i),
                             .rtt_ms = is_local ? LOCAL_RTT_MS : model->load->remote_rtt_ms,
                             .slowness_permille = ups->slowness_permille,
                             .untried = ups->objects[0] == 0 && is_local,
                             .objects = ups->objects,
                             .object_count = UPS_OBJECTS_MAX };
+      add_knowledge (model, vm, i, &candidates[i]);
     }
   return candidates;
 }
@@ -340,12 +481,51 @@
   return shr_region (&job->vm->shares, job->vm->load.capacity, UINT32_MAX, job->object);
 }
 
+/* Weighted rendezvous hashing: an operator's fixed weights, in proportion to the true capacity. The
+ * second upstream is used while the first one's queue is long. */
+static uint32_t
+choose_by_weight (const Model *model, const Job *job, uint32_t region)
+{
+  uint32_t best[2] = { PLC_NONE, PLC_NONE };
+  double best_score[2] = { 0, 0 };
+  uint32_t slots
+      = model->load->machines.knee_permille > 0 ? knee_slots (model) : model->load->slots;
+
+  for (uint32_t i = 0; i < model->up_count; i++)
+    {
+      const Up *up = &model->ups[i];
+      if (up->region != region || !is_usable (model, &job->vm->ups[i]))
+        continue;
+      uint32_t mixed = (job->object * 0x9e3779b1u ^ up->hash) * 0x85ebca6bu;
+      mixed = (mixed ^ (mixed >> 15)) * 0xc2b2ae35u;
+      double score = -(double) up->speed_permille / log ((mixed + 0.5) / 4294967296.0);
+      uint32_t rank = score > best_score[0] ? 0 : score > best_score[1] ? 1 : 2;
+      if (rank == 0)
+        {
+          best[1] = best[0];
+          best_score[1] = best_score[0];
+        }
+      if (rank < 2)
+        {
+          best[rank] = i;
+          best_score[rank] = score;
+        }
+    }
+  for (uint32_t rank = 0; rank < 2; rank++)
+    if (best[rank] != PLC_NONE && in_flight_on (model, job->vm, best[rank]) < slots * 2)
+      return best[rank];
+  return PLC_NONE;
+}
+
 static uint32_t
 choose_by_product (const Model *model, const Job *job)
 {
   Vm *vm = job->vm;
-  PlcCandidate *candidates = candidates_of (model, vm);
   uint32_t region = region_of (job);
+
+  if (model->load->machines.knowledge == MDL_KNOWS_WEIGHTS)
+    return choose_by_weight (model, job, region);
+  PlcCandidate *candidates = candidates_of (model, vm);
   uint32_t chosen = choose_in (model, job, candidates, region);
   uint32_t other = shr_spill_region (vm->free_slots, UINT32_MAX, region);
 
@@ -366,7 +546,7 @@
   uint32_t chosen = PLC_NONE;
 
   for (uint32_t i = 0; i < model->up_count; i++)
-    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (job->vm, i) < model->load->slots
+    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (model, job->vm, i) < model->load->slots
         && g_rand_int_range (model->random, 0, (gint32) ++found) == 0)
       chosen = i;
   return chosen;
@@ -379,9 +559,9 @@
   uint32_t least = model->load->slots;
 
   for (uint32_t i = 0; i < model->up_count; i++)
-    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (job->vm, i) < least)
+    if (is_usable (model, &job->vm->ups[i]) && in_flight_on (model, job->vm, i) < least)
       {
-        least = in_flight_on (job->vm, i);
+        least = in_flight_on (model, job->vm, i);
         chosen = i;
       }
   return chosen;
@@ -470,6 +650,7 @@
   job->arrives_at_ms = model->now_ms + connect_ms (model, job) + job->rtt_ms / 2;
   job->sent_warm = ups_is_warm_for (ups, job->object);
   ups->in_flight++;
+  job->load = in_flight_on (model, job->vm, chosen);
   if (model->policy == MDL_PRODUCT)
     count_sent (model, job);
   g_queue_push_tail (&model->in_transit, job);
@@ -654,10 +835,13 @@
   for (uint32_t i = 0; i < model->up_count; i++)
     {
       uint64_t slots = (uint64_t) model->load->slots * PERMILLE;
+      uint32_t in_flight = in_flight_on (model, vm, i);
+      if (model->load->machines.knowledge == MDL_KNOWS_LEARNED)
+        slots = lrn_capacity_mslots (&vm->ups[i].learned, model->load->slots, model->now_ms);
       if (vm->ups[i].leaving || model->now_ms < vm->ups[i].paused_until_ms)
         continue;
-      if (in_flight_on (vm, i) < model->load->slots && !ups_is_down (&vm->ups[i]))
-        vm->free_slots[model->ups[i].region] += model->load->slots - in_flight_on (vm, i);
+      if (in_flight < slots_of (model, vm, i) && !ups_is_down (&vm->ups[i]))
+        vm->free_slots[model->ups[i].region] += slots_of (model, vm, i) - in_flight;
       if (ups_is_down (&vm->ups[i]))
         down[model->ups[i].region] += slots;
       else
@@ -824,6 +1008,22 @@
 
 /* ---- Replay ---- */
 
+static uint32_t
+speed_of (const MdlMachines *machines, uint32_t up)
+{
+  uint32_t speed_permille = machines->speed_permille[up % MDL_SPEEDS];
+
+  return speed_permille > 0 ? speed_permille : PERMILLE;
+}
+
+static MdlReports
+reports_of (const MdlMachines *machines, uint32_t up)
+{
+  if (up * machines->false_permille % PERMILLE >= machines->false_permille)
+    return machines->reports;
+  return up * machines->false_permille / PERMILLE % 2 == 0 ? MDL_REPORTS_IDLE : MDL_REPORTS_FULL;
+}
+
 static void
 build_model (Model *model)
 {
@@ -845,6 +1045,9 @@
           = (Up){ .hash = g_rand_int (model->random),
                   .region = r,
                   .slow = slow_every > 0 && at % slow_every == 0,
+                  .speed_permille = speed_of (&load->machines, at),
+                  .degrades = load->machines.slow_to_s > 0 && at % DEGRADED_EVERY == 0,
+                  .reports = reports_of (&load->machines, at),
                   .advises = at * load->advice.permille % PERMILLE < load->advice.permille };
   for (uint32_t r = 0, at = 0; r < REGIONS_MAX; r++)
     for (uint32_t i = 0; i < load->nodes[r]; i++, at++)
@@ -864,7 +1067,10 @@
         vm->warm_ms = load->objective_ms / 2;
         crd_init (&vm->objects);
         for (uint32_t u = 0; u < model->up_count; u++)
-          vm->ups[u].slowness_permille = PERMILLE;
+          {
+            vm->ups[u].slowness_permille = PERMILLE;
+            lrn_init (&vm->ups[u].learned);
+          }
       }
 }
 
@@ -912,11 +1118,35 @@
   return (uint32_t) (done * PERMILLE / MAX (model->report.asked, 1));
 }
 
+static uint32_t
+age_percentile_ms (const Model *model, uint32_t permille)
+{
+  uint64_t total = 0;
+  uint64_t below = 0;
+
+  for (uint32_t i = 0; i < AGE_BINS; i++)
+    total += model->ages[i];
+  for (uint32_t i = 0; i < AGE_BINS; i++)
+    {
+      below += model->ages[i];
+      if (below * PERMILLE >= total * permille)
+        return i * AGE_BIN_MS;
+    }
+  return AGE_BINS * AGE_BIN_MS;
+}
+
 static void
 summarize (Model *model)
 {
   MdlReport *report = &model->report;
   uint64_t credit = 0;
+  uint64_t in_objective = 0;
+
+  for (uint32_t s = 0; s < model->load->seconds; s++)
+    in_objective += report->seconds[s].in_objective;
+  report->in_objective_permille = (uint32_t) (in_objective * PERMILLE / MAX (report->asked, 1));
+  report->p50_ms = age_percentile_ms (model, 500);
+  report->p99_ms = age_percentile_ms (model, 990);
 
   for (uint32_t s = 0; s < model->load->seconds; s++)
     credit += (uint64_t) report->seconds[s].in_objective * PERMILLE
@@ -940,6 +1170,7 @@
   for (; model.now_ms < end_ms; model.now_ms += STEP_MS)
     {
       step_faults (&model);
+      step_noise (&model);
       step_views (&model);
       step_cardinality (&model);
       step_shares (&model);
--- a/tools/mdl.h
+++ b/tools/mdl.h
@@ -49,6 +49,54 @@
   uint32_t pause_ms;
 } MdlAdvice;
 
+/** typedef MdlReports - what upstreams report of their load in responses */
+typedef enum
+{
+  MDL_REPORTS_NONE,
+  MDL_REPORTS_TRUE,
+  MDL_REPORTS_IDLE,
+  MDL_REPORTS_FULL,
+} MdlReports;
+
+/** typedef MdlKnowledge - what the simulated nodes know of the upstreams' capacity */
+typedef enum
+{
+  MDL_KNOWS_REGISTRATION,
+  MDL_KNOWS_LEARNED,
+  MDL_KNOWS_ALL,
+  MDL_KNOWS_WEIGHTS,
+} MdlKnowledge;
+
+#define MDL_SPEEDS 3
+
+/**
+ * struct MdlMachines - machines on which the upstreams run
+ * @knowledge: of the nodes. MDL_KNOWS_ALL: placement is given the true speeds and knees;
+ *   MDL_KNOWS_WEIGHTS: objects are assigned in proportion to the true capacity
+ * @speed_permille: speeds of the upstreams in turn; 0 stands for 1000
+ * @knee_permille: part of the slots from which on work takes twice as long; 0 for none
+ * @noise_permille: part of the upstreams that a neighbour slows to 2.5 times the time, at any time
+ * @noise_ms: length of such a slowdown
+ * @slow_from_s: one of eight upstreams takes 5 times as long until @slow_to_s
+ * @all_slow_from_s: all upstreams take 2.5 times as long until @all_slow_to_s
+ * @reports: what the upstreams report
+ * @false_permille: part of the upstreams that report MDL_REPORTS_IDLE and MDL_REPORTS_FULL in turn
+ */
+typedef struct
+{
+  MdlKnowledge knowledge;
+  uint32_t speed_permille[MDL_SPEEDS];
+  uint32_t knee_permille;
+  uint32_t noise_permille;
+  uint32_t noise_ms;
+  uint32_t slow_from_s;
+  uint32_t slow_to_s;
+  uint32_t all_slow_from_s;
+  uint32_t all_slow_to_s;
+  MdlReports reports;
+  uint32_t false_permille;
+} MdlMachines;
+
 /**
  * struct MdlLoad - a load pattern
  * @upstreams: upstreams of each region
@@ -64,6 +112,7 @@
  * @slow_permille: share of the upstreams whose service time is five times as long
  * @view_ms: maximum age of the views of other nodes
  * @advice: stated by a share of the upstreams
+ * @machines: differences between the upstreams
  * @bursts: entries with a @factor of 0 are unused
  */
 typedef struct
@@ -89,6 +138,7 @@
   uint32_t lost_at_s;
   uint32_t slow_permille;
   MdlAdvice advice;
+  MdlMachines machines;
   MdlBurst bursts[MDL_BURSTS_MAX];
   uint32_t seconds;
 } MdlLoad;
@@ -108,6 +158,9 @@
  * @bound_permille: upper bound of the credit: every object warm everywhere, no slot idle while
  * requests wait
  * @warm_permille: share of the runs on an upstream that is warm for the object
+ * @p50_ms: median response time of the answered requests, including waits and retries
+ * @p99_ms: its 99th percentile
+ * @in_objective_permille: share of the requests answered within the objective
  * @sheds: requests rejected by upstreams for overload
  * @upstream_requests_max: maximum of requests at one upstream, running and queued
  * @advice_violations_max: maximum of requests from one node that reached an upstream during the
@@ -124,6 +177,9 @@
   uint32_t credit_permille;
   uint32_t bound_permille;
   uint32_t warm_permille;
+  uint32_t p50_ms;
+  uint32_t p99_ms;
+  uint32_t in_objective_permille;
   uint32_t sheds;
   uint32_t upstream_requests_max;
   uint32_t advice_violations_max;
