Learned capacity: service time by load, over each upstream and over the service

Change: each service keeps a curve of the service time by load, relative to each upstream's own time; an upstream's own curve contradicts or confirms it. Beyond the knee the standby may serve too; the registered slots still decide how long a request would queue.

--- a/src/chs.h
+++ b/src/chs.h
@@ -71,7 +71,7 @@
 
 /** chs_slots() - concurrent requests that an upstream takes well: its registered slots, or fewer
  * that were learned. */
-uint32_t chs_slots (const Node *node, const Ups *ups, uint64_t now_ms);
+uint32_t chs_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms);
 
 /** chs_in_flight() - estimate of the requests on an upstream from all nodes. */
 uint32_t chs_in_flight (const Node *node, const Ups *ups, uint64_t now_ms);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -63,7 +63,7 @@
                        .slots = ups->record.slots };
 
   ups_record_service_time (ups, service_time_ms, sample.expected_ms);
-  lrn_record_service_time (&ups->learned, &sample, clk_now_ms ());
+  lrn_record_service_time (&ups->learned, &frq->service->curve, &sample, clk_now_ms ());
 }
 
 /* Consumes the retry budget when it returns true. */
--- a/src/lim.h
+++ b/src/lim.h
@@ -154,15 +154,14 @@
  * average over LRN_LASTING_MS passes over slowdowns of some hundred ms. A slow upstream is tried
  * again after LRN_TRIAL_MIN_MS without requests. */
 #define LRN_BANDS 4
-#define LRN_BAND_SAMPLES_MIN 12
 #define LRN_BAND_TTL_MS 15000
 #define LRN_REPORT_FRESH_MS 100
 #define LRN_REPORT_MAX_AGE_MS 400
 #define LRN_SLOTS_MAX_AGE_MS 5000
 #define LRN_WORK_MIN_MS 10
 #define LRN_LASTING_MS 3000
-#define LRN_SLOW_PERMILLE 1500u
-#define LRN_RECOVERED_PERMILLE 1250u
+#define LRN_SLOW_PERMILLE 1400u
+#define LRN_RECOVERED_PERMILLE 1200u
 #define LRN_FAST_PERMILLE 800u
 #define LRN_CAPACITY_MIN_PERMILLE 500u
 #define LRN_CAPACITY_MAX_PERMILLE 4000u
--- a/src/lrn.c
+++ b/src/lrn.c
@@ -15,7 +15,12 @@
 /* Moving averages: a new value has a weight of 1 / divisor. */
 #define RECENT_DIVISOR 4
 #define TRIAL_DIVISOR 2
-#define BAND_DIVISOR 16
+#define UPSTREAM_DIVISOR 16
+#define SERVICE_DIVISOR 64
+
+/* Samples after which a moving average is used: its mean error is below the differences looked for.
+ */
+#define KNOWN_SAMPLES(divisor) ((divisor) *3 / 8 + 8)
 #define TRUST_DIVISOR 16
 #define LASTING_DIVISOR_MIN 16
 
@@ -24,9 +29,12 @@
 #define RELATIVE_PACE_MIN_PERMILLE 250u
 #define RELATIVE_PACE_MAX_PERMILLE 4000u
 
-/* A band is chosen when it reaches this part of the best band's throughput: more concurrency then
- * lengthens the responses rather than serving more. */
-#define THROUGHPUT_ENOUGH_PCT 95u
+/* Times in the highest known range of the load relative to those in the lowest one: from where on
+ * there is a knee between them, and up to where a range counts as below it. The load is known only
+ * within about one request, so that a range's times are mixed with its neighbours'. */
+#define UPSTREAM_KNEE_PERMILLE 1400u
+#define SERVICE_KNEE_PERMILLE 1250u
+#define NO_KNEE_PERMILLE 1150u
 
 static uint32_t
 clamp (uint64_t value, uint32_t min, uint32_t max)
@@ -42,6 +50,21 @@
   return (uint32_t) (old + ((int64_t) value - (int64_t) old) / divisor);
 }
 
+static void
+init_curve (LrnCurve *curve, uint32_t divisor, uint32_t knee_permille)
+{
+  memset (curve, 0, sizeof *curve);
+  curve->divisor = divisor;
+  curve->knee_permille = knee_permille;
+  curve->limit = LRN_BANDS - 1;
+}
+
+void
+lrn_init_service (LrnCurve *service)
+{
+  init_curve (service, SERVICE_DIVISOR, SERVICE_KNEE_PERMILLE);
+}
+
 void
 lrn_init (Lrn *lrn)
 {
@@ -50,6 +73,7 @@
   lrn->usual_pace_pct = PACE_USUAL_PCT * LRN_PACE_SCALE;
   lrn->trust_permille = PERMILLE / 2;
   lrn->trial_period_ms = LRN_TRIAL_MIN_MS;
+  init_curve (&lrn->curve, UPSTREAM_DIVISOR, UPSTREAM_KNEE_PERMILLE);
   lrn->recent_permille = PERMILLE;
   lrn->lasting_ppm = PPM;
 }
@@ -227,23 +251,71 @@
 }
 
 static bool
-is_band_known (const LrnBand *band, uint64_t now_ms)
+is_known (const LrnCurve *curve, uint32_t band, uint64_t now_ms)
 {
-  return band->samples >= LRN_BAND_SAMPLES_MIN && now_ms - band->measured_at_ms < LRN_BAND_TTL_MS;
+  return curve->bands[band].samples >= KNOWN_SAMPLES (curve->divisor)
+         && now_ms - curve->bands[band].measured_at_ms < LRN_BAND_TTL_MS;
 }
 
 static void
-record_band (LrnBand *band, uint32_t time_permille, uint64_t now_ms)
+record_band (LrnCurve *curve, uint32_t load_band, uint32_t time_permille, uint64_t now_ms)
 {
-  if (band->samples == 0 || now_ms - band->measured_at_ms >= LRN_BAND_TTL_MS)
-    *band = (LrnBand){ .time_permille = time_permille };
-  uint32_t divisor = band->samples + 1 < BAND_DIVISOR ? band->samples + 1 : BAND_DIVISOR;
-  band->time_permille = average (band->time_permille, time_permille, divisor);
-  if (band->samples < LRN_BAND_SAMPLES_MIN)
+  LrnBand *band = &curve->bands[load_band];
+
+  if (now_ms - band->measured_at_ms >= LRN_BAND_TTL_MS)
+    band->samples = 0;
+  if (band->samples < curve->divisor)
     band->samples++;
+  band->time_ppm = average (band->time_ppm, time_permille * PPM_OF_PERMILLE, band->samples);
   band->measured_at_ms = now_ms;
 }
 
+static uint32_t
+relative_to_permille (const LrnCurve *curve, uint32_t band, uint32_t base)
+{
+  return (uint32_t) ((uint64_t) curve->bands[band].time_ppm * PERMILLE
+                     / curve->bands[base].time_ppm);
+}
+
+/* Lowers the limit to the ranges below a knee, or removes it. */
+static void
+update_limit (LrnCurve *curve, uint64_t now_ms)
+{
+  uint32_t low = 0;
+  uint32_t high = LRN_BANDS - 1;
+
+  while (low < high && !is_known (curve, low, now_ms))
+    low++;
+  while (high > low && !is_known (curve, high, now_ms))
+    high--;
+  if (low == high)
+    return;
+  uint32_t high_permille = relative_to_permille (curve, high, low);
+  bool limited = curve->limit < high;
+  if (high == LRN_BANDS - 1 && high_permille < NO_KNEE_PERMILLE)
+    curve->straight_at_ms = now_ms;
+  if (high_permille < (limited ? NO_KNEE_PERMILLE : curve->knee_permille))
+    {
+      curve->limit = LRN_BANDS - 1;
+      return;
+    }
+  /* The knee is where the time passes the middle between both. */
+  uint32_t middle_permille = (PERMILLE + high_permille) / 2;
+  curve->limit = high - 1;
+  while (curve->limit > low
+         && (!is_known (curve, curve->limit, now_ms)
+             || relative_to_permille (curve, curve->limit, low) >= middle_permille))
+    curve->limit--;
+  curve->limited_at_ms = now_ms;
+}
+
+static void
+record_curve (LrnCurve *curve, uint32_t band, uint32_t time_permille, uint64_t now_ms)
+{
+  record_band (curve, band, time_permille, now_ms);
+  update_limit (curve, now_ms);
+}
+
 /* Time at the usual pace. */
 static uint64_t
 without_pace_ms (const Lrn *lrn, uint32_t time_ms, uint64_t now_ms)
@@ -252,7 +324,7 @@
 }
 
 void
-lrn_record_service_time (Lrn *lrn, const LrnSample *sample, uint64_t now_ms)
+lrn_record_service_time (Lrn *lrn, LrnCurve *service, const LrnSample *sample, uint64_t now_ms)
 {
   uint32_t work_ms = sample->time_ms > sample->rtt_ms ? sample->time_ms - sample->rtt_ms : 0;
   uint64_t usual_work_ms = without_pace_ms (lrn, work_ms, now_ms);
@@ -268,16 +340,20 @@
         usual_work_ms = usual_work_ms * sample->slots / sample->load;
       uint32_t time_permille = relative_time_permille (usual_work_ms, sample->expected_ms);
       record_lasting (lrn, time_permille, now_ms);
-      record_band (&lrn->bands[band_of (sample->load, sample->slots)], time_permille, now_ms);
+      uint32_t band = band_of (sample->load, sample->slots);
+      /* Slow upstreams are loaded more, which is no knee: the curve is relative to each one's own.
+       */
+      time_permille = time_permille * PERMILLE / (lrn->lasting_ppm / PPM_OF_PERMILLE);
+      record_curve (&lrn->curve, band, time_permille, now_ms);
+      record_curve (service, band, time_permille, now_ms);
     }
   lrn->measured_at_ms = now_ms;
 }
 
 /* ---- Results ---- */
 
-/* Slots that the upstream itself states are used when they are fewer than the registered ones. */
-static uint32_t
-stated_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
+uint32_t
+lrn_stated_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
 {
   bool usable = lrn->reported_at_ms != 0 && now_ms - lrn->reported_at_ms < LRN_SLOTS_MAX_AGE_MS
                 && lrn->trust_permille >= PERMILLE / 2;
@@ -293,31 +369,28 @@
   return upper > 0 ? upper : 1;
 }
 
-static uint64_t
-throughput (const LrnBand *band, uint32_t slots)
+static uint32_t
+limit_of (const LrnCurve *curve, uint64_t now_ms)
+{
+  return now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS ? curve->limit : LRN_BANDS - 1;
+}
+
+static bool
+is_straight (const LrnCurve *curve, uint64_t now_ms)
 {
-  return (uint64_t) slots * PERMILLE * PERMILLE / band->time_permille;
+  return curve->straight_at_ms != 0 && now_ms - curve->straight_at_ms < LRN_BAND_TTL_MS;
 }
 
 uint32_t
-lrn_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
-{
-  uint64_t best = 0;
-
-  slots = stated_slots (lrn, slots, now_ms);
-  if (!is_band_known (&lrn->bands[LRN_BANDS - 1], now_ms))
-    return slots;
-  for (uint32_t b = 0; b < LRN_BANDS; b++)
-    if (is_band_known (&lrn->bands[b], now_ms))
-      {
-        uint64_t rate = throughput (&lrn->bands[b], band_slots (b, slots));
-        best = rate > best ? rate : best;
-      }
-  for (uint32_t b = 0; b < LRN_BANDS; b++)
-    if (is_band_known (&lrn->bands[b], now_ms)
-        && throughput (&lrn->bands[b], band_slots (b, slots)) * 100 >= best * THROUGHPUT_ENOUGH_PCT)
-      return band_slots (b, slots);
-  return slots;
+lrn_slots (const Lrn *lrn, const LrnCurve *service, uint32_t slots, uint64_t now_ms)
+{
+  uint32_t limit = limit_of (&lrn->curve, now_ms);
+  uint32_t service_limit = limit_of (service, now_ms);
+
+  slots = lrn_stated_slots (lrn, slots, now_ms);
+  if (service_limit < limit && !is_straight (&lrn->curve, now_ms))
+    limit = service_limit;
+  return limit < LRN_BANDS - 1 ? band_slots (limit, slots) : slots;
 }
 
 uint32_t
@@ -327,9 +400,9 @@
 }
 
 uint64_t
-lrn_capacity_mslots (const Lrn *lrn, uint32_t slots, uint64_t now_ms)
+lrn_capacity_mslots (const Lrn *lrn, const LrnCurve *service, uint32_t slots, uint64_t now_ms)
 {
-  uint64_t mslots = (uint64_t) lrn_slots (lrn, slots, now_ms) * PERMILLE;
+  uint64_t mslots = (uint64_t) lrn_slots (lrn, service, slots, now_ms) * PERMILLE;
   uint32_t lasting_permille = lrn->lasting_ppm / PPM_OF_PERMILLE;
   bool is_usual = lasting_permille > LRN_FAST_PERMILLE && lasting_permille < LRN_RECOVERED_PERMILLE;
 
--- a/src/lrn.h
+++ b/src/lrn.h
@@ -41,17 +41,36 @@
 
 /**
  * struct LrnBand - service times in one range of the load, each LRN_BANDS-th of the slots
- * @time_permille: moving average of the service time relative to the expected one
- * @samples: number of samples, LRN_BAND_SAMPLES_MIN at most
+ * @time_ppm: moving average of the service time relative to the expected one
+ * @samples: number of samples, up to the divisor of the moving average
  * @measured_at_ms: time of the last sample
  */
 typedef struct
 {
-  uint32_t time_permille;
+  uint32_t time_ppm;
   uint32_t samples;
   uint64_t measured_at_ms;
 } LrnBand;
 
+/**
+ * struct LrnCurve - service time as a function of the load, of one upstream or of a service
+ * @divisor: of the moving averages
+ * @knee_permille: time in the highest known range relative to the lowest one from which on there is
+ *   a knee between them
+ * @limit: highest range to use, below the knee; LRN_BANDS - 1 without a knee
+ * @limited_at_ms: when @limit was last confirmed
+ * @straight_at_ms: when the times in the highest range were last like those in the lowest one
+ */
+typedef struct
+{
+  LrnBand bands[LRN_BANDS];
+  uint32_t divisor;
+  uint32_t knee_permille;
+  uint32_t limit;
+  uint64_t limited_at_ms;
+  uint64_t straight_at_ms;
+} LrnCurve;
+
 /**
  * struct Lrn - what a node has learned of one incarnation of an upstream
  * @reported_at_ms: time of the last report; 0 for none
@@ -66,6 +85,7 @@
  * @lasting_ppm: the same over some seconds and without the time in the upstream's queue
  * @slow: @lasting_ppm reached LRN_SLOW_PERMILLE and has not fallen below LRN_RECOVERED_PERMILLE
  *   since
+ * @curve: its service time by load
  */
 typedef struct
 {
@@ -80,12 +100,15 @@
   uint32_t recent_permille;
   uint32_t lasting_ppm;
   bool slow;
-  LrnBand bands[LRN_BANDS];
+  LrnCurve curve;
 } Lrn;
 
 /** lrn_init() - nothing is known: all slots, as fast as its peers. */
 void lrn_init (Lrn *lrn);
 
+/** lrn_init_service() - the curve over all upstreams of a service: no knee. */
+void lrn_init_service (LrnCurve *service);
+
 /**
  * lrn_parse_report() - parses the load header
  * @text: RUNNING,WAITING,SLOTS or RUNNING,WAITING,SLOTS,PACE in decimal digits
@@ -104,9 +127,14 @@
 void lrn_apply_report (Lrn *lrn, const LrnReport *report, uint32_t own, uint32_t others,
                        uint64_t now_ms);
 
-/** lrn_record_service_time() - learns from the response to a request; a report in the same response
- * is applied first. */
-void lrn_record_service_time (Lrn *lrn, const LrnSample *sample, uint64_t now_ms);
+/**
+ * lrn_record_service_time() - learns from the response to a request
+ * @service: curve over all upstreams of the service
+ *
+ * A report in the same response is applied first.
+ */
+void lrn_record_service_time (Lrn *lrn, LrnCurve *service, const LrnSample *sample,
+                              uint64_t now_ms);
 
 /**
  * lrn_in_flight() - estimate of the requests on the upstream from all nodes
@@ -116,10 +144,18 @@
 uint32_t lrn_in_flight (const Lrn *lrn, uint32_t own, uint32_t others, uint64_t now_ms);
 
 /**
- * lrn_slots() - concurrent requests beyond which the upstream serves hardly more per second
+ * lrn_stated_slots() - requests that the upstream runs at the same time: as many as it reported
+ * when these are fewer than the @slots of its registration
+ */
+uint32_t lrn_stated_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms);
+
+/**
+ * lrn_slots() - concurrent requests beyond which work on the upstream takes longer
+ * @service: curve over all upstreams of the service, which holds while the upstream's own is
+ * unknown
  * @slots: slots of its registration, the upper bound
  */
-uint32_t lrn_slots (const Lrn *lrn, uint32_t slots, uint64_t now_ms);
+uint32_t lrn_slots (const Lrn *lrn, const LrnCurve *service, uint32_t slots, uint64_t now_ms);
 
 /**
  * lrn_slowness_permille() - service time relative to that of its peers, at its usual pace
@@ -134,4 +170,5 @@
 uint32_t lrn_pace_permille (const Lrn *lrn, uint64_t now_ms);
 
 /** lrn_capacity_mslots() - slots of peers, in thousandths, that do the work of the upstream. */
-uint64_t lrn_capacity_mslots (const Lrn *lrn, uint32_t slots, uint64_t now_ms);
+uint64_t lrn_capacity_mslots (const Lrn *lrn, const LrnCurve *service, uint32_t slots,
+                              uint64_t now_ms);
--- a/src/nod.c
+++ b/src/nod.c
@@ -67,6 +67,7 @@
   service = g_new0 (NodService, 1);
   g_strlcpy (service->name, name, sizeof service->name);
   crd_init (&service->objects);
+  lrn_init_service (&service->curve);
   g_queue_init (&service->waiting);
   g_hash_table_insert (node->services, service->name, service);
   nsh_init_split (node, service, clk_now_ms ());
--- a/src/nod.h
+++ b/src/nod.h
@@ -190,6 +190,7 @@
  * @objects: cardinality estimate of its objects
  * @retries: retry budget
  * @traffic: demand and traffic split
+ * @curve: service time of its upstreams by their load
  * @waiting: requests that wait for a free slot, as Frq
  */
 typedef struct
@@ -198,6 +199,7 @@
   Crd objects;
   RbgBudget retries;
   NodTraffic traffic;
+  LrnCurve curve;
   GQueue waiting;
 } NodService;
 
--- a/src/nsh.c
+++ b/src/nsh.c
@@ -25,22 +25,23 @@
 
 /* A cold upstream counts with at most the slots that its permitted request rate keeps in use. */
 static uint64_t
-capacity_mslots (const Node *node, const NodTraffic *traffic, const RteService *limits,
+capacity_mslots (const Node *node, const NodService *service, const RteService *limits,
                  const Ups *ups, uint64_t now_ms)
 {
-  uint64_t slots = node->settings.learned_capacity
-                       ? lrn_capacity_mslots (&ups->learned, ups->record.slots, now_ms)
-                       : (uint64_t) ups->record.slots * PERMILLE;
+  uint64_t slots
+      = node->settings.learned_capacity
+            ? lrn_capacity_mslots (&ups->learned, &service->curve, ups->record.slots, now_ms)
+            : (uint64_t) ups->record.slots * PERMILLE;
 
   if (limits == NULL || limits->cold_per_s <= 0 || !ups_is_cold (ups, now_ms))
     return slots;
-  return MIN (slots, (uint64_t) (limits->cold_per_s * traffic->service_time_ms));
+  return MIN (slots, (uint64_t) (limits->cold_per_s * service->traffic.service_time_ms));
 }
 
 static uint32_t
-free_slots (const Node *node, const Ups *ups, uint64_t now_ms)
+free_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms)
 {
-  uint32_t slots = chs_slots (node, ups, now_ms);
+  uint32_t slots = chs_slots (node, service, ups, now_ms);
   uint32_t in_flight = chs_in_flight (node, ups, now_ms);
 
   return slots - MIN (in_flight, slots);
@@ -73,8 +74,8 @@
         continue;
       if (!ups_is_down (ups) && !ups_is_suspected (ups, now_ms))
         {
-          traffic->load.capacity[region] += capacity_mslots (node, traffic, limits, ups, now_ms);
-          traffic->free_slots[region] += free_slots (node, ups, now_ms);
+          traffic->load.capacity[region] += capacity_mslots (node, service, limits, ups, now_ms);
+          traffic->free_slots[region] += free_slots (node, service, ups, now_ms);
         }
       if (has_failed (ups, now_ms))
         lost_mslots[region] += (uint64_t) ups->record.slots * PERMILLE;
--- a/src/nst.c
+++ b/src/nst.c
@@ -1,6 +1,8 @@
 /* Node status: metrics in the Prometheus text exposition format, and a dump of the state. */
 #include "nst.h"
 
+#include "chs.h"
+
 #include <string.h>
 
 #define PREFIX "cardamom_node_"
@@ -108,17 +110,20 @@
 }
 
 static void
-dump_learned (const Lrn *learned, uint32_t slots, uint64_t now_ms, GString *out)
+dump_learned (const Node *node, const Ups *ups, uint64_t now_ms, GString *out)
 {
+  const Lrn *learned = &ups->learned;
+  const NodService *service = g_hash_table_lookup (node->services, ups->record.service);
+  uint32_t slots = service != NULL ? chs_slots (node, service, ups, now_ms) : ups->record.slots;
   long long report_age_ms
       = learned->reported_at_ms != 0 ? (long long) (now_ms - learned->reported_at_ms) : -1;
 
-  g_string_append_printf (
-      out,
-      " learned_slots=%u learned_slowness=%u lasting_slowness=%u slow=%d "
-      "pace=%u report_trust=%u report_age_ms=%lld\n",
-      lrn_slots (learned, slots, now_ms), learned->recent_permille, learned->lasting_ppm / 1000,
-      learned->slow, lrn_pace_permille (learned, now_ms), learned->trust_permille, report_age_ms);
+  g_string_append_printf (out,
+                          " learned_slots=%u learned_slowness=%u lasting_slowness=%u slow=%d "
+                          "pace=%u report_trust=%u report_age_ms=%lld\n",
+                          slots, learned->recent_permille, learned->lasting_ppm / 1000,
+                          learned->slow, lrn_pace_permille (learned, now_ms),
+                          learned->trust_permille, report_age_ms);
 }
 
 static void
@@ -139,7 +144,7 @@
           ups_is_cold (ups, now_ms), ups->in_flight, ups->others, ups->record.slots, ups->failures,
           now_ms < ups->backoff_until_ms, ups->misdirected, ups_is_suspected (ups, now_ms),
           ups->slowness_permille, ups->fault_permille);
-      dump_learned (&ups->learned, ups->record.slots, now_ms, out);
+      dump_learned (node, ups, now_ms, out);
     }
 }
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -16,7 +16,7 @@
  * @primary_score: highest score
  * @standby_score: second-highest score
  * @count: number of eligible candidates
- * @standby_allowed: the primary is slow or faulty, or no assigned upstream of the allowed regions
+ * @standby_allowed: the primary is degraded, or no assigned upstream of the allowed regions
  *   is usable
  * @primary_untried: this node has sent the primary no request since it joined
  */
@@ -40,10 +40,25 @@
   return x ^ (x >> 16);
 }
 
+static uint32_t
+good_slots (const PlcCandidate *candidate)
+{
+  return candidate->good_slots > 0 ? candidate->good_slots : candidate->slots;
+}
+
+/* It runs so many requests that its work takes longer. */
+static bool
+is_beyond_knee (const PlcCandidate *candidate)
+{
+  return good_slots (candidate) < candidate->slots
+         && candidate->in_flight >= good_slots (candidate);
+}
+
 static bool
 is_degraded (const PlcCandidate *candidate)
 {
-  return candidate->slow || candidate->slowness_permille >= SLOW_PERMILLE
+  return candidate->slow || is_beyond_knee (candidate)
+         || candidate->slowness_permille >= SLOW_PERMILLE
          || candidate->fault_permille >= FAULTY_PERMILLE;
 }
 
@@ -157,11 +172,11 @@
   if (!candidate->usable || !region_is_allowed (candidate, request))
     return false;
   if (request->key == 0)
-    return candidate->in_flight < candidate->slots;
+    return candidate->in_flight < good_slots (candidate);
   if (warm_permille > 0)
     return expected_wait_ms (candidate, expected_work_ms (candidate, request, warm_permille))
            <= request->wait_max_ms;
-  return allow_unassigned && candidate->in_flight * 2 < candidate->slots;
+  return allow_unassigned && candidate->in_flight * 2 < good_slots (candidate);
 }
 
 /* Expected response time, plus PLC_LOAD_COST_MS in proportion to the load. */
@@ -169,7 +184,7 @@
 cost_ms (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm_permille)
 {
   uint64_t work_ms = expected_work_ms (candidate, request, warm_permille);
-  uint64_t load_ms = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / candidate->slots;
+  uint64_t load_ms = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / good_slots (candidate);
 
   work_ms += work_ms * candidate->fault_permille / PERMILLE;
   return candidate->rtt_ms + work_ms + expected_wait_ms (candidate, (uint32_t) work_ms) + load_ms;
@@ -181,8 +196,8 @@
   uint32_t slots = 0;
 
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].usable && candidates[i].in_flight < candidates[i].slots)
-      slots += candidates[i].slots - candidates[i].in_flight;
+    if (candidates[i].usable && candidates[i].in_flight < good_slots (&candidates[i]))
+      slots += good_slots (&candidates[i]) - candidates[i].in_flight;
   return slots;
 }
 
--- a/src/plc.h
+++ b/src/plc.h
@@ -13,6 +13,7 @@
  * @hash: hash of its id
  * @region: index of its region
  * @slots: requests that it runs at the same time; 0 only when it is not usable
+ * @good_slots: requests beyond which its work takes longer, 0 for @slots
  * @in_flight: requests on it from all nodes
  * @rtt_ms: round-trip time to it
  * @slowness_permille: its work times relative to the usual ones of the routes, 1000 for equal
@@ -30,6 +31,7 @@
   uint32_t hash;
   uint32_t region;
   uint32_t slots;
+  uint32_t good_slots;
   uint32_t in_flight;
   uint32_t rtt_ms;
   uint32_t slowness_permille;
@@ -75,8 +77,9 @@
  * only a part of them.
  *
  * In @standby_region the standby upstream, which has the second-highest score, may serve the object
- * too while the primary is slow or faulty or no assigned upstream of the allowed regions is usable,
- * and, when it is warm for the object, while the primary is untried.
+ * too while the primary is slow or faulty or has more requests than it serves well, or no assigned
+ * upstream of the allowed regions is usable, and, when it is warm for the object, while the primary
+ * is untried.
  *
  * A request may queue at an upstream to which its object is assigned. Other upstreams are used only
  * when no assigned one is usable, and only while less than half of their slots are in use, because
@@ -88,5 +91,5 @@
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
 
-/** plc_free_slots() - free slots of all usable candidates. */
+/** plc_free_slots() - free good slots of all usable candidates. */
 uint32_t plc_free_slots (const PlcCandidate *candidates, uint32_t count);
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -90,6 +90,7 @@
   ShrAcceptance acceptance;
   uint32_t limits_ppm[REGIONS_MAX];
   uint64_t free_slots[REGIONS_MAX];
+  LrnCurve curve;
   Crd objects;
   uint32_t cold_ms;
   uint32_t warm_ms;
@@ -302,6 +303,16 @@
 
 /* ---- Ends of requests ---- */
 
+static uint32_t
+in_flight_on (const Model *model, const Vm *vm, uint32_t up)
+{
+  const Ups *ups = &vm->ups[up];
+
+  if (model->load->machines.knowledge == MDL_KNOWS_LEARNED)
+    return lrn_in_flight (&ups->learned, ups->in_flight, vm->views[up], model->now_ms);
+  return ups->in_flight + vm->views[up];
+}
+
 static MdlSecond *
 second_of (Model *model, const Job *job)
 {
@@ -342,7 +353,7 @@
                        .expected_ms = *usual_ms,
                        .load = job->load,
                        .slots = model->load->slots };
-  lrn_record_service_time (&ups->learned, &sample, model->now_ms);
+  lrn_record_service_time (&ups->learned, &job->vm->curve, &sample, model->now_ms);
   ups_record_service_time (ups, took_ms, *usual_ms);
   model->ages[MIN (age_ms / AGE_BIN_MS, AGE_BINS - 1)]++;
   *usual_ms
@@ -389,23 +400,13 @@
          && !(ups->failures > 0 && ups->in_flight > 0);
 }
 
-static uint32_t
-in_flight_on (const Model *model, const Vm *vm, uint32_t up)
-{
-  const Ups *ups = &vm->ups[up];
-
-  if (model->load->machines.knowledge == MDL_KNOWS_LEARNED)
-    return lrn_in_flight (&ups->learned, ups->in_flight, vm->views[up], model->now_ms);
-  return ups->in_flight + vm->views[up];
-}
-
 static uint32_t
 slots_of (const Model *model, const Vm *vm, uint32_t up)
 {
   const MdlMachines *machines = &model->load->machines;
 
   if (machines->knowledge == MDL_KNOWS_LEARNED)
-    return lrn_slots (&vm->ups[up].learned, model->load->slots, model->now_ms);
+    return lrn_slots (&vm->ups[up].learned, &vm->curve, model->load->slots, model->now_ms);
   bool knows_knee = machines->knowledge == MDL_KNOWS_ALL && machines->knee_permille > 0;
   return knows_knee ? knee_slots (model) : model->load->slots;
 }
@@ -446,7 +447,8 @@
                             .usable = is_usable (model, ups),
                             .hash = model->ups[i].hash,
                             .region = model->ups[i].region,
-                            .slots = slots_of (model, vm, i),
+                            .slots = model->load->slots,
+                            .good_slots = slots_of (model, vm, i),
                             .in_flight = in_flight_on (model, vm, i),
                             .rtt_ms = is_local ? LOCAL_RTT_MS : model->load->remote_rtt_ms,
                             .slowness_permille = ups->slowness_permille,
@@ -837,7 +839,8 @@
       uint64_t slots = (uint64_t) model->load->slots * PERMILLE;
       uint32_t in_flight = in_flight_on (model, vm, i);
       if (model->load->machines.knowledge == MDL_KNOWS_LEARNED)
-        slots = lrn_capacity_mslots (&vm->ups[i].learned, model->load->slots, model->now_ms);
+        slots = lrn_capacity_mslots (&vm->ups[i].learned, &vm->curve, model->load->slots,
+                                     model->now_ms);
       if (vm->ups[i].leaving || model->now_ms < vm->ups[i].paused_until_ms)
         continue;
       if (in_flight < slots_of (model, vm, i) && !ups_is_down (&vm->ups[i]))
@@ -1066,6 +1069,7 @@
         vm->cold_ms = load->objective_ms;
         vm->warm_ms = load->objective_ms / 2;
         crd_init (&vm->objects);
+        lrn_init_service (&vm->curve);
         for (uint32_t u = 0; u < model->up_count; u++)
           {
             vm->ups[u].slowness_permille = PERMILLE;
--- a/tools/mlc.c
+++ b/tools/mlc.c
@@ -7,7 +7,7 @@
 #define COMMON                                                                                     \
   .upstreams = { 8, 8, 8 }, .nodes = { 3, 3, 3 }, .slots = 6, .queue = 18, .cache_objects = 24,    \
   .objects = 96, .swing_permille = 300, .cold_ms = 640, .warm_ms = 200, .objective_ms = 500,       \
-  .timeout_ms = 2000, .remote_rtt_ms = 70, .view_ms = 100, .lost_region = REGIONS_MAX, .seconds = 40
+  .timeout_ms = 2000, .remote_rtt_ms = 70, .view_ms = 100, .lost_region = REGIONS_MAX, .seconds = 60
 /* clang-format on */
 
 static const MdlLoad loads[] = {
