--- a/src/chs.c
+++ b/src/chs.c
@@ -148,7 +148,7 @@
         .rtt_ms = chs_expected_rtt_ms (node, ups),
         .slowness_permille = slowness_permille (node, ups, now_ms),
         .slow = learned && ups->learned.slow,
-        .pace_permille = learned ? lrn_pace_permille (&ups->learned, now_ms) : 0,
+        .pace_permille = learned ? lrn_pace_permille (&ups->learned, now_ms) : PERMILLE,
         .fault_permille = ups->fault_permille,
         .untried = ups->objects[0] == 0 && region == node->settings.region_index,
         .objects = ups->objects,
--- a/src/lrn.c
+++ b/src/lrn.c
@@ -9,7 +9,7 @@
 #define PPM_OF_PERMILLE (PPM / PERMILLE)
 #define PACE_USUAL_PCT 100u
 #define PACE_MAX_PCT 10000u
-#define LRN_PACE_SCALE 64u
+#define PPM_OF_PCT 10000u
 #define COUNT_MAX 1000000u
 
 /* Moving averages: a new value has a weight of 1 / divisor. */
@@ -22,7 +22,7 @@
  */
 #define KNOWN_SAMPLES(divisor) ((divisor) *3 / 8 + 8)
 #define TRUST_DIVISOR 16
-#define LASTING_DIVISOR_MIN 16
+#define TIMED_DIVISOR_MIN 16
 
 #define TIME_MIN_PERMILLE 200u
 #define TIME_MAX_PERMILLE 20000u
@@ -33,7 +33,7 @@
  * there is a knee between them, and up to where a range counts as below it. The load is known only
  * within about one request, so that a range's times are mixed with its neighbours'. */
 #define UPSTREAM_KNEE_PERMILLE 1400u
-#define SERVICE_KNEE_PERMILLE 1250u
+#define SERVICE_KNEE_PERMILLE 1330u
 #define NO_KNEE_PERMILLE 1150u
 
 static uint32_t
@@ -50,6 +50,16 @@
   return (uint32_t) (old + ((int64_t) value - (int64_t) old) / divisor);
 }
 
+/* The weight of a sample grows with the time since the last one, so that the average spans about
+ * @span_ms whatever the rate. */
+static int64_t
+divisor_by_time (uint64_t elapsed_ms, uint32_t span_ms)
+{
+  int64_t divisor = (int64_t) (1 + span_ms / (elapsed_ms > 0 ? elapsed_ms : 1));
+
+  return divisor > TIMED_DIVISOR_MIN ? divisor : TIMED_DIVISOR_MIN;
+}
+
 static void
 init_curve (LrnCurve *curve, uint32_t divisor, uint32_t knee_permille)
 {
@@ -70,7 +80,7 @@
 {
   memset (lrn, 0, sizeof *lrn);
   lrn->pace_permille = PERMILLE;
-  lrn->usual_pace_pct = PACE_USUAL_PCT * LRN_PACE_SCALE;
+  lrn->usual_pace_ppm = PACE_USUAL_PCT * PPM_OF_PCT;
   lrn->trust_permille = PERMILLE / 2;
   lrn->trial_period_ms = LRN_TRIAL_MIN_MS;
   init_curve (&lrn->curve, UPSTREAM_DIVISOR, UPSTREAM_KNEE_PERMILLE);
@@ -134,6 +144,17 @@
   return reported > known * 2 + report->slots;
 }
 
+static void
+record_pace (Lrn *lrn, uint32_t pace_pct, uint64_t now_ms)
+{
+  lrn->previous_pace_permille = lrn->pace_permille;
+  lrn->previous_report_at_ms = lrn->reported_at_ms;
+  lrn->usual_pace_ppm = average (lrn->usual_pace_ppm, pace_pct * PPM_OF_PCT,
+                                 divisor_by_time (now_ms - lrn->reported_at_ms, LRN_USUAL_PACE_MS));
+  lrn->pace_permille = clamp ((uint64_t) pace_pct * PPM_OF_PCT * PERMILLE / lrn->usual_pace_ppm,
+                              RELATIVE_PACE_MIN_PERMILLE, RELATIVE_PACE_MAX_PERMILLE);
+}
+
 void
 lrn_apply_report (Lrn *lrn, const LrnReport *report, uint32_t own, uint32_t others, uint64_t now_ms)
 {
@@ -147,11 +168,7 @@
   if (lrn->reported_others > others_max)
     lrn->reported_others = others_max;
   lrn->reported_slots = report->slots;
-  lrn->usual_pace_pct
-      = lrn->usual_pace_pct + report->pace_pct - lrn->usual_pace_pct / LRN_PACE_SCALE;
-  lrn->pace_permille
-      = clamp ((uint64_t) report->pace_pct * LRN_PACE_SCALE * PERMILLE / lrn->usual_pace_pct,
-               RELATIVE_PACE_MIN_PERMILLE, RELATIVE_PACE_MAX_PERMILLE);
+  record_pace (lrn, report->pace_pct, now_ms);
   lrn->reported_at_ms = now_ms;
 }
 
@@ -225,16 +242,11 @@
     lrn->lasting_ppm = average (lrn->lasting_ppm, time_permille * PPM_OF_PERMILLE, TRIAL_DIVISOR);
 }
 
-/* The weight of a sample grows with the time since the last one, so that the average spans about
- * LRN_LASTING_MS whatever the rate. */
 static void
 record_lasting (Lrn *lrn, uint32_t time_permille, uint64_t now_ms)
 {
-  uint64_t elapsed_ms = now_ms - lrn->measured_at_ms;
-  int64_t divisor = (int64_t) (1 + LRN_LASTING_MS / (elapsed_ms > 0 ? elapsed_ms : 1));
+  int64_t divisor = divisor_by_time (now_ms - lrn->measured_at_ms, LRN_LASTING_MS);
 
-  if (divisor < LASTING_DIVISOR_MIN)
-    divisor = LASTING_DIVISOR_MIN;
   lrn->lasting_ppm = average (lrn->lasting_ppm, time_permille * PPM_OF_PERMILLE, divisor);
   if (lrn->lasting_ppm >= LRN_SLOW_PERMILLE * PPM_OF_PERMILLE)
     lrn->slow = true;
@@ -316,34 +328,56 @@
   update_limit (curve, now_ms);
 }
 
-/* Time at the usual pace. */
 static uint64_t
-without_pace_ms (const Lrn *lrn, uint32_t time_ms, uint64_t now_ms)
+distance (uint64_t a, uint64_t b)
+{
+  return a > b ? a - b : b - a;
+}
+
+/* Service time at the usual pace. The pace may have changed while the request ran: the reports at
+ * its end and before, and the usual pace, may each explain its time; the one is taken that brings
+ * it closest to the upstream's lasting time. */
+static uint32_t
+usual_time_permille (const Lrn *lrn, uint32_t time_permille, uint64_t now_ms)
 {
-  return (uint64_t) time_ms * PERMILLE / lrn_pace_permille (lrn, now_ms);
+  uint32_t lasting_permille = lrn->lasting_ppm / PPM_OF_PERMILLE;
+  uint32_t paces[] = { PERMILLE, PERMILLE };
+  uint64_t best = time_permille;
+
+  if (lrn->reported_at_ms != 0 && now_ms - lrn->reported_at_ms <= LRN_REPORT_FRESH_MS)
+    {
+      paces[0] = lrn->pace_permille;
+      if (now_ms - lrn->previous_report_at_ms < LRN_PREVIOUS_PACE_MS)
+        paces[1] = lrn->previous_pace_permille;
+    }
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uint64_t usual_permille = (uint64_t) time_permille * PERMILLE / paces[i];
+      if (distance (usual_permille, lasting_permille) < distance (best, lasting_permille))
+        best = usual_permille;
+    }
+  return clamp (best, TIME_MIN_PERMILLE, TIME_MAX_PERMILLE);
 }
 
 void
 lrn_record_service_time (Lrn *lrn, LrnCurve *service, const LrnSample *sample, uint64_t now_ms)
 {
   uint32_t work_ms = sample->time_ms > sample->rtt_ms ? sample->time_ms - sample->rtt_ms : 0;
-  uint64_t usual_work_ms = without_pace_ms (lrn, work_ms, now_ms);
+  uint32_t time_permille = relative_time_permille (sample->time_ms, sample->expected_ms);
 
-  record_recent (
-      lrn,
-      relative_time_permille (without_pace_ms (lrn, sample->time_ms, now_ms), sample->expected_ms),
-      now_ms);
+  record_recent (lrn, usual_time_permille (lrn, time_permille, now_ms), now_ms);
   if (sample->slots > 0 && sample->expected_ms >= LRN_WORK_MIN_MS)
     {
       /* A request behind a full set of slots waits; that is load, not slowness. */
-      if (sample->load > sample->slots)
-        usual_work_ms = usual_work_ms * sample->slots / sample->load;
-      uint32_t time_permille = relative_time_permille (usual_work_ms, sample->expected_ms);
+      uint32_t load = sample->load > sample->slots ? sample->load : sample->slots;
+      time_permille
+          = relative_time_permille ((uint64_t) work_ms * sample->slots / load, sample->expected_ms);
+      time_permille = usual_time_permille (lrn, time_permille, now_ms);
       record_lasting (lrn, time_permille, now_ms);
-      uint32_t band = band_of (sample->load, sample->slots);
       /* Slow upstreams are loaded more, which is no knee: the curve is relative to each one's own.
        */
       time_permille = time_permille * PERMILLE / (lrn->lasting_ppm / PPM_OF_PERMILLE);
+      uint32_t band = band_of (sample->load, sample->slots);
       record_curve (&lrn->curve, band, time_permille, now_ms);
       record_curve (service, band, time_permille, now_ms);
     }
--- a/src/lrn.h
+++ b/src/lrn.h
@@ -76,8 +76,10 @@
  * @reported_at_ms: time of the last report; 0 for none
  * @reported_others: reported requests less those in flight from this node at that time
  * @reported_slots: slots that it reported
- * @pace_permille: reported pace relative to @usual_pace_pct
- * @usual_pace_pct: moving average of the reported pace; times LRN_PACE_SCALE
+ * @pace_permille: reported pace relative to @usual_pace_ppm
+ * @previous_pace_permille: the same of the report before
+ * @previous_report_at_ms: time of the report before; 0 for none
+ * @usual_pace_ppm: moving average of the reported pace over LRN_USUAL_PACE_MS
  * @trust_permille: share of the recent reports that agree with the requests known to be in flight
  * @measured_at_ms: time of the last service time; 0 for none
  * @trial_period_ms: time without requests after which a slow upstream is tried again
@@ -93,7 +95,9 @@
   uint32_t reported_others;
   uint32_t reported_slots;
   uint32_t pace_permille;
-  uint32_t usual_pace_pct;
+  uint32_t previous_pace_permille;
+  uint64_t previous_report_at_ms;
+  uint32_t usual_pace_ppm;
   uint32_t trust_permille;
   uint64_t measured_at_ms;
   uint32_t trial_period_ms;
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -6,6 +6,8 @@
 extern "C"
 {
 #include "chs.h"
+#include "nsh.h"
+#include "plc.h"
 }
 
 #include <gtest/gtest.h>
@@ -43,6 +45,7 @@
         g_array_append_val (node_->settings.zones, zone);
         g_ptr_array_add (node_->settings.regions, g_strdup_printf ("region-%u", r));
       }
+    node_->settings.learned_capacity = true;
     nod_init (node_, &loop_);
     node_->started_at_ms = 1;
     per_init (&node_->peers);
@@ -174,6 +177,66 @@
   chs_candidates_free (set);
 }
 
+// Without reports and without differences, learning must change no candidate.
+TEST_F (Selection, LearningWithoutDifferencesYieldsSameCandidates)
+{
+  AddUpstreams (0);
+  ChsRequest request = Request (0);
+  NodService *service = nod_service (node_, "service");
+  for (int i = 0; i < kUpstreams; i++)
+    {
+      Ups *ups = ups_get (&node_->upstreams, ("upstream-" + std::to_string (i)).c_str ());
+      ups->in_flight = i % 3;
+      ups->others = i % 5;
+      LrnSample sample = { 200, 0, 200, 1, ups->record.slots };
+      for (int n = 0; n < 40; n++)
+        {
+          sample.load = 1 + n % 3;
+          ups_record_service_time (ups, sample.time_ms, sample.expected_ms);
+          lrn_record_service_time (&ups->learned, &service->curve, &sample, clk_now_ms ());
+        }
+    }
+  ChsCandidates *learned = chs_candidates_new (node_, &request);
+  node_->settings.learned_capacity = false;
+  ChsCandidates *registered = chs_candidates_new (node_, &request);
+  EXPECT_EQ (learned->total_slots, registered->total_slots);
+  for (int i = 0; i < kUpstreams; i++)
+    {
+      const PlcCandidate &a = learned->candidates[i];
+      const PlcCandidate &b = registered->candidates[i];
+      ASSERT_EQ (a.eligible, b.eligible);
+      ASSERT_EQ (a.usable, b.usable);
+      ASSERT_EQ (a.slots, b.slots);
+      ASSERT_EQ (a.good_slots, b.good_slots);
+      ASSERT_EQ (a.in_flight, b.in_flight);
+      ASSERT_EQ (a.slowness_permille, b.slowness_permille);
+      ASSERT_EQ (a.slow, b.slow);
+      ASSERT_EQ (a.pace_permille, b.pace_permille);
+    }
+  chs_candidates_free (learned);
+  chs_candidates_free (registered);
+}
+
+// Service time differs between upstreams: the slow one's share of capacity is smaller.
+TEST_F (Selection, SlowUpstreamsLowerTheirRegionsCapacity)
+{
+  AddUpstreams (0);
+  NodService *service = nod_service (node_, "service");
+  nsh_init_split (node_, service, clk_now_ms ());
+  uint64_t before = service->traffic.load.capacity[0];
+  for (int i = 0; i < kUpstreams; i += 3)
+    {
+      Ups *ups = ups_get (&node_->upstreams, ("upstream-" + std::to_string (i)).c_str ());
+      LrnSample sample = { 400, 0, 200, 1, ups->record.slots };
+      for (uint64_t n = 0; n < 100; n++)
+        lrn_record_service_time (&ups->learned, &service->curve, &sample,
+                                 clk_now_ms () - 5000 + n * 50);
+    }
+  nsh_init_split (node_, service, clk_now_ms ());
+  EXPECT_LT (service->traffic.load.capacity[0], before * 8 / 10);
+  EXPECT_EQ (service->traffic.load.capacity[1], before);
+}
+
 // A node on a tenth of a core makes some 340 choices per second while requests wait; control work
 // may use 1.9 % of a core.
 TEST_F (Selection, CpuTimeStaysBelowLimitWhileAllUpstreamsAreCold)
--- a/tests/test_plc.cc
+++ b/tests/test_plc.cc
@@ -160,6 +160,61 @@
   EXPECT_NE (Choose (upstreams, Request (4)), primary);
 }
 
+// A neighbour slows the primary's machine to 2.5 times the time for some 600 ms: warm work there
+// still beats work on an upstream that is cold for the object.
+TEST (Plc, ShortSlowdownMovesNoObject)
+{
+  std::vector<PlcCandidate> upstreams = Region (6);
+  for (uint32_t key = 1; key <= 200; key++)
+    {
+      uint32_t primary = Choose (upstreams, Request (key));
+      upstreams[primary].pace_permille = 2500;
+      EXPECT_EQ (Choose (upstreams, Request (key)), primary);
+      upstreams[primary].pace_permille = 0;
+    }
+}
+
+TEST (Plc, LastingSlowdownMovesObjects)
+{
+  std::vector<PlcCandidate> upstreams = Region (6);
+  for (uint32_t key = 1; key <= 200; key++)
+    {
+      uint32_t primary = Choose (upstreams, Request (key));
+      upstreams[primary].slow = true;
+      upstreams[primary].slowness_permille = 2500;
+      EXPECT_NE (Choose (upstreams, Request (key)), primary);
+      upstreams[primary].slow = false;
+      upstreams[primary].slowness_permille = 1000;
+    }
+}
+
+// The primary runs more requests than it serves well, and the standby is warm for the object.
+TEST (Plc, StandbyServesBeyondTheKneeOfThePrimary)
+{
+  std::vector<PlcCandidate> upstreams = Region (6);
+  const uint32_t object = 5;
+  uint32_t primary = Choose (upstreams, Request (object));
+  for (uint32_t i = 0; i < upstreams.size (); i++)
+    if (i != primary)
+      MakeWarm (&upstreams[i], &object);
+  upstreams[primary].good_slots = 2;
+  EXPECT_EQ (Choose (upstreams, Request (object)), primary);
+  upstreams[primary].in_flight = 2;
+  EXPECT_NE (Choose (upstreams, Request (object)), primary);
+  upstreams[primary].good_slots = 0;
+  EXPECT_EQ (Choose (upstreams, Request (object)), primary);
+}
+
+TEST (Plc, RequestsWithoutObjectStayWithinGoodSlots)
+{
+  std::vector<PlcCandidate> upstreams = Region (1);
+  upstreams[0].good_slots = 2;
+  upstreams[0].in_flight = 1;
+  EXPECT_EQ (Choose (upstreams, Request (0)), 0u);
+  upstreams[0].in_flight = 2;
+  EXPECT_EQ (Choose (upstreams, Request (0)), PLC_NONE);
+}
+
 TEST (Plc, ChoosesNoneWhenOnlyReservedSlotsAreFree)
 {
   std::vector<PlcCandidate> upstreams = Region (1);
--- a/tools/mlc.c
+++ b/tools/mlc.c
@@ -8,6 +8,10 @@
   .upstreams = { 8, 8, 8 }, .nodes = { 3, 3, 3 }, .slots = 6, .queue = 18, .cache_objects = 24,    \
   .objects = 96, .swing_permille = 300, .cold_ms = 640, .warm_ms = 200, .objective_ms = 500,       \
   .timeout_ms = 2000, .remote_rtt_ms = 70, .view_ms = 100, .lost_region = REGIONS_MAX, .seconds = 60
+#define ONE_UPSTREAM                                                                               \
+  .upstreams = { 1 }, .slots = 32, .queue = 32, .cache_objects = 24, .objects = 16,                \
+  .rate_per_s = 110, .cold_ms = 640, .warm_ms = 200, .objective_ms = 500, .timeout_ms = 2000,      \
+  .remote_rtt_ms = 70, .lost_region = REGIONS_MAX, .seconds = 60
 /* clang-format on */
 
 static const MdlLoad loads[] = {
@@ -44,6 +48,18 @@
     COMMON,
     .rate_per_s = 280,
     .machines = { .reports = MDL_REPORTS_TRUE, .false_permille = 250 } },
+  { .name = "one-node",
+    ONE_UPSTREAM,
+    .nodes = { 1 },
+    .view_ms = 100,
+    .bursts = { { .region = 0, .from_s = 30, .to_s = 36, .factor = 2.0 } },
+    .machines = { .reports = MDL_REPORTS_TRUE } },
+  { .name = "300-nodes",
+    ONE_UPSTREAM,
+    .nodes = { 300 },
+    .view_ms = 500,
+    .bursts = { { .region = 0, .from_s = 30, .to_s = 36, .factor = 2.0 } },
+    .machines = { .reports = MDL_REPORTS_TRUE } },
   { .name = NULL },
 };
 
