--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -9,6 +9,7 @@
 }
 
 #include <algorithm>
+#include <atomic>
 #include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
@@ -112,6 +113,85 @@
     EXPECT_EQ (fbk_retry_after_ms (text), 0u) << text;
 }
 
+namespace
+{
+// A node's state without a process, and a response of its upstream with a load header.
+class LoadHeader : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    node_ = g_new0 (Node, 1);
+    node_->settings.learned_capacity = true;
+    node_->headers.leaving = "Server-Leaving";
+    node_->headers.load = "X-Backend-Load";
+    lrn_init (&ups_.learned);
+    ups_.record.slots = 4;
+  }
+
+  void
+  TearDown () override
+  {
+    g_free (node_);
+  }
+
+  void
+  Apply (int status, const std::string &load)
+  {
+    std::string name = "x-backend-load";
+    std::string value = load;
+    UcnHeader header = { name.data (), value.data () };
+    UcnResponse response = {};
+    response.status = status;
+    response.headers = g_ptr_array_new ();
+    g_ptr_array_add (response.headers, &header);
+    fbk_apply (node_, &ups_, &response);
+    g_ptr_array_unref (response.headers);
+  }
+
+  Node *node_ = nullptr;
+  Ups ups_ = {};
+};
+}
+
+TEST_F (LoadHeader, IsReadFromSuccessAndErrorResponses)
+{
+  int count = 0;
+  for (int status : { 200, 404, 421, 500, 503 })
+    {
+      Apply (status, "3,1,4,120");
+      EXPECT_EQ (node_->counters.load_reports, static_cast<uint64_t> (++count));
+      EXPECT_EQ (ups_.learned.reported_others, 3u);
+      EXPECT_NE (ups_.learned.reported_at_ms, 0u);
+      ups_.learned.reported_at_ms = 0;
+    }
+  EXPECT_EQ (node_->counters.load_reports_invalid, 0u);
+}
+
+TEST_F (LoadHeader, MalformedOneIsCountedAndIgnored)
+{
+  for (const char *load : { "", "1,2", "a,b,c", "1,2,0", "-1,0,4", "1,2,3,4,5", "1e9,0,4" })
+    Apply (200, load);
+  EXPECT_EQ (node_->counters.load_reports, 7u);
+  EXPECT_EQ (node_->counters.load_reports_invalid, 7u);
+  EXPECT_EQ (ups_.learned.reported_at_ms, 0u);
+}
+
+TEST_F (LoadHeader, IsIgnoredWhileLearningIsOff)
+{
+  node_->settings.learned_capacity = false;
+  Apply (200, "3,1,4,120");
+  EXPECT_EQ (node_->counters.load_reports, 0u);
+  EXPECT_EQ (ups_.learned.reported_at_ms, 0u);
+}
+
+TEST (LearnedCapacityOption, OtherValuesThanOnAndOffAreRefused)
+{
+  int status = system (PROGRAMS_DIR "/cardamom-node --learned-capacity=maybe 2>/dev/null");
+  EXPECT_EQ (WEXITSTATUS (status), 2);
+}
+
 // The store does not respond, so the node can learn it only from the response.
 TEST_F (UpstreamFeedback, UpstreamWithLeavingHeaderGetsNoNewRequests)
 {
@@ -124,6 +204,22 @@
   EXPECT_EQ (first_.arrivals (), before);
 }
 
+// Upstreams with malformed and false load headers must be used like others.
+TEST_F (UpstreamFeedback, MalformedAndFalseLoadHeadersDisturbNoRequest)
+{
+  Start ();
+  std::atomic<int> count{ 0 };
+  for (FakeUpstream *upstream : { &first_, &second_ })
+    upstream->SetBehaviour ([upstream, &count] (int fd, const Request &request) {
+      static const char *const loads[] = { "0,0,1", "4,900,4,9999", "x", "", "1,2,3,4,5,6,7" };
+      std::string whole = upstream->SignedResponse (request, "ok");
+      WriteAll (fd, whole.insert (whole.find ("\r\n") + 2,
+                                  std::string ("X-Backend-Load: ") + loads[count++ % 5] + "\r\n"));
+    });
+  for (int i = 0; i < 100; i++)
+    EXPECT_EQ (Get (*nodes_[0], "l" + std::to_string (i)).status, 200);
+}
+
 TEST_F (UpstreamFeedback, LeavingUpstreamIsReportedToPeers)
 {
   Start (2);
--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -117,6 +117,18 @@
   EXPECT_GE (std::stoi (last.headers.at ("x-deadline-ms")), 2000);
 }
 
+// The sending node learns the upstream's load from the relayed response too.
+TEST_F (Relay, LoadHeaderReachesTheSendingNode)
+{
+  upstream_.SetBehaviour ([this] (int fd, const Request &request) {
+    std::string whole = upstream_.SignedResponse (request, "ok");
+    WriteAll (fd, whole.insert (whole.find ("\r\n") + 2, "X-Backend-Load: 1,0,4,120\r\n"));
+  });
+  Reply reply = Post ("post-load");
+  EXPECT_EQ (reply.status, 200);
+  EXPECT_EQ (reply.headers["x-backend-load"], "1,0,4,120");
+}
+
 TEST_F (Relay, UpstreamRejectionIsReturnedAs503)
 {
   upstream_.SetBehaviour ([] (int fd, const Request &request) {
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -90,6 +90,21 @@
   EXPECT_EQ (ups_get (&table_, "a"), nullptr);
 }
 
+TEST_F (UpsTest, NewIncarnationForgetsLearnedCapacity)
+{
+  Ups *ups = Add (Record ("a"));
+  LrnReport report = { 4, 9, 1, 900 };
+  lrn_apply_report (&ups->learned, &report, 5, 8, 2000);
+  ups->learned.recent_permille = 5000;
+  ups->learned.slow = true;
+  Add (Record ("a", 1, 2), 3000);
+  EXPECT_TRUE (ups->learned.slow);
+  Add (Record ("a", 2), 3000);
+  EXPECT_FALSE (ups->learned.slow);
+  EXPECT_EQ (ups->learned.recent_permille, 1000u);
+  EXPECT_EQ (ups->learned.reported_at_ms, 0u);
+}
+
 TEST_F (UpsTest, BackoffDoublesWithEachFailureInARow)
 {
   Ups *ups = Add (Record ("a"));
