--- a/src/fwd.c
+++ b/src/fwd.c
@@ -53,6 +53,22 @@
   nsh_record_service_time (frq->service, service_time_ms);
 }
 
+static void
+log_learned (const Node *node, const Ups *ups, const LrnCurve *curve, const LrnSample *sample)
+{
+  const Lrn *learned = &ups->learned;
+  uint64_t now_ms = clk_now_ms ();
+
+  log_event (&node->log, LOG_INFO, "upstream_learned",
+             "upstream=%s slow=%d good_slots=%u slots=%u time_ms=%u expected_ms=%u load=%u "
+             "recent_permille=%u lasting_permille=%u pace_permille=%u",
+             ups->record.id, learned->slow, lrn_slots (learned, curve, ups->record.slots, now_ms),
+             ups->record.slots, sample->time_ms, sample->expected_ms, sample->load,
+             learned->recent_permille, learned->lasting_ppm / 1000,
+             lrn_pace_permille (learned, now_ms));
+}
+
+/* Logs when the upstream becomes slow or recovers, or a knee of its service appears or moves. */
 static void
 learn_service_time (const Frq *frq, Ups *ups, uint32_t service_time_ms)
 {
@@ -63,7 +79,13 @@
                        .slots = ups->record.slots };
 
   ups_record_service_time (ups, service_time_ms, sample.expected_ms);
+  if (!frq->node->settings.learned_capacity)
+    return;
+  bool was_slow = ups->learned.slow;
+  uint32_t limit = frq->service->curve.limit;
   lrn_record_service_time (&ups->learned, &frq->service->curve, &sample, clk_now_ms ());
+  if (was_slow != ups->learned.slow || limit != frq->service->curve.limit)
+    log_learned (frq->node, ups, &frq->service->curve, &sample);
 }
 
 /* Consumes the retry budget when it returns true. */
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -7,6 +7,7 @@
 {
 #include "chs.h"
 #include "nsh.h"
+#include "nst.h"
 #include "plc.h"
 }
 
@@ -237,6 +238,23 @@
   EXPECT_EQ (service->traffic.load.capacity[1], before);
 }
 
+TEST_F (Selection, StateDumpShowsWhatWasLearned)
+{
+  AddUpstreams (0);
+  Ups *ups = ups_get (&node_->upstreams, "upstream-7");
+  LrnReport report = { 1, 0, 3, 250 };
+  nod_service (node_, "service");
+  lrn_apply_report (&ups->learned, &report, 1, 0, clk_now_ms ());
+  char *text = nst_dump (node_);
+  std::string dump = text;
+  g_free (text);
+  size_t line = dump.find ("upstream=upstream-7 ");
+  ASSERT_NE (line, std::string::npos);
+  dump = dump.substr (line, dump.find ('\n', line) - line);
+  EXPECT_NE (dump.find (" learned_slots=3 learned_slowness=1000 "), std::string::npos) << dump;
+  EXPECT_EQ (dump.find (" report_age_ms=-1"), std::string::npos) << dump;
+}
+
 // A node on a tenth of a core makes some 340 choices per second while requests wait; control work
 // may use 1.9 % of a core.
 TEST_F (Selection, CpuTimeStaysBelowLimitWhileAllUpstreamsAreCold)
