A learned knee is a preference, not a limit

Suspected: a knee of that upstream, found by mistake when its work time changed together with the load, halved the slots; the log didn't show an upstream's own knee, so no run proves it. Change: requests without an object go first to upstreams below their good slots and then to any free slot; reserves, free slots and unassigned upstreams count the stated slots again. The log line also comes when an upstream's own knee changes.

--- a/src/chs.c
+++ b/src/chs.c
@@ -55,7 +55,15 @@
 }
 
 uint32_t
-chs_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms)
+chs_slots (const Node *node, const Ups *ups, uint64_t now_ms)
+{
+  return node->settings.learned_capacity
+             ? lrn_stated_slots (&ups->learned, ups->record.slots, now_ms)
+             : ups->record.slots;
+}
+
+uint32_t
+chs_good_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms)
 {
   return node->settings.learned_capacity
              ? lrn_slots (&ups->learned, &service->curve, ups->record.slots, now_ms)
@@ -143,7 +151,7 @@
         .region = region,
         .slots
         = learned ? lrn_stated_slots (&ups->learned, ups->record.slots, now_ms) : ups->record.slots,
-        .good_slots = chs_slots (node, request->service, ups, now_ms),
+        .good_slots = chs_good_slots (node, request->service, ups, now_ms),
         .in_flight = chs_in_flight (node, ups, now_ms),
         .rtt_ms = chs_expected_rtt_ms (node, ups),
         .slowness_permille = slowness_permille (node, ups, now_ms),
@@ -159,12 +167,12 @@
 }
 
 static uint32_t
-sum_slots (const Node *node, const NodService *service, const GPtrArray *upstreams, uint64_t now_ms)
+sum_slots (const Node *node, const GPtrArray *upstreams, uint64_t now_ms)
 {
   uint32_t slots = 0;
 
   for (guint i = 0; i < upstreams->len; i++)
-    slots += chs_slots (node, service, g_ptr_array_index (upstreams, i), now_ms);
+    slots += chs_slots (node, g_ptr_array_index (upstreams, i), now_ms);
   return slots;
 }
 
@@ -181,7 +189,7 @@
     return set;
   set->allowed_regions = find_allowed_regions (node, request);
   set->candidates = new_candidates (node, request, set->allowed_regions, upstreams, now_ms);
-  set->total_slots = sum_slots (node, request->service, upstreams, now_ms);
+  set->total_slots = sum_slots (node, upstreams, now_ms);
   return set;
 }
 
--- a/src/chs.h
+++ b/src/chs.h
@@ -69,9 +69,14 @@
  * leaving nor draining, and its zone is not evacuated. */
 bool chs_accepts_requests (const Node *node, const Ups *ups);
 
-/** chs_slots() - concurrent requests that an upstream takes well: its registered slots, or fewer
- * that were learned. */
-uint32_t chs_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms);
+/** chs_slots() - requests that an upstream runs at the same time: its registered slots, or fewer
+ * that it stated itself. */
+uint32_t chs_slots (const Node *node, const Ups *ups, uint64_t now_ms);
+
+/** chs_good_slots() - concurrent requests that an upstream takes well: chs_slots(), or fewer that
+ * were learned. */
+uint32_t chs_good_slots (const Node *node, const NodService *service, const Ups *ups,
+                         uint64_t now_ms);
 
 /** chs_in_flight() - estimate of the requests on an upstream from all nodes. */
 uint32_t chs_in_flight (const Node *node, const Ups *ups, uint64_t now_ms);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -68,7 +68,8 @@
              lrn_pace_permille (learned, now_ms));
 }
 
-/* Logs when the upstream becomes slow or recovers, or a knee of its service appears or moves. */
+/* Logs when the upstream becomes slow or recovers, or a knee of it or of its service appears or
+ * moves. */
 static void
 learn_service_time (const Frq *frq, Ups *ups, uint32_t service_time_ms)
 {
@@ -82,9 +83,10 @@
   if (!frq->node->settings.learned_capacity)
     return;
   bool was_slow = ups->learned.slow;
-  uint32_t limit = frq->service->curve.limit;
+  uint32_t limits = ups->learned.curve.limit * LRN_BANDS + frq->service->curve.limit;
   lrn_record_service_time (&ups->learned, &frq->service->curve, &sample, clk_now_ms ());
-  if (was_slow != ups->learned.slow || limit != frq->service->curve.limit)
+  if (was_slow != ups->learned.slow
+      || limits != ups->learned.curve.limit * LRN_BANDS + frq->service->curve.limit)
     log_learned (frq->node, ups, &frq->service->curve, &sample);
 }
 
--- a/src/nsh.c
+++ b/src/nsh.c
@@ -39,9 +39,9 @@
 }
 
 static uint32_t
-free_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms)
+free_slots (const Node *node, const Ups *ups, uint64_t now_ms)
 {
-  uint32_t slots = chs_slots (node, service, ups, now_ms);
+  uint32_t slots = chs_slots (node, ups, now_ms);
   uint32_t in_flight = chs_in_flight (node, ups, now_ms);
 
   return slots - MIN (in_flight, slots);
@@ -75,7 +75,7 @@
       if (!ups_is_down (ups) && !ups_is_suspected (ups, now_ms))
         {
           traffic->load.capacity[region] += capacity_mslots (node, service, limits, ups, now_ms);
-          traffic->free_slots[region] += free_slots (node, service, ups, now_ms);
+          traffic->free_slots[region] += free_slots (node, ups, now_ms);
         }
       if (has_failed (ups, now_ms))
         lost_mslots[region] += (uint64_t) ups->record.slots * PERMILLE;
--- a/src/nst.c
+++ b/src/nst.c
@@ -114,7 +114,8 @@
 {
   const Lrn *learned = &ups->learned;
   const NodService *service = g_hash_table_lookup (node->services, ups->record.service);
-  uint32_t slots = service != NULL ? chs_slots (node, service, ups, now_ms) : ups->record.slots;
+  uint32_t slots
+      = service != NULL ? chs_good_slots (node, service, ups, now_ms) : ups->record.slots;
   long long report_age_ms
       = learned->reported_at_ms != 0 ? (long long) (now_ms - learned->reported_at_ms) : -1;
 
--- a/src/plc.c
+++ b/src/plc.c
@@ -11,6 +11,9 @@
 #define SLOW_PERMILLE 3000u
 #define FAULTY_PERMILLE 400u
 
+/* Work beyond the good slots is assumed to take longer by this factor. */
+#define BEYOND_KNEE_FACTOR 2
+
 /**
  * struct Ranking - eligible candidates of one region by their score for an object
  * @primary_score: highest score
@@ -172,11 +175,11 @@
   if (!candidate->usable || !region_is_allowed (candidate, request))
     return false;
   if (request->key == 0)
-    return candidate->in_flight < good_slots (candidate);
+    return candidate->in_flight < candidate->slots;
   if (warm_permille > 0)
     return expected_wait_ms (candidate, expected_work_ms (candidate, request, warm_permille))
            <= request->wait_max_ms;
-  return allow_unassigned && candidate->in_flight * 2 < good_slots (candidate);
+  return allow_unassigned && candidate->in_flight * 2 < candidate->slots;
 }
 
 /* Expected response time, plus PLC_LOAD_COST_MS in proportion to the load. */
@@ -187,6 +190,9 @@
   uint64_t load_ms = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / good_slots (candidate);
 
   work_ms += work_ms * candidate->fault_permille / PERMILLE;
+  /* Requests without an object go elsewhere first; objects move only by the rules for standbys. */
+  if (request->key == 0 && is_beyond_knee (candidate))
+    work_ms *= BEYOND_KNEE_FACTOR;
   return candidate->rtt_ms + work_ms + expected_wait_ms (candidate, (uint32_t) work_ms) + load_ms;
 }
 
@@ -196,8 +202,8 @@
   uint32_t slots = 0;
 
   for (uint32_t i = 0; i < count; i++)
-    if (candidates[i].usable && candidates[i].in_flight < good_slots (&candidates[i]))
-      slots += good_slots (&candidates[i]) - candidates[i].in_flight;
+    if (candidates[i].usable && candidates[i].in_flight < candidates[i].slots)
+      slots += candidates[i].slots - candidates[i].in_flight;
   return slots;
 }
 
--- a/src/plc.h
+++ b/src/plc.h
@@ -13,7 +13,8 @@
  * @hash: hash of its id
  * @region: index of its region
  * @slots: requests that it runs at the same time; 0 only when it is not usable
- * @good_slots: requests beyond which its work takes longer, 0 for @slots
+ * @good_slots: requests beyond which its work takes longer, 0 for @slots; a preference, since
+ *   running them is better than rejecting them
  * @in_flight: requests on it from all nodes
  * @rtt_ms: round-trip time to it
  * @slowness_permille: its work times relative to the usual ones of the routes, 1000 for equal
@@ -91,5 +92,5 @@
  */
 uint32_t plc_choose (const PlcCandidate *candidates, uint32_t count, const PlcRequest *request);
 
-/** plc_free_slots() - free good slots of all usable candidates. */
+/** plc_free_slots() - free slots of all usable candidates. */
 uint32_t plc_free_slots (const PlcCandidate *candidates, uint32_t count);
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -401,7 +401,7 @@
 }
 
 static uint32_t
-slots_of (const Model *model, const Vm *vm, uint32_t up)
+good_slots_of (const Model *model, const Vm *vm, uint32_t up)
 {
   const MdlMachines *machines = &model->load->machines;
 
@@ -448,7 +448,7 @@
                             .hash = model->ups[i].hash,
                             .region = model->ups[i].region,
                             .slots = model->load->slots,
-                            .good_slots = slots_of (model, vm, i),
+                            .good_slots = good_slots_of (model, vm, i),
                             .in_flight = in_flight_on (model, vm, i),
                             .rtt_ms = is_local ? LOCAL_RTT_MS : model->load->remote_rtt_ms,
                             .slowness_permille = ups->slowness_permille,
@@ -843,8 +843,8 @@
                                      model->now_ms);
       if (vm->ups[i].leaving || model->now_ms < vm->ups[i].paused_until_ms)
         continue;
-      if (in_flight < slots_of (model, vm, i) && !ups_is_down (&vm->ups[i]))
-        vm->free_slots[model->ups[i].region] += slots_of (model, vm, i) - in_flight;
+      if (in_flight < model->load->slots && !ups_is_down (&vm->ups[i]))
+        vm->free_slots[model->ups[i].region] += model->load->slots - in_flight;
       if (ups_is_down (&vm->ups[i]))
         down[model->ups[i].region] += slots;
       else
