Learned capacity: candidates without reports and knees cost less CPU time

Cause: a choice among 657 upstreams took 36.7 us with learning, 25.8 us with it off. Change: chs asks the module only about upstreams with a report or a knee; the fields of a curve that every choice reads are together.

--- a/src/chs.c
+++ b/src/chs.c
@@ -54,26 +54,39 @@
                                                               : PLC_REMOTE_RTT_MS;
 }
 
+/* Most services report no load; their candidates must not cost more than without learning. */
+static bool
+uses_reports (const Node *node, const Ups *ups)
+{
+  return node->settings.learned_capacity && ups->learned.reported_at_ms != 0;
+}
+
 uint32_t
 chs_slots (const Node *node, const Ups *ups, uint64_t now_ms)
 {
-  return node->settings.learned_capacity
-             ? lrn_stated_slots (&ups->learned, ups->record.slots, now_ms)
-             : ups->record.slots;
+  return uses_reports (node, ups) ? lrn_stated_slots (&ups->learned, ups->record.slots, now_ms)
+                                  : ups->record.slots;
+}
+
+/* Whether a knee was found, of the upstream or of its service. */
+static bool
+has_knee (const NodService *service, const Ups *ups)
+{
+  return ups->learned.curve.limit < LRN_BANDS - 1 || service->curve.limit < LRN_BANDS - 1;
 }
 
 uint32_t
 chs_good_slots (const Node *node, const NodService *service, const Ups *ups, uint64_t now_ms)
 {
-  return node->settings.learned_capacity
-             ? lrn_slots (&ups->learned, &service->curve, ups->record.slots, now_ms)
-             : ups->record.slots;
+  if (!node->settings.learned_capacity || !has_knee (service, ups))
+    return chs_slots (node, ups, now_ms);
+  return lrn_slots (&ups->learned, &service->curve, ups->record.slots, now_ms);
 }
 
 uint32_t
 chs_in_flight (const Node *node, const Ups *ups, uint64_t now_ms)
 {
-  return node->settings.learned_capacity
+  return uses_reports (node, ups)
              ? lrn_in_flight (&ups->learned, ups->in_flight, ups->others, now_ms)
              : ups->in_flight + ups->others;
 }
@@ -156,7 +169,8 @@
         .rtt_ms = chs_expected_rtt_ms (node, ups),
         .slowness_permille = slowness_permille (node, ups, now_ms),
         .slow = learned && ups->learned.slow,
-        .pace_permille = learned ? lrn_pace_permille (&ups->learned, now_ms) : PERMILLE,
+        .pace_permille
+        = uses_reports (node, ups) ? lrn_pace_permille (&ups->learned, now_ms) : PERMILLE,
         .fault_permille = ups->fault_permille,
         .untried = ups->objects[0] == 0 && region == node->settings.region_index,
         .objects = ups->objects,
--- a/src/lrn.c
+++ b/src/lrn.c
@@ -176,9 +176,10 @@
 static uint32_t
 freshness_permille (const Lrn *lrn, uint64_t now_ms)
 {
+  if (lrn->reported_at_ms == 0)
+    return 0;
   uint64_t age_ms = now_ms > lrn->reported_at_ms ? now_ms - lrn->reported_at_ms : 0;
-
-  if (lrn->reported_at_ms == 0 || age_ms >= LRN_REPORT_MAX_AGE_MS)
+  if (age_ms >= LRN_REPORT_MAX_AGE_MS)
     return 0;
   if (age_ms <= LRN_REPORT_FRESH_MS)
     return PERMILLE;
@@ -199,13 +200,17 @@
 {
   uint32_t weight_permille = freshness_permille (lrn, now_ms) * lrn->trust_permille / PERMILLE;
 
+  if (weight_permille == 0)
+    return own + others;
   return own + blend (others, lrn->reported_others, weight_permille);
 }
 
 uint32_t
 lrn_pace_permille (const Lrn *lrn, uint64_t now_ms)
 {
-  return blend (PERMILLE, lrn->pace_permille, freshness_permille (lrn, now_ms));
+  uint32_t weight_permille = freshness_permille (lrn, now_ms);
+
+  return weight_permille > 0 ? blend (PERMILLE, lrn->pace_permille, weight_permille) : PERMILLE;
 }
 
 /* ---- Service times ---- */
@@ -406,7 +411,9 @@
 static uint32_t
 limit_of (const LrnCurve *curve, uint64_t now_ms)
 {
-  return now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS ? curve->limit : LRN_BANDS - 1;
+  if (curve->limit < LRN_BANDS - 1 && now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS)
+    return curve->limit;
+  return LRN_BANDS - 1;
 }
 
 static bool
--- a/src/lrn.h
+++ b/src/lrn.h
@@ -63,12 +63,12 @@
  */
 typedef struct
 {
-  LrnBand bands[LRN_BANDS];
-  uint32_t divisor;
-  uint32_t knee_permille;
   uint32_t limit;
+  uint32_t divisor;
   uint64_t limited_at_ms;
   uint64_t straight_at_ms;
+  uint32_t knee_permille;
+  LrnBand bands[LRN_BANDS];
 } LrnCurve;
 
 /**
