--- a/src/fwd.c
+++ b/src/fwd.c
@@ -54,6 +54,43 @@
   nsh_record_service_time (frq->service, service_time_ms);
 }
 
+static void
+log_learned (const Node *node, const Ups *ups, const LrnCurve *curve, const LrnSample *sample)
+{
+  const Lrn *learned = &ups->learned;
+  uint64_t now_ms = clk_now_ms ();
+
+  log_event (&node->log, LOG_INFO, "upstream_learned",
+             "upstream=%s slow=%d good_slots=%u slots=%u time_ms=%u expected_ms=%u load=%u "
+             "recent_permille=%u lasting_permille=%u pace_permille=%u",
+             ups->record.id, learned->slow, lrn_slots (learned, curve, ups->record.slots, now_ms),
+             ups->record.slots, sample->time_ms, sample->expected_ms, sample->load,
+             learned->recent_permille, learned->lasting_ppm / 1000,
+             lrn_pace_permille (learned, now_ms));
+}
+
+/* Logs when the upstream becomes slow or recovers, or a knee of it or of its service appears or
+ * moves. */
+static void
+learn_service_time (const Frq *frq, Ups *ups, uint32_t service_time_ms)
+{
+  LrnSample sample = { .time_ms = service_time_ms,
+                       .rtt_ms = chs_expected_rtt_ms (frq->node, ups),
+                       .expected_ms = frq_expected_ms (frq),
+                       .load = frq->load_at_send,
+                       .slots = ups->record.slots };
+
+  ups_record_service_time (ups, service_time_ms, sample.expected_ms);
+  if (!frq->node->settings.learned_capacity)
+    return;
+  bool was_slow = ups->learned.slow;
+  uint32_t limits = ups->learned.curve.limit * LRN_BANDS + frq->service->curve.limit;
+  lrn_record_service_time (&ups->learned, &frq->service->curve, &sample, clk_now_ms ());
+  if (was_slow != ups->learned.slow
+      || limits != ups->learned.curve.limit * LRN_BANDS + frq->service->curve.limit)
+    log_learned (frq->node, ups, &frq->service->curve, &sample);
+}
+
 /* Consumes the retry budget when it returns true. */
 static bool
 admit_retry (Frq *frq)
@@ -139,7 +176,7 @@
     {
       ups_record_success (ups, clk_now_ms ());
       poi_record_response (&frq->node->poison, frq->fingerprint, clk_now_ms ());
-      ups_record_service_time (ups, service_time_ms, frq_expected_ms (frq));
+      learn_service_time (frq, ups, service_time_ms);
       record_service_time (frq, service_time_ms);
       if (frq->key != 0)
         ups_record_object (ups, frq->key);
@@ -349,6 +386,7 @@
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_is_warm_for (ups, frq->key);
   ups->in_flight++;
+  frq->load_at_send = chs_in_flight (node, ups, now_ms);
   if (region < REGIONS_MAX)
     nsh_count_sent (node, frq->service, choice.region, region);
   if (frq->sends == 1)
--- a/src/nod.h
+++ b/src/nod.h
@@ -78,6 +78,7 @@
  * SHR_CAP_PERIOD_MS, in thousandths
  * @capacity: CPU capacity of the VM in thousandths of a core
  * @grace_ms: time between the signal to stop and the forced end of the process
+ * @learned_capacity: use the learned capacity of upstreams
  * @lookup_ttl_ms: longest time for which callers may cache the response to a lookup
  * @memory_mb: memory of the VM; 0 if not stated
  * @max_fds: file descriptors that the process may open; 0 if not stated
@@ -101,6 +102,7 @@
   uint32_t shift_permille;
   uint32_t capacity;
   uint32_t grace_ms;
+  bool learned_capacity;
   uint32_t lookup_ttl_ms;
   uint32_t memory_mb;
   uint32_t max_fds;
@@ -193,6 +195,7 @@
  * @objects: cardinality estimate of its objects
  * @retries: retry budget
  * @traffic: demand and traffic split
+ * @curve: service time of its upstreams by their load
  * @waiting: requests that wait for a free slot, as Frq
  */
 typedef struct
@@ -201,6 +204,7 @@
   Crd objects;
   RbgBudget retries;
   NodTraffic traffic;
+  LrnCurve curve;
   GQueue waiting;
 } NodService;
 
@@ -232,6 +236,8 @@
  * @unauthorized: requests rejected for want of a known API key
  * @revoked: requests rejected because their API key was removed after their arrival
  * @over_quota: requests rejected because their account was over its quota
+ * @load_reports: reports of their load in upstreams' responses
+ * @load_reports_invalid: those of them that were malformed and ignored
  */
 typedef struct
 {
@@ -260,6 +266,8 @@
   uint64_t unauthorized;
   uint64_t revoked;
   uint64_t over_quota;
+  uint64_t load_reports;
+  uint64_t load_reports_invalid;
 } NodCounters;
 
 /**
--- a/src/plc.c
+++ b/src/plc.c
@@ -11,12 +11,15 @@
 #define SLOW_PERMILLE 3000u
 #define FAULTY_PERMILLE 400u
 
+/* Work beyond the good slots is assumed to take longer by this factor. */
+#define BEYOND_KNEE_FACTOR 2
+
 /**
  * struct Ranking - eligible candidates of one region by their score for an object
  * @primary_score: highest score
  * @standby_score: second-highest score
  * @count: number of eligible candidates
- * @standby_allowed: the primary is slow or faulty, or no assigned upstream of the allowed regions
+ * @standby_allowed: the primary is degraded, or no assigned upstream of the allowed regions
  *   is usable
  * @primary_untried: this node has sent the primary no request since it joined
  */
@@ -40,10 +43,25 @@
   return x ^ (x >> 16);
 }
 
+static uint32_t
+good_slots (const PlcCandidate *candidate)
+{
+  return candidate->good_slots > 0 ? candidate->good_slots : candidate->slots;
+}
+
+/* It runs so many requests that its work takes longer. */
+static bool
+is_beyond_knee (const PlcCandidate *candidate)
+{
+  return good_slots (candidate) < candidate->slots
+         && candidate->in_flight >= good_slots (candidate);
+}
+
 static bool
 is_degraded (const PlcCandidate *candidate)
 {
-  return candidate->slowness_permille >= SLOW_PERMILLE
+  return candidate->slow || is_beyond_knee (candidate)
+         || candidate->slowness_permille >= SLOW_PERMILLE
          || candidate->fault_permille >= FAULTY_PERMILLE;
 }
 
@@ -143,7 +161,10 @@
   uint64_t weighted_ms = (uint64_t) request->warm_ms * warm_permille
                          + (uint64_t) request->cold_ms * (PERMILLE - warm_permille);
 
-  return (uint32_t) (weighted_ms / PERMILLE * candidate->slowness_permille / PERMILLE);
+  uint64_t work_ms = weighted_ms / PERMILLE * candidate->slowness_permille / PERMILLE;
+  if (candidate->pace_permille == 0)
+    return (uint32_t) work_ms;
+  return (uint32_t) (work_ms * candidate->pace_permille / PERMILLE);
 }
 
 static uint32_t
@@ -173,9 +194,12 @@
 cost_ms (const PlcCandidate *candidate, const PlcRequest *request, uint32_t warm_permille)
 {
   uint64_t work_ms = expected_work_ms (candidate, request, warm_permille);
-  uint64_t load_ms = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / candidate->slots;
+  uint64_t load_ms = (uint64_t) candidate->in_flight * PLC_LOAD_COST_MS / good_slots (candidate);
 
   work_ms += work_ms * candidate->fault_permille / PERMILLE;
+  /* Requests without an object go elsewhere first; objects move only by the rules for standbys. */
+  if (request->key == 0 && is_beyond_knee (candidate))
+    work_ms *= BEYOND_KNEE_FACTOR;
   return candidate->rtt_ms + work_ms + expected_wait_ms (candidate, (uint32_t) work_ms) + load_ms;
 }
 
--- a/src/plc.h
+++ b/src/plc.h
@@ -14,9 +14,14 @@
  * @region: index of its region
  * @local_zone: it is in the node's availability zone
  * @slots: requests that it runs at the same time; 0 only when it is not usable
+ * @good_slots: requests beyond which its work takes longer, 0 for @slots; a preference, since
+ *   running them is better than rejecting them
  * @in_flight: requests on it from all nodes
  * @rtt_ms: round-trip time to it
  * @slowness_permille: its work times relative to the usual ones of the routes, 1000 for equal
+ * @slow: it has been slower than its peers for seconds, not only for a moment
+ * @pace_permille: current pace relative to the one in @slowness_permille, 0 for unknown; it passes
+ *   within fractions of a second, so that no object moves because of it
  * @fault_permille: recent share of requests that it failed
  * @objects: hashes of the objects for which this node sent it requests lately
  * @untried: this node has sent it no request since it joined
@@ -29,9 +34,12 @@
   uint32_t region;
   bool local_zone;
   uint32_t slots;
+  uint32_t good_slots;
   uint32_t in_flight;
   uint32_t rtt_ms;
   uint32_t slowness_permille;
+  bool slow;
+  uint32_t pace_permille;
   uint32_t fault_permille;
   const uint32_t *objects;
   uint32_t object_count;
@@ -74,8 +82,9 @@
  * only a part of them.
  *
  * In @standby_region the standby upstream, which has the second-highest score, may serve the object
- * too while the primary is slow or faulty or no assigned upstream of the allowed regions is usable,
- * and, when it is warm for the object, while the primary is untried.
+ * too while the primary is slow or faulty or has more requests than it serves well, or no assigned
+ * upstream of the allowed regions is usable, and, when it is warm for the object, while the primary
+ * is untried.
  *
  * A request may queue at an upstream to which its object is assigned. Other upstreams are used only
  * when no assigned one is usable, and only while less than half of their slots are in use, because
--- a/tests/test_fuzz.cc
+++ b/tests/test_fuzz.cc
@@ -174,9 +174,15 @@
 
 TEST_F (FuzzTest, Configurations)
 {
-  Run ({ Configuration (7) }, 20000, [] (const std::string &text) {
+  const std::string accounts
+      = ",\"tenants\":{\"a\":{\"api-keys\":[\"k1\",\"k2\"],\"priority\":1,\"rate-per-s\":4.5,"
+        "\"burst\":9,\"allowed-regions\":[\"east\"]}}}";
+  std::string with_accounts = Configuration (7);
+  with_accounts.replace (with_accounts.rfind ('}'), 1, accounts);
+  Run ({ Configuration (7), with_accounts }, 20000, [] (const std::string &text) {
+    AccSecret secret = {};
     Err err = {};
-    if (RteTable *table = pdc_parse_table (text.c_str (), &err); table != nullptr)
+    if (RteTable *table = pdc_parse_table (text.c_str (), &secret, &err); table != nullptr)
       rte_unref (table);
   });
 }
