Admission: deadlines of first attempts follow recent requests; the queue's head blocks nobody

Causes: the longest deadline ever seen counted as that of first attempts, so that one caller with a long deadline turned all others into retries until the process ended. Only the first 8 waiting requests of a service were tried when a slot became free, so that 8 which could not be placed blocked all others.

--- a/src/frq.h
+++ b/src/frq.h
@@ -40,6 +40,7 @@
  * @misdirects: number of 421 (Misdirected Request) responses from upstreams
  * @may_have_run: an upstream received it and has not stated that it did not run it
  * @waiting: it is in the queue of @service
+ * @tried_round: see adm_may_try()
  * @sent_warm: the upstream of the last send was warm for its object
  * @tried: hashes of the upstreams to which it was sent
  * @last_upstream: ID of the upstream of the last send
@@ -83,6 +84,7 @@
   uint32_t misdirects;
   bool may_have_run;
   bool waiting;
+  uint32_t tried_round;
   bool sent_warm;
   uint32_t tried[FRQ_SENDS_MAX];
   char last_upstream[NAME_MAX_BYTES];
--- a/src/fst.c
+++ b/src/fst.c
@@ -10,7 +10,6 @@
 
 #define DEADLINE_MARGIN_MS 20
 #define TIMEOUT_GRACE_MS 200
-#define CALLER_RETRY_MARGIN_MS 60
 
 /* ---- Closed connections and deadlines ---- */
 
@@ -91,18 +90,16 @@
   return key;
 }
 
-/* A retry by the caller has only the rest of the first attempt's deadline: a deadline shorter than
- * the longest one of the route marks a retry. */
 static void
 fill_admission (Frq *frq, uint32_t deadline_ms)
 {
   NodRouteStats *stats = frq->route_stats;
 
   if (deadline_ms != DEADLINE_DEFAULT_MS)
-    stats->deadline_ms = MAX (stats->deadline_ms, deadline_ms);
+    adm_record_deadline (&stats->deadlines, deadline_ms);
   frq->admission
       = (AdmRequest){ .priority_class = frq->priority > frq->table->top_priority ? 1 : 0,
-                      .caller_retry = deadline_ms + CALLER_RETRY_MARGIN_MS < stats->deadline_ms,
+                      .caller_retry = adm_retry_age_ms (&stats->deadlines, deadline_ms) > 0,
                       .objective_ms = frq->route->objective_ms,
                       .remaining_ms = (uint32_t) (frq->deadline_at_ms - frq->received_at_ms),
                       .usual_ms = stats->warm_ms };
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -11,7 +11,6 @@
 
 #define MISDIRECTS_MAX 2
 #define SERVICE_TIME_EWMA_DIVISOR 16
-#define DISPATCH_TRIES_MAX 8
 #define STATUS_MISDIRECTED 421
 
 /* ---- Upstream selection ---- */
@@ -545,10 +544,13 @@
                                                          (GDestroyNotify) chs_candidates_free);
   g_queue_sort (&service->waiting, compare_waiting, &now_ms);
   GList *item = service->waiting.head;
-  for (uint32_t tries = 0; item != NULL && tries < DISPATCH_TRIES_MAX; tries++)
+  adm_begin_pass (&service->tries);
+  while (item != NULL)
     {
       Frq *frq = item->data;
       item = item->next;
+      if (!adm_may_try (&service->tries, &frq->tried_round))
+        continue;
       ChsChoice choice = { .region = REGIONS_MAX };
       if (now_ms < frq->deadline_at_ms && !frq->is_revoked)
         choice = choose_cached (candidates_by_key, frq);
@@ -558,6 +560,7 @@
       send_to (frq, choice);
       g_hash_table_remove_all (candidates_by_key);
     }
+  adm_end_pass (&service->tries);
   g_hash_table_unref (candidates_by_key);
 }
 
--- a/src/nod.h
+++ b/src/nod.h
@@ -2,6 +2,7 @@
  * Declares the state that its modules share. */
 #pragma once
 
+#include "adm.h"
 #include "crd.h"
 #include "clk.h"
 #include "cts.h"
@@ -112,14 +113,14 @@
  * struct NodRouteStats - statistics of a route's requests
  * @cold_ms: moving average of the service time on upstreams that are cold for the object
  * @warm_ms: the same on upstreams that are warm for it
- * @deadline_ms: longest deadline received, taken as that of a caller's first attempt
+ * @deadlines: recent deadlines, for telling callers' first attempts from retries
  * @response_bytes: size of a large response, decreasing with each smaller one
  */
 typedef struct
 {
   uint32_t cold_ms;
   uint32_t warm_ms;
-  uint32_t deadline_ms;
+  AdmDeadlines deadlines;
   uint32_t response_bytes;
 } NodRouteStats;
 
@@ -197,6 +198,7 @@
  * @traffic: demand and traffic split
  * @curve: service time of its upstreams by their load
  * @waiting: requests that wait for a free slot, as Frq
+ * @tries: which of @waiting to try next
  */
 typedef struct
 {
@@ -206,6 +208,7 @@
   NodTraffic traffic;
   LrnCurve curve;
   GQueue waiting;
+  AdmTries tries;
 } NodService;
 
 /**
