--- a/src/chs.c
+++ b/src/chs.c
@@ -287,6 +287,14 @@
   return plc_choose (set->candidates, set->upstreams->len, placement);
 }
 
+static uint32_t
+max_queue_wait_ms (const Node *node, const RteRoute *route)
+{
+  uint32_t divisor = node->peers.zoned ? PLC_ZONED_QUEUE_WAIT_DIVISOR : PLC_QUEUE_WAIT_DIVISOR;
+
+  return route->objective_ms / divisor;
+}
+
 static Ups *
 choose_in (const ChsCandidates *set, const ChsRequest *request, uint32_t region)
 {
@@ -296,7 +304,7 @@
                            .objects = distinct_objects_in (request->service, region),
                            .standby_region = region,
                            .regions = 1u << region,
-                           .wait_max_ms = request->route->objective_ms / PLC_QUEUE_WAIT_DIVISOR,
+                           .wait_max_ms = max_queue_wait_ms (set->node, request->route),
                            .reserved_slots = adm_reserve (request->admission, set->total_slots) };
   uint32_t index = choose_placement (set, request, &placement);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -212,10 +212,12 @@
 
 /* Placement. PLC_LOAD_COST_MS is the cost of an upstream with all slots in use; the round-trip
  * times hold until one is measured. A request's expected time in an upstream's queue is limited to
- * its latency objective divided by PLC_QUEUE_WAIT_DIVISOR. */
+ * its latency objective divided by PLC_QUEUE_WAIT_DIVISOR, or PLC_ZONED_QUEUE_WAIT_DIVISOR where
+ * the counts of other zones come in summaries: a queue in them may have become shorter since. */
 #define PLC_OBJECTS_PER_UPSTREAM 24
 #define CRD_OBJECT_TTL_MS 15000
 #define PLC_QUEUE_WAIT_DIVISOR 2
+#define PLC_ZONED_QUEUE_WAIT_DIVISOR 1
 #define PLC_LOAD_COST_MS 40
 #define PLC_REMOTE_RTT_MS 70
 #define PLC_LOCAL_RTT_MS 3
--- a/tests/test_chs.cc
+++ b/tests/test_chs.cc
@@ -328,3 +328,19 @@
       EXPECT_EQ (ups->zone, 1u);
     }
 }
+
+// Guards against rejections in a large deployment, whose counts of requests in flight are old, for
+// queues that have become shorter since. Load: two thirds of an objective in each queue.
+TEST_F (Selection, LongerQueuesAreUsedWhereCountsComeInSummaries)
+{
+  AddUpstreams (0);
+  nsh_init_split (node_, nod_service (node_, "service"), clk_now_ms ());
+  NodRouteStats *stats = nod_route_stats (node_, route_);
+  stats->warm_ms = 200;
+  stats->cold_ms = 200;
+  for (int i = 0; i < kUpstreams; i++)
+    ups_get (&node_->upstreams, ("upstream-" + std::to_string (i)).c_str ())->others = 8;
+  EXPECT_EQ (Choose (77), nullptr);
+  node_->peers.zoned = true;
+  EXPECT_NE (Choose (77), nullptr);
+}
