Learned capacity: fewer stated slots are counted once

The ranges of the load are parts of the registered slots, but the limit of a knee was taken as a part of the stated ones: an upstream of 8 slots that states 4 and has its knee at 4 got 2 good slots. The time in a queue was counted from the registered slots too, so that a queue behind fewer stated slots marked the upstream as slow.

The limit is now the lower of the stated slots and the part of the registered ones, and a full upstream is one whose stated slots are in use.

--- a/src/lrn.c
+++ b/src/lrn.c
@@ -374,9 +374,10 @@
   if (sample->slots > 0 && sample->expected_ms >= LRN_WORK_MIN_MS)
     {
       /* A request behind a full set of slots waits; that is load, not slowness. */
-      uint32_t load = sample->load > sample->slots ? sample->load : sample->slots;
+      uint32_t slots = lrn_stated_slots (lrn, sample->slots, now_ms);
+      uint32_t load = sample->load > slots ? sample->load : slots;
       time_permille
-          = relative_time_permille ((uint64_t) work_ms * sample->slots / load, sample->expected_ms);
+          = relative_time_permille ((uint64_t) work_ms * slots / load, sample->expected_ms);
       time_permille = usual_time_permille (lrn, time_permille, now_ms);
       record_lasting (lrn, time_permille, now_ms);
       /* Slow upstreams are loaded more, which is no knee: the curve is relative to each one's own.
@@ -427,11 +428,12 @@
 {
   uint32_t limit = limit_of (&lrn->curve, now_ms);
   uint32_t service_limit = limit_of (service, now_ms);
+  uint32_t stated = lrn_stated_slots (lrn, slots, now_ms);
 
-  slots = lrn_stated_slots (lrn, slots, now_ms);
   if (service_limit < limit && !is_straight (&lrn->curve, now_ms))
     limit = service_limit;
-  return limit < LRN_BANDS - 1 ? band_slots (limit, slots) : slots;
+  uint32_t good = band_slots (limit, slots);
+  return good < stated ? good : stated;
 }
 
 uint32_t
--- a/src/lrn.h
+++ b/src/lrn.h
@@ -28,7 +28,7 @@
  * @rtt_ms: round-trip time, part of @time_ms
  * @expected_ms: average time of the same kind of work on all upstreams of the service
  * @load: requests on the upstream from all nodes when it was sent, including the request itself
- * @slots: requests that the upstream runs at the same time
+ * @slots: slots of the upstream's registration; fewer that it states are known from its reports
  */
 typedef struct
 {
--- a/tests/test_lrn.cc
+++ b/tests/test_lrn.cc
@@ -290,6 +290,30 @@
   EXPECT_EQ (Slots (), kSlots);
 }
 
+// The limit of a knee is a part of the registered slots; taken of the stated ones, an upstream that
+// states half of its slots would be avoided from a quarter of them on.
+TEST_F (Learned, KneeIsNotCountedAgainOnStatedSlots)
+{
+  for (int i = 0; i < 100; i++)
+    Serve (1, i % 8 < 4 ? 700 : 1400, 1 + i % 8);
+  ASSERT_EQ (Slots (), kSlots / 2);
+  for (int i = 0; i < 20; i++)
+    Report (3, 3, 0, 100, 0, kSlots / 2);
+  EXPECT_EQ (Slots (), kSlots / 2);
+}
+
+// An upstream that runs fewer requests than registered queues the others earlier; the time in its
+// queue must not mark it as slow.
+TEST_F (Learned, QueueBehindFewerStatedSlotsIsNotSlowness)
+{
+  for (int i = 0; i < 300; i++)
+    {
+      Report (kSlots / 2, kSlots, 0, 100, kSlots / 2, kSlots / 2);
+      Serve (1, 2000, kSlots);
+    }
+  EXPECT_FALSE (lrn_.slow);
+}
+
 TEST_F (Learned, ResultsStayInRangeForRandomInputs)
 {
   std::mt19937 random (4711);
