Learned capacity: a forgotten knee does not ease the next one

A limit that had expired still lowered the threshold of the next knee from 1.33 (1.4 for one upstream) to 1.15, when the lowest and the highest range were the first to be known again: a rise of 1.22 brought the limit back, down to 2 of 8 slots. The lower threshold now holds only while the limit is in force. The test in test_lrn failed before; all of test_lrn passes.

--- a/src/lrn.c
+++ b/src/lrn.c
@@ -294,6 +294,14 @@
                      / curve->bands[base].time_ppm);
 }
 
+static uint32_t
+limit_of (const LrnCurve *curve, uint64_t now_ms)
+{
+  if (curve->limit < LRN_BANDS - 1 && now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS)
+    return curve->limit;
+  return LRN_BANDS - 1;
+}
+
 /* Lowers the limit to the ranges below a knee, or removes it. */
 static void
 update_limit (LrnCurve *curve, uint64_t now_ms)
@@ -308,7 +316,7 @@
   if (low == high)
     return;
   uint32_t high_permille = relative_to_permille (curve, high, low);
-  bool limited = curve->limit < high;
+  bool limited = limit_of (curve, now_ms) < high;
   if (high == LRN_BANDS - 1 && high_permille < NO_KNEE_PERMILLE)
     curve->straight_at_ms = now_ms;
   if (high_permille < (limited ? NO_KNEE_PERMILLE : curve->knee_permille))
@@ -409,14 +417,6 @@
   return upper > 0 ? upper : 1;
 }
 
-static uint32_t
-limit_of (const LrnCurve *curve, uint64_t now_ms)
-{
-  if (curve->limit < LRN_BANDS - 1 && now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS)
-    return curve->limit;
-  return LRN_BANDS - 1;
-}
-
 static bool
 is_straight (const LrnCurve *curve, uint64_t now_ms)
 {
--- a/tests/test_lrn.cc
+++ b/tests/test_lrn.cc
@@ -272,6 +272,18 @@
   EXPECT_EQ (Slots (), kSlots);
 }
 
+// Ranges that were forgotten take the limit with them: what follows needs a knee of its own, and a
+// rise that is too small for one must not bring the limit back.
+TEST_F (Learned, ForgottenKneeDoesNotEaseTheNext)
+{
+  for (int i = 0; i < 100; i++)
+    Serve (1, i % 8 < 4 ? 700 : 1400, 1 + i % 8);
+  now_ms_ += LRN_BAND_TTL_MS;
+  for (int i = 0; i < 400; i++)
+    Serve (1, i % 2 == 0 ? 900 : 1100, i % 2 == 0 ? 1 : kSlots);
+  EXPECT_EQ (Slots (), kSlots);
+}
+
 // A request that waits behind a full set of slots takes longer because of the load.
 TEST_F (Learned, QueueAtUpstreamIsNotSlowness)
 {
