Learned capacity: an upstream still marked as slow is tried again

The mark holds from 1.4 of the peers' time until below 1.2, but trials began at 1.4 only. An upstream that had settled in between kept the mark while its objects went to the standby, so that without requests neither the mark nor the learned time ever changed. Trials now follow the mark too.

--- a/src/lrn.c
+++ b/src/lrn.c
@@ -226,7 +226,7 @@
 static bool
 is_trial (const Lrn *lrn, uint64_t now_ms)
 {
-  return lrn->recent_permille >= LRN_SLOW_PERMILLE
+  return (lrn->slow || lrn->recent_permille >= LRN_SLOW_PERMILLE)
          && now_ms - lrn->measured_at_ms >= lrn->trial_period_ms;
 }
 
--- a/tests/test_lrn.cc
+++ b/tests/test_lrn.cc
@@ -254,6 +254,24 @@
   EXPECT_LT (Slowness (1), 1500u);
 }
 
+// An upstream just below the limit of being slow, but still marked as slow, loses its objects to the
+// standby; without a trial nobody would see that it has recovered.
+TEST_F (Learned, UpstreamStillMarkedAsSlowIsTriedAgain)
+{
+  Serve (100, 2500);
+  Serve (300, 1300);
+  ASSERT_TRUE (lrn_.slow);
+  ASSERT_LT (Slowness (), LRN_SLOW_PERMILLE);
+  now_ms_ += LRN_TRIAL_MIN_MS;
+  EXPECT_EQ (Slowness (), 1000u);
+  for (int trials = 0; trials < 4; trials++)
+    {
+      Serve (1, 1000);
+      now_ms_ += LRN_TRIAL_MAX_MS;
+    }
+  EXPECT_FALSE (lrn_.slow);
+}
+
 TEST_F (Learned, KneeLowersSlotsUntilItIsGone)
 {
   for (int i = 0; i < 100; i++)
