Region of a zone: one function instead of three copies

chs, nsh and fwd each looked up the region of an upstream by its zone. nod_region() replaces them; no change in behaviour. test_chs, test_plc, test_adm, test_dir and test_ups pass.

--- a/src/chs.c
+++ b/src/chs.c
@@ -33,14 +33,6 @@
   return ups_cold_rate_allows (ups, max_per_s, now_ms);
 }
 
-static uint32_t
-region_of (const Node *node, const Ups *ups)
-{
-  return ups->zone < node->settings.zones->len
-             ? g_array_index (node->settings.zones, NodZone, ups->zone).region
-             : REGIONS_MAX;
-}
-
 uint32_t
 chs_expected_rtt_ms (const Node *node, const Ups *ups)
 {
@@ -50,8 +42,8 @@
     return ups->pool.min_connect_ms;
   if (zone_ms != UINT32_MAX)
     return zone_ms;
-  return region_of (node, ups) == node->settings.region_index ? PLC_LOCAL_RTT_MS
-                                                              : PLC_REMOTE_RTT_MS;
+  return nod_region (node, ups->zone) == node->settings.region_index ? PLC_LOCAL_RTT_MS
+                                                                     : PLC_REMOTE_RTT_MS;
 }
 
 /* Most services report no load; their candidates must not cost more than without learning. */
@@ -157,7 +149,7 @@
   for (guint i = 0; i < upstreams->len; i++)
     {
       const Ups *ups = g_ptr_array_index (upstreams, i);
-      uint32_t region = region_of (node, ups);
+      uint32_t region = nod_region (node, ups->zone);
       if (region >= REGIONS_MAX)
         continue;
       bool eligible = is_eligible (node, allowed_regions, ups, region);
@@ -344,7 +336,7 @@
   for (guint i = 0; i < upstreams->len; i++)
     {
       const Ups *ups = g_ptr_array_index (upstreams, i);
-      uint32_t region = region_of (node, ups);
+      uint32_t region = nod_region (node, ups->zone);
       if (region < REGIONS_MAX && is_eligible (node, allowed_regions, ups, region))
         soonest_ms = MIN (soonest_ms, ups->paused_until_ms);
     }
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -372,9 +372,7 @@
 {
   Node *node = frq->node;
   Ups *ups = choice.ups;
-  uint32_t region = ups->zone < node->settings.zones->len
-                        ? g_array_index (node->settings.zones, NodZone, ups->zone).region
-                        : REGIONS_MAX;
+  uint32_t region = nod_region (node, ups->zone);
   uint64_t now_ms = clk_now_ms ();
 
   if (frq->sends == 0)
--- a/src/nod.c
+++ b/src/nod.c
@@ -32,6 +32,14 @@
   return ZONE_NONE;
 }
 
+uint32_t
+nod_region (const Node *node, uint32_t zone)
+{
+  return zone < node->settings.zones->len
+             ? g_array_index (node->settings.zones, NodZone, zone).region
+             : REGIONS_MAX;
+}
+
 static uint32_t
 zone_of_peer (void *user, const char *zone)
 {
--- a/src/nod.h
+++ b/src/nod.h
@@ -409,6 +409,9 @@
 /** nod_zone_index() - index of a zone in the settings, or ZONE_NONE. */
 uint32_t nod_zone_index (const Node *node, const char *zone);
 
+/** nod_region() - index of a zone's region, or REGIONS_MAX when the zone is not in the settings. */
+uint32_t nod_region (const Node *node, uint32_t zone);
+
 /** nod_service(), nod_route_stats() - the state of a service, the statistics of a route; created at
  * first use. */
 NodService *nod_service (Node *node, const char *name);
--- a/src/nsh.c
+++ b/src/nsh.c
@@ -15,14 +15,6 @@
 
 /* ---- Capacity of the regions ---- */
 
-static uint32_t
-region_of (const Node *node, const Ups *ups)
-{
-  return ups->zone < node->settings.zones->len
-             ? g_array_index (node->settings.zones, NodZone, ups->zone).region
-             : REGIONS_MAX;
-}
-
 /* A cold upstream counts with at most the slots that its permitted request rate keeps in use. */
 static uint64_t
 capacity_mslots (const Node *node, const NodService *service, const RteService *limits,
@@ -68,7 +60,7 @@
   for (guint i = 0; upstreams != NULL && i < upstreams->len; i++)
     {
       const Ups *ups = g_ptr_array_index (upstreams, i);
-      uint32_t region = region_of (node, ups);
+      uint32_t region = nod_region (node, ups->zone);
       if (region >= REGIONS_MAX || !chs_accepts_requests (node, ups)
           || now_ms < ups->paused_until_ms)
         continue;
