Learned capacity: comments on limits match the code

lim.h named LRN_BAND_SAMPLES_MIN, which does not exist, and the bound on the weight of rare samples had no reason. Comments only; test_lrn and test_fbk pass.

--- a/src/lim.h
+++ b/src/lim.h
@@ -182,9 +182,9 @@
 #define FBK_PAUSE_MAX_MS 600000u
 
 /* Learned capacity of upstreams. The registered slots are divided into LRN_BANDS ranges of the
- * load, a range is known after LRN_BAND_SAMPLES_MIN requests, for LRN_BAND_TTL_MS. An upstream is
- * slow from LRN_SLOW_PERMILLE of its peers' time on until it falls below LRN_RECOVERED_PERMILLE; an
- * average over LRN_LASTING_MS passes over slowdowns of some hundred ms. A slow upstream is tried
+ * load; what is known of a range is forgotten LRN_BAND_TTL_MS after its last request. An upstream
+ * is slow from LRN_SLOW_PERMILLE of its peers' time on until it falls below LRN_RECOVERED_PERMILLE;
+ * an average over LRN_LASTING_MS passes over slowdowns of some hundred ms. A slow upstream is tried
  * again after LRN_TRIAL_MIN_MS without requests. */
 #define LRN_BANDS 4
 #define LRN_BAND_TTL_MS 15000
--- a/src/lrn.c
+++ b/src/lrn.c
@@ -22,6 +22,9 @@
  */
 #define KNOWN_SAMPLES(divisor) ((divisor) *3 / 8 + 8)
 #define TRUST_DIVISOR 16
+
+/* Upper bound of a sample's weight in averages over a time, so that after a pause one sample does
+ * not decide. */
 #define TIMED_DIVISOR_MIN 16
 
 #define TIME_MIN_PERMILLE 200u
@@ -50,8 +53,8 @@
   return (uint32_t) (old + ((int64_t) value - (int64_t) old) / divisor);
 }
 
-/* The weight of a sample grows with the time since the last one, so that the average spans about
- * @span_ms whatever the rate. */
+/* The weight of a sample grows with the time since the last one, up to a bound, so that the average
+ * spans about @span_ms unless samples are rare. */
 static int64_t
 divisor_by_time (uint64_t elapsed_ms, uint32_t span_ms)
 {
