--- a/tests/test_lrn.cc
+++ b/tests/test_lrn.cc
@@ -254,8 +254,8 @@
   EXPECT_LT (Slowness (1), 1500u);
 }
 
-// An upstream just below the limit of being slow, but still marked as slow, loses its objects to the
-// standby; without a trial nobody would see that it has recovered.
+// An upstream just below the limit of being slow, but still marked as slow, loses its objects to
+// the standby; without a trial nobody would see that it has recovered.
 TEST_F (Learned, UpstreamStillMarkedAsSlowIsTriedAgain)
 {
   Serve (100, 2500);
