--- a/src/lrn.c
+++ b/src/lrn.c
@@ -22,6 +22,9 @@
  */
 #define KNOWN_SAMPLES(divisor) ((divisor) *3 / 8 + 8)
 #define TRUST_DIVISOR 16
+
+/* Upper bound of a sample's weight in averages over a time, so that after a pause one sample does
+ * not decide. */
 #define TIMED_DIVISOR_MIN 16
 
 #define TIME_MIN_PERMILLE 200u
@@ -50,8 +53,8 @@
   return (uint32_t) (old + ((int64_t) value - (int64_t) old) / divisor);
 }
 
-/* The weight of a sample grows with the time since the last one, so that the average spans about
- * @span_ms whatever the rate. */
+/* The weight of a sample grows with the time since the last one, up to a bound, so that the average
+ * spans about @span_ms unless samples are rare. */
 static int64_t
 divisor_by_time (uint64_t elapsed_ms, uint32_t span_ms)
 {
@@ -226,7 +229,7 @@
 static bool
 is_trial (const Lrn *lrn, uint64_t now_ms)
 {
-  return lrn->recent_permille >= LRN_SLOW_PERMILLE
+  return (lrn->slow || lrn->recent_permille >= LRN_SLOW_PERMILLE)
          && now_ms - lrn->measured_at_ms >= lrn->trial_period_ms;
 }
 
@@ -294,6 +297,14 @@
                      / curve->bands[base].time_ppm);
 }
 
+static uint32_t
+limit_of (const LrnCurve *curve, uint64_t now_ms)
+{
+  if (curve->limit < LRN_BANDS - 1 && now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS)
+    return curve->limit;
+  return LRN_BANDS - 1;
+}
+
 /* Lowers the limit to the ranges below a knee, or removes it. */
 static void
 update_limit (LrnCurve *curve, uint64_t now_ms)
@@ -308,7 +319,7 @@
   if (low == high)
     return;
   uint32_t high_permille = relative_to_permille (curve, high, low);
-  bool limited = curve->limit < high;
+  bool limited = limit_of (curve, now_ms) < high;
   if (high == LRN_BANDS - 1 && high_permille < NO_KNEE_PERMILLE)
     curve->straight_at_ms = now_ms;
   if (high_permille < (limited ? NO_KNEE_PERMILLE : curve->knee_permille))
@@ -374,9 +385,10 @@
   if (sample->slots > 0 && sample->expected_ms >= LRN_WORK_MIN_MS)
     {
       /* A request behind a full set of slots waits; that is load, not slowness. */
-      uint32_t load = sample->load > sample->slots ? sample->load : sample->slots;
+      uint32_t slots = lrn_stated_slots (lrn, sample->slots, now_ms);
+      uint32_t load = sample->load > slots ? sample->load : slots;
       time_permille
-          = relative_time_permille ((uint64_t) work_ms * sample->slots / load, sample->expected_ms);
+          = relative_time_permille ((uint64_t) work_ms * slots / load, sample->expected_ms);
       time_permille = usual_time_permille (lrn, time_permille, now_ms);
       record_lasting (lrn, time_permille, now_ms);
       /* Slow upstreams are loaded more, which is no knee: the curve is relative to each one's own.
@@ -408,14 +420,6 @@
   return upper > 0 ? upper : 1;
 }
 
-static uint32_t
-limit_of (const LrnCurve *curve, uint64_t now_ms)
-{
-  if (curve->limit < LRN_BANDS - 1 && now_ms - curve->limited_at_ms < LRN_BAND_TTL_MS)
-    return curve->limit;
-  return LRN_BANDS - 1;
-}
-
 static bool
 is_straight (const LrnCurve *curve, uint64_t now_ms)
 {
@@ -427,11 +431,12 @@
 {
   uint32_t limit = limit_of (&lrn->curve, now_ms);
   uint32_t service_limit = limit_of (service, now_ms);
+  uint32_t stated = lrn_stated_slots (lrn, slots, now_ms);
 
-  slots = lrn_stated_slots (lrn, slots, now_ms);
   if (service_limit < limit && !is_straight (&lrn->curve, now_ms))
     limit = service_limit;
-  return limit < LRN_BANDS - 1 ? band_slots (limit, slots) : slots;
+  uint32_t good = band_slots (limit, slots);
+  return good < stated ? good : stated;
 }
 
 uint32_t
--- a/tests/test_lrn.cc
+++ b/tests/test_lrn.cc
@@ -254,6 +254,24 @@
   EXPECT_LT (Slowness (1), 1500u);
 }
 
+// An upstream just below the limit of being slow, but still marked as slow, loses its objects to
+// the standby; without a trial nobody would see that it has recovered.
+TEST_F (Learned, UpstreamStillMarkedAsSlowIsTriedAgain)
+{
+  Serve (100, 2500);
+  Serve (300, 1300);
+  ASSERT_TRUE (lrn_.slow);
+  ASSERT_LT (Slowness (), LRN_SLOW_PERMILLE);
+  now_ms_ += LRN_TRIAL_MIN_MS;
+  EXPECT_EQ (Slowness (), 1000u);
+  for (int trials = 0; trials < 4; trials++)
+    {
+      Serve (1, 1000);
+      now_ms_ += LRN_TRIAL_MAX_MS;
+    }
+  EXPECT_FALSE (lrn_.slow);
+}
+
 TEST_F (Learned, KneeLowersSlotsUntilItIsGone)
 {
   for (int i = 0; i < 100; i++)
@@ -272,6 +290,18 @@
   EXPECT_EQ (Slots (), kSlots);
 }
 
+// Ranges that were forgotten take the limit with them: what follows needs a knee of its own, and a
+// rise that is too small for one must not bring the limit back.
+TEST_F (Learned, ForgottenKneeDoesNotEaseTheNext)
+{
+  for (int i = 0; i < 100; i++)
+    Serve (1, i % 8 < 4 ? 700 : 1400, 1 + i % 8);
+  now_ms_ += LRN_BAND_TTL_MS;
+  for (int i = 0; i < 400; i++)
+    Serve (1, i % 2 == 0 ? 900 : 1100, i % 2 == 0 ? 1 : kSlots);
+  EXPECT_EQ (Slots (), kSlots);
+}
+
 // A request that waits behind a full set of slots takes longer because of the load.
 TEST_F (Learned, QueueAtUpstreamIsNotSlowness)
 {
@@ -290,6 +320,30 @@
   EXPECT_EQ (Slots (), kSlots);
 }
 
+// The limit of a knee is a part of the registered slots; taken of the stated ones, an upstream that
+// states half of its slots would be avoided from a quarter of them on.
+TEST_F (Learned, KneeIsNotCountedAgainOnStatedSlots)
+{
+  for (int i = 0; i < 100; i++)
+    Serve (1, i % 8 < 4 ? 700 : 1400, 1 + i % 8);
+  ASSERT_EQ (Slots (), kSlots / 2);
+  for (int i = 0; i < 20; i++)
+    Report (3, 3, 0, 100, 0, kSlots / 2);
+  EXPECT_EQ (Slots (), kSlots / 2);
+}
+
+// An upstream that runs fewer requests than registered queues the others earlier; the time in its
+// queue must not mark it as slow.
+TEST_F (Learned, QueueBehindFewerStatedSlotsIsNotSlowness)
+{
+  for (int i = 0; i < 300; i++)
+    {
+      Report (kSlots / 2, kSlots, 0, 100, kSlots / 2, kSlots / 2);
+      Serve (1, 2000, kSlots);
+    }
+  EXPECT_FALSE (lrn_.slow);
+}
+
 TEST_F (Learned, ResultsStayInRangeForRandomInputs)
 {
   std::mt19937 random (4711);
