Quotas: the likely part of a first count doesn't overflow

A configuration may set up to 1e9 requests per second. new_part() converted rate * time * nodes to uint32_t before it was bounded by the count; above 2^32 that is undefined. The bound is now taken in floating point; results below 2^32 are the same. Quotas.FirstCountOfALargeAccountIsNotCutByOverflow failed before (no request of 1000 was counted) and passes.

--- a/src/quo.c
+++ b/src/quo.c
@@ -683,7 +683,7 @@
     heard_ms = MIN (heard_ms + quotas->fleet.report_delay_ms, age_ms);
   double all = rate_per_s (quotas, account) * (double) heard_ms / 1000;
   double likely = all * source->nodes / quotas->fleet.heard;
-  return MIN (count, 1 + (uint32_t) likely);
+  return (uint32_t) MIN (count, 1 + likely);
 }
 
 /* Requests that a count reports anew. */
--- a/tests/test_quo.cc
+++ b/tests/test_quo.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <memory>
@@ -573,6 +574,24 @@
   quo_free (quotas);
 }
 
+// Guards against overflow of the likely part of a count when limits are close to the largest ones.
+TEST (Quotas, FirstCountOfALargeAccountIsNotCutByOverflow)
+{
+  Quo *quotas = quo_new (&kBounds);
+  QuoFleet fleet = { 1, 1, 1, 500, 2000, 0, 1000 };
+  // 2^29 requests per second of 16 nodes in half a second are 2^32.
+  quo_set_limit (quotas, 1, (UINT64_C (1) << 29) * 1000, 1000);
+  quo_set_fleet (quotas, &fleet, kStartMs);
+  quo_set_fleet (quotas, &fleet, kStartMs + 500);
+  peer_quota count = { 1, 1000 };
+  quo_apply_counts (quotas, 2, 1, 16, false, &count, 1, kStartMs + 500);
+  GString *dump = g_string_new (nullptr);
+  quo_dump (quotas, kStartMs + 500, dump);
+  EXPECT_NE (strstr (dump->str, " window=1000 "), nullptr) << dump->str;
+  g_string_free (dump, TRUE);
+  quo_free (quotas);
+}
+
 // An account without a limit must cost no message and no refusal.
 TEST (Quotas, WithoutLimitNothingIsRefusedOrSent)
 {
