Requests with folded headers get 400: an API key in a continuation line was forwarded

h2o passes a continuation line as a header without a name. On a public route, 'Authorization: Bearer', continued by ' KEY' on the next line, lost its first line in the copy for the upstream, and the second was sent as ': KEY'. RFC 9112, section 5.2, lets a server reject folded headers; the HTTP server does so now on all listeners, before the request is handled. AccountsTest.KeyInAFoldedHeaderIsNotForwarded showed the key in the upstream's request before, and passes.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -10,6 +10,7 @@
 #define LISTEN_BACKLOG 1024
 #define REQUEST_TIMEOUT_MS 30000
 #define PROBE_REQUEST_MAX_BYTES 4096
+#define STATUS_BAD_REQUEST 400
 
 struct _HsvServer
 {
@@ -64,13 +65,28 @@
     server->hook (server->hook_user);
 }
 
+/* h2o passes the continuation line of a folded header as a header without a name. */
+static bool
+has_folded_header (const h2o_req_t *req)
+{
+  for (size_t i = 0; i < req->headers.size; i++)
+    if (req->headers.entries[i].name->len == 0)
+      return true;
+  return false;
+}
+
+/* Folded headers are rejected (RFC 9112, section 5.2): forwarded line by line, the value of a
+ * header that is left out, such as an API key, would reach the upstream. */
 static int
 on_request (h2o_handler_t *self, h2o_req_t *req)
 {
   HsvServer *server = ((Handler *) self)->server;
 
   run_hook (server);
-  server->handler (server->user, req);
+  if (has_folded_header (req))
+    hsv_respond (req, STATUS_BAD_REQUEST, "text/plain", "folded_header");
+  else
+    server->handler (server->user, req);
   return 0;
 }
 
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -314,6 +314,24 @@
   EXPECT_EQ (Counter ("unauthorized"), 0);
 }
 
+// Guards against forwarding a key that stands in a continuation line of its header.
+TEST_F (AccountsTest, KeyInAFoldedHeaderIsNotForwarded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  int fd = Connect (node_->front ());
+  WriteAll (fd, "GET /open/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: folded\r\n"
+                "X-Deadline-Ms: 4000\r\nAuthorization: Bearer\r\n key-one\r\n"
+                "Connection: close\r\n\r\n");
+  std::string reply;
+  char buffer[4096];
+  for (ssize_t n; (n = recv (fd, buffer, sizeof buffer, 0)) > 0;)
+    reply.append (buffer, static_cast<size_t> (n));
+  close (fd);
+  EXPECT_TRUE (Contains (reply, "HTTP/1.1 400 ")) << reply;
+  EXPECT_EQ (ReceivedHead (east_, "folded"), "");
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+}
+
 // Guards against any change for deployments without accounts.
 TEST_F (AccountsTest, WithoutAccountsHeadersAreForwardedAsReceived)
 {
