Requests that arrived before the first accounts are sent without API key and account header

Which headers are left out was decided on arrival. A request that waited while a configuration brought the first accounts was sent with Authorization, and with the account header that its caller had set. Both are now removed from open requests when a configuration has accounts and the one before had none. AccountsTest.RequestThatWaitedForTheFirstAccountsIsSentWithoutItsKey showed both headers at the upstream before, and passes.

--- a/src/aut.c
+++ b/src/aut.c
@@ -239,6 +239,19 @@
     }
 }
 
+/* Requests that arrived before the configuration had accounts hold the headers that only then are
+ * left out. */
+static void
+remove_headers (Node *node)
+{
+  for (GList *item = node->requests.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      msg_remove_header (&frq->message, AUT_HEADER);
+      msg_remove_header (&frq->message, node->headers.account);
+    }
+}
+
 /* Quotas of removed accounts are dropped first, as another account may have the same hash. */
 void
 aut_apply_configuration (Node *node, const RteTable *previous)
@@ -252,6 +265,8 @@
     apply_account (node, g_ptr_array_index (accounts->accounts, i), accounts_before);
   if (accounts_before != NULL)
     mark_revoked (node, accounts);
+  else if (accounts != NULL)
+    remove_headers (node);
 }
 
 void
--- a/src/msg.c
+++ b/src/msg.c
@@ -50,6 +50,25 @@
   copy_headers (request, h2o, excluded);
 }
 
+void
+msg_remove_header (MsgRequest *request, const char *name)
+{
+  GString *headers = request->headers;
+  size_t name_size = strlen (name);
+  size_t at = 0;
+
+  while (at < headers->len)
+    {
+      const char *line = headers->str + at;
+      const char *end = memchr (line, '\n', headers->len - at);
+      size_t size = end != NULL ? (size_t) (end + 1 - line) : headers->len - at;
+      if (g_ascii_strncasecmp (line, name, name_size) == 0 && line[name_size] == ':')
+        g_string_erase (headers, (gssize) at, (gssize) size);
+      else
+        at += size;
+    }
+}
+
 void
 msg_clear (MsgRequest *request)
 {
--- a/src/msg.h
+++ b/src/msg.h
@@ -29,6 +29,9 @@
  */
 bool msg_is_hop_by_hop (const char *name, size_t size);
 
+/** msg_remove_header() - removes all headers of this name; compared without case. */
+void msg_remove_header (MsgRequest *request, const char *name);
+
 /**
  * msg_init() - copies a request without its hop-by-hop headers
  * @excluded: NULL-terminated list of further headers that are not copied
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -424,6 +424,28 @@
   EXPECT_EQ (Counter ("revoked"), 2);
 }
 
+// Guards against forwarding a key, or a forged account, of a request that arrived before the
+// configuration had accounts.
+TEST_F (AccountsTest, RequestThatWaitedForTheFirstAccountsIsSentWithoutItsKey)
+{
+  Start (WithAccounts (7, "", kWaitingFields));
+  Pause (&east_, "pausing", "", 1500);
+  std::thread caller ([&] {
+    Headers headers = WithKey ("early", "key-one", 15000);
+    headers["X-Tenant"] = "two";
+    EXPECT_EQ (node_->Call ("GET", "/read/early", headers, "", 10000).status, 200);
+  });
+  std::this_thread::sleep_for (100ms);
+  Configure (8, kTwoAccounts, kWaitingFields);
+  EXPECT_EQ (ReceivedHead (east_, "early"), "");
+  caller.join ();
+  JoinCallers ();
+  std::string head = ReceivedHead (east_, "early");
+  EXPECT_TRUE (Contains (head, "x-request-id: early")) << head;
+  EXPECT_FALSE (Contains (head, "key-one")) << head;
+  EXPECT_FALSE (Contains (head, "x-tenant")) << head;
+}
+
 // Guards against a request that changes its account: the key has passed to another one.
 TEST_F (AccountsTest, WaitingRequestWhoseKeyPassedToAnotherAccountIsRejected)
 {
