Quotas: counts have generations, and bins their reason

'Spell of use' was a private word for the generation of a count that restarts. The sizes of the bins had no reason. The accessor heard_part() had the name of the field that it returned. No change of behaviour; test_quo passes as before.

--- a/src/peer.x
+++ b/src/peer.x
@@ -33,7 +33,8 @@
 };
 
 /* Requests of a client account that were admitted. @account is the hash of its name; the upper 8 bits
- * of @count are the number of the spell of use, the lower 24 the requests since its start. */
+ * of @count are its generation, which changes when the count restarts after a time without requests,
+ * the lower 24 the requests since its start. */
 struct peer_quota {
   unsigned int account;
   unsigned int count;
--- a/src/quo.c
+++ b/src/quo.c
@@ -4,14 +4,16 @@
 #include <math.h>
 #include <string.h>
 
+/* Own requests are kept in bins until the longest report delay has passed; two bins are only partly
+ * covered by it. The requests of all nodes are kept for a window and that delay in WINDOW_BINS,
+ * whose length follows from the window. */
 #define BIN_MS 50
 #define OWN_BINS 32
 #define WINDOW_BINS 64
 #define DELAY_MAX_MS ((OWN_BINS - 2) * BIN_MS)
 
-/* A count in a message: the spell of use in the upper bits, requests since its start in the lower.
- */
-#define SPELL_BITS 8
+/* A count in a message: its generation in the upper bits, requests since its start in the lower. */
+#define GENERATION_BITS 8
 #define COUNT_BITS 24
 #define COUNT_MAX ((1u << COUNT_BITS) - 1)
 
@@ -47,14 +49,14 @@
 
 /**
  * struct Tally - a count as messages carry it
- * @spell: number of the spell of use, which ends after QUO_IDLE_MS without any
- * @count: requests in this spell
+ * @generation: increases when the count restarts at 0, after QUO_IDLE_MS without a request
+ * @count: requests in this generation
  * @listed: @count when it was last listed for a message
  * @changed_ms: last change; 0 for never
  */
 typedef struct
 {
-  uint32_t spell;
+  uint32_t generation;
   uint32_t count;
   uint32_t listed;
   uint64_t changed_ms;
@@ -109,7 +111,7 @@
 /** struct Report - last count of an account from a source */
 typedef struct
 {
-  uint32_t spell;
+  uint32_t generation;
   uint32_t count;
   uint64_t heard_ms;
 } Report;
@@ -201,23 +203,16 @@
   return g_hash_table_lookup (quotas->accounts, GUINT_TO_POINTER (hash));
 }
 
-/* Part of a limit that this node's side of a partition may use. */
-static double
-heard_part (const Quo *quotas)
-{
-  return quotas->heard_part;
-}
-
 static double
 rate_per_s (const Quo *quotas, const Account *account)
 {
-  return account->rate_mps / 1000.0 * heard_part (quotas);
+  return account->rate_mps / 1000.0 * quotas->heard_part;
 }
 
 static double
 burst_of (const Quo *quotas, const Account *account)
 {
-  return account->burst * heard_part (quotas);
+  return account->burst * quotas->heard_part;
 }
 
 static double
@@ -239,7 +234,7 @@
 static double
 excess_of (const Quo *quotas, const Account *account)
 {
-  return whole_excess_of (quotas, account) * heard_part (quotas);
+  return whole_excess_of (quotas, account) * quotas->heard_part;
 }
 
 static void
@@ -336,7 +331,7 @@
   account->is_corrected = quo_is_settled (quotas, quo_age_ms (quotas, now_ms));
   account->level
       = account->is_corrected ? burst_of (quotas, account) : -whole_excess_of (quotas, account) / 2;
-  account->heard_part = heard_part (quotas);
+  account->heard_part = quotas->heard_part;
   account->started_ms = quotas->since_ms != 0 ? quotas->since_ms : now_ms;
   account->updated_ms = account->is_corrected ? now_ms : account->started_ms;
   account->own_bin = now_ms / BIN_MS;
@@ -362,7 +357,7 @@
 static void
 follow_heard_part (const Quo *quotas, Account *account)
 {
-  double part = heard_part (quotas);
+  double part = quotas->heard_part;
   double kept = part / account->heard_part;
 
   account->heard_part = part;
@@ -529,7 +524,7 @@
 
   if ((was_idle && tally->listed == tally->count) || tally->count + requests > COUNT_MAX)
     {
-      tally->spell = (tally->spell + 1) % (1u << SPELL_BITS);
+      tally->generation = (tally->generation + 1) % (1u << GENERATION_BITS);
       tally->count = 0;
       tally->listed = 0;
     }
@@ -667,8 +662,8 @@
 }
 
 /* Part of a count without an earlier one that is new. A source that has been heard for as long as a
- * spell of use lasts without use would have listed the account before, so that the spell is new.
- * Before, the spell may be old. Then the count is new as far as the source is likely to have
+ * generation lasts without use would have listed the account before, so that the generation is new.
+ * Before, the generation may be old. Then the count is new as far as the source is likely to have
  * admitted it since it is heard, or since this node counts. */
 static uint32_t
 new_part (const Quo *quotas, const Account *account, const Source *source, uint32_t count,
@@ -692,7 +687,7 @@
               uint64_t now_ms)
 {
   Report *last = g_hash_table_lookup (source->reports, GUINT_TO_POINTER (account->hash));
-  uint32_t spell = reported->count >> COUNT_BITS;
+  uint32_t generation = reported->count >> COUNT_BITS;
   uint32_t count = reported->count & COUNT_MAX;
   uint32_t added = count;
 
@@ -702,11 +697,11 @@
       g_hash_table_insert (source->reports, GUINT_TO_POINTER (account->hash), last);
       added = new_part (quotas, account, source, count, now_ms);
     }
-  else if (last->spell == spell && count < last->count)
+  else if (last->generation == generation && count < last->count)
     return 0;
-  else if (last->spell == spell)
+  else if (last->generation == generation)
     added = count - last->count;
-  *last = (Report){ .spell = spell, .count = count, .heard_ms = now_ms };
+  *last = (Report){ .generation = generation, .count = count, .heard_ms = now_ms };
   return added;
 }
 
@@ -803,7 +798,7 @@
         continue;
       tally->listed = tally->count;
       counts[length++] = (peer_quota){ .account = account->hash,
-                                       .count = tally->spell << COUNT_BITS | tally->count };
+                                       .count = tally->generation << COUNT_BITS | tally->count };
     }
   return length;
 }
