--- a/src/exc.c
+++ b/src/exc.c
@@ -73,18 +73,19 @@
          && now_ms - per->summary_received_ms[peer->zone] < QUO_ZONE_SILENT_MS;
 }
 
-/* It has counted for a window, as its last view says. */
+/* The node's counts arrive in its own views. */
 static bool
-is_settled (const Per *per, const PerPeer *peer, uint64_t now_ms)
+is_counted_directly (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  return !peer->in_summaries && is_counted (per, peer, now_ms)
-         && quo_is_settled (per->quotas, peer->view.quota_age_ms);
+  return !peer->in_summaries && is_counted (per, peer, now_ms);
 }
 
+/* It has counted for a window, as its last view says. */
 static bool
-is_direct (const Per *per, const PerPeer *peer, uint64_t now_ms)
+is_settled (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  return !peer->in_summaries && is_counted (per, peer, now_ms);
+  return is_counted_directly (per, peer, now_ms)
+         && quo_is_settled (per->quotas, peer->view.quota_age_ms);
 }
 
 /* The longest view period in any zone: the larger a zone, the later its sums know of a request. */
@@ -103,7 +104,7 @@
 static void
 update_quotas (Per *per, uint64_t now_ms)
 {
-  uint32_t direct = per_count_if (per, is_direct, now_ms);
+  uint32_t direct = per_count_if (per, is_counted_directly, now_ms);
   uint32_t settled = per_count_if (per, is_settled, now_ms);
   QuoFleet fleet = { .node = per->self.hash,
                      .known = 1 + per_count_if (per, is_known, now_ms),
@@ -114,9 +115,10 @@
                      .view_hold_ms = 2 * per_view_period_ms (per) + PER_TICK_MS };
 
   if (per->zoned)
-    fleet.silence_ms = MAX (fleet.silence_ms, QUO_ZONE_SILENT_MS);
-  if (per->zoned)
-    fleet.report_delay_ms += SUM_PERIOD_MS + PER_TICK_MS;
+    {
+      fleet.silence_ms = MAX (fleet.silence_ms, QUO_ZONE_SILENT_MS);
+      fleet.report_delay_ms += SUM_PERIOD_MS + PER_TICK_MS;
+    }
   quo_set_fleet (per->quotas, &fleet, now_ms);
 }
 
