--- a/src/aut.c
+++ b/src/aut.c
@@ -7,7 +7,7 @@
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_NOT_RUN 503
+#define STATUS_SERVICE_UNAVAILABLE 503
 
 void
 aut_init (Node *node)
@@ -142,7 +142,7 @@
   if (!has_common_region (node, route, account))
     {
       node->counters.refused++;
-      reject (node, h2o, route, account, STATUS_NOT_RUN, "no_region",
+      reject (node, h2o, route, account, STATUS_SERVICE_UNAVAILABLE, "no_region",
               MIN (retry_after_max_ms, ADM_RETRY_AFTER_MAX_MS));
       return false;
     }
--- a/src/frq.c
+++ b/src/frq.c
@@ -52,7 +52,7 @@
   frq_release_upstream (frq);
 }
 
-/* Returns the token of its account's quota unless an upstream has run it, or may have. */
+/* Returns the token of the account's quota unless an upstream has run the request, or may have. */
 static void
 refund_quota (Frq *frq)
 {
--- a/src/fst.c
+++ b/src/fst.c
@@ -110,9 +110,10 @@
              const AutIdentity *identity)
 {
   const NodHeaders *headers = &node->headers;
+  bool has_accounts = node->table->accounts != NULL;
   const char *dropped[]
-      = { headers->deadline_ms, headers->instance,
-          node->table->accounts != NULL ? AUT_HEADER : NULL, headers->account, NULL };
+      = { headers->deadline_ms, headers->instance, has_accounts ? AUT_HEADER : NULL,
+          has_accounts ? headers->account : NULL, NULL };
   uint32_t deadline_ms = read_deadline_ms (node, h2o);
   Frq *frq = g_new0 (Frq, 1);
 
