--- a/src/aut.c
+++ b/src/aut.c
@@ -7,7 +7,7 @@
 
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_TOO_MANY_REQUESTS 429
-#define STATUS_NOT_RUN 503
+#define STATUS_SERVICE_UNAVAILABLE 503
 
 void
 aut_init (Node *node)
@@ -142,7 +142,7 @@
   if (!has_common_region (node, route, account))
     {
       node->counters.refused++;
-      reject (node, h2o, route, account, STATUS_NOT_RUN, "no_region",
+      reject (node, h2o, route, account, STATUS_SERVICE_UNAVAILABLE, "no_region",
               MIN (retry_after_max_ms, ADM_RETRY_AFTER_MAX_MS));
       return false;
     }
@@ -239,6 +239,19 @@
     }
 }
 
+/* Requests that arrived before the configuration had accounts hold the headers that only then are
+ * left out. */
+static void
+remove_headers (Node *node)
+{
+  for (GList *item = node->requests.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      msg_remove_header (&frq->message, AUT_HEADER);
+      msg_remove_header (&frq->message, node->headers.account);
+    }
+}
+
 /* Quotas of removed accounts are dropped first, as another account may have the same hash. */
 void
 aut_apply_configuration (Node *node, const RteTable *previous)
@@ -252,6 +265,8 @@
     apply_account (node, g_ptr_array_index (accounts->accounts, i), accounts_before);
   if (accounts_before != NULL)
     mark_revoked (node, accounts);
+  else if (accounts != NULL)
+    remove_headers (node);
 }
 
 void
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -314,6 +314,24 @@
   EXPECT_EQ (Counter ("unauthorized"), 0);
 }
 
+// Guards against forwarding a key that stands in a continuation line of its header.
+TEST_F (AccountsTest, KeyInAFoldedHeaderIsNotForwarded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  int fd = Connect (node_->front ());
+  WriteAll (fd, "GET /open/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: folded\r\n"
+                "X-Deadline-Ms: 4000\r\nAuthorization: Bearer\r\n key-one\r\n"
+                "Connection: close\r\n\r\n");
+  std::string reply;
+  char buffer[4096];
+  for (ssize_t n; (n = recv (fd, buffer, sizeof buffer, 0)) > 0;)
+    reply.append (buffer, static_cast<size_t> (n));
+  close (fd);
+  EXPECT_TRUE (Contains (reply, "HTTP/1.1 400 ")) << reply;
+  EXPECT_EQ (ReceivedHead (east_, "folded"), "");
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+}
+
 // Guards against any change for deployments without accounts.
 TEST_F (AccountsTest, WithoutAccountsHeadersAreForwardedAsReceived)
 {
@@ -406,6 +424,28 @@
   EXPECT_EQ (Counter ("revoked"), 2);
 }
 
+// Guards against forwarding a key, or a forged account, of a request that arrived before the
+// configuration had accounts.
+TEST_F (AccountsTest, RequestThatWaitedForTheFirstAccountsIsSentWithoutItsKey)
+{
+  Start (WithAccounts (7, "", kWaitingFields));
+  Pause (&east_, "pausing", "", 1500);
+  std::thread caller ([&] {
+    Headers headers = WithKey ("early", "key-one", 15000);
+    headers["X-Tenant"] = "two";
+    EXPECT_EQ (node_->Call ("GET", "/read/early", headers, "", 10000).status, 200);
+  });
+  std::this_thread::sleep_for (100ms);
+  Configure (8, kTwoAccounts, kWaitingFields);
+  EXPECT_EQ (ReceivedHead (east_, "early"), "");
+  caller.join ();
+  JoinCallers ();
+  std::string head = ReceivedHead (east_, "early");
+  EXPECT_TRUE (Contains (head, "x-request-id: early")) << head;
+  EXPECT_FALSE (Contains (head, "key-one")) << head;
+  EXPECT_FALSE (Contains (head, "x-tenant")) << head;
+}
+
 // Guards against a request that changes its account: the key has passed to another one.
 TEST_F (AccountsTest, WaitingRequestWhoseKeyPassedToAnotherAccountIsRejected)
 {
