Memory budget: bodies after "100 Continue" are received within it

While h2o writes "100 Continue" it does not read, and afterwards it reads the body with its own callback. The budget took the stopped reading for the end of the request, so that bodies of callers with Expect: 100-continue were received without a claim. The end of that write is now observed as well, and the connection guarded again.

--- a/src/rdl.c
+++ b/src/rdl.c
@@ -30,6 +30,7 @@
  * @reading_link: in &Rdl.reading
  * @is_reading: a request is expected or being received
  * @is_paused: it waits for the budget
+ * @h2o_write: h2o's callback for the end of a write, while on_guarded_write() stands in for it
  */
 typedef struct RdlConn
 {
@@ -41,9 +42,11 @@
   Framing framing;
   bool is_reading;
   bool is_paused;
+  h2o_socket_cb h2o_write;
 } RdlConn;
 
 static void on_guarded_read (h2o_socket_t *sock, const char *err);
+static void guard (RdlConn *conn);
 static void resume_waiting (Mbg *mbg, uint64_t now_ms);
 
 /* ---- Sockets ---- */
@@ -280,6 +283,32 @@
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
 }
 
+/* After "100 Continue" is written, h2o reads the body with its own callback. */
+static void
+on_guarded_write (h2o_socket_t *sock, const char *err)
+{
+  RdlConn *conn = sock->on_close.data;
+  Rdl *rdl = conn->rdl;
+
+  rdl->current = conn;
+  conn->h2o_write (sock, err);
+  if (rdl->current == NULL)
+    return;
+  rdl->current = NULL;
+  guard (conn);
+}
+
+static void
+guard_write (RdlConn *conn)
+{
+  h2o_socket_t *sock = conn->sock;
+
+  if (sock->_cb.write == NULL || sock->_cb.write == on_guarded_write)
+    return;
+  conn->h2o_write = sock->_cb.write;
+  sock->_cb.write = on_guarded_write;
+}
+
 static void
 on_guarded_read (h2o_socket_t *sock, const char *err)
 {
@@ -300,7 +329,10 @@
   if (sock->_cb.read == on_guarded_read)
     check_request (conn);
   else
-    on_request_received (conn);
+    {
+      guard_write (conn);
+      on_request_received (conn);
+    }
 }
 
 /* ---- Start and end of requests ---- */
@@ -309,9 +341,13 @@
 guard (RdlConn *conn)
 {
   if (conn->sock->_cb.read != conn->rdl->h2o_read)
-    return;
+    {
+      guard_write (conn);
+      return;
+    }
   conn->sock->_cb.read = on_guarded_read;
   conn->framing = (Framing){ 0 };
+  conn->claim.is_complete = false;
   set_reading (conn, true);
   check_request (conn);
 }
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -333,6 +333,20 @@
   Check (&crowd);
 }
 
+// The same with callers that wait for "100 Continue" before they send the body: the HTTP library
+// stops reading meanwhile and starts again by itself.
+TEST_F (UntrustedTest, LargeBodiesAfterContinue)
+{
+  Start ();
+  Crowd crowd (node_->front (), kCallers, [] (int) {
+    size_t bytes = kBodyMaxBytes - 1;
+    std::string head
+        = Head ("Expect: 100-continue\r\nContent-Length: " + std::to_string (bytes) + "\r\n");
+    return Load{ "", std::string (1 << 20, 'b'), bytes, "", 0, head };
+  });
+  Check (&crowd);
+}
+
 // The same with bodies in pieces whose callers stop just before the end and stay connected.
 TEST_F (UntrustedTest, LargeBodiesInPiecesThatStopShort)
 {
