Memory budget: what waits goes on when memory is freed on the other side

A response that had no room beside a large request was resumed only when another response was freed, and a request that had no room beside a borrowed response only when another request or connection ended; the body of a response is freed after its request has returned its claim. On a node without other traffic both waited until their deadline. The tick of the node resumes both now.

ResponseGoesOnWhenALargeRequestEnds: 504 at its deadline of 5 s before, 200 now. LargeRequestGoesOnWhenAResponseIsRead: no response within 8 s before, 200 now.

--- a/src/hsv.h
+++ b/src/hsv.h
@@ -42,8 +42,8 @@
 /** hsv_set_budget() - receives requests and sends responses within the process's memory budget. */
 void hsv_set_budget (HsvServer *server, Mbg *mbg, RdlRole role);
 
-/** hsv_close_stalled() - closes connections without progress that hold memory which others need; to
- * be called regularly. */
+/** hsv_close_stalled() - reads on from connections for which there is memory again, and closes
+ * those without progress that hold memory which others need; to be called periodically. */
 void hsv_close_stalled (HsvServer *server);
 
 /** hsv_drain_connections() - each connection is closed after its next response, which announces it
--- a/src/nod.c
+++ b/src/nod.c
@@ -460,6 +460,7 @@
   hsv_close_stalled (node->front);
   if (node->relay != NULL)
     hsv_close_stalled (node->relay);
+  ucn_resume_waiting (&node->ucn);
   aut_reject_revoked (node);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -474,7 +474,10 @@
 {
   MbgClaim *claim;
 
-  while (rdl->mbg != NULL && (claim = mbg_victim (rdl->mbg, uv_now (rdl->loop))) != NULL)
+  if (rdl->mbg == NULL)
+    return;
+  resume_waiting (rdl->mbg, uv_now (rdl->loop));
+  while ((claim = mbg_victim (rdl->mbg, uv_now (rdl->loop))) != NULL)
     {
       RdlConn *conn = (RdlConn *) claim;
       rdl->mbg->counters.stalled++;
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -63,7 +63,8 @@
 /** rdl_answered() - a request of the connection has ended, and its memory is freed. */
 void rdl_answered (Rdl *rdl, h2o_socket_t *sock);
 
-/** rdl_tick() - closes requests without progress while others wait. */
+/** rdl_tick() - reads on where memory has become free, also that of responses, and closes requests
+ * without progress while others wait. */
 void rdl_tick (Rdl *rdl);
 
 /** rdl_unsent_bytes() - bytes for the connection that the kernel has not taken. */
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -103,9 +103,8 @@
   record_bytes (conn->ctx);
 }
 
-/* Reads again from the connections that have waited longest, as far as there is room. */
-static void
-resume_waiting (UcnCtx *ctx)
+void
+ucn_resume_waiting (UcnCtx *ctx)
 {
   while (!g_queue_is_empty (&ctx->waiting))
     {
@@ -182,7 +181,7 @@
     }
   conn->state = CONN_CLOSING;
   clear_body (conn);
-  resume_waiting (conn->ctx);
+  ucn_resume_waiting (conn->ctx);
   uv_close ((uv_handle_t *) &conn->tcp, on_handle_closed);
   uv_close ((uv_handle_t *) &conn->timer, on_handle_closed);
 }
@@ -377,7 +376,7 @@
       return;
     }
   clear_body (conn);
-  resume_waiting (conn->ctx);
+  ucn_resume_waiting (conn->ctx);
   g_queue_remove (&pool->busy, conn);
   g_queue_push_head (&pool->idle, conn);
   conn->state = CONN_IDLE;
@@ -762,7 +761,7 @@
   ctx->taken_bytes -= body->len;
   record_bytes (ctx);
   g_byte_array_unref (body);
-  resume_waiting (ctx);
+  ucn_resume_waiting (ctx);
 }
 
 bool
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -159,6 +159,10 @@
 /** ucn_release_body() - frees a body taken with ucn_take_body() and makes room for others. */
 void ucn_release_body (UcnCtx *ctx, GByteArray *body);
 
+/** ucn_resume_waiting() - reads again from the connections that have waited longest, as far as
+ * there is room; to be called periodically, as requests share the budget. */
+void ucn_resume_waiting (UcnCtx *ctx);
+
 /** ucn_has_room() - whether a response of @size bytes can be received at once. */
 bool ucn_has_room (const UcnCtx *ctx, uint64_t size);
 
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -307,6 +307,16 @@
     EXPECT_LE (watch_->PeakDescriptors (), max_fds_);
   }
 
+  void
+  ServeLargeResponses (size_t bytes)
+  {
+    for (const auto &upstream : upstreams_)
+      upstream->SetBehaviour ([&upstream, bytes] (int fd, const Request &request) {
+        bool is_large = request.target == "/load/large";
+        WriteAll (fd, upstream->SignedResponse (request, std::string (is_large ? bytes : 2, 'f')));
+      });
+  }
+
   // Three of four callers stop just before the end of what they announced.
   static bool
   StopsShort (int caller)
@@ -482,11 +492,7 @@
 TEST_F (UntrustedTest, CallersThatDoNotRead)
 {
   Start ();
-  for (const auto &upstream : upstreams_)
-    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
-      bool is_large = request.target == "/load/large";
-      WriteAll (fd, upstream->SignedResponse (request, std::string (is_large ? 8 << 20 : 2, 'f')));
-    });
+  ServeLargeResponses (8 << 20);
   Crowd crowd (node_->front (), kCallers, [] (int i) {
     return Load{ "GET /load/large HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: r"
                      + std::to_string (i) + "\r\nX-Deadline-Ms: 15000\r\n\r\n",
@@ -503,6 +509,52 @@
   Check (&crowd);
 }
 
+// Guards against a response that waits until its deadline although the large request beside which
+// it had no room is gone. Nothing else happens on the node meanwhile.
+TEST_F (UntrustedTest, ResponseGoesOnWhenALargeRequestEnds)
+{
+  Start (112, 2870, 64 << 20);
+  ServeLargeResponses (20 << 20);
+  int fd = Connect (node_->front ());
+  WriteAll (fd, Announce (60 << 20) + std::string (64 << 10, 'b'));
+  std::this_thread::sleep_for (300ms);
+  std::thread leaving ([fd] {
+    std::this_thread::sleep_for (1s);
+    close (fd);
+  });
+  Reply reply = node_->Call ("GET", "/load/large",
+                             { { "X-Request-Id", "w" }, { "X-Deadline-Ms", "5000" } }, "", 8000);
+  leaving.join ();
+  EXPECT_EQ (reply.status, 200);
+  EXPECT_TRUE (reply.whole);
+}
+
+// Guards against a large request that is never read although the response that had borrowed its
+// memory has been read. Nothing else happens on the node meanwhile.
+TEST_F (UntrustedTest, LargeRequestGoesOnWhenAResponseIsRead)
+{
+  Start (112, 2870, 64 << 20);
+  ServeLargeResponses (20 << 20);
+  int fd = Connect (node_->front ());
+  WriteAll (fd, "GET /load/large HTTP/1.1\r\nHost: host.example\r\n"
+                "X-Request-Id: r\r\nX-Deadline-Ms: 15000\r\n\r\n");
+  std::this_thread::sleep_for (500ms);
+  std::thread reading ([fd] {
+    std::this_thread::sleep_for (1s);
+    std::vector<char> bytes (1 << 20);
+    timeval limit{ 1, 0 };
+    setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    while (recv (fd, bytes.data (), bytes.size (), 0) > 0)
+      continue;
+  });
+  Reply reply
+      = node_->Call ("POST", "/post/a", { { "X-Request-Id", "l" }, { "X-Deadline-Ms", "8000" } },
+                     std::string (60 << 20, 'b'), 8000);
+  reading.join ();
+  close (fd);
+  EXPECT_EQ (reply.status, 200);
+}
+
 // Guards against a body that is freed while it is being sent: upstreams respond before they have
 // read it, close their connections, or never read, and callers leave meanwhile.
 TEST_F (UntrustedTest, BodiesThatUpstreamsDoNotRead)
