--- a/src/lim.h
+++ b/src/lim.h
@@ -122,7 +122,10 @@
 /* Memory budget of a process. MBG_PROCESS_BYTES covers the process without callers and its control
  * messages; connections, unread bytes, small requests and responses get 1 / MBG_PART_DIVISOR of the
  * memory each, so that 64 MB remain for one body on a VM with 112 MB. Heads up to
- * MBG_HEAD_MAX_BYTES are four times as large as configurations allow. */
+ * MBG_HEAD_MAX_BYTES are four times as large as configurations allow. A request within
+ * MBG_FREE_BYTES is covered by its connection; a larger one is granted MBG_SPARE_BYTES beyond its
+ * own size. MBG_RESERVED_FDS are kept for files, and 1 / MBG_OUTGOING_FDS_DIVISOR of the other
+ * descriptors for outgoing connections. */
 #define MBG_PROCESS_BYTES (16u * 1024u * 1024u)
 #define MBG_PART_DIVISOR 16
 #define MBG_LARGE_MIN_BYTES (4u * 1024u * 1024u)
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -59,6 +59,11 @@
   uint64_t connections_refused;
 } MbgCounters;
 
+/**
+ * typedef MbgPool - part of the budget that a claim is taken from
+ * @MBG_SMALL: claims of up to MBG_SMALL_BYTES
+ * @MBG_LARGE: larger ones
+ */
 typedef enum
 {
   MBG_SMALL,
@@ -66,6 +71,12 @@
   MBG_POOL_COUNT,
 } MbgPool;
 
+/**
+ * typedef MbgDecision - what happens to a request that asks for memory
+ * @MBG_TAKE: granted
+ * @MBG_WAIT: it is not read until mbg_next() returns its claim
+ * @MBG_REJECT: too many wait already
+ */
 typedef enum
 {
   MBG_TAKE,
@@ -74,12 +85,14 @@
 } MbgDecision;
 
 /**
- * struct MbgClaim - memory of one request that is being received or at work; zero without one
+ * struct MbgClaim - memory of one request that is being received or at work; zero between
+ * requests except for @is_relayed
  * @bytes: granted
  * @wanted_bytes: what it waits for, 0 unless it waits
  * @waiting_since_ms: when it began to wait
- * @progress_at_ms: when MBG_PROGRESS_BYTES more than before had been received
- * @mark_bytes: received by then
+ * @progress_at_ms: when it was last granted memory, or last received MBG_PROGRESS_BYTES more than
+ *   @mark_bytes
+ * @mark_bytes: received at the last such progress
  * @is_complete: the request is received
  * @is_relayed: the request comes from another node
  */
@@ -151,7 +164,7 @@
 /** mbg_release() - returns what was granted and ends the wait. */
 void mbg_release (Mbg *mbg, MbgClaim *claim);
 
-/** mbg_next() - grants the wish of a waiting claim for which there is room now; NULL without one.
+/** mbg_next() - grants what a waiting claim asks for, if there is room now; NULL if there is none.
  */
 MbgClaim *mbg_next (Mbg *mbg, uint64_t now_ms);
 
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -34,7 +34,7 @@
  */
 typedef struct RdlConn
 {
-  MbgClaim claim;
+  MbgClaim claim; /* first, as claims are cast to their connections */
   Rdl *rdl;
   h2o_socket_t *sock;
   uv_stream_t *stream;
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -427,7 +427,7 @@
   Check (&crowd);
 }
 
-// The same with heads of 100,000 bytes that stop short, below the HTTP library's own limit.
+// The same with heads of 390,000 bytes that stop short, below the HTTP library's own limit.
 TEST_F (UntrustedTest, LargeHeadsThatStopShort)
 {
   Start ();
