--- a/src/aut.c
+++ b/src/aut.c
@@ -189,8 +189,8 @@
   for (char **region = account->regions; region != NULL && *region != NULL; region++)
     if (!is_region (node, *region))
       log_event (&node->log, LOG_WARN, "account_invalid",
-                 "account=%s field=allowed-regions region=\"%s\" config=%llu", account->name,
-                 *region, (unsigned long long) node->table->version);
+                 "account=%s field=regions region=\"%s\" config=%llu", account->name, *region,
+                 (unsigned long long) node->table->version);
 }
 
 static void
