--- a/src/rdl.c
+++ b/src/rdl.c
@@ -283,19 +283,27 @@
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
 }
 
+/* Return: false when h2o has closed the connection, which frees @conn. */
+static bool
+call_h2o (RdlConn *conn, h2o_socket_cb callback, const char *err)
+{
+  Rdl *rdl = conn->rdl;
+
+  rdl->current = conn;
+  callback (conn->sock, err);
+  bool is_open = rdl->current != NULL;
+  rdl->current = NULL;
+  return is_open;
+}
+
 /* After "100 Continue" is written, h2o reads the body with its own callback. */
 static void
 on_guarded_write (h2o_socket_t *sock, const char *err)
 {
   RdlConn *conn = sock->on_close.data;
-  Rdl *rdl = conn->rdl;
 
-  rdl->current = conn;
-  conn->h2o_write (sock, err);
-  if (rdl->current == NULL)
-    return;
-  rdl->current = NULL;
-  guard (conn);
+  if (call_h2o (conn, conn->h2o_write, err))
+    guard (conn);
 }
 
 static void
@@ -321,11 +329,8 @@
       return;
     }
   set_reading (conn, true);
-  rdl->current = conn;
-  rdl->h2o_read (sock, NULL);
-  if (rdl->current == NULL)
+  if (!call_h2o (conn, rdl->h2o_read, NULL))
     return;
-  rdl->current = NULL;
   if (sock->_cb.read == on_guarded_read)
     check_request (conn);
   else
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -21,7 +21,7 @@
 
 // Limit on a node's peak memory; the sanitizers need more.
 constexpr long
-MemoryLimitKb (long megabytes)
+MemoryLimitKb ([[maybe_unused]] long megabytes)
 {
 #ifdef __SANITIZE_ADDRESS__
   return 1000 * 1024;
