--- a/src/quo.c
+++ b/src/quo.c
@@ -34,9 +34,9 @@
 #define SPARE_USED_FACTOR 20.0
 #define SPARE_DEVIATIONS 5.0
 
-/* How far below full a bucket may fall before the account counts as close to its limit: used at
- * 0.62 of its rate at random, it falls so low by chance in 1 of 5 million cases. For small bursts,
- * this reaches into the excess, of which the rest is kept for accounts that do use their limit. */
+/* How far below full a bucket may fall before the account counts as close to its limit: below two
+ * thirds of the rate, random arrivals hardly ever bring it so low. For small bursts, this reaches
+ * into the excess, of which the rest is kept for accounts that do use their limit. */
 #define FLUCTUATION_TOKENS 18.0
 #define FLUCTUATION_PART 0.6
 
