--- a/src/dir.c
+++ b/src/dir.c
@@ -13,14 +13,6 @@
   uint32_t capacity;
 } Candidate;
 
-static bool
-is_in_region (const Node *node, uint32_t zone, uint32_t region)
-{
-  if (zone >= node->settings.zones->len)
-    return false;
-  return g_array_index (node->settings.zones, NodZone, zone).region == region;
-}
-
 static void
 add_candidate (GArray *candidates, NetAddr addr, uint32_t capacity)
 {
@@ -37,7 +29,7 @@
   gpointer value;
 
   if (node->state == NOD_SERVING
-      && (region == ZONE_NONE || is_in_region (node, node->settings.zone_index, region)))
+      && (region == ZONE_NONE || nod_region (node, node->settings.zone_index) == region))
     add_candidate (candidates, node->settings.front, node->settings.capacity);
   g_hash_table_iter_init (&iter, node->peers.peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -45,7 +37,7 @@
       const PerPeer *peer = value;
       if (!per_is_alive (peer, now_ms) || peer->state != PER_SERVING)
         continue;
-      if (region == ZONE_NONE || is_in_region (node, peer->zone, region))
+      if (region == ZONE_NONE || nod_region (node, peer->zone) == region)
         add_candidate (candidates, peer->front, peer->capacity);
     }
   return candidates;
--- a/tools/mdl.h
+++ b/tools/mdl.h
@@ -191,6 +191,9 @@
 /** mdl_loads() - load patterns; the last entry has a NULL name. */
 const MdlLoad *mdl_loads (void);
 
+/** mdl_find() - entry of @loads by name; NULL if unknown. @loads ends with a NULL name. */
+const MdlLoad *mdl_find (const MdlLoad *loads, const char *name);
+
 /** mdl_load() - load pattern by name; NULL if unknown. */
 const MdlLoad *mdl_load (const char *name);
 
--- a/tools/mlc.c
+++ b/tools/mlc.c
@@ -1,8 +1,6 @@
 /* Load patterns for learned capacity: upstreams of one service that differ. */
 #include "mlc.h"
 
-#include <string.h>
-
 /* clang-format off */
 #define COMMON                                                                                     \
   .upstreams = { 8, 8, 8 }, .nodes = { 3, 3, 3 }, .slots = 6, .queue = 18, .cache_objects = 24,    \
@@ -72,8 +70,5 @@
 const MdlLoad *
 mlc_load (const char *name)
 {
-  for (uint32_t i = 0; loads[i].name != NULL; i++)
-    if (strcmp (loads[i].name, name) == 0)
-      return &loads[i];
-  return NULL;
+  return mdl_find (loads, name);
 }
--- a/tools/mld.c
+++ b/tools/mld.c
@@ -248,10 +248,16 @@
 }
 
 const MdlLoad *
-mdl_load (const char *name)
+mdl_find (const MdlLoad *loads, const char *name)
 {
   for (uint32_t i = 0; loads[i].name != NULL; i++)
     if (strcmp (loads[i].name, name) == 0)
       return &loads[i];
   return NULL;
 }
+
+const MdlLoad *
+mdl_load (const char *name)
+{
+  return mdl_find (loads, name);
+}
