Test: a drained zone gets no requests once every entry has completed its shift

Seen again in 1 of 16 runs with logs kept: the plan was complete at 643.130 s, the last entry's last move was at 644.232 s. Entries move at ticks of 300 ms under the same cap for 1,000 ms as the planner, which ticks every 1,000 ms, so an entry completes up to 1.5 s after the plan; the test read its counter 1 s after the plan and took an allowed request for a fault.

--- a/tests/test_steering.cc
+++ b/tests/test_steering.cc
@@ -96,6 +96,27 @@
     EXPECT_EQ (0, report["false_not_run"]);
     EXPECT_EQ (0, report["wrong"]);
   }
+  // Entries follow the plan at their own ticks, so the last one completes up to 1.5 s after the
+  // plan.
+  static bool
+  WaitEntriesMoved (Cluster &cluster, const std::string &group, long ppm, int timeout_ms)
+  {
+    for (long end_ms = NowMs () + timeout_ms; NowMs () < end_ms; SleepMs (50))
+      {
+        bool moved = true;
+        for (const std::string &vm : cluster.Entries ())
+          {
+            long sum = 0;
+            for (const ShareMove &move :
+                 LoggedMoves (cluster.ProcessLog ("entry-" + vm), group, "moved_ppm"))
+              sum += move.ppm;
+            moved = moved && sum >= ppm;
+          }
+        if (moved)
+          return true;
+      }
+    return false;
+  }
   static bool
   WaitShares (Cluster &cluster, const std::string &text, int timeout_ms = 25000)
   {
@@ -111,6 +132,7 @@
   SleepMs (1000);
   ASSERT_EQ (0, cluster.Ctl ({ "drain", "zone", "luz-a" }, "", nullptr));
   EXPECT_TRUE (WaitShares (cluster, "near luz-a go to {\"luz-b\":1000000}"));
+  EXPECT_TRUE (WaitEntriesMoved (cluster, "luz-a", 1000000, 5000));
   SleepMs (1000);
   long before = cluster.UpstreamCount ("u-luz-a-0", "served");
   SleepMs (1000);
