Configurations with accounts are read and applied in steps

A configuration with 10,000 accounts and 100,000 keys was parsed, hashed and applied in a single turn of the event loop. The new table is put in force as a whole. The keys are in 64 shards, so that no addition of a key moves all of them. Quotas and counters are applied in steps, or before the first request of an account.

--- a/bench/run.sh
+++ b/bench/run.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build/bench/cardamom-bench
+build/bench/cardamom-bench-accounts
 bench/steers.sh
 bench/policies.sh
--- a/src/acc.c
+++ b/src/acc.c
@@ -7,6 +7,7 @@
 
 #define SCHEME "Bearer"
 #define SCHEME_BYTES 6
+#define SHARD_SLOTS_MIN 4u
 
 uint32_t
 acc_hash (const char *name)
@@ -26,20 +27,42 @@
   g_free (account);
 }
 
-/* Digests are uniformly distributed, so that their first bytes are a hash. */
-static guint
-digest_hash (gconstpointer key)
+/* Digests are uniformly distributed, so that their first bytes are a hash: the lowest of them
+ * select the shard, the others the slot. */
+static uint64_t
+digest_hash (const AccDigest *digest)
 {
-  guint hash;
+  uint64_t hash;
 
-  memcpy (&hash, key, sizeof hash);
+  memcpy (&hash, digest->bytes, sizeof hash);
   return hash;
 }
 
-static gboolean
-digest_equal (gconstpointer a, gconstpointer b)
+/* The slot of the digest, or the free one where it belongs; the shard has a free slot. */
+static AccKey *
+find_slot (const AccShard *shard, const AccDigest *digest)
 {
-  return memcmp (a, b, sizeof (AccDigest)) == 0;
+  uint64_t at = digest_hash (digest) / ACC_SHARDS;
+  AccKey *key;
+
+  do
+    key = &shard->slots[at++ & (shard->capacity - 1)];
+  while (key->account != NULL && memcmp (&key->digest, digest, sizeof *digest) != 0);
+  return key;
+}
+
+static void
+grow_shard (AccShard *shard)
+{
+  AccShard grown
+      = { .capacity = MAX (2 * shard->capacity, SHARD_SLOTS_MIN), .count = shard->count };
+
+  grown.slots = g_new0 (AccKey, grown.capacity);
+  for (uint32_t i = 0; i < shard->capacity; i++)
+    if (shard->slots[i].account != NULL)
+      *find_slot (&grown, &shard->slots[i].digest) = shard->slots[i];
+  g_free (shard->slots);
+  *shard = grown;
 }
 
 AccTable *
@@ -49,7 +72,6 @@
 
   table->accounts = g_ptr_array_new_with_free_func (account_free);
   table->by_name = g_hash_table_new (g_str_hash, g_str_equal);
-  table->by_digest = g_hash_table_new_full (digest_hash, digest_equal, g_free, NULL);
   return table;
 }
 
@@ -58,7 +80,8 @@
 {
   if (table == NULL)
     return;
-  g_hash_table_unref (table->by_digest);
+  for (uint32_t i = 0; i < ACC_SHARDS; i++)
+    g_free (table->shards[i].slots);
   g_hash_table_unref (table->by_name);
   g_ptr_array_unref (table->accounts);
   g_free (table);
@@ -91,14 +114,28 @@
 bool
 acc_add_key (AccTable *table, AccAccount *account, const AccDigest *digest)
 {
+  AccShard *shard = &table->shards[digest_hash (digest) % ACC_SHARDS];
   const AccAccount *holder = acc_find (table, digest);
 
   if (holder != NULL)
     return holder == account;
-  g_hash_table_insert (table->by_digest, g_memdup2 (digest, sizeof *digest), account);
+  if (4 * (shard->count + 1) > 3 * shard->capacity)
+    grow_shard (shard);
+  *find_slot (shard, digest) = (AccKey){ .digest = *digest, .account = account };
+  shard->count++;
   return true;
 }
 
+size_t
+acc_key_bytes (const AccTable *table)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < ACC_SHARDS; i++)
+    bytes += table->shards[i].capacity * sizeof (AccKey);
+  return bytes;
+}
+
 /* ---- Keys ---- */
 
 AccDigest
@@ -117,7 +154,9 @@
 AccAccount *
 acc_find (const AccTable *table, const AccDigest *digest)
 {
-  return g_hash_table_lookup (table->by_digest, digest);
+  const AccShard *shard = &table->shards[digest_hash (digest) % ACC_SHARDS];
+
+  return shard->capacity > 0 ? find_slot (shard, digest)->account : NULL;
 }
 
 AccAccount *
--- a/src/acc.h
+++ b/src/acc.h
@@ -33,6 +33,7 @@
  * @regions: names of the regions that may serve its requests, NULL-terminated; NULL or empty for
  * all
  * @invalid_field: name of a field whose invalid value is ignored, or NULL
+ * @is_applied: the node has set its quota, and has carried its counters over
  * @requests: its requests on this node, carried over to the next version
  * @over_quota: those of @requests that were rejected because of the quota
  */
@@ -46,21 +47,39 @@
   uint32_t burst;
   char **regions;
   const char *invalid_field;
+  bool is_applied;
   uint64_t requests;
   uint64_t over_quota;
 } AccAccount;
 
+/** struct AccKey - an API key's digest and its account; free while @account is NULL */
+typedef struct
+{
+  AccDigest digest;
+  AccAccount *account;
+} AccKey;
+
+/** struct AccShard - part of the keys, as a hash table with open addressing
+ * @capacity: number of slots, 0 or a power of 2 */
+typedef struct
+{
+  AccKey *slots;
+  uint32_t capacity;
+  uint32_t count;
+} AccShard;
+
 /**
  * struct AccTable - all accounts of one version of the configuration
  * @accounts: AccAccount in order of addition, owned by the table
  * @by_name: the same by name
- * @by_digest: the same by the AccDigest of each of their keys
+ * @shards: the same by the digest of each of their keys; a shard grows by itself, so that no
+ *   addition of a key moves all of them
  */
 typedef struct
 {
   GPtrArray *accounts;
   GHashTable *by_name;
-  GHashTable *by_digest;
+  AccShard shards[ACC_SHARDS];
 } AccTable;
 
 /** acc_hash() - hash of an account's name, not 0. */
@@ -80,6 +99,9 @@
 /** acc_add_key() - adds a key of an account; false when it is another account's key. */
 bool acc_add_key (AccTable *table, AccAccount *account, const AccDigest *digest);
 
+/** acc_key_bytes() - memory of the keys of all accounts. */
+size_t acc_key_bytes (const AccTable *table);
+
 /** acc_digest() - the keyed hash of an API key. */
 AccDigest acc_digest (const AccSecret *secret, const char *key, size_t size);
 
--- a/src/aut.c
+++ b/src/aut.c
@@ -77,10 +77,74 @@
   hsv_respond (h2o, status, "text/plain", reason);
 }
 
+/* ---- Accounts of a new configuration ---- */
+
+static bool
+is_region (const Node *node, const char *name)
+{
+  for (guint i = 0; i < node->settings.regions->len; i++)
+    if (strcmp (g_ptr_array_index (node->settings.regions, i), name) == 0)
+      return true;
+  return false;
+}
+
+static void
+log_errors (const Node *node, const AccAccount *account)
+{
+  if (account->invalid_field != NULL)
+    log_event (&node->log, LOG_WARN, "account_invalid", "account=%s field=%s config=%llu",
+               account->name, account->invalid_field, (unsigned long long) node->table->version);
+  for (char **region = account->regions; region != NULL && *region != NULL; region++)
+    if (!is_region (node, *region))
+      log_event (&node->log, LOG_WARN, "account_invalid",
+                 "account=%s field=regions region=\"%s\" config=%llu", account->name, *region,
+                 (unsigned long long) node->table->version);
+}
+
+static const AccTable *
+previous_accounts (const Node *node)
+{
+  const RteTable *previous = node->account_change.previous;
+
+  return previous != NULL ? previous->accounts : NULL;
+}
+
+static void
+drop_quota (Node *node, const AccAccount *account)
+{
+  const AccTable *accounts = node->table->accounts;
+
+  if (accounts == NULL || acc_find_name (accounts, account->name) == NULL)
+    quo_set_limit (node->quotas, account->hash, 0, 0);
+}
+
+static void
+carry_over (Node *node, AccAccount *account)
+{
+  const AccTable *previous = previous_accounts (node);
+  const AccAccount *before = previous != NULL ? acc_find_name (previous, account->name) : NULL;
+
+  account->is_applied = true;
+  if (before != NULL)
+    {
+      account->requests += before->requests;
+      account->over_quota += before->over_quota;
+    }
+  log_errors (node, account);
+}
+
+static void
+apply_account (Node *node, AccAccount *account)
+{
+  if (!account->is_applied)
+    carry_over (node, account);
+  quo_set_limit (node->quotas, account->hash, account->rate_mps, account->burst);
+}
+
 /* ---- Arrival of a request ---- */
 
 static AccAccount *
-find_account (const Node *node, h2o_req_t *h2o, AccDigest *digest, const char **reason)
+find_account (Node *node, h2o_req_t *h2o, AccDigest *digest, const char **reason)
 {
   char *value = hsv_header (h2o, AUT_HEADER);
   size_t key_bytes = 0;
@@ -93,6 +157,8 @@
       *reason = "unknown_key";
       *digest = acc_digest (&node->account_secret, key, key_bytes);
       account = acc_find (node->table->accounts, digest);
+      if (account != NULL && !account->is_applied)
+        apply_account (node, account);
     }
   g_free (value);
   return account;
@@ -171,53 +237,6 @@
 
 /* ---- New configurations ---- */
 
-static bool
-is_region (const Node *node, const char *name)
-{
-  for (guint i = 0; i < node->settings.regions->len; i++)
-    if (strcmp (g_ptr_array_index (node->settings.regions, i), name) == 0)
-      return true;
-  return false;
-}
-
-static void
-log_errors (const Node *node, const AccAccount *account)
-{
-  if (account->invalid_field != NULL)
-    log_event (&node->log, LOG_WARN, "account_invalid", "account=%s field=%s config=%llu",
-               account->name, account->invalid_field, (unsigned long long) node->table->version);
-  for (char **region = account->regions; region != NULL && *region != NULL; region++)
-    if (!is_region (node, *region))
-      log_event (&node->log, LOG_WARN, "account_invalid",
-                 "account=%s field=regions region=\"%s\" config=%llu", account->name, *region,
-                 (unsigned long long) node->table->version);
-}
-
-static void
-drop_quotas (Node *node, const AccTable *previous, const AccTable *accounts)
-{
-  for (guint i = 0; previous != NULL && i < previous->accounts->len; i++)
-    {
-      const AccAccount *account = g_ptr_array_index (previous->accounts, i);
-      if (accounts == NULL || acc_find_name (accounts, account->name) == NULL)
-        quo_set_limit (node->quotas, account->hash, 0, 0);
-    }
-}
-
-static void
-apply_account (Node *node, AccAccount *account, const AccTable *previous)
-{
-  const AccAccount *before = previous != NULL ? acc_find_name (previous, account->name) : NULL;
-
-  if (before != NULL)
-    {
-      account->requests = before->requests;
-      account->over_quota = before->over_quota;
-    }
-  quo_set_limit (node->quotas, account->hash, account->rate_mps, account->burst);
-  log_errors (node, account);
-}
-
 static bool
 holds_key (const AccTable *accounts, const Frq *frq)
 {
@@ -252,21 +271,57 @@
     }
 }
 
-/* Quotas of removed accounts are dropped first, as another account may have the same hash. */
+static void
+end_change (Node *node)
+{
+  node->account_change.pending = false;
+  g_clear_pointer (&node->account_change.previous, rte_unref);
+}
+
+/* Quotas of removed accounts are dropped first, as another account may have the same hash; one that
+ * is applied before, on its first request, is applied again. */
+static void
+apply_accounts (Node *node, guint count)
+{
+  NodAccountChange *change = &node->account_change;
+  const AccTable *before = previous_accounts (node);
+  const AccTable *accounts = node->table->accounts;
+
+  for (; before != NULL && change->dropped < before->accounts->len && count > 0; count--)
+    drop_quota (node, g_ptr_array_index (before->accounts, change->dropped++));
+  for (; accounts != NULL && change->applied < accounts->accounts->len && count > 0; count--)
+    apply_account (node, g_ptr_array_index (accounts->accounts, change->applied++));
+  if (count > 0)
+    end_change (node);
+}
+
+void
+aut_apply_step (Node *node)
+{
+  if (node->account_change.pending)
+    apply_accounts (node, APPLY_STEP_ACCOUNTS);
+}
+
+bool
+aut_is_applying (const Node *node)
+{
+  return node->account_change.pending;
+}
+
 void
-aut_apply_configuration (Node *node, const RteTable *previous)
+aut_apply_configuration (Node *node, RteTable *previous)
 {
   AccTable *accounts = node->table->accounts;
-  const AccTable *accounts_before = previous != NULL ? previous->accounts : NULL;
 
   node->configured_at_ms = clk_now_ms ();
-  drop_quotas (node, accounts_before, accounts);
-  for (guint i = 0; accounts != NULL && i < accounts->accounts->len; i++)
-    apply_account (node, g_ptr_array_index (accounts->accounts, i), accounts_before);
-  if (accounts_before != NULL)
+  node->account_change
+      = (NodAccountChange){ .pending = true,
+                            .previous = previous != NULL ? rte_ref (previous) : NULL };
+  if (previous_accounts (node) != NULL)
     mark_revoked (node, accounts);
   else if (accounts != NULL)
     remove_headers (node);
+  apply_accounts (node, APPLY_STEP_ACCOUNTS);
 }
 
 void
--- a/src/aut.h
+++ b/src/aut.h
@@ -48,11 +48,19 @@
  * aut_apply_configuration() - applies the accounts of the node's table, which has just changed
  * @previous: the table before, or NULL
  *
- * Sets the quotas, logs errors in accounts, and marks open requests whose key their account no
- * longer holds. It may be called while such a request is being handled, so aut_reject_revoked()
- * rejects them later.
+ * Marks open requests whose key their account no longer holds. It may be called while such a
+ * request is being handled, so aut_reject_revoked() rejects them later. Sets the quotas and logs
+ * errors in accounts, of APPLY_STEP_ACCOUNTS accounts now and of the others in aut_apply_step(), or
+ * before the first request of an account.
  */
-void aut_apply_configuration (Node *node, const RteTable *previous);
+void aut_apply_configuration (Node *node, RteTable *previous);
+
+/** aut_apply_step() - applies the next accounts; to be called regularly. */
+void aut_apply_step (Node *node);
+
+/** aut_is_applying() - whether accounts are left to apply; the next configuration has to wait, or
+ * they are applied at once. */
+bool aut_is_applying (const Node *node);
 
 /** aut_reject_revoked() - rejects the marked requests that have not been sent; to be called
  * regularly, outside the handling of a request. */
--- a/src/jsc.c
+++ b/src/jsc.c
@@ -11,19 +11,32 @@
     text->at++;
 }
 
+/* Whether an odd number of backslashes ends before the quote. */
+static bool
+is_escaped (const char *start, const char *quote)
+{
+  const char *at = quote;
+
+  while (at > start && at[-1] == '\\')
+    at--;
+  return (quote - at) % 2 != 0;
+}
+
 /* Moves behind a string; false if it has no end. */
 static bool
 skip_string (JscSpan *text)
 {
-  for (text->at++; text->at < text->end; text->at++)
+  const char *start = text->at + 1;
+  const char *quote = start;
+
+  while (quote < text->end && (quote = memchr (quote, '"', (size_t) (text->end - quote))) != NULL)
     {
-      if (*text->at == '\\')
-        text->at++;
-      else if (*text->at == '"')
+      if (!is_escaped (start, quote))
         {
-          text->at++;
+          text->at = quote + 1;
           return true;
         }
+      quote++;
     }
   text->at = text->end;
   return false;
@@ -78,9 +91,8 @@
   return text->at > start;
 }
 
-/* Moves behind a value of any type; false if it is missing or has no end. */
-static bool
-take_value (JscSpan *text, JscSpan *value)
+bool
+jsc_take_value (JscSpan *text, JscSpan *value)
 {
   uint32_t depth = 0;
   bool ok = false;
@@ -100,9 +112,8 @@
   return ok;
 }
 
-/* Moves behind the character; false if another one follows. */
-static bool
-take_char (JscSpan *text, char c)
+bool
+jsc_take_char (JscSpan *text, char c)
 {
   skip_space (text);
   if (text->at >= text->end || *text->at != c)
@@ -117,7 +128,7 @@
   JscSpan value;
 
   skip_space (&text);
-  if (text.at >= text.end || !is_opening (*text.at) || !take_value (&text, &value))
+  if (text.at >= text.end || !is_opening (*text.at) || !jsc_take_value (&text, &value))
     return false;
   *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1 };
   return true;
@@ -126,9 +137,9 @@
 bool
 jsc_next_element (JscSpan *contents, JscSpan *value)
 {
-  if (!take_value (contents, value))
+  if (!jsc_take_value (contents, value))
     return false;
-  take_char (contents, ',');
+  jsc_take_char (contents, ',');
   return true;
 }
 
@@ -140,19 +151,49 @@
 }
 
 bool
-jsc_member (JscSpan contents, const char *name, JscSpan *value)
+jsc_open_value (JscSpan value, JscSpan *contents)
+{
+  if (value.at >= value.end || !is_opening (*value.at))
+    return false;
+  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1 };
+  return true;
+}
+
+static void
+set_member (JscMember *members, size_t count, JscSpan key, JscSpan value)
+{
+  size_t size = (size_t) (key.end - key.at);
+
+  for (size_t i = 0; i < count; i++)
+    if (members[i].value.at == NULL && size == strlen (members[i].name) + 2
+        && memcmp (key.at + 1, members[i].name, size - 2) == 0)
+      members[i].value = value;
+}
+
+void
+jsc_members (JscSpan contents, JscMember *members, size_t count)
 {
-  size_t size = strlen (name);
   JscSpan key;
+  JscSpan value;
 
-  while (take_value (&contents, &key) && take_char (&contents, ':')
-         && take_value (&contents, value))
+  for (size_t i = 0; i < count; i++)
+    members[i].value = (JscSpan){ 0 };
+  while (jsc_take_value (&contents, &key) && jsc_take_char (&contents, ':')
+         && jsc_take_value (&contents, &value))
     {
-      if ((size_t) (key.end - key.at) == size + 2 && memcmp (key.at + 1, name, size) == 0)
-        return true;
-      take_char (&contents, ',');
+      set_member (members, count, key, value);
+      jsc_take_char (&contents, ',');
     }
-  return false;
+}
+
+bool
+jsc_member (JscSpan contents, const char *name, JscSpan *value)
+{
+  JscMember member = { .name = name };
+
+  jsc_members (contents, &member, 1);
+  *value = member.value;
+  return value->at != NULL;
 }
 
 uint64_t
--- a/src/jsc.h
+++ b/src/jsc.h
@@ -13,10 +13,19 @@
   const char *end;
 } JscSpan;
 
+/** jsc_take_value() - moves behind a value of any type; false if it is missing or has no end. */
+bool jsc_take_value (JscSpan *text, JscSpan *value);
+
+/** jsc_take_char() - moves behind the character; false if another one follows. */
+bool jsc_take_char (JscSpan *text, char c);
+
 /** jsc_open() - true if @text is an object or an array, also with invalid contents; @contents is
  * then what is to be iterated. */
 bool jsc_open (JscSpan text, JscSpan *contents);
 
+/** jsc_open_value() - the same for a value that jsc_take_value() or another function returned. */
+bool jsc_open_value (JscSpan value, JscSpan *contents);
+
 /**
  * jsc_next_element() - next element of an array
  * @contents: from jsc_open(); moved behind the element
@@ -28,6 +37,17 @@
 /** jsc_is_blank() - true if nothing but white space is left. */
 bool jsc_is_blank (JscSpan text);
 
+/** struct JscMember - a member of an object; @value: empty when there is none of that name */
+typedef struct
+{
+  const char *name;
+  JscSpan value;
+} JscMember;
+
+/** jsc_members() - sets the values of an object's first members of these names, in one pass;
+ * @contents: from jsc_open(). Names with escapes are not decoded. */
+void jsc_members (JscSpan contents, JscMember *members, size_t count);
+
 /** jsc_member() - value of an object's first member of that name; false without one. @contents:
  * from jsc_open(). Names with escapes are not decoded. */
 bool jsc_member (JscSpan contents, const char *name, JscSpan *value);
--- a/src/lim.h
+++ b/src/lim.h
@@ -19,6 +19,15 @@
  * the state dump. */
 #define ACC_NAME_MAX_BYTES 128
 #define ACC_LISTED_MAX 64
+#define ACC_SHARDS 64
+
+/* Configurations are loaded and applied in steps, so that requests are handled in between. Reading
+ * an account costs as much as reading some keys; a step takes about 1 ms. */
+#define LOAD_STEP_KEYS 400
+#define LOAD_ACCOUNT_KEYS 4
+#define LOAD_BYTES_PER_KEY 128
+#define LOAD_PERIOD_MS 5
+#define APPLY_STEP_ACCOUNTS 500
 
 /* Replication of objects between processes. */
 #define SYNC_PERIOD_MS 300
--- a/src/nod.c
+++ b/src/nod.c
@@ -183,6 +183,8 @@
       rte_unref (table);
       return false;
     }
+  while (aut_is_applying (node))
+    aut_apply_step (node);
   RteTable *previous = node->table;
   node->table = table;
   aut_apply_configuration (node, previous);
@@ -470,6 +472,7 @@
     hsv_close_stalled (node->relay);
   ucn_resume_waiting (&node->ucn);
   aut_reject_revoked (node);
+  aut_apply_step (node);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
@@ -628,6 +631,8 @@
   g_hash_table_unref (node->services);
   g_hash_table_unref (node->route_stats);
   quo_free (node->quotas);
+  if (node->account_change.previous != NULL)
+    rte_unref (node->account_change.previous);
   if (node->table != NULL)
     rte_unref (node->table);
 }
--- a/src/nod.h
+++ b/src/nod.h
@@ -273,6 +273,21 @@
   uint64_t load_reports_invalid;
 } NodCounters;
 
+/**
+ * struct NodAccountChange - accounts of a new configuration, which are applied in steps
+ * @pending: not all are applied
+ * @previous: table before, or NULL
+ * @dropped: number of accounts of @previous whose quotas are dropped if they were removed
+ * @applied: number of accounts of the table in force that are applied
+ */
+typedef struct
+{
+  bool pending;
+  RteTable *previous;
+  guint dropped;
+  guint applied;
+} NodAccountChange;
+
 /**
  * struct Node - state of the node process
  * @log: log of the node's own state
@@ -288,6 +303,7 @@
  * @store_connections: connections to the platform's store, on the loop of @control
  * @ucn: connections to upstreams and relays
  * @table: routing table in force; NULL until the first configuration
+ * @account_change: accounts of @table that are still to be applied
  * @configured_at_ms: time since which @table is in force
  * @account_secret: key of the hash of API keys
  * @rejects_logged_at_s: last second in which a rejection on arrival was logged
@@ -327,6 +343,7 @@
   Tpt transport;
   PoiTable poison;
   RteTable *table;
+  NodAccountChange account_change;
   uint64_t configured_at_ms;
   AccSecret account_secret;
   uint64_t rejects_logged_at_s;
