Responses of the store are read in steps; objects between nodes may have 16 MB

A response of 3.2 MB was scanned five times in one turn. Objects of more than 1 MB could not be passed on between nodes, so that a node without the store never got such a configuration; the limit is now that of a record. Names of accounts share blocks of memory, which frees a replaced table faster.

--- a/bench/accounts.c
+++ b/bench/accounts.c
@@ -102,8 +102,20 @@
                                 text);
   PobResponse response;
 
+  size_t size = strlen (body);
+  JscIndex index;
+  bool is_indexed;
+
+  jsc_index_start (&index, body, size);
+  do
+    {
+      start_step (timer);
+      is_indexed = jsc_index_step (&index, LOAD_STEP_BYTES);
+      end_step (timer);
+    }
+  while (!is_indexed);
   start_step (timer);
-  pob_parse_events (body, strlen (body), &response);
+  pob_parse_events (body, size, &index, &response);
   end_step (timer);
   pob_clear (&response);
   g_free (body);
--- a/src/acc.c
+++ b/src/acc.c
@@ -8,6 +8,7 @@
 #define SCHEME "Bearer"
 #define SCHEME_BYTES 6
 #define SHARD_SLOTS_MIN 4u
+#define NAMES_BLOCK_BYTES 1024
 
 uint32_t
 acc_hash (const char *name)
@@ -22,7 +23,6 @@
 {
   AccAccount *account = data;
 
-  g_free (account->name);
   g_strfreev (account->regions);
   g_free (account);
 }
@@ -71,6 +71,7 @@
   AccTable *table = g_new0 (AccTable, 1);
 
   table->accounts = g_ptr_array_new_with_free_func (account_free);
+  table->names = g_string_chunk_new (NAMES_BLOCK_BYTES);
   table->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   return table;
 }
@@ -84,6 +85,7 @@
     g_free (table->shards[i].slots);
   g_hash_table_unref (table->by_name);
   g_ptr_array_unref (table->accounts);
+  g_string_chunk_free (table->names);
   g_free (table);
 }
 
@@ -104,7 +106,7 @@
   if (acc_find_name (table, name) != NULL)
     return NULL;
   AccAccount *account = g_new0 (AccAccount, 1);
-  account->name = g_strdup (name);
+  account->name = g_string_chunk_insert (table->names, name);
   account->hash = acc_hash (name);
   g_ptr_array_add (table->accounts, account);
   g_hash_table_insert (table->by_name, account->name, account);
--- a/src/acc.h
+++ b/src/acc.h
@@ -71,6 +71,7 @@
 /**
  * struct AccTable - all accounts of one version of the configuration
  * @accounts: AccAccount in order of addition, owned by the table
+ * @names: memory of their names
  * @by_name: the same by name
  * @shards: the same by the digest of each of their keys; a shard grows by itself, so that no
  *   addition of a key moves all of them
@@ -78,6 +79,7 @@
 typedef struct
 {
   GPtrArray *accounts;
+  GStringChunk *names;
   GHashTable *by_name;
   AccShard shards[ACC_SHARDS];
 } AccTable;
--- a/src/jsc.c
+++ b/src/jsc.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#define JSC_INDEXED_MIN_BYTES 4096
+
 static void
 skip_space (JscSpan *text)
 {
@@ -81,6 +83,19 @@
   return false;
 }
 
+/* Moves behind an object or array that the text's index has. */
+static bool
+skip_indexed (JscSpan *text)
+{
+  for (uint32_t i = 0; text->index != NULL && i < text->index->count; i++)
+    if (text->index->values[i].at == text->at)
+      {
+        text->at = text->index->values[i].end;
+        return true;
+      }
+  return false;
+}
+
 static bool
 skip_scalar (JscSpan *text)
 {
@@ -91,6 +106,64 @@
   return text->at > start;
 }
 
+/* ---- Index ---- */
+
+void
+jsc_index_start (JscIndex *index, const char *text, size_t size)
+{
+  *index = (JscIndex){ .at = text, .end = text + size };
+}
+
+static void
+open_value (JscIndex *index)
+{
+  if (index->depth < JSC_INDEX_DEPTH)
+    index->open[index->depth] = index->at;
+  index->depth++;
+}
+
+static void
+close_value (JscIndex *index)
+{
+  if (index->depth == 0)
+    return;
+  index->depth--;
+  if (index->depth >= JSC_INDEX_DEPTH || index->count == JSC_INDEX_VALUES)
+    return;
+  const char *start = index->open[index->depth];
+  if (index->at + 1 - start < JSC_INDEXED_MIN_BYTES)
+    return;
+  index->values[index->count].at = start;
+  index->values[index->count].end = index->at + 1;
+  index->count++;
+}
+
+bool
+jsc_index_step (JscIndex *index, size_t bytes)
+{
+  const char *stop = (size_t) (index->end - index->at) > bytes ? index->at + bytes : index->end;
+
+  while (index->at < stop)
+    {
+      JscSpan text = { .at = index->at, .end = index->end };
+      char c = *index->at;
+      if (c == '"')
+        {
+          skip_string (&text);
+          index->at = text.at;
+          continue;
+        }
+      if (is_opening (c))
+        open_value (index);
+      else if (is_closing (c))
+        close_value (index);
+      index->at++;
+    }
+  return index->at >= index->end;
+}
+
+/* ---- Values ---- */
+
 bool
 jsc_take_value (JscSpan *text, JscSpan *value)
 {
@@ -98,13 +171,13 @@
   bool ok = false;
 
   skip_space (text);
-  value->at = text->at;
+  *value = *text;
   if (text->at < text->end)
     {
       if (*text->at == '"')
         ok = skip_string (text);
       else if (is_opening (*text->at))
-        ok = skip_nested (text, &depth);
+        ok = skip_indexed (text) || skip_nested (text, &depth);
       else
         ok = skip_scalar (text);
     }
@@ -130,7 +203,7 @@
   skip_space (&text);
   if (text.at >= text.end || !is_opening (*text.at) || !jsc_take_value (&text, &value))
     return false;
-  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1 };
+  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1, .index = value.index };
   return true;
 }
 
@@ -155,7 +228,7 @@
 {
   if (value.at >= value.end || !is_opening (*value.at))
     return false;
-  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1 };
+  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1, .index = value.index };
   return true;
 }
 
--- a/src/jsc.h
+++ b/src/jsc.h
@@ -6,13 +6,46 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** struct JscSpan - part of a text, from @at up to @end */
+/** Large values of a text that an index holds, and how deep in it they may be. */
+#define JSC_INDEX_VALUES 32
+#define JSC_INDEX_DEPTH 5
+
+/**
+ * struct JscIndex - where the large objects and arrays of a text end, so that they are passed over
+ * without scanning them again
+ * @at, @end: what has not been indexed
+ * @depth: number of objects and arrays that are open
+ * @open: where they start
+ * @values: start and end of each large one
+ */
+typedef struct
+{
+  const char *at;
+  const char *end;
+  uint32_t depth;
+  uint32_t count;
+  const char *open[JSC_INDEX_DEPTH];
+  struct
+  {
+    const char *at;
+    const char *end;
+  } values[JSC_INDEX_VALUES];
+} JscIndex;
+
+/** struct JscSpan - part of a text, from @at up to @end; @index: of the text, or NULL */
 typedef struct
 {
   const char *at;
   const char *end;
+  const JscIndex *index;
 } JscSpan;
 
+/** jsc_index_start() - starts to index a text. */
+void jsc_index_start (JscIndex *index, const char *text, size_t size);
+
+/** jsc_index_step() - indexes about @bytes more; false when there is more left. */
+bool jsc_index_step (JscIndex *index, size_t bytes);
+
 /** jsc_take_value() - moves behind a value of any type; false if it is missing or has no end. */
 bool jsc_take_value (JscSpan *text, JscSpan *value);
 
--- a/src/peer.x
+++ b/src/peer.x
@@ -120,7 +120,7 @@
   string name<256>;
   unsigned hyper revision;
   bool deleted;
-  string value<1048576>;
+  string value<16777216>;
 };
 
 /* Changes of one kind of object, after revision @since and up to @revision. When @has_objects is
--- a/src/peer_xdr.c
+++ b/src/peer_xdr.c
@@ -297,7 +297,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->value, 1048576))
+	 if (!xdr_string (xdrs, &objp->value, 16777216))
 		 return FALSE;
 	return TRUE;
 }
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -547,6 +547,87 @@
   EXPECT_EQ (node_->WaitExit (9000), 0) << node_->Log ();
 }
 
+// ---- Many accounts ----
+
+namespace
+{
+// Accounts named `prefix`0, `prefix`1, ... with keys key-`prefix`0-0, ...
+std::string
+ManyAccounts (const std::string &prefix, int accounts, int keys)
+{
+  std::string text;
+  for (int i = 0; i < accounts; i++)
+    {
+      std::string name = prefix + std::to_string (i);
+      std::string list;
+      for (int k = 0; k < keys; k++)
+        list += (k > 0 ? ",\"key-" : "\"key-") + name + "-" + std::to_string (k) + "\"";
+      text += (i > 0 ? "," : "") + Account (name, list, kAnyRegion, ",\"rate-per-s\":1000");
+    }
+  return text;
+}
+}
+
+// Guards against a node without service while it loads, and one that mixes two versions.
+TEST_F (AccountsTest, ConfigurationInForceServesWhileALargeOneIsLoaded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  store_.Put (
+      "config", "main",
+      WithAccounts (8, Account ("two", "\"key-two\"") + "," + ManyAccounts ("many", 2000, 10)));
+  int served = 0;
+  ASSERT_TRUE (WaitUntil (8000, [&] {
+    int status = Get ("/read/a", "key-one");
+    int last = Get ("/read/a", "key-many1999-9");
+    served += status == 200 && last == 401;
+    EXPECT_TRUE (status == 200 || last != 401 || IsConfigured (8)) << status << " " << last;
+    return IsConfigured (8);
+  }));
+  EXPECT_GT (served, 0);
+  EXPECT_EQ (Get ("/read/a", "key-one"), 401);
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many1999-9"), 200);
+  Configure (9, Account ("two", "\"key-two\""));
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 401);
+}
+
+// Guards against a load that is not ended when a newer version arrives, and would replace it.
+TEST_F (AccountsTest, NewerVersionReplacesTheOneBeingLoaded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  store_.Put ("config", "main", WithAccounts (8, ManyAccounts ("many", 10000, 10)));
+  ASSERT_TRUE (WaitUntil (
+      5000, [&] { return Contains (node_->Log (), "event=objects_applied kind=config"); }));
+  Configure (9, Account ("two", "\"key-two\""));
+  EXPECT_TRUE (Contains (node_->Log (), "event=configuration_replaced"));
+  std::this_thread::sleep_for (1500ms);
+  EXPECT_FALSE (IsConfigured (8));
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 401);
+}
+
+// Guards against a limit on the size of objects between nodes that is below that of the store.
+TEST_F (AccountsTest, NodeThatStartsWithoutTheStoreLearnsManyAccountsFromAPeer)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  std::string prefix (60, 'm');
+  std::string configuration = WithAccounts (8, ManyAccounts (prefix, 2000, 10));
+  ASSERT_GT (configuration.size (), 1500000u);
+  store_.Put ("config", "main", configuration);
+  ASSERT_TRUE (WaitUntil (8000, [&] { return IsConfigured (8); }));
+  FakeStore refusing;
+  refusing.SetMode (FakeStore::Mode::kUnavailable);
+  NodeProcess without_store ("vm-2", "east-b", refusing.address (), 2);
+  store_.Put ("nodes", "vm-2",
+              "{\"address\":\"" + without_store.peer () + "\",\"zone\":\"east-b\"}");
+  ASSERT_TRUE (without_store.WaitReady (8000));
+  EXPECT_TRUE (WaitUntil (2000, [&] {
+    return without_store.Call ("GET", "/read/a", WithKey ("k", "key-" + prefix + "1999-9")).status
+           == 200;
+  }));
+}
+
 // ---- Errors in accounts ----
 
 TEST_F (AccountsTest, ConfigurationWithInvalidKeysIsRefusedAndTheOneInForceStays)
--- a/tests/test_fuzz.cc
+++ b/tests/test_fuzz.cc
@@ -209,10 +209,10 @@
           "{\"revision\":\"9\",\"events\":[{\"type\":\"put\",\"object\":" + object + "}]}" };
   Run (inputs, 20000, [] (const std::string &text) {
     PobResponse response = {};
-    pob_parse_list (text.data (), text.size (), &response);
+    pob_parse_list (text.data (), text.size (), nullptr, &response);
     pob_clear (&response);
     response = {};
-    pob_parse_events (text.data (), text.size (), &response);
+    pob_parse_events (text.data (), text.size (), nullptr, &response);
     pob_clear (&response);
   });
 }
--- a/tests/test_jsc.cc
+++ b/tests/test_jsc.cc
@@ -12,7 +12,7 @@
 JscSpan
 Span (const std::string &text)
 {
-  return JscSpan{ text.data (), text.data () + text.size () };
+  return JscSpan{ text.data (), text.data () + text.size (), nullptr };
 }
 
 std::string
@@ -88,3 +88,49 @@
   EXPECT_EQ (jsc_depth (Span ("{\"a\":[{}],\"b\":\"[[[[\"}")), 3u);
   EXPECT_EQ (jsc_depth (Span ("1")), 0u);
 }
+
+// Guards against an index that changes what is found: a text is read with one and without.
+TEST (Jsc, IndexedTextHasTheSameMembers)
+{
+  std::string large (5000, 'x');
+  std::string text = "{\"a\":[{\"spec\":{\"text\":\"" + large + "\\\"]}\"},\"n\":1}],\"b\":[[[[[[\""
+                     + large + "\"]]]]]],\"c\":2}";
+  JscIndex index;
+  jsc_index_start (&index, text.data (), text.size ());
+  int steps = 1;
+  while (!jsc_index_step (&index, 100))
+    steps++;
+  EXPECT_GT (steps, 2);
+  EXPECT_GT (index.count, 3u);
+  JscSpan span = Span (text);
+  span.index = &index;
+  JscSpan contents;
+  JscSpan indexed_contents;
+  ASSERT_TRUE (jsc_open (Span (text), &contents));
+  ASSERT_TRUE (jsc_open (span, &indexed_contents));
+  JscMember members[] = { { "a", {} }, { "b", {} }, { "c", {} }, { "d", {} } };
+  JscMember indexed_members[] = { { "a", {} }, { "b", {} }, { "c", {} }, { "d", {} } };
+  jsc_members (contents, members, 4);
+  jsc_members (indexed_contents, indexed_members, 4);
+  for (int i = 0; i < 4; i++)
+    {
+      EXPECT_EQ (members[i].value.at, indexed_members[i].value.at) << i;
+      EXPECT_EQ (members[i].value.end, indexed_members[i].value.end) << i;
+    }
+  EXPECT_EQ (Text (members[2].value), "2");
+}
+
+// Guards against reads outside the text at unbalanced brackets and open strings.
+TEST (Jsc, IndexOfAnInvalidTextEnds)
+{
+  for (const std::string &text :
+       { std::string ("]]]}}"), std::string ("[[[[[[[[[["), "\"" + std::string (9000, 'x'),
+         std::string (9000, '['), std::string (9000, ']'), std::string ("") })
+    {
+      JscIndex index;
+      jsc_index_start (&index, text.data (), text.size ());
+      while (!jsc_index_step (&index, 7))
+        continue;
+      EXPECT_EQ (index.at, index.end);
+    }
+}
--- a/tests/test_pdc.cc
+++ b/tests/test_pdc.cc
@@ -8,6 +8,7 @@
 
 #include <cstring>
 #include <gtest/gtest.h>
+#include <memory>
 #include <string>
 
 namespace
@@ -203,6 +204,115 @@
     }
 }
 
+namespace
+{
+// `accounts` accounts with `keys` keys each: a0 has key-0-0, key-0-1, ...
+std::string
+ManyAccounts (int accounts, int keys)
+{
+  std::string text;
+  for (int i = 0; i < accounts; i++)
+    {
+      std::string name = std::to_string (i);
+      text += (i > 0 ? ",\"a" : "{\"a") + name + "\":{\"rate-per-s\":" + std::to_string (i + 1)
+              + ",\"api-keys\":[";
+      for (int k = 0; k < keys; k++)
+        text += (k > 0 ? ",\"key-" : "\"key-") + name + "-" + std::to_string (k) + "\"";
+      text += "]}";
+    }
+  return "{\"version\":\"r12\",\"tenants\":" + text + "},\"routes\":{\"a\":" + kRoute + "},"
+         + kServices + "}";
+}
+
+// Reads in steps of `keys` keys, from a copy of the text that is freed after the first of them.
+RteTable *
+LoadInSteps (const std::string &text, uint32_t keys, int *steps, Err *err)
+{
+  auto copy = std::make_unique<std::string> (text);
+  PacReader *reader = pac_new (copy->c_str (), &kSecret);
+  PacState state = pac_step (reader, keys, err);
+  pac_keep_text (reader);
+  copy.reset ();
+  for (*steps = 1; state == PAC_MORE; ++*steps)
+    state = pac_step (reader, keys, err);
+  RteTable *table = state == PAC_DONE ? pdc_finish_table (reader, err) : nullptr;
+  pac_free (reader);
+  return table;
+}
+}
+
+// Guards against a step that reads more than its part: one stops the node for all its requests.
+TEST (Pdc, StepsAreBoundedAndReadTheSameTable)
+{
+  for (auto [accounts, keys] : { std::pair{ 300, 4 }, std::pair{ 1, 3000 } })
+    {
+      Err err = {};
+      int steps = 0;
+      RteTable *table = LoadInSteps (ManyAccounts (accounts, keys), 20, &steps, &err);
+      ASSERT_NE (table, nullptr) << err.text;
+      EXPECT_GE (steps, (accounts * keys) / 21);
+      EXPECT_EQ (table->accounts->accounts->len, (guint) accounts);
+      for (int i = 0; i < accounts; i++)
+        for (int k = 0; k < keys; k++)
+          {
+            const AccAccount *account
+                = FindByKey (table, "key-" + std::to_string (i) + "-" + std::to_string (k));
+            ASSERT_NE (account, nullptr) << i << " " << k;
+            EXPECT_STREQ (account->name, ("a" + std::to_string (i)).c_str ());
+            EXPECT_EQ (account->rate_mps, 1000u * (unsigned) (i + 1));
+          }
+      EXPECT_EQ (FindByKey (table, "key-0-" + std::to_string (keys)), nullptr);
+      EXPECT_NE (rte_match (table, "h", 1, "/a/b", 4), nullptr);
+      rte_unref (table);
+    }
+}
+
+// Guards against a cut or damaged object that is put in force without some of its accounts.
+TEST (Pdc, DamagedAccountsRejectTheWholeObject)
+{
+  std::string text = ManyAccounts (3, 2);
+  int steps = 0;
+  for (size_t size = 0; size < text.size (); size++)
+    {
+      Err err = {};
+      EXPECT_EQ (LoadInSteps (text.substr (0, size), 2, &steps, &err), nullptr) << size;
+      EXPECT_EQ (std::string (err.text).find ("key-"), std::string::npos);
+    }
+  for (const char *accounts :
+       { "{\"one\":{\"api-keys\":[\"a\",]}}", "{\"one\":{\"api-keys\":[\"a\" \"b\"]}}",
+         "{\"one\":{\"api-keys\":[\"a\"],}}", "{\"one\":{\"api-keys\":[\"a\"]},}",
+         "{\"one\":{\"api-keys\":[\"a\"]}\"two\":{}}", "{\"one\":{\"api-keys\":[,\"a\"]}}",
+         "{one:{\"api-keys\":[\"a\"]}}", "{\"one\"{\"api-keys\":[\"a\"]}}",
+         "{\"one\":{\"api-keys\":[\"a\"],\"burst\":tru}}",
+         "{\"one\":{\"api-keys\":[\"\\ud800\"]}}}", "{\"one\":{\"api-keys\":[\"\xff\"]}}",
+         "{\"one\":{\"api-keys\":[\"a\"]},\"one\":{\"api-keys\":[\"b\"]}}",
+         "{\"one\":{\"api-keys\":[\"a\"],\"api-keys\":[\"b\"]}}",
+         "{\"one\":{\"api-keys\":[\"a\"],\"api-keys\":7}}",
+         "{\"one\":{\"api-keys\":[\"a\"]}},\"tenants\":{\"two\":{}}" })
+    {
+      Err err = {};
+      EXPECT_EQ (WithAccounts (accounts, &err), nullptr) << accounts;
+    }
+  Err err = {};
+  EXPECT_EQ (pdc_parse_table ((text + "}").c_str (), &kSecret, &err), nullptr);
+}
+
+// Guards against names and keys that are compared as they are written.
+TEST (Pdc, EscapesInNamesAndKeysAreDecoded)
+{
+  Err err = {};
+  std::string text = ManyAccounts (1, 1);
+  for (auto [plain, escaped] :
+       { std::pair{ "tenants", "tenant\\u0073" }, std::pair{ "api-keys", "api\\u002dkeys" },
+         std::pair{ "key-0-0", "key\\u002d0-\\u0030" } })
+    text.replace (text.find (plain), strlen (plain), escaped);
+  RteTable *table = pdc_parse_table (text.c_str (), &kSecret, &err);
+  ASSERT_NE (table, nullptr) << err.text;
+  ASSERT_NE (table->accounts, nullptr);
+  EXPECT_NE (FindByKey (table, "key-0-0"), nullptr);
+  rte_unref (table);
+}
+
 TEST (Pdc, ParsesValidRegistration)
 {
   UpsRecord record;
--- a/tests/test_pob.cc
+++ b/tests/test_pob.cc
@@ -20,13 +20,13 @@
   bool
   ParseList (const std::string &text)
   {
-    return pob_parse_list (text.data (), text.size (), &response_);
+    return pob_parse_list (text.data (), text.size (), nullptr, &response_);
   }
 
   bool
   ParseEvents (const std::string &text)
   {
-    return pob_parse_events (text.data (), text.size (), &response_);
+    return pob_parse_events (text.data (), text.size (), nullptr, &response_);
   }
 
   const PobObject *
@@ -98,3 +98,18 @@
       response_ = {};
     }
 }
+
+// Guards against a large spec that is parsed and printed again, which stops the node for long.
+TEST_F (Pob, LargeSpecIsKeptAsItIs)
+{
+  std::string spec = "{\"x\" : \"" + std::string (20000, 'y') + "\"}";
+  std::string text = "{\"items\":[" + Object ("a", 3, spec) + "," + Object ("b", 4, "{\"x\" : 1}")
+                     + "],\"as-of\":9}";
+  JscIndex index;
+  jsc_index_start (&index, text.data (), text.size ());
+  ASSERT_TRUE (jsc_index_step (&index, text.size ()));
+  ASSERT_TRUE (pob_parse_list (text.data (), text.size (), &index, &response_));
+  ASSERT_EQ (response_.objects->len, 2u);
+  EXPECT_EQ (At (0)->value, spec);
+  EXPECT_STREQ (At (1)->value, "{\"x\":1}");
+}
