A large configuration is copied once in a turn

The store's object was copied into the response, into the replica and into the reader in one turn: 4.5 ms for 3.2 MB in a node.

--- a/src/obj.c
+++ b/src/obj.c
@@ -31,12 +31,15 @@
 }
 
 bool
-obj_apply (ObjTable *table, const char *path, uint64_t revision, bool deleted, const char *value)
+obj_take (ObjTable *table, const char *path, uint64_t revision, bool deleted, char *value)
 {
   Obj *obj = g_hash_table_lookup (table->by_path, path);
 
   if (obj != NULL && obj->revision >= revision)
-    return false;
+    {
+      g_free (value);
+      return false;
+    }
   if (obj == NULL)
     {
       obj = g_new0 (Obj, 1);
@@ -46,10 +49,18 @@
   obj->revision = revision;
   obj->deleted = deleted;
   g_free (obj->value);
-  obj->value = deleted ? NULL : g_strdup (value);
+  obj->value = deleted ? NULL : value;
+  if (deleted)
+    g_free (value);
   return true;
 }
 
+bool
+obj_apply (ObjTable *table, const char *path, uint64_t revision, bool deleted, const char *value)
+{
+  return obj_take (table, path, revision, deleted, g_strdup (value));
+}
+
 bool
 obj_advance (ObjTable *table, uint64_t revision)
 {
--- a/src/obj.h
+++ b/src/obj.h
@@ -37,6 +37,9 @@
 bool obj_apply (ObjTable *table, const char *path, uint64_t revision, bool deleted,
                 const char *value);
 
+/** obj_take() - the same with a value that the table then owns. */
+bool obj_take (ObjTable *table, const char *path, uint64_t revision, bool deleted, char *value);
+
 /** obj_advance() - records that all changes up to @revision are applied; true if it increased. */
 bool obj_advance (ObjTable *table, uint64_t revision);
 
--- a/src/rep.c
+++ b/src/rep.c
@@ -59,15 +59,21 @@
 }
 
 void
-rep_apply (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
-           const char *value)
+rep_take (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted, char *value)
 {
-  if (!obj_apply (&kind->table, name, revision, deleted, value))
+  if (!obj_take (&kind->table, name, revision, deleted, value))
     return;
   kind->newest_revision = MAX (kind->newest_revision, revision);
   rep->on_changed (rep->user, kind->name, find_object (kind, name));
 }
 
+void
+rep_apply (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
+           const char *value)
+{
+  rep_take (rep, kind, name, revision, deleted, g_strdup (value));
+}
+
 void
 rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, uint64_t revision)
 {
--- a/src/rep.h
+++ b/src/rep.h
@@ -50,6 +50,10 @@
 void rep_apply (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
                 const char *value);
 
+/** rep_take() - the same with a value that the replica then owns. */
+void rep_take (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
+               char *value);
+
 /**
  * rep_reconcile() - deletes the objects that a complete list does not contain
  * @listed: set of the listed objects' names
