Requests with an unknown key or over the quota are rejected before their bodies

401 and 429 were sent after the whole body was received, up to the limit of a body for each connection. The head is now read when it is complete and the body is not (hed, pure), and the node decides on it: the response announces that the connection is closed, and what the caller still sends is read and dropped for at most 1 s and 1 MB, because the kernel resets a connection that is closed with unread data. Before a body with Expect: 100-continue, no 100 is sent. The quota is checked without taking a token; a request that arrives whole is checked again. Without accounts, heads are not looked at. Heads that are ambiguous are left to the HTTP server.

--- a/src/aut.c
+++ b/src/aut.c
@@ -9,6 +9,12 @@
 #define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_SERVICE_UNAVAILABLE 503
 
+#define UNAUTHORIZED "unauthorized"
+#define CHALLENGE_HEADER "www-authenticate"
+#define CHALLENGE "Bearer"
+#define RETRY_HEADER "retry-after"
+#define OVER_QUOTA "over_quota"
+
 void
 aut_init (Node *node)
 {
@@ -43,37 +49,56 @@
 }
 
 static void
-reject_unauthorized (Node *node, h2o_req_t *h2o, const RteRoute *route, const char *reason)
+count_unauthorized (Node *node, const char *id, const RteRoute *route, const char *reason)
 {
-  char *id = repeat_id (node, h2o);
-
   node->counters.unauthorized++;
   if (may_log (node))
     log_event (&node->request_log, LOG_INFO, "request_unauthorized",
                "id=%s route=%s reason=%s config=%llu config_age_ms=%llu", id != NULL ? id : "-",
                route->name, reason, (unsigned long long) node->table->version,
                (unsigned long long) (clk_now_ms () - node->configured_at_ms));
-  g_free (id);
-  hsv_add_header (h2o, "www-authenticate", "Bearer");
-  hsv_respond (h2o, STATUS_UNAUTHORIZED, "text/plain", "unauthorized");
 }
 
 static void
-reject (Node *node, h2o_req_t *h2o, const RteRoute *route, const AccAccount *account, int status,
-        const char *reason, uint32_t retry_after_ms)
+reject_unauthorized (Node *node, h2o_req_t *h2o, const RteRoute *route, const char *reason)
 {
   char *id = repeat_id (node, h2o);
-  char seconds[32];
 
+  count_unauthorized (node, id, route, reason);
+  g_free (id);
+  hsv_add_header (h2o, CHALLENGE_HEADER, CHALLENGE);
+  hsv_respond (h2o, STATUS_UNAUTHORIZED, "text/plain", UNAUTHORIZED);
+}
+
+static void
+log_rejected (Node *node, const char *id, const RteRoute *route, const AccAccount *account,
+              int status, const char *reason, uint32_t retry_after_ms)
+{
   if (may_log (node))
     log_event (
         &node->request_log, LOG_INFO, "request_failed",
         "id=%s status=%d reason=%s route=%s account=%s sends=0 retry_after_ms=%u config=%llu",
         id != NULL ? id : "-", status, reason, route->name, account->name, retry_after_ms,
         (unsigned long long) node->table->version);
+}
+
+static void
+format_seconds (uint32_t ms, char *text, size_t size)
+{
+  g_snprintf (text, size, "%u.%03u", ms / 1000, ms % 1000);
+}
+
+static void
+reject (Node *node, h2o_req_t *h2o, const RteRoute *route, const AccAccount *account, int status,
+        const char *reason, uint32_t retry_after_ms)
+{
+  char *id = repeat_id (node, h2o);
+  char seconds[32];
+
+  log_rejected (node, id, route, account, status, reason, retry_after_ms);
   g_free (id);
-  g_snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000, retry_after_ms % 1000);
-  hsv_add_header (h2o, "retry-after", seconds);
+  format_seconds (retry_after_ms, seconds, sizeof seconds);
+  hsv_add_header (h2o, RETRY_HEADER, seconds);
   hsv_respond (h2o, status, "text/plain", reason);
 }
 
@@ -144,9 +169,8 @@
 /* ---- Arrival of a request ---- */
 
 static AccAccount *
-find_account (Node *node, h2o_req_t *h2o, AccDigest *digest, const char **reason)
+find_account (Node *node, const char *value, AccDigest *digest, const char **reason)
 {
-  char *value = hsv_header (h2o, AUT_HEADER);
   size_t key_bytes = 0;
   const char *key = value != NULL ? acc_parse_bearer (value, &key_bytes) : NULL;
   AccAccount *account = NULL;
@@ -160,7 +184,6 @@
       if (account != NULL && !account->is_applied)
         apply_account (node, account);
     }
-  g_free (value);
   return account;
 }
 
@@ -172,7 +195,9 @@
   *identity = (AutIdentity){ 0 };
   if (node->table->accounts == NULL)
     return true;
-  identity->account = find_account (node, h2o, &identity->digest, &reason);
+  char *value = hsv_header (h2o, AUT_HEADER);
+  identity->account = find_account (node, value, &identity->digest, &reason);
+  g_free (value);
   if (identity->account != NULL)
     identity->account->requests++;
   if (identity->account != NULL || route->is_public)
@@ -195,6 +220,13 @@
   return false;
 }
 
+static void
+count_over_quota (Node *node, AccAccount *account)
+{
+  node->counters.over_quota++;
+  account->over_quota++;
+}
+
 bool
 aut_admit (Node *node, h2o_req_t *h2o, const RteRoute *route, AccAccount *account,
            uint32_t limit_ms)
@@ -215,13 +247,68 @@
   if (account->rate_mps == 0
       || quo_admit (node->quotas, account->hash, clk_now_ms (), &retry_after_ms))
     return true;
-  node->counters.over_quota++;
-  account->over_quota++;
-  reject (node, h2o, route, account, STATUS_TOO_MANY_REQUESTS, "over_quota",
+  count_over_quota (node, account);
+  reject (node, h2o, route, account, STATUS_TOO_MANY_REQUESTS, OVER_QUOTA,
           MIN (retry_after_ms, retry_after_max_ms));
   return false;
 }
 
+/* ---- Heads of requests ---- */
+
+static bool
+reject_unknown_key (Node *node, const char *id, const RteRoute *route, const char *reason,
+                    HsvReply *reply)
+{
+  if (route->is_public)
+    return false;
+  count_unauthorized (node, id, route, reason);
+  reply->status = STATUS_UNAUTHORIZED;
+  reply->body = UNAUTHORIZED;
+  hsv_add_reply_header (reply, CHALLENGE_HEADER, CHALLENGE);
+  return true;
+}
+
+static bool
+reject_over_quota (Node *node, const char *id, const RteRoute *route, AccAccount *account,
+                   uint32_t limit_ms, HsvReply *reply)
+{
+  AdmRequest admission = { .remaining_ms = limit_ms };
+  uint32_t retry_after_ms;
+  char seconds[32];
+
+  if (account->rate_mps == 0 || !has_common_region (node, route, account)
+      || quo_would_admit (node->quotas, account->hash, clk_now_ms (), &retry_after_ms))
+    return false;
+  retry_after_ms = MIN (retry_after_ms, adm_max_retry_after_ms (&admission));
+  account->requests++;
+  count_over_quota (node, account);
+  log_rejected (node, id, route, account, STATUS_TOO_MANY_REQUESTS, OVER_QUOTA, retry_after_ms);
+  format_seconds (retry_after_ms, seconds, sizeof seconds);
+  reply->status = STATUS_TOO_MANY_REQUESTS;
+  reply->body = OVER_QUOTA;
+  hsv_add_reply_header (reply, RETRY_HEADER, seconds);
+  return true;
+}
+
+bool
+aut_reject_head (Node *node, const Hed *head, const RteRoute *route, uint32_t limit_ms,
+                 HsvReply *reply)
+{
+  char *id = hed_header (head, node->headers.request_id);
+  char *value = hed_header (head, AUT_HEADER);
+  const char *reason;
+  AccDigest digest;
+  AccAccount *account = find_account (node, value, &digest, &reason);
+  bool is_rejected = account != NULL ? reject_over_quota (node, id, route, account, limit_ms, reply)
+                                     : reject_unknown_key (node, id, route, reason, reply);
+
+  if (is_rejected && id != NULL)
+    hsv_add_reply_header (reply, node->headers.request_id, id);
+  g_free (value);
+  g_free (id);
+  return is_rejected;
+}
+
 void
 aut_set_sender (Frq *frq, const AutIdentity *identity)
 {
--- a/src/aut.h
+++ b/src/aut.h
@@ -41,6 +41,16 @@
 bool aut_admit (Node *node, h2o_req_t *h2o, const RteRoute *route, AccAccount *account,
                 uint32_t limit_ms);
 
+/**
+ * aut_reject_head() - whether a request is rejected before its body is received
+ * @limit_ms: longest time until its response
+ * @reply: set when it is: 401 as aut_identify(), 429 as aut_admit()
+ *
+ * Takes no token: a request that is received is checked again.
+ */
+bool aut_reject_head (Node *node, const Hed *head, const RteRoute *route, uint32_t limit_ms,
+                      HsvReply *reply);
+
 /** aut_set_sender() - records in a new request who sent it, and its priority. */
 void aut_set_sender (Frq *frq, const AutIdentity *identity);
 
--- a/src/fst.c
+++ b/src/fst.c
@@ -60,16 +60,22 @@
 
 /* ---- Arrival of a request ---- */
 
+/* Takes over the header's value. */
 static uint32_t
-read_deadline_ms (Node *node, h2o_req_t *h2o)
+parse_deadline_ms (char *header)
 {
-  char *header = hsv_header (h2o, node->headers.deadline_ms);
   uint64_t deadline_ms = header != NULL ? strtoull (header, NULL, 10) : 0;
 
   g_free (header);
   return deadline_ms == 0 ? DEADLINE_DEFAULT_MS : (uint32_t) MIN (deadline_ms, DEADLINE_MAX_MS);
 }
 
+static uint32_t
+read_deadline_ms (Node *node, h2o_req_t *h2o)
+{
+  return parse_deadline_ms (hsv_header (h2o, node->headers.deadline_ms));
+}
+
 /* Hash of the object's key in the affinity cookie; 0 without the cookie or with an empty key. */
 static uint32_t
 read_object_key (Node *node, h2o_req_t *h2o, const RteRoute *route)
@@ -225,6 +231,24 @@
     fwd_dispatch (frq);
 }
 
+bool
+fst_reject_head (void *user, const Hed *head, HsvReply *reply)
+{
+  Node *node = user;
+
+  if (node->table == NULL || node->table->accounts == NULL || nod_rejects_requests (node))
+    return false;
+  const RteRoute *route
+      = rte_match (node->table, head->host.at, head->host.size, head->path.at, head->path.size);
+  if (route == NULL)
+    return false;
+  uint32_t deadline_ms = parse_deadline_ms (hed_header (head, node->headers.deadline_ms));
+  if (!aut_reject_head (node, head, route, MIN (deadline_ms, route->timeout_ms), reply))
+    return false;
+  node->counters.requests++;
+  return true;
+}
+
 void
 fst_limit_deadlines (Node *node)
 {
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -22,6 +22,8 @@
   bool listening;
   HsvHandler handler;
   void *user;
+  HsvHeadFn head_fn;
+  void *head_user;
   HsvHook hook;
   void *hook_user;
   GHashTable *watch_table;
@@ -264,6 +266,56 @@
   h2o_context_request_shutdown (&server->ctx);
 }
 
+/* ---- Requests rejected before their bodies ---- */
+
+static char *
+format_reply (const HsvReply *reply)
+{
+  return g_strdup_printf ("HTTP/1.1 %d Refused\r\nconnection: close\r\ncontent-type: text/plain\r\n"
+                          "content-length: %zu\r\n%s\r\n%s",
+                          reply->status, strlen (reply->body), reply->headers->str, reply->body);
+}
+
+/* Requests with heads that are not usual are left to h2o. */
+static RdlVerdict
+on_head (void *user, const char *bytes, size_t size, char **response)
+{
+  HsvServer *server = user;
+  Hed head;
+
+  switch (hed_read (bytes, size, &head))
+    {
+    case HED_INCOMPLETE:
+      return RDL_READ_ON;
+    case HED_UNUSUAL:
+      return RDL_ACCEPT;
+    case HED_READ:
+      break;
+    }
+  if (!hed_lacks_body (&head, bytes, size))
+    return RDL_ACCEPT;
+  HsvReply reply = { .headers = g_string_new (NULL) };
+  bool is_rejected = server->head_fn (server->head_user, &head, &reply);
+  if (is_rejected)
+    *response = format_reply (&reply);
+  g_string_free (reply.headers, TRUE);
+  return is_rejected ? RDL_REJECT : RDL_ACCEPT;
+}
+
+void
+hsv_set_head_check (HsvServer *server, HsvHeadFn fn, void *user)
+{
+  server->head_fn = fn;
+  server->head_user = user;
+  rdl_set_head_check (&server->reading, fn != NULL ? on_head : NULL, server);
+}
+
+void
+hsv_add_reply_header (HsvReply *reply, const char *name, const char *value)
+{
+  g_string_append_printf (reply->headers, "%s: %s\r\n", name, value);
+}
+
 /* ---- Disconnection of callers ---- */
 
 static HsvServer *
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "err.h"
+#include "hed.h"
 #include "mbg.h"
 #include "net.h"
 #include "rdl.h"
@@ -50,6 +51,32 @@
  * ("connection: close"); the listener stays open. */
 void hsv_drain_connections (HsvServer *server);
 
+/**
+ * struct HsvReply - a response that is sent before the request's body is received
+ * @headers: header lines, each with its end
+ */
+typedef struct
+{
+  int status;
+  const char *body;
+  GString *headers;
+} HsvReply;
+
+/** typedef HsvHeadFn - whether a request is rejected with @reply, by its head alone; called when
+ * its body is not received, at most once for each request that is accepted */
+typedef bool (*HsvHeadFn) (void *user, const Hed *head, HsvReply *reply);
+
+/**
+ * hsv_set_head_check() - @fn checks requests of HTTP/1 before their bodies are received
+ *
+ * The response to a rejected one announces that the connection is closed, and what follows is not
+ * kept. Needs hsv_set_budget().
+ */
+void hsv_set_head_check (HsvServer *server, HsvHeadFn fn, void *user);
+
+/** hsv_add_reply_header() - adds a header to a reply. */
+void hsv_add_reply_header (HsvReply *reply, const char *name, const char *value);
+
 /** typedef HsvHook - runs before the server handles an event */
 typedef void (*HsvHook) (void *user);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -158,6 +158,11 @@
 #define RDL_WAITING_RECEIVE_BUFFER_BYTES (4 * 1024)
 #define RDL_SEND_BUFFER_BYTES (64 * 1024)
 
+/* After a request was rejected before its body, the connection is read for this time and size, so
+ * that the caller gets the response. */
+#define RDL_DISCARD_MAX_MS 1000
+#define RDL_DISCARD_MAX_BYTES (1024u * 1024u)
+
 /* Bytes behind a request at work that are read to notice the end of its connection. */
 #define HSV_PIPELINED_MAX_BYTES (16u * 1024u)
 #define HSV_READ_MIN_BYTES 4096u
--- a/src/nod.c
+++ b/src/nod.c
@@ -602,6 +602,7 @@
   if (node->lookup == NULL)
     return false;
   hsv_set_budget (node->front, &node->memory, RDL_CALLERS);
+  hsv_set_head_check (node->front, fst_reject_head, node);
   hsv_set_budget (node->ready, &node->memory, RDL_PROBES);
   hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
--- a/src/quo.c
+++ b/src/quo.c
@@ -551,28 +551,44 @@
   count_use (quotas, account, &account->zone, 1, now_ms);
 }
 
-bool
-quo_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+static bool
+check_token (Quo *quotas, Account *account, uint64_t now_ms, uint32_t *retry_after_ms)
 {
-  Account *account = find_account (quotas, hash);
-
-  *retry_after_ms = 0;
-  if (account == NULL)
-    return true;
   advance (quotas, account, now_ms);
   double unreported = unreported_of (account);
   double allowance = MAX (strict_allowance (quotas, account, unreported),
                           relaxed_allowance (quotas, account, unreported));
+
   if (floor (allowance + rounding_of (quotas, account, now_ms)) > unreported)
-    {
-      take_token (quotas, account, now_ms);
-      return true;
-    }
+    return true;
   account->refused++;
   *retry_after_ms = retry_after_ms_of (quotas, account, unreported);
   return false;
 }
 
+bool
+quo_would_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+{
+  Account *account = find_account (quotas, hash);
+
+  *retry_after_ms = 0;
+  return account == NULL || check_token (quotas, account, now_ms, retry_after_ms);
+}
+
+bool
+quo_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+{
+  Account *account = find_account (quotas, hash);
+
+  *retry_after_ms = 0;
+  if (account == NULL)
+    return true;
+  if (!check_token (quotas, account, now_ms, retry_after_ms))
+    return false;
+  take_token (quotas, account, now_ms);
+  return true;
+}
+
 void
 quo_refund (Quo *quotas, uint32_t hash, uint64_t now_ms)
 {
--- a/src/quo.h
+++ b/src/quo.h
@@ -67,6 +67,9 @@
  */
 bool quo_admit (Quo *quotas, uint32_t account, uint64_t now_ms, uint32_t *retry_after_ms);
 
+/** quo_would_admit() - the same without taking a token; a refusal counts as one. */
+bool quo_would_admit (Quo *quotas, uint32_t account, uint64_t now_ms, uint32_t *retry_after_ms);
+
 /** quo_refund() - returns the token of a request that no upstream can have run. */
 void quo_refund (Quo *quotas, uint32_t account, uint64_t now_ms);
 
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -30,6 +30,10 @@
  * @reading_link: in &Rdl.reading
  * @is_reading: a request is expected or being received
  * @is_paused: it waits for the budget
+ * @is_head_checked: the request being received is not checked again by &Rdl.head_fn
+ * @discarding_link: in &Rdl.discarding, with the connection as data while it is there
+ * @discarded_bytes: bytes received since the request was rejected
+ * @discard_until_ms: when the connection is closed then
  * @h2o_write: h2o's callback for the end of a write, while on_guarded_write() stands in for it
  */
 typedef struct RdlConn
@@ -42,6 +46,10 @@
   Framing framing;
   bool is_reading;
   bool is_paused;
+  bool is_head_checked;
+  GList discarding_link;
+  size_t discarded_bytes;
+  uint64_t discard_until_ms;
   h2o_socket_cb h2o_write;
 } RdlConn;
 
@@ -116,6 +124,8 @@
   if (rdl->current == conn)
     rdl->current = NULL;
   set_reading (conn, false);
+  if (conn->discarding_link.data != NULL)
+    g_queue_unlink (&rdl->discarding, &conn->discarding_link);
   while (g_ptr_array_remove_fast (rdl->answered, conn->sock))
     continue;
   mbg_release (mbg, &conn->claim);
@@ -172,6 +182,68 @@
   return (Framing){ 0 };
 }
 
+/* ---- Requests rejected before their bodies ---- */
+
+static void
+on_discarded_read (h2o_socket_t *sock, const char *err)
+{
+  RdlConn *conn = sock->on_close.data;
+
+  if (err != NULL)
+    {
+      conn->rdl->h2o_read (sock, err);
+      return;
+    }
+  conn->discarded_bytes += sock->input->size;
+  h2o_buffer_consume (&sock->input, sock->input->size);
+  if (conn->discarded_bytes >= RDL_DISCARD_MAX_BYTES)
+    h2o_socket_read_stop (sock);
+}
+
+/* Sends the response, and reads what the caller still sends for a while: the kernel would reset a
+ * connection closed with unread data, and the caller might lose the response. */
+static void
+reject_unread (RdlConn *conn, const char *response)
+{
+  Rdl *rdl = conn->rdl;
+  int fd = h2o_socket_get_fd (conn->sock);
+
+  (void) !send (fd, response, strlen (response), MSG_DONTWAIT | MSG_NOSIGNAL);
+  shutdown (fd, SHUT_WR);
+  set_reading (conn, false);
+  mbg_release (rdl->mbg, &conn->claim);
+  conn->discarding_link.data = conn;
+  conn->discard_until_ms = uv_now (rdl->loop) + RDL_DISCARD_MAX_MS;
+  g_queue_push_tail_link (&rdl->discarding, &conn->discarding_link);
+  h2o_buffer_consume (&conn->sock->input, conn->sock->input->size);
+  h2o_socket_read_start (conn->sock, on_discarded_read);
+}
+
+/* Return: false when the request is rejected. */
+static bool
+check_head (RdlConn *conn)
+{
+  Rdl *rdl = conn->rdl;
+  const h2o_buffer_t *input = conn->sock->input;
+  char *response = NULL;
+
+  if (rdl->head_fn == NULL || conn->is_head_checked || input->size == 0)
+    return true;
+  RdlVerdict verdict = rdl->head_fn (rdl->head_user, input->bytes, input->size, &response);
+  conn->is_head_checked = verdict != RDL_READ_ON;
+  if (verdict == RDL_REJECT)
+    reject_unread (conn, response);
+  g_free (response);
+  return verdict != RDL_REJECT;
+}
+
+void
+rdl_set_head_check (Rdl *rdl, RdlHeadFn fn, void *user)
+{
+  rdl->head_fn = fn;
+  rdl->head_user = user;
+}
+
 /* ---- Budget ---- */
 
 static bool
@@ -329,7 +401,7 @@
       return;
     }
   set_reading (conn, true);
-  if (!call_h2o (conn, rdl->h2o_read, NULL))
+  if (!check_head (conn) || !call_h2o (conn, rdl->h2o_read, NULL))
     return;
   if (sock->_cb.read == on_guarded_read)
     check_request (conn);
@@ -353,8 +425,10 @@
   conn->sock->_cb.read = on_guarded_read;
   conn->framing = (Framing){ 0 };
   conn->claim.is_complete = false;
+  conn->is_head_checked = false;
   set_reading (conn, true);
-  check_request (conn);
+  if (check_head (conn))
+    check_request (conn);
 }
 
 /* h2o reads the next request of a connection after it has freed the one before. */
@@ -436,6 +510,12 @@
 
 /* ---- Connections to close ---- */
 
+static RdlConn *
+oldest_discarding (Rdl *rdl)
+{
+  return rdl->discarding.head != NULL ? rdl->discarding.head->data : NULL;
+}
+
 /* Waiting requests have their own limit; one with unread bytes may be a request just sent. */
 static bool
 may_close (const RdlConn *conn)
@@ -462,7 +542,9 @@
     return true;
   while (g_hash_table_size (rdl->conns) >= rdl->connections_max)
     {
-      RdlConn *conn = longest_idle (rdl);
+      RdlConn *conn = oldest_discarding (rdl);
+      if (conn == NULL)
+        conn = longest_idle (rdl);
       if (conn == NULL)
         {
           rdl->mbg->counters.connections_refused++;
@@ -478,9 +560,13 @@
 rdl_tick (Rdl *rdl)
 {
   MbgClaim *claim;
+  RdlConn *discarding;
 
   if (rdl->mbg == NULL)
     return;
+  while ((discarding = oldest_discarding (rdl)) != NULL
+         && uv_now (rdl->loop) >= discarding->discard_until_ms)
+    close_conn (discarding, NULL);
   resume_waiting (rdl->mbg, uv_now (rdl->loop));
   while ((claim = mbg_victim (rdl->mbg, uv_now (rdl->loop))) != NULL)
     {
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -21,6 +21,23 @@
   RDL_NODES,
 } RdlRole;
 
+/**
+ * typedef RdlVerdict - what is done with a request whose body is not received
+ * @RDL_READ_ON: it is not decided yet, as its head is incomplete
+ * @RDL_ACCEPT: it is received
+ * @RDL_REJECT: it gets a response at once, and the connection is closed
+ */
+typedef enum
+{
+  RDL_READ_ON,
+  RDL_ACCEPT,
+  RDL_REJECT,
+} RdlVerdict;
+
+/** typedef RdlHeadFn - checks the bytes of a request received so far; @response: set on
+ * RDL_REJECT, freed by the caller */
+typedef RdlVerdict (*RdlHeadFn) (void *user, const char *bytes, size_t size, char **response);
+
 /**
  * struct Rdl - connections of a server
  * @mbg: budget; NULL: nothing is limited
@@ -28,6 +45,8 @@
  * @body_max_bytes: largest body that the server accepts
  * @conns: RdlConn by socket
  * @reading: RdlConn that read or wait, those without data for longest first
+ * @head_fn: checks requests before their bodies are received, or NULL
+ * @discarding: RdlConn whose request was rejected before its body was received, the oldest first
  * @answered: sockets whose requests have ended in this iteration of the loop
  * @restart: observes these connections again before the next poll
  * @h2o_read: h2o's callback for reading a request
@@ -42,6 +61,9 @@
   size_t body_max_bytes;
   GHashTable *conns;
   GQueue reading;
+  RdlHeadFn head_fn;
+  void *head_user;
+  GQueue discarding;
   GPtrArray *answered;
   uv_prepare_t restart;
   h2o_socket_cb h2o_read;
@@ -53,6 +75,9 @@
 /** rdl_set_budget() - limits the connections that are added from now on. */
 void rdl_set_budget (Rdl *rdl, Mbg *mbg, RdlRole role);
 
+/** rdl_set_head_check() - @fn checks the requests of all connections that have a budget. */
+void rdl_set_head_check (Rdl *rdl, RdlHeadFn fn, void *user);
+
 /** rdl_admit() - whether a new connection may be served; closes others if there are too many. */
 bool rdl_admit (Rdl *rdl);
 
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -547,6 +547,156 @@
   EXPECT_EQ (node_->WaitExit (9000), 0) << node_->Log ();
 }
 
+// ---- Rejections before the body ----
+
+namespace
+{
+// A request whose body does not arrive, or only a part of it.
+std::string
+HeadOnly (const std::string &id, const std::string &key, const std::string &framing)
+{
+  return "POST /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + id
+         + "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer " + key + "\r\n" + framing + "\r\n";
+}
+
+const char kLargeBody[] = "Content-Length: 1000000\r\n";
+
+// What arrives until the connection ends or, without an end, for a second and a half.
+std::string
+ReadToEnd (int fd, bool *ended)
+{
+  std::string bytes;
+  char buffer[4096];
+  timeval limit = { 1, 500000 };
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  ssize_t n;
+  while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    bytes.append (buffer, static_cast<size_t> (n));
+  *ended = n == 0;
+  return InLowerCase (bytes);
+}
+
+std::string
+Exchange (const std::string &address, const std::string &bytes, bool *ended)
+{
+  int fd = Connect (address);
+  WriteAll (fd, bytes);
+  std::string response = ReadToEnd (fd, ended);
+  close (fd);
+  return response;
+}
+}
+
+// Guards against callers that hold memory with bodies of requests that are rejected anyway.
+TEST_F (AccountsTest, UnknownKeyGets401BeforeTheBody)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  for (const std::string &framing :
+       { std::string (kLargeBody), std::string (kLargeBody) + "Expect: 100-continue\r\n",
+         std::string ("Transfer-Encoding: chunked\r\n") })
+    {
+      bool ended = false;
+      std::string response
+          = Exchange (node_->front (), HeadOnly ("early", "wrong", framing) + "part", &ended);
+      EXPECT_EQ (response.rfind ("http/1.1 401 ", 0), 0u) << framing << response;
+      EXPECT_TRUE (Contains (response, "connection: close\r\n"));
+      EXPECT_TRUE (Contains (response, "www-authenticate: bearer\r\n"));
+      EXPECT_TRUE (Contains (response, "x-request-id: early\r\n"));
+      EXPECT_FALSE (Contains (response, "100 continue"));
+      EXPECT_TRUE (ended);
+    }
+  EXPECT_EQ (Counter ("unauthorized"), 3);
+  EXPECT_EQ (Counter ("requests"), 3);
+  EXPECT_EQ (east_.arrivals (), 0);
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+}
+
+// Guards against a reset that takes the response away from a caller that is still sending.
+TEST_F (AccountsTest, CallerThatSendsItsWholeBodyGets401)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  int fd = Connect (node_->front ());
+  WriteAll (fd, HeadOnly ("sender", "wrong", kLargeBody));
+  std::this_thread::sleep_for (100ms);
+  for (int i = 0; i < 10; i++)
+    {
+      WriteAll (fd, std::string (50000, 'b'));
+      std::this_thread::sleep_for (20ms);
+    }
+  bool ended = false;
+  EXPECT_EQ (ReadToEnd (fd, &ended).rfind ("http/1.1 401 ", 0), 0u);
+  EXPECT_TRUE (ended);
+  close (fd);
+}
+
+// Guards against a check of the first request of a connection alone.
+TEST_F (AccountsTest, LaterRequestOfAConnectionGets401BeforeTheBody)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  for (bool pipelined : { false, true })
+    {
+      int fd = Connect (node_->front ());
+      std::string first = HeadOnly ("first", "key-one", "Content-Length: 2\r\n") + "ab";
+      std::string second = HeadOnly ("second", "wrong", kLargeBody);
+      WriteAll (fd, pipelined ? first + second : first);
+      std::this_thread::sleep_for (300ms);
+      if (!pipelined)
+        WriteAll (fd, second);
+      bool ended = false;
+      std::string responses = ReadToEnd (fd, &ended);
+      EXPECT_EQ (responses.rfind ("http/1.1 200 ", 0), 0u) << responses;
+      size_t at = responses.find ("http/1.1 401 ");
+      EXPECT_TRUE (pipelined || at != std::string::npos) << responses;
+      EXPECT_TRUE (ended);
+      close (fd);
+    }
+}
+
+TEST_F (AccountsTest, RequestOverTheQuotaGets429BeforeTheBody)
+{
+  Start (WithAccounts (
+      7, Account ("one", "\"key-one\"", kAnyRegion, ",\"rate-per-s\":0.001,\"burst\":1")));
+  int status = 200;
+  for (int i = 0; i < 60 && status == 200; i++)
+    status = Get ("/read/a", "key-one");
+  ASSERT_EQ (status, 429);
+  int arrivals = east_.arrivals ();
+  long rejected = Counter ("over_quota");
+  bool ended = false;
+  std::string response
+      = Exchange (node_->front (), HeadOnly ("over", "key-one", kLargeBody), &ended);
+  EXPECT_EQ (response.rfind ("http/1.1 429 ", 0), 0u) << response;
+  EXPECT_TRUE (Contains (response, "connection: close\r\n"));
+  EXPECT_TRUE (Contains (response, "retry-after: "));
+  EXPECT_TRUE (Contains (response, "over_quota"));
+  EXPECT_TRUE (ended);
+  EXPECT_EQ (Counter ("over_quota"), rejected + 1);
+  EXPECT_EQ (east_.arrivals (), arrivals);
+}
+
+// Guards against a token that is taken by a request whose body never arrives.
+TEST_F (AccountsTest, RequestWithoutItsBodyTakesNoToken)
+{
+  const std::string quota = ",\"rate-per-s\":0.001,\"burst\":1";
+  Start (WithAccounts (7, Account ("one", "\"key-one\"", kAnyRegion, quota) + ","
+                              + Account ("two", "\"key-two\"", kAnyRegion, quota)));
+  int usual = 0;
+  while (usual < 60 && Get ("/read/a", "key-two") == 200)
+    usual++;
+  for (int i = 0; i < 60; i++)
+    {
+      int fd = Connect (node_->front ());
+      WriteAll (fd, HeadOnly ("gone", "key-one", kLargeBody));
+      std::this_thread::sleep_for (5ms);
+      close (fd);
+    }
+  int admitted = 0;
+  while (admitted < 60 && Get ("/read/a", "key-one") == 200)
+    admitted++;
+  EXPECT_GT (usual, 0);
+  EXPECT_EQ (admitted, usual);
+}
+
 // ---- Many accounts ----
 
 namespace
