cardamomctl accounts prints quotas and use of accounts on nodes

Operators had to read state dumps by hand, whose quota lines name accounts by a hash. The dump now has a line with rate, burst, level and what the node admitted in the last whole window for each account that it lists, and /state?account=NAME has the lines of one account. 'cardamomctl accounts' asks the given addresses, or those in CARDAMOM_NODES, one after the other.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,4 +1,5 @@
 /* Command-line tool for operators: objects, drains, configuration, plan and request traces. */
+#include "cac.h"
 #include "cfg.h"
 #include "hcl.h"
 #include "jsn.h"
@@ -10,6 +11,7 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_MS 3000
+#define ADDRESSES_MAX 1000
 #define PLAN_PATH "system/plan"
 
 /** typedef ExitCode - exit codes of the program, listed by --help */
@@ -33,6 +35,7 @@
   char *output;
   char *file;
   char *team;
+  char *account;
   gint64 if_version;
 } Ctl;
 
@@ -502,6 +505,19 @@
   return EXIT_OK;
 }
 
+/* ---- Accounts ---- */
+
+static ExitCode
+run_accounts (Ctl *ctl, char **args, int count)
+{
+  CacQuery query = { .addresses = args,
+                     .count = count,
+                     .account = ctl->account,
+                     .json = strcmp (ctl->output, "json") == 0 };
+
+  return (ExitCode) cac_run (&ctl->http, &query);
+}
+
 /* ---- Command line ---- */
 
 static const Command commands[] = {
@@ -519,6 +535,8 @@
   { "history", 0, 0, run_history, "history", "latest steering decisions" },
   { "status", 0, 0, run_status, "status", "plan, entries and refused objects" },
   { "dump", 1, 1, run_dump, "dump ADDRESS", "state of one process" },
+  { "accounts", 0, ADDRESSES_MAX, run_accounts, "accounts [ADDRESS...] [--account=NAME]",
+    "quotas and use of accounts on nodes" },
   { "trace", 1, 1, run_trace, "trace ID [--file=LOG]", "a request's log lines and its cause" },
 };
 
@@ -553,7 +571,7 @@
 static bool
 needs_store (const char *command)
 {
-  return strcmp (command, "trace") != 0;
+  return strcmp (command, "trace") != 0 && strcmp (command, "accounts") != 0;
 }
 
 static bool
@@ -587,6 +605,7 @@
     { "file", 'f', 0, G_OPTION_ARG_STRING, &ctl->file, "JSON object to write, '-' for input",
       "FILE" },
     { "team", 't', 0, G_OPTION_ARG_STRING, &ctl->team, "change this team's subtree only", "TEAM" },
+    { "account", 0, 0, G_OPTION_ARG_STRING, &ctl->account, "this account alone", "NAME" },
     { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl->if_version, "version that must be in place",
       "N" },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
--- a/src/nst.c
+++ b/src/nst.c
@@ -226,9 +226,33 @@
     }
 }
 
-/* One line for each of the accounts with the most requests, and one for all others together. */
 static void
-dump_accounts (const Node *node, GString *out)
+dump_account (const AccAccount *account, GString *out)
+{
+  g_string_append_printf (out, "account=%s requests=%llu over_quota=%llu\n", account->name,
+                          (unsigned long long) account->requests,
+                          (unsigned long long) account->over_quota);
+}
+
+/* @admitted: by this node in the last whole window. */
+static void
+dump_quota (const Node *node, const AccAccount *account, uint64_t now_ms, GString *out)
+{
+  QuoStatus quota;
+
+  if (account->rate_mps == 0 || !quo_read (node->quotas, account->hash, now_ms, &quota))
+    return;
+  g_string_append_printf (out,
+                          "account_quota=%s rate_mps=%llu burst=%u window_ms=%u admitted=%u "
+                          "admitted_now=%u level=%.1f\n",
+                          account->name, (unsigned long long) quota.rate_mps, quota.burst,
+                          node->settings.quota.window_ms, quota.admitted, quota.admitted_now,
+                          quota.level);
+}
+
+/* Lines of each of the accounts with the most requests, and one for all others together. */
+static void
+dump_accounts (const Node *node, uint64_t now_ms, GString *out)
 {
   uint64_t requests = 0;
   uint64_t over_quota = 0;
@@ -241,9 +265,8 @@
       const AccAccount *account = g_ptr_array_index (accounts, i);
       if (i < ACC_LISTED_MAX)
         {
-          g_string_append_printf (out, "account=%s requests=%llu over_quota=%llu\n", account->name,
-                                  (unsigned long long) account->requests,
-                                  (unsigned long long) account->over_quota);
+          dump_account (account, out);
+          dump_quota (node, account, now_ms, out);
           continue;
         }
       requests += account->requests;
@@ -255,6 +278,22 @@
   g_ptr_array_unref (accounts);
 }
 
+char *
+nst_dump_account (const Node *node, const char *name)
+{
+  GString *out = g_string_new (NULL);
+  const AccTable *accounts = node->table != NULL ? node->table->accounts : NULL;
+  const AccAccount *account = accounts != NULL ? acc_find_name (accounts, name) : NULL;
+
+  dump_node (node, out);
+  if (account != NULL)
+    {
+      dump_account (account, out);
+      dump_quota (node, account, clk_now_ms (), out);
+    }
+  return g_string_free (out, FALSE);
+}
+
 char *
 nst_dump (const Node *node)
 {
@@ -265,7 +304,7 @@
   dump_budget (&node->memory, out);
   dump_peers (node, now_ms, out);
   dump_upstreams (node, now_ms, out);
-  dump_accounts (node, out);
+  dump_accounts (node, now_ms, out);
   quo_dump (node->quotas, now_ms, out);
   return g_string_free (out, FALSE);
 }
@@ -274,13 +313,15 @@
 nst_serve (void *user, h2o_req_t *h2o)
 {
   char *path = hsv_path (h2o);
+  char *account = hsv_query (h2o, "account");
   char *text = NULL;
 
   if (strcmp (path, "/metrics") == 0)
     text = nst_metrics (user);
   else if (strcmp (path, "/state") == 0)
-    text = nst_dump (user);
+    text = account != NULL ? nst_dump_account (user, account) : nst_dump (user);
   hsv_respond (h2o, text != NULL ? 200 : 404, "text/plain", text != NULL ? text : "not found\n");
   g_free (text);
+  g_free (account);
   g_free (path);
 }
--- a/src/quo.c
+++ b/src/quo.c
@@ -82,6 +82,9 @@
  * @window_bin: number of the newest element of @window_bins
  * @window_bins: known requests of all nodes within a window and the report delay
  * @refused: requests that this node has refused
+ * @admitted_window: number of the window that @admitted_now is about
+ * @admitted_now: own requests in that window, except refunded ones
+ * @admitted: the same of the window before
  */
 typedef struct
 {
@@ -106,6 +109,9 @@
   uint64_t window_bin;
   uint32_t window_bins[WINDOW_BINS];
   uint64_t refused;
+  uint64_t admitted_window;
+  uint32_t admitted_now;
+  uint32_t admitted;
 } Account;
 
 /** struct Report - last count of an account from a source */
@@ -535,10 +541,24 @@
   account->active = true;
 }
 
+static void
+advance_admitted (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  uint64_t window = now_ms / quotas->bounds.window_ms;
+
+  if (window == account->admitted_window)
+    return;
+  account->admitted = window == account->admitted_window + 1 ? account->admitted_now : 0;
+  account->admitted_now = 0;
+  account->admitted_window = window;
+}
+
 static void
 take_token (Quo *quotas, Account *account, uint64_t now_ms)
 {
   account->level -= 1;
+  advance_admitted (quotas, account, now_ms);
+  account->admitted_now++;
   account->window_bins[account->window_bin % WINDOW_BINS]++;
   if (account->credits > 0 && now_ms - account->credited_ms < quotas->bounds.window_ms)
     {
@@ -598,6 +618,8 @@
     return;
   advance (quotas, account, now_ms);
   account->level += 1;
+  advance_admitted (quotas, account, now_ms);
+  account->admitted_now -= MIN (account->admitted_now, 1);
   if (account->window_bins[account->window_bin % WINDOW_BINS] > 0)
     account->window_bins[account->window_bin % WINDOW_BINS]--;
   account->credits++;
@@ -835,6 +857,23 @@
 
 /* ---- State dump ---- */
 
+bool
+quo_read (Quo *quotas, uint32_t hash, uint64_t now_ms, QuoStatus *status)
+{
+  Account *account = find_account (quotas, hash);
+
+  if (account == NULL)
+    return false;
+  advance (quotas, account, now_ms);
+  advance_admitted (quotas, account, now_ms);
+  *status = (QuoStatus){ .rate_mps = account->rate_mps,
+                         .burst = account->burst,
+                         .level = account->level,
+                         .admitted = account->admitted,
+                         .admitted_now = account->admitted_now };
+  return true;
+}
+
 static gint
 compare_use (gconstpointer a, gconstpointer b)
 {
--- a/src/quo.h
+++ b/src/quo.h
@@ -102,6 +102,24 @@
 /** quo_list_zone() - the same of the sums over the own zone, as this node knows them. */
 u_int quo_list_zone (Quo *quotas, peer_quota *counts, u_int capacity, uint64_t now_ms);
 
+/**
+ * struct QuoStatus - quota of an account as this node sees it
+ * @level: tokens of the bucket over all nodes, by what is known of them; may be negative
+ * @admitted: requests that this node admitted in the last whole window
+ * @admitted_now: the same of the window that has begun
+ */
+typedef struct
+{
+  uint64_t rate_mps;
+  uint32_t burst;
+  double level;
+  uint32_t admitted;
+  uint32_t admitted_now;
+} QuoStatus;
+
+/** quo_read() - reads an account's quota; false when it has none. */
+bool quo_read (Quo *quotas, uint32_t account, uint64_t now_ms, QuoStatus *status);
+
 /** quo_dump() - appends one line for the fleet and one for each of the QUO_DUMP_MAX accounts that
  * were used most lately. */
 void quo_dump (Quo *quotas, uint64_t now_ms, GString *out);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -713,6 +713,12 @@
   return ip_ + ":" + std::to_string (front_);
 }
 
+std::string
+NodeProcess::metrics () const
+{
+  return ip_ + ":" + std::to_string (metrics_);
+}
+
 std::string
 NodeProcess::lookup () const
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -234,6 +234,8 @@
   std::string lookup () const;
   // Address for messages from other nodes.
   std::string peer () const;
+  // Address of Status().
+  std::string metrics () const;
 
 private:
   void WriteSettings (const std::string &store_address, const std::string &limits);
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -778,6 +778,88 @@
   }));
 }
 
+// ---- Query of operators ----
+
+namespace
+{
+struct CtlResult
+{
+  int code;
+  std::string output;
+};
+
+CtlResult
+RunCtl (const std::string &arguments)
+{
+  std::string command = std::string (PROGRAMS_DIR) + "/cardamomctl accounts " + arguments + " 2>&1";
+  FILE *pipe = popen (command.c_str (), "r");
+  CtlResult result = { -1, "" };
+  char buffer[4096];
+  size_t size;
+  while ((size = fread (buffer, 1, sizeof buffer, pipe)) > 0)
+    result.output.append (buffer, size);
+  int status = pclose (pipe);
+  result.code = WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+  return result;
+}
+}
+
+TEST_F (AccountsTest, QueryPrintsQuotaAndUseOfEachNode)
+{
+  const std::string quota = ",\"rate-per-s\":0.001,\"burst\":1";
+  Start (WithAccounts (7, Account ("one", "\"key-one\"", kAnyRegion, quota) + ","
+                              + Account ("two", "\"key-two\"")));
+  int admitted = 0;
+  while (admitted < 60 && Get ("/read/a", "key-one") == 200)
+    admitted++;
+  ASSERT_LT (admitted, 60);
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  std::string one = "account=one node=vm-1 requests=" + std::to_string (admitted + 1)
+                    + " over_quota=1 rate_per_s=0.001 burst=1 window_ms=5000 admitted=";
+  std::string counted = one + std::to_string (admitted) + " level=";
+  ASSERT_TRUE (
+      WaitUntil (6000, [&] { return Contains (RunCtl (node_->metrics ()).output, counted); }))
+      << counted << "\n"
+      << RunCtl (node_->metrics ()).output;
+  CtlResult all = RunCtl (node_->metrics ());
+  EXPECT_EQ (all.code, 0);
+  EXPECT_TRUE (Contains (all.output,
+                         "\naccount=two node=vm-1 requests=1 over_quota=0 rate_per_s=unlimited\n"))
+      << all.output;
+  EXPECT_FALSE (Contains (all.output, "key-"));
+  EXPECT_FALSE (Contains (RunCtl ("--account=one " + node_->metrics ()).output, "two"));
+  CtlResult json = RunCtl ("--output=json --account=one " + node_->metrics ());
+  EXPECT_EQ (json.code, 0);
+  EXPECT_TRUE (Contains (json.output, "{\"account\":\"one\",\"node\":\"vm-1\",\"requests\":"))
+      << json.output;
+  EXPECT_EQ (Count (json.output, "\n"), 1);
+}
+
+TEST_F (AccountsTest, QueryNamesNodesThatDoNotRespond)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  CtlResult result = RunCtl ("127.0.0.1:1 " + node_->metrics ());
+  EXPECT_EQ (result.code, 1);
+  EXPECT_TRUE (Contains (result.output, "address=127.0.0.1:1 state=no_answer\n")) << result.output;
+  EXPECT_TRUE (Contains (result.output, "account=one node=vm-1 "));
+  CtlResult unknown = RunCtl ("--account=three " + node_->metrics ());
+  EXPECT_EQ (unknown.code, 0);
+  EXPECT_TRUE (Contains (unknown.output, "no node that responded has an account 'three'"));
+}
+
+TEST (AccountsQuery, WrongUsageIsRejected)
+{
+  unsetenv ("CARDAMOM_NODES");
+  EXPECT_EQ (RunCtl ("").code, 2);
+  EXPECT_EQ (RunCtl ("nowhere").code, 2);
+  EXPECT_EQ (RunCtl ("--output=xml 127.0.0.1:1").code, 2);
+  setenv ("CARDAMOM_NODES", "127.0.0.1:1, 127.0.0.1:2", 1);
+  CtlResult result = RunCtl ("");
+  unsetenv ("CARDAMOM_NODES");
+  EXPECT_EQ (result.code, 1);
+  EXPECT_EQ (Count (result.output, "state=no_answer"), 2);
+}
+
 // ---- Errors in accounts ----
 
 TEST_F (AccountsTest, ConfigurationWithInvalidKeysIsRefusedAndTheOneInForceStays)
--- a/tests/test_quo.cc
+++ b/tests/test_quo.cc
@@ -606,3 +606,29 @@
   EXPECT_EQ (quo_list_own (quotas, counts, 4, kStartMs), 0u);
   quo_free (quotas);
 }
+
+TEST (Quotas, StatusCountsWhatThisNodeAdmittedInTheLastWindow)
+{
+  Quo *quotas = quo_new (&kBounds);
+  uint64_t start_ms = kStartMs / kBounds.window_ms * kBounds.window_ms;
+  uint32_t retry_after_ms;
+  QuoStatus status;
+  EXPECT_FALSE (quo_read (quotas, 1, start_ms, &status));
+  quo_set_limit (quotas, 1, 100000, 50);
+  for (int i = 0; i < 10; i++)
+    EXPECT_TRUE (quo_would_admit (quotas, 1, start_ms + 20, &retry_after_ms));
+  for (int i = 0; i < 3; i++)
+    EXPECT_TRUE (quo_admit (quotas, 1, start_ms + 30, &retry_after_ms));
+  quo_refund (quotas, 1, start_ms + 40);
+  ASSERT_TRUE (quo_read (quotas, 1, start_ms + 50, &status));
+  EXPECT_EQ (status.rate_mps, 100000u);
+  EXPECT_EQ (status.burst, 50u);
+  EXPECT_EQ (status.admitted, 0u);
+  EXPECT_EQ (status.admitted_now, 2u);
+  ASSERT_TRUE (quo_read (quotas, 1, start_ms + kBounds.window_ms, &status));
+  EXPECT_EQ (status.admitted, 2u);
+  EXPECT_EQ (status.admitted_now, 0u);
+  ASSERT_TRUE (quo_read (quotas, 1, start_ms + 2 * kBounds.window_ms, &status));
+  EXPECT_EQ (status.admitted, 0u);
+  quo_free (quotas);
+}
