Quotas: an account with a small burst may be far from its limit

An account was refused up to a seventh of its requests although it stayed within its limit: with a burst below what the other nodes have probably admitted since their reports, its level could never show that it is far from its limit, so that it always was under the strict rule, whose fractions of tokens mostly lie at nodes without a request. The part of the excess that stands in for a small burst now includes this probable use.

--- a/src/quo.c
+++ b/src/quo.c
@@ -489,11 +489,13 @@
   return usual + SPARE_DEVIATIONS * sqrt (usual) + spare;
 }
 
-/* How far the level of an account with a small burst falls below 0 by chance. */
+/* How far the level of an account with a small burst falls below 0 by chance. Without the predicted
+ * use, an account whose burst is less than this would never count as far from its limit. */
 static double
 fluctuation_of (const Quo *quotas, const Account *account)
 {
-  double missing = FLUCTUATION_TOKENS - burst_of (quotas, account);
+  double missing
+      = FLUCTUATION_TOKENS + predicted_use (quotas, account) - burst_of (quotas, account);
 
   return CLAMP (missing, 0, excess_of (quotas, account) * FLUCTUATION_PART);
 }
--- a/tests/test_quo.cc
+++ b/tests/test_quo.cc
@@ -471,6 +471,25 @@
     EXPECT_GE (Used (load, lowered_ms + 10000), 0.9);
 }
 
+// Guards against an account that is refused although it stays within its limit, because its burst
+// is less than what the other nodes admit before they report: 120 s at 0.9 and 1.0 of a limit of 76
+// per second, which was lowered from 760.
+TEST_P (Fleets, LoweredLimitIsUsed)
+{
+  const double parts[] = { 0.9, 1.0 };
+  for (double part : parts)
+    replay_.Add (
+        { 760, 380, [part] (uint64_t ms) { return ms < 10000 ? 470 : part * 76; }, AnyNode });
+  replay_.Run (10000);
+  for (uint32_t index = 0; index < 2; index++)
+    replay_.SetLimit (index, 76, 38);
+  uint64_t settled_ms = replay_.now_ms () + 10000;
+  replay_.Run (120000);
+  ExpectBound (settled_ms);
+  for (size_t index = 0; index < 2; index++)
+    EXPECT_GE (Used (replay_.loads[index], settled_ms), (index == 0 ? 0.95 : 0.9) * parts[index]);
+}
+
 // Load: accounts use 0.62 of their limits, which are raised by a factor of ten, and use more then.
 TEST_P (Fleets, RaisedLimitIsUsed)
 {
