Log lines stay within their buffer; updates of members with an unknown state are ignored

A member's state outside the enum, from another version or a damaged message, was stored, and its name read past the table of names when the state was dumped; the new test of mem failed before.

--- a/src/log.c
+++ b/src/log.c
@@ -4,6 +4,7 @@
 #include "lim.h"
 
 #include <fcntl.h>
+#include <glib.h>
 #include <stdarg.h>
 #include <string.h>
 #include <stdbool.h>
@@ -88,10 +89,11 @@
   n = snprintf (line, sizeof line, "ts=%lld.%03ld level=%s process=%s vm=%s event=%s ",
                 (long long) now.tv_sec, now.tv_nsec / 1000000, level_names[level], log->process,
                 log->vm, event);
+  n = MIN (n, (int) sizeof line - 1);
   va_start (args, format);
   n += vsnprintf (line + n, sizeof line - (size_t) n, format, args);
   va_end (args);
-  n = n < (int) sizeof line - 1 ? n : (int) sizeof line - 2;
+  n = MIN (n, (int) sizeof line - 2);
   for (char *p = line; *p != '\0'; p++)
     if (*p == '\n' || *p == '\r')
       *p = ' ';
--- a/src/mem.c
+++ b/src/mem.c
@@ -134,6 +134,8 @@
   MemMember *known = mem_get (table, update->vm);
   MemMember new_member = { 0 };
 
+  if (update->state < MEM_ALIVE || update->state > MEM_DEAD)
+    return false;
   if (strcmp (update->vm, table->self) == 0)
     return refute (table, known, update);
   if (known != NULL && !is_newer (update, known))
--- a/src/mem.h
+++ b/src/mem.h
@@ -69,7 +69,8 @@
 bool mem_entry_has_ended (const MemTable *table, const char *vm, uint64_t incarnation);
 
 /** mem_apply() - applies an update; true when it was newer than the known state. An update that
- * contradicts the own state is refuted instead, with a higher refutation number. */
+ * contradicts the own state is refuted instead, with a higher refutation number. One with a state
+ * other than those of MemState is ignored. */
 bool mem_apply (MemTable *table, const wire_member *update, uint64_t now_ms);
 
 /** mem_record_reply() - records a direct reply from a member. */
--- a/tests/test_mem.cc
+++ b/tests/test_mem.cc
@@ -107,4 +107,16 @@
   EXPECT_EQ (UINT32_MAX, mem_rank (&table_, "nobody", "salt"));
 }
 
+// Guards against a state that another version or a damaged message sends: its name was read past
+// the end of the table of names.
+TEST_F (MemTest, UpdateWithAnUnknownStateIsIgnored)
+{
+  for (int state : { -1, MEM_DEAD + 1, 1 << 30 })
+    {
+      wire_member update = MakeUpdate ("a", 1, 0, state);
+      EXPECT_FALSE (mem_apply (&table_, &update, 0)) << state;
+      EXPECT_EQ (nullptr, mem_get (&table_, "a")) << state;
+    }
+}
+
 } // namespace
