Node: bytes sent and received, counted by purpose and by distance

The node counted the bytes of its messages to other nodes as one sum. Which part of its traffic crosses regions, and for what, could not be told from a deployment.

trf holds a counter for each purpose (upstreams, callers, relays and relayed requests, views, summaries, updates, fetches, store, probes, lookups) and each distance (zone, region, remote, unknown), in both directions. A connection or pool keeps a pointer to its counter, so a read or a write costs one addition and no allocation; a datagram costs one hash look-up of the sender's address more. The counters are in /state (lines traffic=), in /metrics (traffic_bytes_total with labels) and in a log line every 5 s with the bytes since the line before.

Callers, the store, probes and look-ups have an unknown distance, as have fetches on the node that is called: a call doesn't name the caller's zone, and the calling node counts it. Error responses that h2o or the read limits write on their own are not counted unless a further response follows on the connection.

--- a/src/exc.c
+++ b/src/exc.c
@@ -34,7 +34,11 @@
   per->received_bytes += size;
   xdrmem_create (&xdr, (char *) data, size, XDR_DECODE);
   if (xdr_peer_message (&xdr, &message))
-    apply_message (per, &message, from, now_ms);
+    {
+      apply_message (per, &message, from, now_ms);
+      trf_add_received (
+          trf_count (per->traffic, per_purpose (&message), per_distance_of (per, from)), size);
+    }
   else
     per->garbled++;
   xdr_free ((xdrproc_t) xdr_peer_message, (char *) &message);
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -258,6 +258,12 @@
   set_body_limit (server, role == RDL_PROBES ? PROBE_REQUEST_MAX_BYTES : REQUEST_BODY_MAX_BYTES);
 }
 
+void
+hsv_count_traffic (HsvServer *server, TrfCount *traffic)
+{
+  server->reading.traffic = traffic;
+}
+
 void
 hsv_drain_connections (HsvServer *server)
 {
@@ -294,6 +300,8 @@
   GHashTable *watch_table = server_of_socket (sock)->watch_table;
   Watch *watch = g_hash_table_lookup (watch_table, sock);
 
+  if (err == NULL)
+    rdl_count_read (&server_of_socket (sock)->reading, sock);
   if (watch != NULL && err == NULL && can_read_on (watch, sock))
     return;
   h2o_socket_read_stop (sock);
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -42,6 +42,10 @@
 /** hsv_set_budget() - receives requests and sends responses within the process's memory budget. */
 void hsv_set_budget (HsvServer *server, Mbg *mbg, RdlRole role);
 
+/** hsv_count_traffic() - counts the bytes of the server's connections in @traffic; the server has a
+ * budget. */
+void hsv_count_traffic (HsvServer *server, TrfCount *traffic);
+
 /** hsv_close_stalled() - reads on from connections for which there is memory again, and closes
  * those without progress that hold memory which others need; to be called periodically. */
 void hsv_close_stalled (HsvServer *server);
--- a/src/nod.c
+++ b/src/nod.c
@@ -40,6 +40,14 @@
              : REGIONS_MAX;
 }
 
+TrfCount *
+nod_traffic (Node *node, TrfPurpose purpose, uint32_t zone)
+{
+  return trf_count (&node->traffic, purpose,
+                    trf_distance (node->settings.zone_index, node->settings.region_index, zone,
+                                  nod_region (node, zone)));
+}
+
 static uint32_t
 zone_of_peer (void *user, const char *zone)
 {
@@ -257,8 +265,10 @@
       handle_missing_upstream (node, id);
       return;
     }
-  if (!ups_apply (&node->upstreams, record, nod_zone_index (node, record->zone), clk_now_ms ()))
+  uint32_t zone = nod_zone_index (node, record->zone);
+  if (!ups_apply (&node->upstreams, record, zone, clk_now_ms ()))
     return;
+  ups_get (&node->upstreams, id)->pool.traffic = nod_traffic (node, TRF_UPSTREAMS, zone);
   log_event (&node->log, LOG_INFO, "upstream", "upstream=%s service=%s zone=%s draining=%d cold=%u",
              id, record->service, record->zone, record->draining, record->cold_ms);
 }
@@ -430,6 +440,7 @@
     {
       expire_objects (node, now_ms);
       rgn_log (&node->sent_by_region, node->settings.regions->len, &node->log);
+      trf_log (&node->traffic, &node->log, now_ms);
       nsh_log_splits (node);
       log_turned_away (node);
       poi_expire (&node->poison, now_ms);
@@ -503,6 +514,7 @@
   peers->upstreams = &node->upstreams;
   peers->poison = &node->poison;
   peers->quotas = node->quotas;
+  peers->traffic = &node->traffic;
 }
 
 void
@@ -564,6 +576,7 @@
   hsv_set_budget (node->relay, &node->memory, RDL_NODES);
   hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, REQUEST_BODY_MAX_BYTES);
   hsv_set_hook (node->relay, before_request_step, node);
+  hsv_count_traffic (node->relay, trf_count (&node->traffic, TRF_RELAYED, TRF_REMOTE));
   node->peers.self.relay_port = node->settings.relay.port;
 }
 
@@ -577,7 +590,10 @@
     return;
   node->metrics = hsv_start (node->loop, node->settings.metrics, nst_serve, node, &err);
   if (node->metrics != NULL)
-    hsv_set_budget (node->metrics, &node->memory, RDL_PROBES);
+    {
+      hsv_set_budget (node->metrics, &node->memory, RDL_PROBES);
+      hsv_count_traffic (node->metrics, trf_count (&node->traffic, TRF_PROBES, TRF_UNKNOWN));
+    }
   else
     log_event (&node->log, LOG_WARN, "metrics_server_failed", "error=\"%s\"", err.text);
 }
@@ -603,6 +619,9 @@
   hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
   hsv_set_hook (node->lookup, before_request_step, node);
+  hsv_count_traffic (node->front, trf_count (&node->traffic, TRF_CALLERS, TRF_UNKNOWN));
+  hsv_count_traffic (node->ready, trf_count (&node->traffic, TRF_PROBES, TRF_UNKNOWN));
+  hsv_count_traffic (node->lookup, trf_count (&node->traffic, TRF_LOOKUPS, TRF_UNKNOWN));
   start_relay_server (node);
   start_metrics_server (node);
   lag_start (&node->lag, node->loop, &node->log);
--- a/src/nod.h
+++ b/src/nod.h
@@ -20,6 +20,7 @@
 #include "rte.h"
 #include "shr.h"
 #include "ucn.h"
+#include "trf.h"
 #include "ups.h"
 
 typedef enum
@@ -284,6 +285,7 @@
  * @store_lost: the platform's store cannot be reached
  * @splits_updated_at_ms: time of the last update of the traffic splits
  * @sent_by_region: requests sent since the last log line, by region
+ * @traffic: bytes sent and received, by purpose and distance
  * @control: scheduler of control work: messages between nodes and calls of the platform's store
  * @store_connections: connections to the platform's store, on the loop of @control
  * @ucn: connections to upstreams and relays
@@ -319,6 +321,7 @@
   bool store_lost;
   uint64_t splits_updated_at_ms;
   RgnCounts sent_by_region;
+  Trf traffic;
   Cts control;
   UcnCtx store_connections;
   UcnCtx ucn;
@@ -412,6 +415,9 @@
 /** nod_region() - index of a zone's region, or REGIONS_MAX when the zone is not in the settings. */
 uint32_t nod_region (const Node *node, uint32_t zone);
 
+/** nod_traffic() - the counter of traffic with a zone. */
+TrfCount *nod_traffic (Node *node, TrfPurpose purpose, uint32_t zone);
+
 /** nod_service(), nod_route_stats() - the state of a service, the statistics of a route; created at
  * first use. */
 NodService *nod_service (Node *node, const char *name);
--- a/src/nst.c
+++ b/src/nst.c
@@ -116,6 +116,7 @@
   met_write_value (out, PREFIX "configuration_version", NULL,
                    node->table != NULL ? node->table->version : 0);
   met_write_value (out, PREFIX "loop_stalls_total", NULL, node->lag.stalls);
+  trf_write_metrics (&node->traffic, PREFIX "traffic_bytes_total", out);
   met_write_histogram (out, PREFIX "answer_seconds", &node->latency);
   met_write_histogram (out, PREFIX "loop_turn_seconds", &node->lag.iterations);
   met_write_histogram (out, PREFIX "control_gap_seconds", &node->control.gaps);
@@ -267,6 +268,7 @@
   dump_upstreams (node, now_ms, out);
   dump_accounts (node, out);
   quo_dump (node->quotas, now_ms, out);
+  trf_dump (&node->traffic, out);
   return g_string_free (out, FALSE);
 }
 
--- a/src/onc.c
+++ b/src/onc.c
@@ -71,7 +71,7 @@
 }
 
 static void
-send_record (uv_stream_t *stream, char *data, uint32_t size, uint64_t *bytes)
+send_record (uv_stream_t *stream, char *data, uint32_t size, uint64_t *bytes, TrfCount *traffic)
 {
   uint32_t mark = htonl (size | LAST_FRAGMENT_FLAG);
   Write *write = g_new0 (Write, 1);
@@ -80,6 +80,7 @@
   write->data = data;
   uv_buf_t buf = uv_buf_init (data, RECORD_MARK_BYTES + size);
   *bytes += buf.len;
+  trf_add_sent (traffic, buf.len);
   if (uv_write (&write->req, stream, &buf, 1, on_written) != 0)
     on_written (&write->req, -1);
 }
@@ -93,6 +94,7 @@
   const OncProc *procs;
   void *user;
   uint64_t bytes;
+  TrfCount *traffic;
 };
 
 typedef struct
@@ -147,7 +149,8 @@
                                           : (xdrproc_t) (void (*) (void)) xdr_void;
   xdrmem_create (&xdr, data + RECORD_MARK_BYTES, (u_int) capacity, XDR_ENCODE);
   if (xdr_replymsg (&xdr, &reply))
-    send_record ((uv_stream_t *) &conn->tcp, data, xdr_getpos (&xdr), &conn->server->bytes);
+    send_record ((uv_stream_t *) &conn->tcp, data, xdr_getpos (&xdr), &conn->server->bytes,
+                 conn->server->traffic);
   else
     g_free (data);
   xdr_destroy (&xdr);
@@ -206,6 +209,7 @@
   if (size > 0)
     {
       conn->server->bytes += (uint64_t) size;
+      trf_add_received (conn->server->traffic, (uint64_t) size);
       g_byte_array_append (conn->input, (guint8 *) buf->base, (guint) size);
     }
   g_free (buf->base);
@@ -267,6 +271,12 @@
   g_free (server);
 }
 
+void
+onc_count_server_traffic (OncServer *server, TrfCount *traffic)
+{
+  server->traffic = traffic;
+}
+
 uint16_t
 onc_port (const OncServer *server)
 {
@@ -288,6 +298,7 @@
   uv_timer_t timer;
   OncClient *client;
   NetAddr addr;
+  TrfCount *traffic;
   GByteArray *input;
   GHashTable *calls; /* pending, by xid */
   uint64_t last_call_at_ms;
@@ -312,6 +323,8 @@
   GHashTable *conns; /* by conn_key() of the server's address */
   uint32_t next_xid;
   uint64_t bytes;
+  OncTrafficFn traffic_of;
+  void *traffic_user;
 };
 
 static uint64_t
@@ -400,6 +413,7 @@
   if (size > 0)
     {
       conn->client->bytes += (uint64_t) size;
+      trf_add_received (conn->traffic, (uint64_t) size);
       g_byte_array_append (conn->input, (guint8 *) buf->base, (guint) size);
     }
   g_free (buf->base);
@@ -446,6 +460,8 @@
 
   conn->client = client;
   conn->addr = addr;
+  if (client->traffic_of != NULL)
+    conn->traffic = client->traffic_of (client->traffic_user, addr);
   conn->input = g_byte_array_new ();
   conn->calls = g_hash_table_new (g_direct_hash, g_direct_equal);
   conn->handles_open = 2;
@@ -471,6 +487,13 @@
   return client;
 }
 
+void
+onc_count_client_traffic (OncClient *client, OncTrafficFn fn, void *user)
+{
+  client->traffic_of = fn;
+  client->traffic_user = user;
+}
+
 void
 onc_client_free (OncClient *client)
 {
@@ -527,7 +550,7 @@
                   .user = user };
   g_hash_table_insert (conn->calls, GUINT_TO_POINTER (xid), call);
   conn->last_call_at_ms = uv_now (client->loop);
-  send_record ((uv_stream_t *) &conn->tcp, data, size, &client->bytes);
+  send_record ((uv_stream_t *) &conn->tcp, data, size, &client->bytes, conn->traffic);
 }
 
 uint64_t
--- a/src/onc.h
+++ b/src/onc.h
@@ -3,6 +3,7 @@
 
 #include "err.h"
 #include "net.h"
+#include "trf.h"
 
 #include <glib.h>
 #include <rpc/rpc.h>
@@ -48,12 +49,21 @@
 /** onc_server_free() - frees a server; only after its event loop has ended. */
 void onc_server_free (OncServer *server);
 
+/** onc_count_server_traffic() - counts the server's bytes in @traffic from now on. */
+void onc_count_server_traffic (OncServer *server, TrfCount *traffic);
+
 /** onc_port() - TCP port that the server listens on. */
 uint16_t onc_port (const OncServer *server);
 
 /** onc_client_new() - creates a client; it keeps one connection to each address that it calls. */
 OncClient *onc_client_new (uv_loop_t *loop);
 
+/** typedef OncTrafficFn - the counter of the bytes exchanged with @addr; NULL for none */
+typedef TrfCount *(*OncTrafficFn) (void *user, NetAddr addr);
+
+/** onc_count_client_traffic() - counts the bytes of connections opened from now on. */
+void onc_count_client_traffic (OncClient *client, OncTrafficFn fn, void *user);
+
 /** onc_client_free() - frees a client; only after its event loop has ended. */
 void onc_client_free (OncClient *client);
 
--- a/src/per.c
+++ b/src/per.c
@@ -32,6 +32,42 @@
   return peer;
 }
 
+/* ---- Distances ---- */
+
+static gpointer
+addr_key (NetAddr addr)
+{
+  return GSIZE_TO_POINTER ((gsize) addr.ip << 16 | addr.port);
+}
+
+static void
+set_place (Per *per, PerPeer *peer, NetAddr addr, uint32_t zone)
+{
+  if (addr.ip == peer->addr.ip && addr.port == peer->addr.port && zone == peer->zone)
+    return;
+  peer->addr = addr;
+  peer->zone = zone;
+  g_hash_table_insert (per->zones_by_addr, addr_key (addr), GUINT_TO_POINTER (zone));
+}
+
+static TrfDistance
+distance_of_zone (const Per *per, uint32_t zone)
+{
+  return trf_distance (per->self.zone_index, per->region_of (per->user, per->self.zone_index), zone,
+                       per->region_of (per->user, zone));
+}
+
+TrfDistance
+per_distance_of (const Per *per, NetAddr addr)
+{
+  gpointer zone = GUINT_TO_POINTER (ZONE_NONE);
+
+  g_hash_table_lookup_extended (per->zones_by_addr, addr_key (addr), NULL, &zone);
+  return distance_of_zone (per, GPOINTER_TO_UINT (zone));
+}
+
+/* ---- Reports of nodes ---- */
+
 void
 per_add (Per *per, const char *vm, NetAddr addr, uint32_t zone, uint32_t capacity, uint64_t now_ms)
 {
@@ -40,8 +76,7 @@
   PerPeer *peer = peer_get (per, vm, now_ms);
   if (peer->last_seen_ms != 0)
     return;
-  peer->addr = addr;
-  peer->zone = zone;
+  set_place (per, peer, addr, zone);
   peer->capacity = capacity;
 }
 
@@ -108,9 +143,9 @@
   if (last_seen_ms < peer->last_seen_ms && member->incarnation == peer->incarnation)
     return NULL;
   peer->incarnation = member->incarnation;
-  peer->zone = per->zone_of (per->user, member->zone);
+  set_place (per, peer, (NetAddr){ .ip = member->ip, .port = (uint16_t) member->peer_port },
+             per->zone_of (per->user, member->zone));
   peer->front = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->front_port };
-  peer->addr = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->peer_port };
   peer->relay = (NetAddr){ .ip = member->ip, .port = (uint16_t) member->relay_port };
   peer->capacity = member->capacity;
   peer->watch = (PerWatch) MIN (member->watch, (u_int) PER_WATCH_FAILING);
@@ -330,9 +365,25 @@
 
 /* ---- Sending ---- */
 
+TrfPurpose
+per_purpose (const peer_message *message)
+{
+  switch (message->kind)
+    {
+    case PEER_VIEW:
+      return TRF_VIEWS;
+    case PEER_SUMMARY:
+      return TRF_SUMMARIES;
+    case PEER_UPDATE:
+      return TRF_UPDATES;
+    }
+  return TRF_VIEWS;
+}
+
 bool
 per_send (Per *per, const peer_message *message, PerPeer *const *peers, uint32_t count)
 {
+  TrfPurpose purpose = per_purpose (message);
   XDR xdr;
 
   xdrmem_create (&xdr, per->send_buffer, PER_DATAGRAM_MAX_BYTES, XDR_ENCODE);
@@ -346,7 +397,10 @@
     }
   for (uint32_t i = 0; i < count; i++)
     {
-      if (!per->transport.send (per->transport.user, per->send_buffer, size, peers[i]->addr))
+      if (per->transport.send (per->transport.user, per->send_buffer, size, peers[i]->addr))
+        trf_add_sent (trf_count (per->traffic, purpose, distance_of_zone (per, peers[i]->zone)),
+                      size);
+      else
         per->send_failures++;
       per->sent++;
       per->sent_bytes += size;
@@ -422,6 +476,7 @@
 per_init (Per *per)
 {
   per->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  per->zones_by_addr = g_hash_table_new (g_direct_hash, g_direct_equal);
   per->own_cell = g_ptr_array_new ();
   per->heads = g_ptr_array_new ();
   per->send_buffer = g_malloc (PER_DATAGRAM_MAX_BYTES);
@@ -437,6 +492,7 @@
     xdr_free ((xdrproc_t) xdr_peer_summary, (char *) &per->summaries[z]);
   g_ptr_array_unref (per->own_cell);
   g_ptr_array_unref (per->heads);
+  g_hash_table_unref (per->zones_by_addr);
   g_hash_table_unref (per->peers);
   g_free (per->send_buffer);
 }
--- a/src/per.h
+++ b/src/per.h
@@ -9,6 +9,7 @@
 #include "poi.h"
 #include "quo.h"
 #include "rep.h"
+#include "trf.h"
 #include "ups.h"
 
 /** typedef PerState - state that a node reports of itself */
@@ -122,9 +123,11 @@
  * @read_store: may be NULL
  * @store_user: argument of @read_store
  * @quotas: quotas of client accounts; may be NULL
+ * @traffic: counts the bytes of messages; may be NULL
  * @services: demand of the services that the own node reports, @service_count of them
  * @service_ppm: traffic split of each of them in ppm by region
  * @peers: PerPeer by VM name
+ * @zones_by_addr: zone of a node by its address for messages
  * @zoned: cells are zones
  * @own_cell: the other live nodes of the own cell, first rank first
  * @rank: own rank in the cell
@@ -158,10 +161,12 @@
   Rep rep;
   PoiTable *poison;
   Quo *quotas;
+  Trf *traffic;
   peer_service services[PER_SERVICES_MAX];
   u_int service_ppm[PER_SERVICES_MAX][REGIONS_MAX];
   u_int service_count;
   GHashTable *peers;
+  GHashTable *zones_by_addr;
   bool zoned;
   GPtrArray *own_cell;
   uint32_t rank;
@@ -216,6 +221,9 @@
 /** per_own_member() - what the own node reports of itself. */
 peer_member per_own_member (const Per *per);
 
+/** per_distance_of() - distance of the node with an address for messages. */
+TrfDistance per_distance_of (const Per *per, NetAddr addr);
+
 /** per_is_alive() - its last message is more recent than PER_TIMEOUT_MS, or PER_SUMMARY_TIMEOUT_MS
  * for a peer that is reported in summaries. */
 bool per_is_alive (const PerPeer *peer, uint64_t now_ms);
@@ -250,6 +258,9 @@
 /** per_send() - sends a message to @count peers; false when it is too large for a datagram. */
 bool per_send (Per *per, const peer_message *message, PerPeer *const *peers, uint32_t count);
 
+/** per_purpose() - what a message's bytes are counted as. */
+TrfPurpose per_purpose (const peer_message *message);
+
 /** per_list_revisions() - newest revisions of the known kinds, @capacity at most. Return: entries
  * written. */
 u_int per_list_revisions (const Per *per, peer_revision *revisions, u_int capacity);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -30,6 +30,7 @@
  * @reading_link: in &Rdl.reading
  * @is_reading: a request is expected or being received
  * @is_paused: it waits for the budget
+ * @counted_bytes: written bytes that are counted as traffic
  * @h2o_write: h2o's callback for the end of a write, while on_guarded_write() stands in for it
  */
 typedef struct RdlConn
@@ -42,6 +43,7 @@
   Framing framing;
   bool is_reading;
   bool is_paused;
+  size_t counted_bytes;
   h2o_socket_cb h2o_write;
 } RdlConn;
 
@@ -328,6 +330,7 @@
       rdl->h2o_read (sock, err);
       return;
     }
+  rdl_count_read (rdl, sock);
   set_reading (conn, true);
   if (!call_h2o (conn, rdl->h2o_read, NULL))
     return;
@@ -371,6 +374,19 @@
     }
 }
 
+void
+rdl_count_read (Rdl *rdl, const h2o_socket_t *sock)
+{
+  trf_add_received (rdl->traffic, sock->bytes_read);
+}
+
+static void
+count_written (RdlConn *conn)
+{
+  trf_add_sent (conn->rdl->traffic, conn->sock->bytes_written - conn->counted_bytes);
+  conn->counted_bytes = conn->sock->bytes_written;
+}
+
 void
 rdl_answered (Rdl *rdl, h2o_socket_t *sock)
 {
@@ -378,6 +394,7 @@
 
   if (conn == NULL)
     return;
+  count_written (conn);
   mbg_release (rdl->mbg, &conn->claim);
   resume_waiting (rdl->mbg, uv_now (rdl->loop));
   g_ptr_array_add (rdl->answered, sock);
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "mbg.h"
+#include "trf.h"
 
 #include <glib.h>
 #include <h2o.h>
@@ -24,6 +25,7 @@
 /**
  * struct Rdl - connections of a server
  * @mbg: budget; NULL: nothing is limited
+ * @traffic: counts the bytes of its connections; NULL: they are not counted
  * @connections_max: connections that it may have at the same time
  * @body_max_bytes: largest body that the server accepts
  * @conns: RdlConn by socket
@@ -38,6 +40,7 @@
   uv_loop_t *loop;
   Mbg *mbg;
   RdlRole role;
+  TrfCount *traffic;
   uint32_t connections_max;
   size_t body_max_bytes;
   GHashTable *conns;
@@ -60,6 +63,9 @@
  * handle. */
 void rdl_add (Rdl *rdl, h2o_socket_t *sock, uv_stream_t *stream);
 
+/** rdl_count_read() - counts the bytes of a read of the connection that ended just now. */
+void rdl_count_read (Rdl *rdl, const h2o_socket_t *sock);
+
 /** rdl_answered() - a request of the connection has ended, and its memory is freed. */
 void rdl_answered (Rdl *rdl, h2o_socket_t *sock);
 
--- a/src/rly.c
+++ b/src/rly.c
@@ -112,6 +112,7 @@
       ucn_pool_close (&relay->pool);
       ucn_pool_init (&relay->pool, &node->ucn, peer->relay, RLY_IDLE_MAX_MS);
     }
+  relay->pool.traffic = nod_traffic (node, TRF_RELAYS, peer->zone);
   return relay;
 }
 
--- a/src/tpt.c
+++ b/src/tpt.c
@@ -34,6 +34,14 @@
             (xdrproc_t) xdr_peer_fetch_reply, sizeof (peer_fetch_reply), timeout_ms, fn, fn_user);
 }
 
+static TrfCount *
+count_fetches (void *user, NetAddr peer)
+{
+  const Per *per = user;
+
+  return trf_count (per->traffic, TRF_FETCHES, per_distance_of (per, peer));
+}
+
 static bool
 send_datagram (void *user, const char *data, uint32_t size, NetAddr to)
 {
@@ -79,9 +87,12 @@
       = (PerTransport){ .send = send_datagram, .fetch = fetch_objects, .user = transport };
   transport->buffer = g_malloc (PER_DATAGRAM_MAX_BYTES);
   transport->client = onc_client_new (loop);
+  onc_count_client_traffic (transport->client, count_fetches, per);
   transport->server = onc_serve (loop, per->self.addr, procs, per, err);
   if (transport->server == NULL)
     return false;
+  /* A call does not say from which node it comes. */
+  onc_count_server_traffic (transport->server, trf_count (per->traffic, TRF_FETCHES, TRF_UNKNOWN));
   uv_udp_init (loop, &transport->udp);
   transport->udp.data = transport;
   int rc = uv_udp_bind (&transport->udp, (struct sockaddr *) &sin, 0);
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -41,6 +41,7 @@
  * @held_bytes: what it counts in &UcnCtx.buffered_bytes
  * @waits_for_room: it is in &UcnCtx.waiting
  * @open_handles: libuv handles not closed yet; the last one to close frees the connection
+ * @traffic: as &UcnPool.traffic, which it outlives
  * @keep_alive_ms: timeout from the peer's Keep-Alive header, UINT32_MAX if it sent none
  */
 typedef struct Conn
@@ -68,6 +69,7 @@
   bool waits_for_room;
   uint64_t held_bytes;
   uint32_t open_handles;
+  TrfCount *traffic;
   uint32_t keep_alive_ms;
   uint64_t connect_start_ms;
   uint64_t idle_since_ms;
@@ -443,6 +445,8 @@
 
   if (size == 0)
     return;
+  if (size > 0)
+    trf_add_received (conn->traffic, (uint64_t) size);
   if (size < 0)
     on_disconnect (conn, size);
   else if (conn->state == CONN_IDLE)
@@ -502,6 +506,7 @@
   http_parser_init (&conn->parser, HTTP_RESPONSE);
   conn->parser.data = conn;
   conn->write.data = message;
+  trf_add_sent (conn->traffic, bufs[0].len + bufs[1].len);
   if (uv_write (&conn->write, (uv_stream_t *) &conn->tcp, bufs, count, on_written) != 0)
     {
       release_message (conn);
@@ -574,6 +579,7 @@
 
   conn->pool = pool;
   conn->ctx = pool->ctx;
+  conn->traffic = pool->traffic;
   conn->response.headers = g_ptr_array_new_with_free_func (header_free);
   conn->response.body = g_byte_array_new ();
   conn->header_name = g_string_new (NULL);
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -3,6 +3,7 @@
 
 #include "mbg.h"
 #include "net.h"
+#include "trf.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -78,6 +79,7 @@
  * @idle_max_ms: connections idle for longer are closed when the pool is next used
  * @min_connect_ms: shortest time that connecting took, UINT32_MAX before the first connection
  * @connection_count: all connections, including those being opened
+ * @traffic: counts the bytes of connections opened from now on; NULL: they are not counted
  * @idle: connections without a request, the most recently used first
  * @busy: connections being opened or with a request
  */
@@ -88,6 +90,7 @@
   uint32_t idle_max_ms;
   uint32_t min_connect_ms;
   uint32_t connection_count;
+  TrfCount *traffic;
   GQueue idle;
   GQueue busy;
 } UcnPool;
