Quotas: rejected callers return one after the other

Cause: of callers that were rejected within a moment all were told the same time. They returned together and were rejected again; after a restart of all nodes (buckets start half-way into the excess) most of 2,500 rejections of a second were of requests within their accounts' limits. Change: each return time is at least the interval of the node's share of the rate after the last one. What is admitted is decided as before.

--- a/src/quo.c
+++ b/src/quo.c
@@ -82,6 +82,7 @@
  * @window_bin: number of the newest element of @window_bins
  * @window_bins: known requests of all nodes within a window and the report delay
  * @refused: requests that this node has refused
+ * @returns_ms: when the last caller that was refused is to return
  */
 typedef struct
 {
@@ -106,6 +107,7 @@
   uint64_t window_bin;
   uint32_t window_bins[WINDOW_BINS];
   uint64_t refused;
+  uint64_t returns_ms;
 } Account;
 
 /** struct Report - last count of an account from a source */
@@ -506,15 +508,21 @@
   return MAX (share_of (quotas, account) * left, usual_allowance (quotas, account));
 }
 
+/* Refused callers return one after the other, as the own share of the rate lets them in: those that
+ * return together before would be refused again. */
 static uint32_t
-retry_after_ms_of (const Quo *quotas, const Account *account, double unreported)
+retry_after_ms_of (const Quo *quotas, Account *account, double unreported, uint64_t now_ms)
 {
   double excess = excess_of (quotas, account);
-  double needed = (unreported + 1) / share_of (quotas, account);
-  double missing = needed - (account->level + unreported + excess);
-  double wait_ms = CLAMP (missing, 1, 1 + excess / 2) * 1000 / rate_per_s (quotas, account);
+  double share = share_of (quotas, account);
+  double missing = (unreported + 1) / share - (account->level + unreported + excess);
+  double first_ms = CLAMP (missing, 1, 1 + excess / 2) * 1000 / rate_per_s (quotas, account);
+  double interval_ms = 1000 / (share * rate_per_s (quotas, account));
+  uint64_t first = now_ms + (uint64_t) MIN (first_ms, quotas->bounds.window_ms);
+  uint64_t next = account->returns_ms + (uint64_t) MIN (interval_ms, quotas->bounds.window_ms);
 
-  return (uint32_t) CLAMP (wait_ms, RETRY_AFTER_MIN_MS, quotas->bounds.window_ms);
+  account->returns_ms = MIN (MAX (first, next), now_ms + quotas->bounds.window_ms);
+  return (uint32_t) MAX (account->returns_ms - now_ms, RETRY_AFTER_MIN_MS);
 }
 
 static void
@@ -569,7 +577,7 @@
       return true;
     }
   account->refused++;
-  *retry_after_ms = retry_after_ms_of (quotas, account, unreported);
+  *retry_after_ms = retry_after_ms_of (quotas, account, unreported, now_ms);
   return false;
 }
 
--- a/tests/test_quo.cc
+++ b/tests/test_quo.cc
@@ -592,6 +592,33 @@
   quo_free (quotas);
 }
 
+// Guards against callers that are rejected together, return together, and are rejected again: after
+// a restart of all nodes each one used up its retries while the quota had room for most of them.
+TEST (Quotas, CallersRejectedTogetherReturnOneAfterTheOther)
+{
+  Quo *quotas = quo_new (&kBounds);
+  QuoFleet fleet = { 1, 1, 1, 500, 2000, 0, 1000 };
+  quo_set_limit (quotas, 1, 20000, 20);
+  quo_set_fleet (quotas, &fleet, kStartMs);
+  uint32_t retry_after_ms = 0;
+  uint64_t at_ms = kStartMs + 6000;
+  while (quo_admit (quotas, 1, at_ms, &retry_after_ms))
+    ;
+  std::vector<uint32_t> returns_ms = { retry_after_ms };
+  for (int i = 0; i < 30; i++)
+    {
+      EXPECT_FALSE (quo_admit (quotas, 1, at_ms, &retry_after_ms));
+      returns_ms.push_back (retry_after_ms);
+    }
+  for (size_t i = 1; i < returns_ms.size (); i++)
+    EXPECT_GE (returns_ms[i], returns_ms[i - 1] + 45) << i;
+  int served = 0;
+  for (uint32_t return_ms : returns_ms)
+    served += quo_admit (quotas, 1, at_ms + return_ms, &retry_after_ms);
+  EXPECT_EQ (served, 31);
+  quo_free (quotas);
+}
+
 // An account without a limit must cost no message and no refusal.
 TEST (Quotas, WithoutLimitNothingIsRefusedOrSent)
 {
