Ignore responses that belong to an earlier incarnation of an upstream

Cause: a request may end after its upstream's process has ended and a new one has registered under the same id or address. The response's shutdown notice then drained the new one, its Retry-After paused it, and its service time, errors, rejections and 421s were recorded for it.

Change: frq and rls record the incarnation (born_ms and address, as not all platforms state born_ms) when the upstream is chosen. What a response or a failure says of the upstream is recorded only while that incarnation is registered. A request that is not written yet when a new incarnation registers is withdrawn and dispatched again, and the connections to the old process are closed even if the address stays the same, so that a request is always recorded for the process that gets it. The route's service time and the poison requests are still recorded, as they concern the request.

--- a/src/fbk.c
+++ b/src/fbk.c
@@ -64,8 +64,10 @@
 }
 
 void
-fbk_apply (Node *node, Ups *ups, const UcnResponse *response)
+fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation, const UcnResponse *response)
 {
+  if (!ups_is_incarnation (ups, incarnation))
+    return;
   apply_leaving (node, ups, response);
   apply_retry_after (node, ups, response);
   apply_load (node, ups, response);
--- a/src/fbk.h
+++ b/src/fbk.h
@@ -5,13 +5,16 @@
 
 /**
  * fbk_apply() - applies the feedback headers of a response to the state of its upstream
+ * @incarnation: the one to which the request was sent; nothing is applied when another one is
+ * registered now
  *
  * The leaving header (NodHeaders) marks the upstream as leaving: this incarnation gets no further
  * requests. A 503 that has the not-run header and Retry-After pauses the upstream for this
  * node; a Retry-After that is not valid is logged and ignored. The load header goes into
  * the learned capacity; a malformed one is counted and ignored.
  */
-void fbk_apply (Node *node, Ups *ups, const UcnResponse *response);
+void fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation,
+                const UcnResponse *response);
 
 /**
  * fbk_retry_after_ms() - parses a Retry-After header
--- a/src/frq.h
+++ b/src/frq.h
@@ -45,6 +45,7 @@
  * @tried: hashes of the upstreams to which it was sent
  * @last_upstream: ID of the upstream of the last send
  * @ups: the upstream on which it is in flight, or NULL
+ * @incarnation: of @ups when it was chosen
  * @relay: the node that relays it to @ups; NULL when it was sent directly
  * @timer: expires at @deadline_at_ms
  * @queue_link: its element of Node.requests
@@ -89,6 +90,7 @@
   uint32_t tried[FRQ_SENDS_MAX];
   char last_upstream[NAME_MAX_BYTES];
   Ups *ups;
+  UpsIncarnation incarnation;
   RlyPeer *relay;
   UcnCall *call;
   uv_timer_t timer;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -90,6 +90,49 @@
     log_learned (frq->node, ups, &frq->service->curve, &sample);
 }
 
+/* Whether the request was sent to the incarnation of its upstream that is registered now: an
+ * outcome that concerns an earlier one must not count for the new one. */
+static bool
+is_current (const Frq *frq)
+{
+  return ups_is_incarnation (frq->ups, &frq->incarnation);
+}
+
+static void
+record_failure (const Frq *frq, Ups *ups)
+{
+  if (is_current (frq))
+    ups_record_failure (ups, clk_now_ms ());
+}
+
+static void
+record_success (const Frq *frq, Ups *ups, uint32_t service_time_ms)
+{
+  if (!is_current (frq))
+    return;
+  ups_record_success (ups, clk_now_ms ());
+  learn_service_time (frq, ups, service_time_ms);
+  if (frq->key != 0)
+    ups_record_object (ups, frq->key);
+}
+
+static void
+record_rejection (Frq *frq, Ups *ups, const UcnResponse *response)
+{
+  NodCounters *counters = &frq->node->counters;
+
+  if (response->status == STATUS_MISDIRECTED)
+    {
+      counters->misdirected++;
+      frq->misdirects++;
+      ups->misdirected = ups->misdirected || is_current (frq);
+      return;
+    }
+  counters->sheds++;
+  if (is_current (frq))
+    ups->shed_until_ms = clk_now_ms () + SHED_PAUSE_MS;
+}
+
 /* Consumes the retry budget when it returns true. */
 static bool
 admit_retry (Frq *frq)
@@ -131,19 +174,7 @@
 static void
 on_not_run (Frq *frq, Ups *ups, const UcnResponse *response)
 {
-  Node *node = frq->node;
-
-  if (response->status == STATUS_MISDIRECTED)
-    {
-      node->counters.misdirected++;
-      frq->misdirects++;
-      ups->misdirected = true;
-    }
-  else
-    {
-      node->counters.sheds++;
-      ups->shed_until_ms = clk_now_ms () + SHED_PAUSE_MS;
-    }
+  record_rejection (frq, ups, response);
   frq_release_upstream (frq);
   retry_or_respond (frq, NULL, "no_room");
 }
@@ -155,7 +186,7 @@
   uint32_t service_time_ms = (uint32_t) (clk_now_ms () - frq->sent_at_ms);
   bool success = response->status >= 200 && response->status < 300;
 
-  fbk_apply (frq->node, ups, response);
+  fbk_apply (frq->node, ups, &frq->incarnation, response);
   if (response->status == STATUS_MISDIRECTED || ucn_header (response, headers->not_run) != NULL)
     {
       on_not_run (frq, ups, response);
@@ -166,24 +197,22 @@
   if (success && ucn_header (response, headers->signature) == NULL)
     {
       frq->node->counters.broken_answers++;
-      ups_record_failure (ups, clk_now_ms ());
+      record_failure (frq, ups);
       frq_release_upstream (frq);
       retry_or_respond (frq, NULL, "answer_unsigned");
       return;
     }
   if (response->status < 500)
     {
-      ups_record_success (ups, clk_now_ms ());
       poi_record_response (&frq->node->poison, frq->fingerprint, clk_now_ms ());
-      learn_service_time (frq, ups, service_time_ms);
+      record_success (frq, ups, service_time_ms);
       record_service_time (frq, service_time_ms);
-      if (frq->key != 0)
-        ups_record_object (ups, frq->key);
       frq_release_upstream (frq);
       frq_forward_response (frq, response);
       return;
     }
-  ups_record_error_response (ups);
+  if (is_current (frq))
+    ups_record_error_response (ups);
   frq_release_upstream (frq);
   retry_or_respond (frq, response, "upstream_failed");
 }
@@ -197,7 +226,7 @@
     sus_record_refusal (node, ups);
   else
     sus_record_loss (node, ups, frq->fingerprint);
-  ups_record_failure (ups, clk_now_ms ());
+  record_failure (frq, ups);
   frq_release_upstream (frq);
   if (outcome == UCN_NOT_SENT)
     {
@@ -215,13 +244,15 @@
 }
 
 /* The upstream stopped accepting requests while the connection was being made: it is leaving or
- * paused, or its zone is being evacuated. */
+ * paused, or its zone is being evacuated. A new incarnation of it may be tried. */
 static void
 on_withdrawn (Frq *frq)
 {
   frq->node->counters.withdrawn++;
   log_event (&frq->node->request_log, LOG_INFO, "request_withdrawn", "id=%s upstream=%s send=%u",
              frq->id != NULL ? frq->id : "-", frq->last_upstream, frq->sends);
+  if (!is_current (frq))
+    frq->tried[frq->sends - 1] = 0;
   frq_release_upstream (frq);
   if (frq->sends < FRQ_SENDS_MAX && clk_now_ms () < frq->deadline_at_ms)
     fwd_dispatch (frq);
@@ -232,8 +263,8 @@
 /* ---- Calls ---- */
 
 /* Called when the connection is ready, so that the deadline header states the time that remains
- * then. Return: NULL when the upstream no longer accepts requests, or the request's API key has
- * been removed. */
+ * then. Return: NULL when the upstream no longer accepts requests or another incarnation of it is
+ * registered, or the request's API key has been removed. */
 static GString *
 build_message (void *user)
 {
@@ -242,7 +273,7 @@
   uint64_t now_ms = clk_now_ms ();
   char extra[512];
 
-  if (frq->is_revoked)
+  if (frq->is_revoked || !is_current (frq))
     return NULL;
   if (!chs_accepts_requests (frq->node, frq->ups) || now_ms < frq->ups->paused_until_ms)
     return NULL;
@@ -382,6 +413,7 @@
   g_strlcpy (frq->last_upstream, ups->record.id, sizeof frq->last_upstream);
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_is_warm_for (ups, frq->key);
+  frq->incarnation = ups_incarnation (ups);
   ups->in_flight++;
   frq->load_at_send = chs_in_flight (node, ups, now_ms);
   if (region < REGIONS_MAX)
--- a/src/rls.c
+++ b/src/rls.c
@@ -14,6 +14,7 @@
 
 /**
  * struct Rls - one relayed request
+ * @incarnation: of @ups when the request arrived
  * @disconnect_key: key of hsv_watch_disconnect(), NULL after the sending node closed its connection
  * @deadline_at_ms: end of the request's time, or of the responses of a stopping node when earlier
  */
@@ -26,6 +27,7 @@
   MsgRequest message;
   char *id;
   Ups *ups;
+  UpsIncarnation incarnation;
   UcnCall *call;
   uint64_t deadline_at_ms;
   uv_timer_t timer;
@@ -155,7 +157,7 @@
   rls->call = NULL;
   if (exchange == UCN_DONE)
     {
-      fbk_apply (rls->node, rls->ups, response);
+      fbk_apply (rls->node, rls->ups, &rls->incarnation, response);
       send_response (rls, response);
     }
   else
@@ -172,6 +174,8 @@
   uint64_t now_ms = clk_now_ms ();
   char extra_headers[256];
 
+  if (!ups_is_incarnation (rls->ups, &rls->incarnation))
+    return NULL;
   if (!chs_accepts_requests (rls->node, rls->ups) || now_ms < rls->ups->paused_until_ms)
     return NULL;
   g_snprintf (extra_headers, sizeof extra_headers, "%s: %llu\r\n%s: %s\r\n", names->deadline_ms,
@@ -204,6 +208,7 @@
   rls->link->rls = rls;
   rls->id = hsv_header (h2o, node->headers.request_id);
   rls->ups = ups;
+  rls->incarnation = ups_incarnation (ups);
   ups->relayed++;
   msg_init (&rls->message, h2o, replaced);
   rls->deadline_at_ms = MIN (clk_now_ms () + remaining_ms, nod_response_deadline_ms (node));
--- a/src/ups.c
+++ b/src/ups.c
@@ -112,7 +112,21 @@
   return a.ip == b.ip && a.port == b.port;
 }
 
-/* Resets what was observed of the previous incarnation. */
+UpsIncarnation
+ups_incarnation (const Ups *ups)
+{
+  return (UpsIncarnation){ .born_ms = ups->record.born_ms, .addr = ups->record.addr };
+}
+
+bool
+ups_is_incarnation (const Ups *ups, const UpsIncarnation *incarnation)
+{
+  return ups->record.born_ms == incarnation->born_ms
+         && is_same_addr (ups->record.addr, incarnation->addr);
+}
+
+/* Resets what was observed of the previous incarnation. Its connections are closed even when the
+ * address stays the same: the old process may still respond on them. */
 static void
 start_incarnation (UpsTable *table, Ups *ups, const UpsRecord *record)
 {
@@ -125,11 +139,8 @@
   lrn_init (&ups->learned);
   ups->fault_permille = 0;
   memset (ups->objects, 0, sizeof ups->objects);
-  if (!is_same_addr (ups->record.addr, record->addr))
-    {
-      ucn_pool_close (&ups->pool);
-      ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
-    }
+  ucn_pool_close (&ups->pool);
+  ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
 }
 
 static bool
--- a/src/ups.h
+++ b/src/ups.h
@@ -29,6 +29,17 @@
   uint32_t cold_ms;
 } UpsRecord;
 
+/**
+ * struct UpsIncarnation - one run of an upstream's process
+ * @born_ms: its start; not all platforms state it
+ * @addr: its address, which differs from that of an incarnation with the same @born_ms
+ */
+typedef struct
+{
+  uint64_t born_ms;
+  NetAddr addr;
+} UpsIncarnation;
+
 /**
  * struct Ups - state of one upstream
  * @hash: ups_hash() of its id; identifies it in messages between nodes
@@ -116,12 +127,19 @@
  * ups_apply() - adds an upstream or updates it from its registration
  * @zone: index of the upstream's zone, or ZONE_NONE
  *
- * A new incarnation or address resets failures, pauses and cached objects.
+ * A new incarnation or address resets failures, pauses and cached objects, and closes the
+ * connections to the previous one as soon as they are idle.
  *
  * Return: false when the registration is older than the one known; nothing changes then.
  */
 bool ups_apply (UpsTable *table, const UpsRecord *record, uint32_t zone, uint64_t now_ms);
 
+/** ups_incarnation() - the incarnation that is registered. */
+UpsIncarnation ups_incarnation (const Ups *ups);
+
+/** ups_is_incarnation() - whether it is still the one that is registered. */
+bool ups_is_incarnation (const Ups *ups, const UpsIncarnation *incarnation);
+
 /** ups_remove() - marks an upstream as gone; frees it when no requests are in flight. */
 void ups_remove (UpsTable *table, const char *id);
 
--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <atomic>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 using namespace std::chrono_literals;
 
@@ -146,7 +147,8 @@
     response.status = status;
     response.headers = g_ptr_array_new ();
     g_ptr_array_add (response.headers, &header);
-    fbk_apply (node_, &ups_, &response);
+    UpsIncarnation incarnation = ups_incarnation (&ups_);
+    fbk_apply (node_, &ups_, &incarnation, &response);
     g_ptr_array_unref (response.headers);
   }
 
@@ -289,6 +291,122 @@
              std::string::npos);
 }
 
+namespace
+{
+struct LateCase
+{
+  const char *name;
+  std::string head; // status line and headers
+  std::string body;
+};
+
+void
+PrintTo (const LateCase &late, std::ostream *out)
+{
+  *out << late.name;
+}
+
+// An upstream is replaced, under the same id, while a request runs on the earlier incarnation.
+class ReplacedUpstream : public UpstreamFeedback
+{
+protected:
+  static constexpr auto kWork = 700ms;
+
+  static FakeUpstream::Behaviour
+  RespondsLate (const LateCase &late)
+  {
+    return [late] (int fd, const Request &request) {
+      std::this_thread::sleep_for (kWork);
+      WriteAll (fd, late.head + "X-Request-Id: " + request.headers.at ("x-request-id")
+                        + "\r\nConnection: close\r\n\r\n" + late.body);
+      shutdown (fd, SHUT_RDWR);
+    };
+  }
+
+  // Runs a request on the first upstream and registers `record` for its id before the response.
+  void
+  ReplaceDuringRequest (const LateCase &late, const std::string &record)
+  {
+    DrainSecond ();
+    first_.SetBehaviour (RespondsLate (late));
+    int before = first_.arrivals ();
+    std::thread caller ([&] {
+      nodes_[0]->Call ("POST", "/post/late",
+                       { { "X-Request-Id", "late" }, { "X-Deadline-Ms", "2000" } });
+    });
+    EXPECT_TRUE (WaitUntil (2000, [&] { return first_.arrivals () > before; }));
+    first_.SetBehaviour ([this] (int fd, const Request &request) {
+      WriteAll (fd, first_.SignedResponse (request, "ok"));
+    });
+    store_.Put ("servers", first_.id (), record);
+    caller.join ();
+  }
+
+  std::string
+  StateOfFirst ()
+  {
+    std::string state = nodes_[0]->Status ("/state").body;
+    size_t start = state.find ("upstream=" + first_.id () + " ");
+    return start == std::string::npos ? "" : state.substr (start, state.find ('\n', start) - start);
+  }
+
+  void
+  ExpectFirstIsUnaffected ()
+  {
+    std::string state = StateOfFirst ();
+    for (const char *value :
+         { "failures=0", "misdirected=0", "slowness=1000", "faults=0", "lasting_slowness=1000" })
+      EXPECT_NE (state.find (std::string (" ") + value + " "), std::string::npos)
+          << value << " in " << state;
+    Reply reply = Get (*nodes_[0], "next");
+    EXPECT_EQ (reply.status, 200);
+    EXPECT_LT (reply.elapsed_ms, 400);
+  }
+};
+
+class LateResponse : public ReplacedUpstream, public ::testing::WithParamInterface<LateCase>
+{
+};
+
+const LateCase kLateCases[] = {
+  { "ShutdownNotice",
+    "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nX-Response-Signature: 1.2.3\r\nContent-Length: "
+    "2\r\n",
+    "ok" },
+  { "Pause", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nRetry-After: 20\r\nContent-Length: 0\r\n",
+    "" },
+  { "ServiceTime", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 2\r\n",
+    "ok" },
+  { "Error", "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n", "" },
+  { "Unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "ok" },
+  { "Misdirected", "HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "" },
+  { "Truncated", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 9\r\n", "ok" },
+};
+}
+
+// Guards against a new instance that is drained, paused or avoided for a response of the one
+// before.
+TEST_P (LateResponse, OfAnEarlierIncarnationDoesNotCountForTheNewOne)
+{
+  Start ();
+  ReplaceDuringRequest (GetParam (),
+                        first_.Record ("desk", "east-a", "ready", ",\"born\":1900000000000"));
+  ExpectFirstIsUnaffected ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Responses, LateResponse, ::testing::ValuesIn (kLateCases),
+                          [] (const auto &info) { return std::string (info.param.name); });
+
+// The platform need not state when an instance started; a new address then tells them apart.
+TEST_F (ReplacedUpstream, LateResponseOfItsEarlierAddressDoesNotCount)
+{
+  Start ();
+  FakeUpstream replacement ("up-1");
+  ReplaceDuringRequest (kLateCases[0], replacement.Record ("desk", "east-a"));
+  ExpectFirstIsUnaffected ();
+  EXPECT_GT (replacement.arrivals (), 0);
+}
+
 // A request that no upstream accepts in time is rejected at once; its Retry-After is that of
 // the first upstream to accept requests again.
 TEST_F (UpstreamFeedback, AllUpstreamsPausedRejectsWithEarliestRetryAfter)
--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -129,6 +129,28 @@
   EXPECT_EQ (reply.headers["x-backend-load"], "1,0,4,120");
 }
 
+// Neither the relay nor the sending node may drain a new instance for the notice of the one before.
+TEST_F (Relay, LateShutdownNoticeOfAnEarlierIncarnationIsIgnored)
+{
+  upstream_.SetBehaviour ([this] (int fd, const Request &request) {
+    std::string whole = upstream_.SignedResponse (request, "ok");
+    std::this_thread::sleep_for (700ms);
+    WriteAll (fd, whole.insert (whole.find ("\r\n") + 2, "Server-Leaving: 1\r\n"));
+  });
+  int before = upstream_.arrivals ();
+  std::thread caller ([this] { EXPECT_EQ (Post ("post-late").status, 200); });
+  EXPECT_TRUE (WaitUntil (2000, [&] { return upstream_.arrivals () > before; }));
+  store_.Put ("servers", upstream_.id (),
+              upstream_.Record ("desk", "west-a", "ready", ",\"born\":1900000000000"));
+  caller.join ();
+  upstream_.SetBehaviour ([this] (int fd, const Request &request) {
+    WriteAll (fd, upstream_.SignedResponse (request, "ok"));
+  });
+  EXPECT_EQ (Post ("post-next").status, 200);
+  for (NodeProcess *node : { east_.get (), west_.get () })
+    EXPECT_EQ (node->Log ().find ("event=upstream_leaves"), std::string::npos);
+}
+
 TEST_F (Relay, UpstreamRejectionIsReturnedAs503)
 {
   upstream_.SetBehaviour ([] (int fd, const Request &request) {
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -67,6 +67,22 @@
   EXPECT_FALSE (ups_apply (&table_, &old, 0, 1000));
 }
 
+TEST_F (UpsTest, NewStartOrAddressIsAnotherIncarnation)
+{
+  Ups *ups = Add (Record ("a", 100));
+  UpsIncarnation first = ups_incarnation (ups);
+  Add (Record ("a", 100, 2));
+  EXPECT_TRUE (ups_is_incarnation (ups, &first));
+  UpsRecord moved = Record ("a", 100, 3);
+  moved.addr.port = 81;
+  Add (moved);
+  EXPECT_FALSE (ups_is_incarnation (ups, &first));
+  UpsIncarnation second = ups_incarnation (ups);
+  moved.born_ms = 200;
+  Add (moved);
+  EXPECT_FALSE (ups_is_incarnation (ups, &second));
+}
+
 TEST_F (UpsTest, NewIncarnationResetsFailuresAndObjects)
 {
   Ups *ups = Add (Record ("a", 100));
