List nodes with capacities from 2^31 on in proportion to them

Cause: thin_out drew from g_random_int_range, whose range is signed: a largest capacity of 2^31 or more became negative, the function returned 0 with a warning, and no node was thinned out.

Change: the random number is scaled to the unsigned range.

--- a/src/dir.c
+++ b/src/dir.c
@@ -66,6 +66,13 @@
   return largest;
 }
 
+/* g_random_int_range() is signed, and capacities may exceed its range. */
+static uint32_t
+random_below (uint32_t limit)
+{
+  return (uint32_t) ((uint64_t) g_random_int () * limit >> 32);
+}
+
 /* Callers use the listed addresses equally, so a node is listed with a probability in proportion to
  * its capacity: nodes with few processors and slow links then get fewer requests. */
 static void
@@ -74,8 +81,7 @@
   uint32_t largest = largest_capacity (candidates);
 
   for (guint i = candidates->len; i > 0 && candidates->len > ADDRESSES_MIN; i--)
-    if ((uint32_t) g_random_int_range (0, (gint32) largest)
-        >= g_array_index (candidates, Candidate, i - 1).capacity)
+    if (random_below (largest) >= g_array_index (candidates, Candidate, i - 1).capacity)
       g_array_remove_index (candidates, i - 1);
 }
 
--- a/tests/test_dir.cc
+++ b/tests/test_dir.cc
@@ -73,6 +73,26 @@
       }
   }
 
+  // Nodes of a fifth of the largest capacity are listed in a fifth of the responses.
+  void
+  ExpectShareOfSmallNodes (uint32_t large, uint32_t small)
+  {
+    constexpr uint32_t kLargePeers = 14;
+    constexpr int kLookups = 400;
+    SetCapacities (large, kLargePeers, large, small);
+    std::map<std::string, int> listed;
+    for (int i = 0; i < kLookups; i++)
+      for (const std::string &address : Lookup ())
+        listed[address]++;
+    EXPECT_EQ (listed.size (), kPeers + 1);
+    int listed_small = 0;
+    for (const auto &[address, count] : listed)
+      if (count < kLookups)
+        listed_small += count;
+    double mean = static_cast<double> (listed_small) / (kPeers - kLargePeers) / kLookups;
+    EXPECT_NEAR (mean, 0.2, 0.02);
+  }
+
   Node *node_ = nullptr;
 };
 }
@@ -95,20 +115,14 @@
 // and bandwidth.
 TEST_F (NodeDirectory, NodesAreListedInProportionToTheirCapacity)
 {
-  constexpr uint32_t kLargePeers = 14;
-  constexpr int kLookups = 400;
-  SetCapacities (500, kLargePeers, 500, 100);
-  std::map<std::string, int> listed;
-  for (int i = 0; i < kLookups; i++)
-    for (const std::string &address : Lookup ())
-      listed[address]++;
-  EXPECT_EQ (listed.size (), kPeers + 1);
-  int small = 0;
-  for (const auto &[address, count] : listed)
-    if (count < kLookups)
-      small += count;
-  double mean = static_cast<double> (small) / (kPeers - kLargePeers) / kLookups;
-  EXPECT_NEAR (mean, 0.2, 0.02);
+  ExpectShareOfSmallNodes (500, 100);
+}
+
+// Guards against capacities from 2^31 on that become negative in a signed range.
+TEST_F (NodeDirectory, LargestCapacitiesAreListedInProportionToo)
+{
+  ExpectShareOfSmallNodes (UINT32_MAX, UINT32_MAX / 5);
+  ExpectShareOfSmallNodes (1u << 31, (1u << 31) / 5);
 }
 
 // Guards against a response with so few addresses that a caller runs out of them when some fail.
