cardamomctl check: find mistakes in a configuration before it is sent

Cause: nodes replace a value of the wrong type by its default without notice, and accept routes that never match and limits that contradict each other. An operator learnt of it from the traffic.

Not checked, as the format doesn't have it: attempts against the number of upstreams, caps over what they hold, and whether regions exist.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -2,6 +2,7 @@
 #include "cfg.h"
 #include "hcl.h"
 #include "jsn.h"
+#include "pcc.h"
 #include "trc.h"
 
 #include <inttypes.h>
@@ -34,6 +35,8 @@
   char *file;
   char *team;
   gint64 if_version;
+  char *against;
+  gboolean in_force;
 } Ctl;
 
 typedef ExitCode (*CommandFn) (Ctl *ctl, char **args, int count);
@@ -502,6 +505,29 @@
   return EXIT_OK;
 }
 
+/* ---- Check of a configuration of the node ---- */
+
+static ExitCode
+run_check (Ctl *ctl, char **args, int count)
+{
+  static const ExitCode codes[] = { [PCC_OK] = EXIT_OK,
+                                    [PCC_ERRORS] = EXIT_FAILED,
+                                    [PCC_UNREADABLE] = EXIT_USAGE,
+                                    [PCC_NO_ANSWER] = EXIT_UNAVAILABLE };
+  PccRequest request = { .file = args[0],
+                         .against = ctl->against,
+                         .store = ctl->in_force ? &ctl->store : NULL,
+                         .as_json = strcmp (ctl->output, "json") == 0 };
+  (void) count;
+
+  if (ctl->against != NULL && ctl->in_force)
+    {
+      fprintf (stderr, "--against and --in-force exclude each other\n");
+      return EXIT_USAGE;
+    }
+  return codes[pcc_check (&ctl->http, &request)];
+}
+
 /* ---- Command line ---- */
 
 static const Command commands[] = {
@@ -520,6 +546,8 @@
   { "status", 0, 0, run_status, "status", "plan, entries and refused objects" },
   { "dump", 1, 1, run_dump, "dump ADDRESS", "state of one process" },
   { "trace", 1, 1, run_trace, "trace ID [--file=LOG]", "a request's log lines and its cause" },
+  { "check", 1, 1, run_check, "check FILE [--against=FILE|--in-force]",
+    "check a configuration of the node" },
 };
 
 static char *
@@ -551,8 +579,10 @@
 }
 
 static bool
-needs_store (const char *command)
+needs_store (const Ctl *ctl, const char *command)
 {
+  if (strcmp (command, "check") == 0)
+    return ctl->in_force;
   return strcmp (command, "trace") != 0;
 }
 
@@ -568,7 +598,7 @@
       fprintf (stderr, "--output is '%s'; accepted: text|json\n", ctl->output);
       return false;
     }
-  if (needs_store (command) && (store == NULL || !net_addr_parse (store, &ctl->store)))
+  if (needs_store (ctl, command) && (store == NULL || !net_addr_parse (store, &ctl->store)))
     {
       fprintf (stderr, "--store (CARDAMOM_STORE) is '%s'; accepted: a.b.c.d:port\n",
                store != NULL ? store : "not given");
@@ -589,6 +619,10 @@
     { "team", 't', 0, G_OPTION_ARG_STRING, &ctl->team, "change this team's subtree only", "TEAM" },
     { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl->if_version, "version that must be in place",
       "N" },
+    { "against", 0, 0, G_OPTION_ARG_STRING, &ctl->against, "configuration to compare with",
+      "FILE" },
+    { "in-force", 0, 0, G_OPTION_ARG_NONE, &ctl->in_force,
+      "compare with the newest configuration in the store", NULL },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
   };
   GError *error = NULL;
