Apply upstreams' feedback from any response head, and show it to operators

Cause: the shutdown notice and Retry-After were read only from responses that had been received whole, so that a cut body lost them and a long one delayed them. Callers saw the notice's header. A 503 with Retry-After but without the not-run header did not pause its upstream. An upstream whose registration lapsed and came back got requests again although the same instance was leaving or paused.

Change: ucn reports the head of a response to its caller (UcnSpec.on_head), and frq and rls apply the feedback there. The notice isn't passed on to callers; relays pass it to the sending node as before. Any 503 with Retry-After pauses. What the last 64 departed incarnations asked for is kept and applies when one of them registers again, if the platform states born_ms. Log lines name request, header and end; counters and gauges count notices, pauses, paused and leaving upstreams; request_sent has the number of paused and leaving upstreams, and rejections for such reasons say all_paused or no_upstream in place of no_room.

--- a/src/chs.c
+++ b/src/chs.c
@@ -342,6 +342,21 @@
   return soonest_ms;
 }
 
+ChsFeedback
+chs_count_feedback (const Node *node, const char *service, uint64_t now_ms)
+{
+  const GPtrArray *upstreams = ups_by_service (&node->upstreams, service);
+  ChsFeedback count = { 0 };
+
+  for (guint i = 0; upstreams != NULL && i < upstreams->len; i++)
+    {
+      const Ups *ups = g_ptr_array_index (upstreams, i);
+      count.paused += now_ms < ups->paused_until_ms;
+      count.leaving += ups->leaving;
+    }
+  return count;
+}
+
 ChsChoice
 chs_choose (ChsCandidates *set, const ChsRequest *request)
 {
--- a/src/chs.h
+++ b/src/chs.h
@@ -69,6 +69,16 @@
  * of its upstreams is eligible. */
 uint64_t chs_earliest_resume_ms (const Node *node, const ChsRequest *request);
 
+/** struct ChsFeedback - number of a service's upstreams that asked for no requests */
+typedef struct
+{
+  uint32_t paused;
+  uint32_t leaving;
+} ChsFeedback;
+
+/** chs_count_feedback() - counts them, for the log. */
+ChsFeedback chs_count_feedback (const Node *node, const char *service, uint64_t now_ms);
+
 /** chs_accepts_requests() - new requests may be sent to an upstream: it is registered, neither
  * leaving nor draining, and its zone is not evacuated. */
 bool chs_accepts_requests (const Node *node, const Ups *ups);
--- a/src/fbk.c
+++ b/src/fbk.c
@@ -19,33 +19,40 @@
 }
 
 static void
-apply_leaving (Node *node, Ups *ups, const UcnResponse *response)
+apply_leaving (Node *node, Ups *ups, const char *id, const UcnResponse *response)
 {
   const char *leaving = ucn_header (response, node->headers.leaving);
 
   if (leaving == NULL || strcmp (leaving, "1") != 0 || !ups_mark_leaving (ups, ups->record.born_ms))
     return;
-  log_event (&node->log, LOG_INFO, "upstream_leaves", "upstream=%s told_by=answer", ups->record.id);
+  node->counters.leaving_notices++;
+  log_event (&node->log, LOG_INFO, "upstream_leaves",
+             "upstream=%s told_by=answer id=%s status=%d header=%s", ups->record.id, id,
+             response->status, node->headers.leaving);
 }
 
 static void
-apply_retry_after (Node *node, Ups *ups, const UcnResponse *response)
+apply_retry_after (Node *node, Ups *ups, const char *id, const UcnResponse *response)
 {
   const char *text = ucn_header (response, "retry-after");
 
-  if (text == NULL || response->status != STATUS_SERVICE_UNAVAILABLE
-      || ucn_header (response, node->headers.not_run) == NULL)
+  if (text == NULL || response->status != STATUS_SERVICE_UNAVAILABLE)
     return;
   uint32_t pause_ms = fbk_retry_after_ms (text);
   if (pause_ms == 0)
     {
-      log_event (&node->log, LOG_WARN, "pause_not_understood", "upstream=%s retry_after=\"%s\"",
-                 ups->record.id, text);
+      node->counters.pauses_invalid++;
+      log_event (&node->log, LOG_WARN, "pause_not_understood",
+                 "upstream=%s id=%s retry_after=\"%s\"", ups->record.id, id, text);
       return;
     }
-  ups_pause (ups, clk_now_ms () + pause_ms);
-  log_event (&node->log, LOG_INFO, "upstream_pauses", "upstream=%s pause_ms=%u", ups->record.id,
-             pause_ms);
+  uint64_t now_ms = clk_now_ms ();
+  ups_pause (ups, now_ms + pause_ms);
+  node->counters.pauses++;
+  log_event (&node->log, LOG_INFO, "upstream_pauses",
+             "upstream=%s id=%s header=retry-after pause_ms=%u limited=%d end_in_ms=%llu",
+             ups->record.id, id, pause_ms, pause_ms == FBK_PAUSE_MAX_MS,
+             (unsigned long long) (ups->paused_until_ms - now_ms));
 }
 
 static void
@@ -64,11 +71,14 @@
 }
 
 void
-fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation, const UcnResponse *response)
+fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation, const char *id,
+           const UcnResponse *response)
 {
+  const char *logged_id = id != NULL ? id : "-";
+
   if (!ups_is_incarnation (ups, incarnation))
     return;
-  apply_leaving (node, ups, response);
-  apply_retry_after (node, ups, response);
+  apply_leaving (node, ups, logged_id, response);
+  apply_retry_after (node, ups, logged_id, response);
   apply_load (node, ups, response);
 }
--- a/src/fbk.h
+++ b/src/fbk.h
@@ -4,16 +4,19 @@
 #include "nod.h"
 
 /**
- * fbk_apply() - applies the feedback headers of a response to the state of its upstream
+ * fbk_apply() - applies the feedback headers of a response, once its head is complete, to the state
+ * of its upstream
  * @incarnation: the one to which the request was sent; nothing is applied when another one is
  * registered now
+ * @id: ID of the request, for the log; NULL for none
  *
  * The leaving header (NodHeaders) marks the upstream as leaving: this incarnation gets no further
- * requests. A 503 that has the not-run header and Retry-After pauses the upstream for this
- * node; a Retry-After that is not valid is logged and ignored. The load header goes into
- * the learned capacity; a malformed one is counted and ignored.
+ * requests. A 503 with Retry-After pauses the upstream for this node, whether or not the request
+ * has run; a Retry-After that is not valid is logged and ignored, and one above FBK_PAUSE_MAX_MS
+ * counts as that. The load header goes into the learned capacity; a malformed one is counted and
+ * ignored.
  */
-void fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation,
+void fbk_apply (Node *node, Ups *ups, const UpsIncarnation *incarnation, const char *id,
                 const UcnResponse *response);
 
 /**
--- a/src/frq.c
+++ b/src/frq.c
@@ -156,7 +156,8 @@
       const UcnHeader *header = g_ptr_array_index (response->headers, i);
       char *name = g_ascii_strdown (header->name, -1);
       if (!msg_is_hop_by_hop (name, strlen (name)) && !g_strv_contains (node_headers, name)
-          && g_ascii_strcasecmp (name, frq->node->headers.request_id) != 0)
+          && g_ascii_strcasecmp (name, frq->node->headers.request_id) != 0
+          && g_ascii_strcasecmp (name, frq->node->headers.leaving) != 0)
         hsv_add_header (frq->h2o, name, header->value);
       g_free (name);
     }
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -186,7 +186,6 @@
   uint32_t service_time_ms = (uint32_t) (clk_now_ms () - frq->sent_at_ms);
   bool success = response->status >= 200 && response->status < 300;
 
-  fbk_apply (frq->node, ups, &frq->incarnation, response);
   if (response->status == STATUS_MISDIRECTED || ucn_header (response, headers->not_run) != NULL)
     {
       on_not_run (frq, ups, response);
@@ -288,6 +287,16 @@
   return msg_build (&frq->message, extra);
 }
 
+/* A relay's own response says nothing of the upstream. */
+static void
+on_head (void *user, const UcnResponse *response)
+{
+  const Frq *frq = user;
+
+  if (frq->relay == NULL || rly_parse_outcome (response) == RLY_ANSWERED)
+    fbk_apply (frq->node, frq->ups, &frq->incarnation, frq->id, response);
+}
+
 static void on_done (void *user, UcnOutcome outcome, const UcnResponse *response);
 
 /* An idle connection may be closed by the peer at any time, so requests that are not idempotent use
@@ -305,6 +314,7 @@
 {
   UcnPool *pool = frq->relay != NULL ? &frq->relay->pool : &frq->ups->pool;
   UcnSpec spec = { .build = build_message,
+                   .on_head = on_head,
                    .body = frq->message.body,
                    .id_header = frq->id != NULL ? frq->node->headers.request_id : NULL,
                    .id = frq->id,
@@ -398,6 +408,20 @@
 
 /* ---- Sending ---- */
 
+static void
+log_send (const Frq *frq, const Ups *ups, uint64_t now_ms)
+{
+  ChsFeedback feedback = chs_count_feedback (frq->node, frq->service->name, now_ms);
+
+  log_event (&frq->node->request_log, LOG_INFO, "request_sent",
+             "id=%s upstream=%s relay=%s send=%u warm=%d in_flight=%u others=%u slots=%u "
+             "remaining_ms=%llu paused=%u leaving=%u",
+             frq->id != NULL ? frq->id : "-", ups->record.id,
+             frq->relay != NULL ? frq->relay->vm : "-", frq->sends, frq->sent_warm, ups->in_flight,
+             ups->others, ups->record.slots, (unsigned long long) (frq->deadline_at_ms - now_ms),
+             feedback.paused, feedback.leaving);
+}
+
 static void
 send_to (Frq *frq, ChsChoice choice)
 {
@@ -428,45 +452,47 @@
       now_ms);
   node->counters.sent_by_relay += frq->relay != NULL;
   if (frq->sends > 1 || frq_is_sampled (frq))
-    log_event (&node->request_log, LOG_INFO, "request_sent",
-               "id=%s upstream=%s relay=%s send=%u warm=%d in_flight=%u others=%u slots=%u "
-               "remaining_ms=%llu",
-               frq->id != NULL ? frq->id : "-", ups->record.id,
-               frq->relay != NULL ? frq->relay->vm : "-", frq->sends, frq->sent_warm,
-               ups->in_flight, ups->others, ups->record.slots,
-               (unsigned long long) (frq->deadline_at_ms - now_ms));
+    log_send (frq, ups, now_ms);
   start_call (frq);
   if (frq->sends == 1 && !ucn_was_sent (frq->call))
     rgn_count_connected (&node->sent_by_region, region);
 }
 
 static void
-reject_no_capacity (Frq *frq)
+reject_no_capacity (Frq *frq, const char *reason)
 {
   nsh_count_rejected (frq->service, frq->region);
-  frq_fail (frq, "no_room");
+  frq_fail (frq, reason);
 }
 
-/* No upstream is eligible, or all of them are paused for longer than the request may wait. Sets the
- * least Retry-After time. */
-static bool
-no_upstream_within_wait (Frq *frq, uint64_t now_ms)
+/* The reason when no upstream is eligible, or all of them are paused for longer than the request
+ * may wait, else NULL. Sets the least Retry-After time. */
+static const char *
+reason_unavailable (Frq *frq, uint64_t now_ms)
 {
   ChsRequest request = selection_request (frq);
   uint64_t resume_ms = chs_earliest_resume_ms (frq->node, &request);
 
-  if (resume_ms <= frq->waits_until_ms)
-    return false;
+  if (resume_ms <= MAX (frq->waits_until_ms, now_ms))
+    return NULL;
   frq->retry_after_min_ms = (uint32_t) MIN (resume_ms - now_ms, FBK_PAUSE_MAX_MS);
-  return true;
+  return resume_ms == UINT64_MAX ? "no_upstream" : "all_paused";
+}
+
+static const char *
+rejection_reason (Frq *frq, uint64_t now_ms)
+{
+  const char *reason = reason_unavailable (frq, now_ms);
+
+  return reason != NULL ? reason : "no_room";
 }
 
 static void
 wait_for_slot (Frq *frq, uint64_t now_ms)
 {
-  if (now_ms >= frq->waits_until_ms || no_upstream_within_wait (frq, now_ms))
+  if (now_ms >= frq->waits_until_ms || reason_unavailable (frq, now_ms) != NULL)
     {
-      reject_no_capacity (frq);
+      reject_no_capacity (frq, rejection_reason (frq, now_ms));
       return;
     }
   if (frq->waiting)
@@ -613,7 +639,7 @@
           item = item->next;
           nod_run_control (node);
           if (now_ms >= frq->waits_until_ms)
-            reject_no_capacity (frq);
+            reject_no_capacity (frq, rejection_reason (frq, now_ms));
         }
     }
 }
--- a/src/lim.h
+++ b/src/lim.h
@@ -174,6 +174,8 @@
 #define UPS_COLD_NODES 2
 #define UPS_REMOVAL_DEFER_MAX_MS 2000
 #define UPS_COLD_SENDS_MAX 24
+/* Registrations that are gone and may come back: what their instances asked for is kept. */
+#define UPS_DEPARTED_MAX 64
 #define UPS_OBJECTS_MAX 24
 #define UPS_SLOTS_MAX 65536
 #define UPS_LOST_MAX 16
--- a/src/nod.h
+++ b/src/nod.h
@@ -241,6 +241,9 @@
  * @over_quota: requests rejected because their account was over its quota
  * @load_reports: reports of their load in upstreams' responses
  * @load_reports_invalid: those of them that were malformed and ignored
+ * @leaving_notices: upstreams that announced in a response that they leave
+ * @pauses: responses that paused their upstream
+ * @pauses_invalid: 503 responses whose Retry-After was not valid and ignored
  */
 typedef struct
 {
@@ -271,6 +274,9 @@
   uint64_t over_quota;
   uint64_t load_reports;
   uint64_t load_reports_invalid;
+  uint64_t leaving_notices;
+  uint64_t pauses;
+  uint64_t pauses_invalid;
 } NodCounters;
 
 /**
--- a/src/nst.c
+++ b/src/nst.c
@@ -21,15 +21,16 @@
   }
 
 static const Counter counters[] = {
-  COUNTER (requests),       COUNTER (answered),       COUNTER (refused),
-  COUNTER (may_have_run),   COUNTER (no_route),       COUNTER (callers_gone),
-  COUNTER (timeouts),       COUNTER (sends),          COUNTER (retries),
-  COUNTER (sheds),          COUNTER (misdirected),    COUNTER (connect_failures),
-  COUNTER (poison_refused), COUNTER (broken_answers), COUNTER (lookups),
-  COUNTER (withdrawn),      COUNTER (regions_lost),   COUNTER (spilled),
-  COUNTER (held_back),      COUNTER (sent_by_relay),  COUNTER (relayed),
-  COUNTER (relays_lost),    COUNTER (unauthorized),   COUNTER (revoked),
-  COUNTER (over_quota),     COUNTER (load_reports),   COUNTER (load_reports_invalid),
+  COUNTER (requests),        COUNTER (answered),       COUNTER (refused),
+  COUNTER (may_have_run),    COUNTER (no_route),       COUNTER (callers_gone),
+  COUNTER (timeouts),        COUNTER (sends),          COUNTER (retries),
+  COUNTER (sheds),           COUNTER (misdirected),    COUNTER (connect_failures),
+  COUNTER (poison_refused),  COUNTER (broken_answers), COUNTER (lookups),
+  COUNTER (withdrawn),       COUNTER (regions_lost),   COUNTER (spilled),
+  COUNTER (held_back),       COUNTER (sent_by_relay),  COUNTER (relayed),
+  COUNTER (relays_lost),     COUNTER (unauthorized),   COUNTER (revoked),
+  COUNTER (over_quota),      COUNTER (load_reports),   COUNTER (load_reports_invalid),
+  COUNTER (leaving_notices), COUNTER (pauses),         COUNTER (pauses_invalid),
 };
 
 /** struct BudgetValue - a value of the memory budget */
@@ -82,6 +83,25 @@
   met_write_value (out, PREFIX "caller_connections", NULL, mbg->connections);
 }
 
+static void
+write_feedback (const Node *node, uint64_t now_ms, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t paused = 0;
+  uint64_t leaving = 0;
+
+  g_hash_table_iter_init (&iter, node->upstreams.by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Ups *ups = value;
+      paused += now_ms < ups->paused_until_ms;
+      leaving += ups->leaving;
+    }
+  met_write_value (out, PREFIX "upstreams_paused", NULL, paused);
+  met_write_value (out, PREFIX "upstreams_leaving", NULL, leaving);
+}
+
 char *
 nst_metrics (const Node *node)
 {
@@ -115,6 +135,7 @@
   met_write_value (out, PREFIX "objects_fetched_total", NULL, node->peers.fetches);
   met_write_value (out, PREFIX "configuration_version", NULL,
                    node->table != NULL ? node->table->version : 0);
+  write_feedback (node, now_ms, out);
   met_write_value (out, PREFIX "loop_stalls_total", NULL, node->lag.stalls);
   met_write_histogram (out, PREFIX "answer_seconds", &node->latency);
   met_write_histogram (out, PREFIX "loop_turn_seconds", &node->lag.iterations);
@@ -217,11 +238,13 @@
       g_string_append_printf (
           out,
           "upstream=%s service=%s zone=%s draining=%d gone=%d cold=%d in_flight=%u others=%u "
-          "slots=%u failures=%u resting=%d misdirected=%d doubted=%d slowness=%u faults=%u",
+          "slots=%u failures=%u resting=%d misdirected=%d doubted=%d slowness=%u faults=%u "
+          "leaving=%d paused_ms=%llu",
           ups->record.id, ups->record.service, ups->record.zone, ups->record.draining, ups->gone,
           ups_is_cold (ups, now_ms), ups->in_flight, ups->others, ups->record.slots, ups->failures,
           now_ms < ups->backoff_until_ms, ups->misdirected, ups_is_suspected (ups, now_ms),
-          ups->slowness_permille, ups->fault_permille);
+          ups->slowness_permille, ups->fault_permille, ups->leaving,
+          (unsigned long long) (ups->paused_until_ms - MIN (now_ms, ups->paused_until_ms)));
       dump_learned (node, ups, now_ms, out);
     }
 }
--- a/src/rls.c
+++ b/src/rls.c
@@ -149,6 +149,14 @@
   nod_send_response (node, h2o, response);
 }
 
+static void
+on_head (void *user, const UcnResponse *response)
+{
+  const Rls *rls = user;
+
+  fbk_apply (rls->node, rls->ups, &rls->incarnation, rls->id, response);
+}
+
 static void
 on_exchange_done (void *user, UcnOutcome exchange, const UcnResponse *response)
 {
@@ -156,10 +164,7 @@
 
   rls->call = NULL;
   if (exchange == UCN_DONE)
-    {
-      fbk_apply (rls->node, rls->ups, &rls->incarnation, response);
-      send_response (rls, response);
-    }
+    send_response (rls, response);
   else
     fail (rls, rly_from_ucn (exchange));
 }
@@ -279,6 +284,7 @@
     }
   Rls *rls = rls_new (node, h2o, ups, remaining_ms);
   UcnSpec spec = { .build = build_message,
+                   .on_head = on_head,
                    .body = rls->message.body,
                    .id_header = rls->id != NULL ? node->headers.request_id : NULL,
                    .id = rls->id,
--- a/src/trc.c
+++ b/src/trc.c
@@ -15,6 +15,10 @@
 
 static const ReasonText reasons[] = {
   { "no_room", "no upstream that may take it had room, so it was refused as not run" },
+  { "all_paused",
+    "all upstreams that may take it had asked for a pause, so it was refused as not run" },
+  { "no_upstream",
+    "all upstreams that may take it leave or are drained, so it was refused as not run" },
   { "shift_cap", "it was turned away so that the cap on shift holds, as not run" },
   { "upstream_left", "its upstream left before it was sent, so it was refused as not run" },
   { "no_connection", "no upstream accepted a connection, so it was refused as not run" },
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -23,6 +23,7 @@
   UcnDoneFn fn;
   void *user;
   UcnBuildFn build;
+  UcnHeadFn on_head;
   GString *message;
   GBytes *body;
   char *id_header;
@@ -319,6 +320,8 @@
   conn->discarding = parser->status_code >= 200 && is_stale_response (conn);
   if (conn->discarding)
     conn->no_reuse = true;
+  else if (parser->status_code >= 200 && conn->call->on_head != NULL)
+    conn->call->on_head (conn->call->user, &conn->response);
   reserve_body (conn);
   return conn->call->method_is_head ? 1 : 0;
 }
@@ -704,6 +707,7 @@
   call->fn = fn;
   call->user = user;
   call->build = spec->build;
+  call->on_head = spec->on_head;
   call->message = spec->message;
   call->body = spec->body != NULL ? g_bytes_ref (spec->body) : NULL;
   call->id_header = g_strdup (spec->id_header);
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -101,11 +101,19 @@
  */
 typedef GString *(*UcnBuildFn) (void *user);
 
+/**
+ * typedef UcnHeadFn - receives the head of the response to a request, before its body
+ *
+ * Must not cancel the call. The response may still end as UCN_TRUNCATED or UCN_INVALID.
+ */
+typedef void (*UcnHeadFn) (void *user, const UcnResponse *response);
+
 /**
  * struct UcnSpec - one request
  * @message: request line, headers and, without @body, the body; ownership is transferred. NULL:
  * @build is called
  * @build: builds the message once a connection is available
+ * @on_head: may be NULL
  * @body: sent after the message, not copied; the call holds a reference. May be NULL
  * @id_header: response header in which the peer repeats @id; responses with another ID are
  * discarded. NULL: responses are not checked
@@ -118,6 +126,7 @@
 {
   GString *message;
   UcnBuildFn build;
+  UcnHeadFn on_head;
   GBytes *body;
   const char *id_header;
   const char *id;
--- a/src/ups.c
+++ b/src/ups.c
@@ -37,6 +37,8 @@
 ups_init (UpsTable *table, UcnCtx *ucn)
 {
   table->ucn = ucn;
+  table->departed_next = 0;
+  memset (table->departed, 0, sizeof table->departed);
   table->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, ups_free);
   table->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
   table->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, array_free);
@@ -90,22 +92,6 @@
     g_ptr_array_remove (list, ups);
 }
 
-static Ups *
-ups_add (UpsTable *table, const UpsRecord *record)
-{
-  Ups *ups = g_new0 (Ups, 1);
-
-  ups->record = *record;
-  ups->hash = ups_hash (record->id);
-  ups->slowness_permille = PERMILLE;
-  lrn_init (&ups->learned);
-  ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
-  g_hash_table_insert (table->by_id, ups->record.id, ups);
-  g_hash_table_insert (table->by_hash, GUINT_TO_POINTER (ups->hash), ups);
-  add_to_service (table, ups);
-  return ups;
-}
-
 static bool
 is_same_addr (NetAddr a, NetAddr b)
 {
@@ -125,6 +111,50 @@
          && is_same_addr (ups->record.addr, incarnation->addr);
 }
 
+/* Keeps what an instance asked for in case its registration lapses and comes back. Without born_ms,
+ * another instance can't be told from it. */
+static void
+remember_feedback (UpsTable *table, const Ups *ups)
+{
+  if (ups->record.born_ms == 0 || (!ups->leaving && ups->paused_until_ms == 0))
+    return;
+  table->departed[table->departed_next] = (UpsDeparted){ .hash = ups->hash,
+                                                         .incarnation = ups_incarnation (ups),
+                                                         .leaving = ups->leaving,
+                                                         .paused_until_ms = ups->paused_until_ms };
+  table->departed_next = (table->departed_next + 1) % UPS_DEPARTED_MAX;
+}
+
+static void
+recall_feedback (const UpsTable *table, Ups *ups)
+{
+  for (uint32_t i = 0; i < UPS_DEPARTED_MAX; i++)
+    {
+      const UpsDeparted *departed = &table->departed[i];
+      if (departed->hash != ups->hash || !ups_is_incarnation (ups, &departed->incarnation))
+        continue;
+      ups->leaving = ups->leaving || departed->leaving;
+      ups->paused_until_ms = MAX (ups->paused_until_ms, departed->paused_until_ms);
+    }
+}
+
+static Ups *
+ups_add (UpsTable *table, const UpsRecord *record)
+{
+  Ups *ups = g_new0 (Ups, 1);
+
+  ups->record = *record;
+  ups->hash = ups_hash (record->id);
+  ups->slowness_permille = PERMILLE;
+  lrn_init (&ups->learned);
+  recall_feedback (table, ups);
+  ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
+  g_hash_table_insert (table->by_id, ups->record.id, ups);
+  g_hash_table_insert (table->by_hash, GUINT_TO_POINTER (ups->hash), ups);
+  add_to_service (table, ups);
+  return ups;
+}
+
 /* Resets what was observed of the previous incarnation. Its connections are closed even when the
  * address stays the same: the old process may still respond on them. */
 static void
@@ -192,6 +222,7 @@
 {
   if (!ups->gone || ups->in_flight > 0 || ups->relayed > 0)
     return;
+  remember_feedback (table, ups);
   remove_from_service (table, ups);
   g_hash_table_remove (table->by_hash, GUINT_TO_POINTER (ups->hash));
   g_hash_table_remove (table->by_id, ups->record.id);
--- a/src/ups.h
+++ b/src/ups.h
@@ -106,11 +106,26 @@
   UcnPool pool;
 } Ups;
 
+/**
+ * struct UpsDeparted - feedback of an incarnation whose registration is gone
+ * @hash: that of its upstream
+ * @leaving, @paused_until_ms: as in &Ups
+ */
+typedef struct
+{
+  uint32_t hash;
+  UpsIncarnation incarnation;
+  bool leaving;
+  uint64_t paused_until_ms;
+} UpsDeparted;
+
 /**
  * struct UpsTable - all known upstreams
  * @by_id: owns them
  * @by_hash: by ups_hash() of the id
  * @by_service: arrays of upstreams by service name
+ * @departed: ring buffer, for registrations that come back
+ * @departed_next: index in @departed of the next entry to overwrite
  */
 typedef struct
 {
@@ -118,6 +133,8 @@
   GHashTable *by_id;
   GHashTable *by_hash;
   GHashTable *by_service;
+  UpsDeparted departed[UPS_DEPARTED_MAX];
+  uint32_t departed_next;
 } UpsTable;
 
 void ups_init (UpsTable *table, UcnCtx *ucn);
--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -76,6 +76,23 @@
       Get (node, "r" + std::to_string (i));
   }
 
+  // Sends more requests at the same time than the second upstream has slots, so that the first gets
+  // some unless it may not.
+  void
+  SendToBoth (NodeProcess &node)
+  {
+    second_.SetWork (50);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 10; i++)
+      callers.emplace_back ([&node, i] {
+        for (int j = 0; j < 5; j++)
+          Get (node, "both" + std::to_string (i) + "-" + std::to_string (j));
+      });
+    for (std::thread &caller : callers)
+      caller.join ();
+    second_.SetWork (0);
+  }
+
   static FakeUpstream::Behaviour
   SendsLeavingHeader (const FakeUpstream &upstream)
   {
@@ -148,7 +165,7 @@
     response.headers = g_ptr_array_new ();
     g_ptr_array_add (response.headers, &header);
     UpsIncarnation incarnation = ups_incarnation (&ups_);
-    fbk_apply (node_, &ups_, &incarnation, &response);
+    fbk_apply (node_, &ups_, &incarnation, "id", &response);
     g_ptr_array_unref (response.headers);
   }
 
@@ -291,6 +308,188 @@
              std::string::npos);
 }
 
+namespace
+{
+// A response with a notice; `body` is written after the head.
+struct NoticeCase
+{
+  const char *name;
+  std::string head; // status line and headers
+  std::string body;
+  int status; // what the caller gets when no other upstream is asked, 0 for any
+};
+
+void
+PrintTo (const NoticeCase &notice, std::ostream *out)
+{
+  *out << notice.name;
+}
+
+class Notice : public UpstreamFeedback, public ::testing::WithParamInterface<NoticeCase>
+{
+protected:
+  static FakeUpstream::Behaviour
+  Responds (const NoticeCase &notice, const std::string &header, int pause_ms = 0)
+  {
+    return [notice, header, pause_ms] (int fd, const Request &request) {
+      WriteAll (fd, notice.head + header + "X-Request-Id: " + request.headers.at ("x-request-id")
+                        + "\r\n\r\n" + notice.body.substr (0, 1));
+      std::this_thread::sleep_for (std::chrono::milliseconds (pause_ms));
+      WriteAll (fd, notice.body.substr (std::min<size_t> (1, notice.body.size ())));
+      if (std::string (notice.name) == "Truncated")
+        shutdown (fd, SHUT_RDWR);
+    };
+  }
+
+  bool
+  Logs (const std::string &text)
+  {
+    return WaitUntil (1000, [&] { return nodes_[0]->Log ().find (text) != std::string::npos; });
+  }
+};
+
+const NoticeCase kNotices[] = {
+  { "Ok", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 2\r\n", "ok", 200 },
+  { "Redirect", "HTTP/1.1 302 Other\r\nContent-Length: 0\r\n", "", 302 },
+  { "NotFound", "HTTP/1.1 404 None\r\nContent-Length: 0\r\n", "", 404 },
+  { "Misdirected", "HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "", 0 },
+  { "TooMany", "HTTP/1.1 429 Many\r\nContent-Length: 0\r\n", "", 429 },
+  { "Failed", "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n", "", 0 },
+  { "Rejected", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "", 0 },
+  { "Unavailable", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n", "", 0 },
+  { "Unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "ok", 0 },
+  { "Truncated", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 9\r\n", "ok",
+    0 },
+};
+}
+
+// Guards against a notice that only some responses convey, and against one that callers see. The
+// store does not respond, and the request is not repeated, so that the first upstream's own
+// response reaches the caller.
+TEST_P (Notice, StopsNewRequestsWhateverTheResponse)
+{
+  Start ();
+  store_.SetMode (FakeStore::Mode::kNoResponse);
+  first_.SetBehaviour (Responds (GetParam (), "Server-Leaving: 1\r\n"));
+  int before = first_.arrivals ();
+  Reply reply;
+  for (int i = 0; i < 200 && first_.arrivals () == before; i++)
+    reply = Get (*nodes_[0], "notice" + std::to_string (i));
+  EXPECT_EQ (reply.headers.count ("server-leaving"), 0u);
+  int expected = GetParam ().status != 0 ? GetParam ().status : reply.status;
+  EXPECT_EQ (reply.status, expected);
+  EXPECT_TRUE (Logs ("event=upstream_leaves upstream=up-1 told_by=answer"));
+  before = first_.arrivals ();
+  SendToBoth (*nodes_[0]);
+  EXPECT_EQ (first_.arrivals (), before);
+}
+
+INSTANTIATE_TEST_SUITE_P (Responses, Notice, ::testing::ValuesIn (kNotices),
+                          [] (const auto &info) { return std::string (info.param.name); });
+
+// Guards against requests sent to a leaving upstream while a long body is still being received.
+TEST_F (UpstreamFeedback, NoticeCountsFromTheHeadOfTheResponse)
+{
+  Start ();
+  first_.SetBehaviour ([this] (int fd, const Request &request) {
+    std::string whole = first_.SignedResponse (request, "ok");
+    whole.insert (whole.find ("\r\n") + 2, "Server-Leaving: 1\r\n");
+    WriteAll (fd, whole.substr (0, whole.size () - 1));
+    std::this_thread::sleep_for (1s);
+    WriteAll (fd, whole.substr (whole.size () - 1));
+  });
+  int before = first_.arrivals ();
+  std::atomic<int> complete{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; i++)
+    callers.emplace_back (
+        [&, i] { complete += Get (*nodes_[0], "slow" + std::to_string (i)).status == 200; });
+  EXPECT_TRUE (WaitUntil (800, [&] {
+    return nodes_[0]->Log ().find ("event=upstream_leaves upstream=up-1") != std::string::npos;
+  }));
+  int at_notice = first_.arrivals ();
+  EXPECT_GT (at_notice, before);
+  Send (*nodes_[0], 20);
+  EXPECT_EQ (first_.arrivals (), at_notice);
+  for (std::thread &caller : callers)
+    caller.join ();
+  EXPECT_EQ (complete, 8);
+}
+
+// Guards against a registration that lapses and comes back while the instance shuts down.
+TEST_F (UpstreamFeedback, NoticeOutlivesTheRegistration)
+{
+  Start ();
+  std::string record = first_.Record ("desk", "east-a", "ready", ",\"born\":1900000000000");
+  store_.Put ("servers", first_.id (), record);
+  std::this_thread::sleep_for (500ms);
+  first_.SetBehaviour (SendsLeavingHeader (first_));
+  SendUntilReached (*nodes_[0], first_);
+  store_.Delete ("servers", first_.id ());
+  ASSERT_TRUE (WaitUntil (3000, [&] {
+    return nodes_[0]->Log ().find ("event=upstream_gone upstream=up-1") != std::string::npos;
+  }));
+  store_.Put ("servers", first_.id (), record);
+  std::this_thread::sleep_for (700ms);
+  int before = first_.arrivals ();
+  SendToBoth (*nodes_[0]);
+  EXPECT_EQ (first_.arrivals (), before);
+}
+
+// A node that starts later gets the registration, which says "ready", from the store.
+TEST_F (UpstreamFeedback, LeavingUpstreamIsReportedToANodeThatStartsLater)
+{
+  Start ();
+  first_.SetBehaviour (SendsLeavingHeader (first_));
+  SendUntilReached (*nodes_[0], first_);
+  nodes_.push_back (std::make_unique<NodeProcess> ("vm-2", "east-a", store_.address (), 2));
+  ASSERT_TRUE (nodes_[1]->WaitReady (5000));
+  ASSERT_TRUE (WaitUntil (3000, [&] {
+    return nodes_[1]->Log ().find ("event=upstream_leaves upstream=up-1 told_by=peer")
+           != std::string::npos;
+  }));
+  int before = first_.arrivals ();
+  SendToBoth (*nodes_[1]);
+  EXPECT_EQ (first_.arrivals (), before);
+}
+
+namespace
+{
+// A 503 with Retry-After, on a kept connection unless the body is cut.
+class PauseResponse : public UpstreamFeedback, public ::testing::WithParamInterface<NoticeCase>
+{
+};
+
+const NoticeCase kPauses[] = {
+  { "Rejected", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "", 0 },
+  { "MayHaveRun", "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n", "no", 0 },
+  { "Truncated", "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n", "no", 0 },
+};
+}
+
+// Guards against requests to an upstream during a pause for which it asked in any 503.
+TEST_P (PauseResponse, IsKeptByRequestsAndRetries)
+{
+  Start ();
+  const NoticeCase &pause = GetParam ();
+  first_.SetBehaviour ([pause] (int fd, const Request &request) {
+    WriteAll (fd, pause.head + "Retry-After: 3.5\r\nX-Request-Id: "
+                      + request.headers.at ("x-request-id") + "\r\n\r\n" + pause.body);
+    if (pause.body.size () == 2 && std::string (pause.name) == "Truncated")
+      shutdown (fd, SHUT_RDWR);
+  });
+  SendUntilReached (*nodes_[0], first_);
+  int paused_at_ms = NowMs ();
+  std::this_thread::sleep_for (500ms);
+  int before = first_.arrivals ();
+  while (NowMs () - paused_at_ms < 2400)
+    SendToBoth (*nodes_[0]);
+  EXPECT_EQ (first_.arrivals (), before);
+}
+
+INSTANTIATE_TEST_SUITE_P (Responses, PauseResponse, ::testing::ValuesIn (kPauses),
+                          [] (const auto &info) { return std::string (info.param.name); });
+
 namespace
 {
 struct LateCase
@@ -418,6 +617,7 @@
   Get (*nodes_[0], "both");
   Reply reply = Get (*nodes_[0], "refused");
   EXPECT_EQ (reply.status, 503);
+  EXPECT_EQ (reply.body, "all_paused");
   EXPECT_LT (reply.elapsed_ms, 60);
   double retry_after_s = std::stod (reply.headers["retry-after"]);
   EXPECT_GE (retry_after_s, 0.8);
@@ -433,5 +633,33 @@
   Get (*nodes_[0], "other");
   Reply reply = Get (*nodes_[0], "refused");
   EXPECT_EQ (reply.status, 503);
+  EXPECT_EQ (reply.body, "no_upstream");
   EXPECT_LT (reply.elapsed_ms, 60);
 }
+
+// Operators see who asked for what in the log, the metrics and the state.
+TEST_F (UpstreamFeedback, IsLoggedAndCounted)
+{
+  Start ();
+  first_.SetBehaviour (SendsLeavingHeader (first_));
+  second_.SetBehaviour (RejectsWithRetryAfter ("100000"));
+  SendUntilReached (*nodes_[0], first_);
+  Get (*nodes_[0], "pauser");
+  std::string log = nodes_[0]->Log ();
+  EXPECT_NE (log.find (" status=200 header=Server-Leaving"), std::string::npos) << log;
+  EXPECT_NE (log.find ("event=upstream_pauses upstream=up-2 id=pauser header=retry-after "
+                       "pause_ms=600000 limited=1 end_in_ms=600000"),
+             std::string::npos)
+      << log;
+  std::string metrics = nodes_[0]->Status ("/metrics").body;
+  for (const char *line :
+       { "cardamom_node_leaving_notices_total 1\n", "cardamom_node_pauses_total 1\n",
+         "cardamom_node_pauses_invalid_total 0\n", "cardamom_node_upstreams_paused 1\n",
+         "cardamom_node_upstreams_leaving 1\n" })
+    EXPECT_NE (metrics.find (line), std::string::npos) << line;
+  std::string state = nodes_[0]->Status ("/state").body;
+  EXPECT_NE (state.find (" leaving=1 paused_ms=0 "), std::string::npos) << state;
+  std::string paused = " leaving=0 paused_ms=";
+  ASSERT_NE (state.find (paused), std::string::npos) << state;
+  EXPECT_GT (std::stoi (state.substr (state.find (paused) + paused.size ())), 590000);
+}
