Fill upstreams in steps after the end of a pause

Cause: all nodes used all slots of an upstream as soon as its pause ended, and pauses that upstreams state after the same event end together.

Change: ups_resume_slots raises the slots that a node uses in 4 steps over the second after a pause; chs and the model take it for the candidates' slots. Model loads: a third of the upstreams pause under overload for 3 or 1 s and all pauses end together, with 33 nodes (views 100 ms old) and 295 (500 ms).

Measured: UpstreamIsFilledInStepsAfterItsPause failed before (4 requests at once on 4 slots) and passes.

--- a/src/chs.c
+++ b/src/chs.c
@@ -159,7 +159,7 @@
         .hash = ups->hash,
         .region = region,
         .local_zone = ups->zone == node->settings.zone_index,
-        .slots = chs_slots (node, ups, now_ms),
+        .slots = ups_resume_slots (ups, chs_slots (node, ups, now_ms), now_ms),
         .good_slots = chs_good_slots (node, request->service, ups, now_ms),
         .in_flight = chs_in_flight (node, ups, now_ms),
         .rtt_ms = chs_expected_rtt_ms (node, ups),
--- a/src/lim.h
+++ b/src/lim.h
@@ -174,6 +174,9 @@
 #define UPS_COLD_NODES 2
 #define UPS_REMOVAL_DEFER_MAX_MS 2000
 #define UPS_COLD_SENDS_MAX 24
+/* After a pause, the slots of an upstream are used in steps. */
+#define UPS_RESUME_MS 1000
+#define UPS_RESUME_STEPS 4
 /* Registrations that are gone and may come back: what their instances asked for is kept. */
 #define UPS_DEPARTED_MAX 64
 #define UPS_OBJECTS_MAX 24
--- a/src/ups.c
+++ b/src/ups.c
@@ -293,6 +293,16 @@
   ups->paused_until_ms = MAX (ups->paused_until_ms, until_ms);
 }
 
+uint32_t
+ups_resume_slots (const Ups *ups, uint32_t slots, uint64_t now_ms)
+{
+  if (now_ms < ups->paused_until_ms || now_ms - ups->paused_until_ms >= UPS_RESUME_MS
+      || ups->paused_until_ms == 0)
+    return slots;
+  uint64_t step = (now_ms - ups->paused_until_ms) * UPS_RESUME_STEPS / UPS_RESUME_MS + 1;
+  return MAX ((uint32_t) (slots * step / (UPS_RESUME_STEPS + 1)), MIN (slots, 1));
+}
+
 void
 ups_adjust_total (uint32_t *total, uint32_t count, bool add)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -197,6 +197,14 @@
 /** ups_pause() - no requests from this node until then; a later end already set stays. */
 void ups_pause (Ups *ups, uint64_t until_ms);
 
+/**
+ * ups_resume_slots() - part of @slots that may be used after the end of a pause
+ *
+ * Rises in UPS_RESUME_STEPS steps over UPS_RESUME_MS, so that an upstream isn't filled at once by
+ * all nodes whose pauses end together. At least 1 unless @slots is 0.
+ */
+uint32_t ups_resume_slots (const Ups *ups, uint32_t slots, uint64_t now_ms);
+
 /** ups_adjust_total() - adds @count to a total, or subtracts it, stopping at 0. */
 void ups_adjust_total (uint32_t *total, uint32_t count, bool add);
 
--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -296,6 +296,34 @@
   SendUntilReached (*nodes_[0], first_);
 }
 
+// Guards against a node that fills the upstream again as soon as its pause ends.
+TEST_F (UpstreamFeedback, UpstreamIsFilledInStepsAfterItsPause)
+{
+  Start ();
+  DrainSecond ();
+  first_.SetBehaviour (RejectsWithRetryAfter ("0.8"));
+  SendUntilReached (*nodes_[0], first_);
+  std::this_thread::sleep_for (850ms);
+  first_.SetBehaviour ([this] (int fd, const Request &request) {
+    WriteAll (fd, first_.SignedResponse (request, "ok"));
+  });
+  first_.SetWork (300);
+  ASSERT_LE (first_.max_concurrent (), 1);
+  auto send_together = [this] {
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 8; i++)
+      callers.emplace_back (
+          [this, i] { nodes_[0]->Call ("POST", "/post/a", WithId ("step" + std::to_string (i))); });
+    for (std::thread &caller : callers)
+      caller.join ();
+  };
+  send_together ();
+  EXPECT_LE (first_.max_concurrent (), 2);
+  std::this_thread::sleep_for (1s);
+  send_together ();
+  EXPECT_EQ (first_.max_concurrent (), 4);
+}
+
 TEST_F (UpstreamFeedback, InvalidRetryAfterIsLoggedAndIgnored)
 {
   Start ();
--- a/tests/test_mdl.cc
+++ b/tests/test_mdl.cc
@@ -109,6 +109,25 @@
                           testing::Values (std::make_tuple ("pauses", 2u),
                                            std::make_tuple ("leaves", 0u)));
 
+// A third of the upstreams pause for 1 or 3 s under overload, and all pauses end together.
+class ReplayPausesEnd : public testing::TestWithParam<const char *>
+{
+};
+
+TEST_P (ReplayPausesEnd, AtMostTwoRequestsOfANodeReachAPausedUpstream)
+{
+  for (uint32_t seed : { 1, 2, 3 })
+    {
+      MdlReport report = mdl_replay (mdl_load (GetParam ()), MDL_PRODUCT, seed);
+      EXPECT_LE (report.advice_violations_max, 2u) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P (Loads, ReplayPausesEnd,
+                          testing::Values ("pauses-end-33", "pauses-end-295",
+                                           "short-pauses-end-295"),
+                          LoadName);
+
 // Guards against a shift when traffic ends: requests in transit to remote regions start there while
 // the local region has almost none left.
 TEST (ReplayLarge, RequestsDoNotChangeTheirRegionWhenTrafficEnds)
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -83,6 +83,26 @@
   EXPECT_FALSE (ups_is_incarnation (ups, &second));
 }
 
+// Guards against an upstream that is filled at once by all nodes whose pauses end together.
+TEST_F (UpsTest, SlotsAreUsedInStepsAfterAPause)
+{
+  Ups *ups = Add (Record ("a"));
+  EXPECT_EQ (ups_resume_slots (ups, 10, 100), 10u);
+  ups_pause (ups, 5000);
+  uint32_t previous = 0;
+  for (uint64_t now_ms = 5000; now_ms < 5000 + UPS_RESUME_MS; now_ms += 10)
+    {
+      uint32_t slots = ups_resume_slots (ups, 10, now_ms);
+      EXPECT_GE (slots, MAX (previous, 1u));
+      EXPECT_LT (slots, 10u);
+      previous = slots;
+    }
+  EXPECT_EQ (ups_resume_slots (ups, 10, 5000), 2u);
+  EXPECT_EQ (ups_resume_slots (ups, 1, 5000), 1u);
+  EXPECT_EQ (ups_resume_slots (ups, 0, 5000), 0u);
+  EXPECT_EQ (ups_resume_slots (ups, 10, 5000 + UPS_RESUME_MS), 10u);
+}
+
 TEST_F (UpsTest, NewIncarnationResetsFailuresAndObjects)
 {
   Ups *ups = Add (Record ("a", 100));
--- a/tools/mdl.c
+++ b/tools/mdl.c
@@ -268,13 +268,23 @@
   return up->advises && active ? advice->kind : MDL_ADVICE_NONE;
 }
 
+/* End of a pause that an upstream states now. */
+static uint64_t
+pause_end_ms (const Model *model, uint64_t advised_ms)
+{
+  const MdlAdvice *advice = &model->load->advice;
+
+  return advice->pause_ms > 0 ? advised_ms + advice->pause_ms : (uint64_t) advice->to_s * 1000;
+}
+
 /* Counts a request that its node sent in spite of earlier advice. */
 static void
 check_advice (Model *model, const Job *job)
 {
   const MdlAdvice *advice = &model->load->advice;
   uint64_t advised_ms = job->vm->advised_at_ms[job->up];
-  uint64_t until_ms = advice->kind == MDL_ADVICE_PAUSE ? advised_ms + advice->pause_ms : UINT64_MAX;
+  uint64_t until_ms
+      = advice->kind == MDL_ADVICE_PAUSE ? pause_end_ms (model, advised_ms) : UINT64_MAX;
 
   if (advised_ms == 0 || job->sent_at_ms < advised_ms + ADVICE_SLACK_MS
       || job->sent_at_ms >= until_ms)
@@ -296,7 +306,7 @@
   job->vm->advised_at_ms[job->up] = model->now_ms;
   job->vm->violations[job->up] = 0;
   if (kind == MDL_ADVICE_PAUSE)
-    ups_pause (ups, model->now_ms + model->load->advice.pause_ms);
+    ups_pause (ups, pause_end_ms (model, model->now_ms));
   else
     ups_mark_leaving (ups, 0);
 }
@@ -447,7 +457,7 @@
                             .usable = is_usable (model, ups),
                             .hash = model->ups[i].hash,
                             .region = model->ups[i].region,
-                            .slots = model->load->slots,
+                            .slots = ups_resume_slots (ups, model->load->slots, model->now_ms),
                             .good_slots = good_slots_of (model, vm, i),
                             .in_flight = in_flight_on (model, vm, i),
                             .rtt_ms = is_local ? LOCAL_RTT_MS : model->load->remote_rtt_ms,
--- a/tools/mdl.h
+++ b/tools/mdl.h
@@ -38,7 +38,7 @@
  * struct MdlAdvice - upstreams that ask nodes to send no new requests
  * @permille: share of the upstreams
  * @pause_ms: pause stated in the response; a pausing upstream rejects every request from @from_s to
- * @to_s
+ * @to_s. 0: the time until @to_s, so that all pauses end together
  */
 typedef struct
 {
