Report each of many leaving upstreams to the peers in turn

Cause: a view has room for 64 leaving upstreams and always took the first ones of the table, so that peers were not told of further ones before those were gone or marked as draining by the store.

Change: views and summaries take a random sample when there are more.

--- a/src/vws.c
+++ b/src/vws.c
@@ -73,21 +73,26 @@
 
 /* ---- Leaving upstreams ---- */
 
+/* A random sample when there are more than @capacity, so that each of them is reported in turn. */
 u_int
 vws_list_leaving (const Per *per, peer_leaving *leaving, u_int capacity)
 {
   GHashTableIter iter;
   gpointer value;
-  u_int length = 0;
+  u_int count = 0;
 
   g_hash_table_iter_init (&iter, per->upstreams->by_id);
-  while (length < capacity && g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Ups *ups = value;
-      if (ups->leaving && !ups->gone && !ups->record.draining)
-        leaving[length++] = (peer_leaving){ .upstream = ups->hash, .born_ms = ups->record.born_ms };
+      if (!ups->leaving || ups->gone || ups->record.draining)
+        continue;
+      u_int at = count < capacity ? count : (u_int) g_random_int_range (0, (gint32) count + 1);
+      if (at < capacity)
+        leaving[at] = (peer_leaving){ .upstream = ups->hash, .born_ms = ups->record.born_ms };
+      count++;
     }
-  return length;
+  return MIN (count, capacity);
 }
 
 void
--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -296,6 +296,32 @@
   SendUntilReached (*nodes_[0], first_);
 }
 
+// Guards against requests that were in the queue, or connecting, when the pause began.
+TEST_F (UpstreamFeedback, PauseHoldsForQueuedAndParallelRequests)
+{
+  Start ();
+  DrainSecond ();
+  first_.SetWork (100);
+  first_.SetBehaviour (RejectsWithRetryAfter ("2.5"));
+  int before = first_.arrivals ();
+  std::vector<std::thread> callers;
+  std::atomic<bool> ended{ false };
+  for (int i = 0; i < 16; i++)
+    callers.emplace_back ([&, i] {
+      for (int j = 0; !ended; j++)
+        nodes_[0]->Call ("POST", "/post/a",
+                         WithId ("q" + std::to_string (i) + "-" + std::to_string (j)));
+    });
+  EXPECT_TRUE (WaitUntil (2000, [&] { return first_.arrivals () > before; }));
+  std::this_thread::sleep_for (700ms);
+  int in_transit = first_.arrivals ();
+  std::this_thread::sleep_for (1600ms);
+  EXPECT_LE (first_.arrivals () - in_transit, 2);
+  ended = true;
+  for (std::thread &caller : callers)
+    caller.join ();
+}
+
 // Guards against a node that fills the upstream again as soon as its pause ends.
 TEST_F (UpstreamFeedback, UpstreamIsFilledInStepsAfterItsPause)
 {
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -5,9 +5,11 @@
 extern "C"
 {
 #include "ups.h"
+#include "vws.h"
 }
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace
 {
@@ -207,3 +209,27 @@
     EXPECT_GT (sent[i] - sent[i - 3], 1000u);
   EXPECT_GE (sent.size (), 9u);
 }
+
+// Guards against leaving upstreams of which no peer is told while as many as a view has room for
+// leave at the same time.
+TEST_F (UpsTest, ViewsReportEveryLeavingUpstreamInTurn)
+{
+  constexpr uint32_t kLeaving = 3 * PER_LEAVING_MAX;
+  Per per = {};
+  std::set<uint32_t> reported;
+  per.upstreams = &table_;
+  for (uint32_t i = 0; i < kLeaving; i++)
+    {
+      std::string id = "up-" + std::to_string (i);
+      EXPECT_TRUE (ups_mark_leaving (Add (Record (id.c_str ())), 1));
+    }
+  for (int view = 0; view < 100; view++)
+    {
+      peer_leaving leaving[PER_LEAVING_MAX];
+      u_int count = vws_list_leaving (&per, leaving, PER_LEAVING_MAX);
+      EXPECT_EQ (count, PER_LEAVING_MAX);
+      for (u_int i = 0; i < count; i++)
+        reported.insert (leaving[i].upstream);
+    }
+  EXPECT_EQ (reported.size (), kLeaving);
+}
