Free cardamomctl's options at its end

Cause: the leak check of the sanitizer build reported them, so that commands run by tests failed there.

Change: main frees them.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -642,14 +642,28 @@
   return ok && *argc >= 2;
 }
 
+static void
+clear_options (Ctl *ctl)
+{
+  g_free (ctl->store_option);
+  g_free (ctl->output);
+  g_free (ctl->file);
+  g_free (ctl->team);
+  g_free (ctl->against);
+}
+
 int
 main (int argc, char **argv)
 {
   Ctl ctl = { .if_version = -1 };
+  ExitCode code = EXIT_USAGE;
 
-  if (!parse_options (&ctl, &argc, &argv) || !check_options (&ctl, argv[1]))
-    return EXIT_USAGE;
-  ctl.loop = uv_default_loop ();
-  hcl_ctx_init (&ctl.http, ctl.loop);
-  return (int) run_command (&ctl, argv, argc);
+  if (parse_options (&ctl, &argc, &argv) && check_options (&ctl, argv[1]))
+    {
+      ctl.loop = uv_default_loop ();
+      hcl_ctx_init (&ctl.http, ctl.loop);
+      code = run_command (&ctl, argv, argc);
+    }
+  clear_options (&ctl);
+  return (int) code;
 }
