--- a/src/fwd.c
+++ b/src/fwd.c
@@ -90,6 +90,49 @@
     log_learned (frq->node, ups, &frq->service->curve, &sample);
 }
 
+/* Whether the request was sent to the incarnation of its upstream that is registered now: an
+ * outcome that concerns an earlier one must not count for the new one. */
+static bool
+is_current (const Frq *frq)
+{
+  return ups_is_incarnation (frq->ups, &frq->incarnation);
+}
+
+static void
+record_failure (const Frq *frq, Ups *ups)
+{
+  if (is_current (frq))
+    ups_record_failure (ups, clk_now_ms ());
+}
+
+static void
+record_success (const Frq *frq, Ups *ups, uint32_t service_time_ms)
+{
+  if (!is_current (frq))
+    return;
+  ups_record_success (ups, clk_now_ms ());
+  learn_service_time (frq, ups, service_time_ms);
+  if (frq->key != 0)
+    ups_record_object (ups, frq->key);
+}
+
+static void
+record_rejection (Frq *frq, Ups *ups, const UcnResponse *response)
+{
+  NodCounters *counters = &frq->node->counters;
+
+  if (response->status == STATUS_MISDIRECTED)
+    {
+      counters->misdirected++;
+      frq->misdirects++;
+      ups->misdirected = ups->misdirected || is_current (frq);
+      return;
+    }
+  counters->sheds++;
+  if (is_current (frq))
+    ups->shed_until_ms = clk_now_ms () + SHED_PAUSE_MS;
+}
+
 /* Consumes the retry budget when it returns true. */
 static bool
 admit_retry (Frq *frq)
@@ -131,19 +174,7 @@
 static void
 on_not_run (Frq *frq, Ups *ups, const UcnResponse *response)
 {
-  Node *node = frq->node;
-
-  if (response->status == STATUS_MISDIRECTED)
-    {
-      node->counters.misdirected++;
-      frq->misdirects++;
-      ups->misdirected = true;
-    }
-  else
-    {
-      node->counters.sheds++;
-      ups->shed_until_ms = clk_now_ms () + SHED_PAUSE_MS;
-    }
+  record_rejection (frq, ups, response);
   frq_release_upstream (frq);
   retry_or_respond (frq, NULL, "no_room");
 }
@@ -155,7 +186,6 @@
   uint32_t service_time_ms = (uint32_t) (clk_now_ms () - frq->sent_at_ms);
   bool success = response->status >= 200 && response->status < 300;
 
-  fbk_apply (frq->node, ups, response);
   if (response->status == STATUS_MISDIRECTED || ucn_header (response, headers->not_run) != NULL)
     {
       on_not_run (frq, ups, response);
@@ -166,24 +196,22 @@
   if (success && ucn_header (response, headers->signature) == NULL)
     {
       frq->node->counters.broken_answers++;
-      ups_record_failure (ups, clk_now_ms ());
+      record_failure (frq, ups);
       frq_release_upstream (frq);
       retry_or_respond (frq, NULL, "answer_unsigned");
       return;
     }
   if (response->status < 500)
     {
-      ups_record_success (ups, clk_now_ms ());
       poi_record_response (&frq->node->poison, frq->fingerprint, clk_now_ms ());
-      learn_service_time (frq, ups, service_time_ms);
+      record_success (frq, ups, service_time_ms);
       record_service_time (frq, service_time_ms);
-      if (frq->key != 0)
-        ups_record_object (ups, frq->key);
       frq_release_upstream (frq);
       frq_forward_response (frq, response);
       return;
     }
-  ups_record_error_response (ups);
+  if (is_current (frq))
+    ups_record_error_response (ups);
   frq_release_upstream (frq);
   retry_or_respond (frq, response, "upstream_failed");
 }
@@ -197,7 +225,7 @@
     sus_record_refusal (node, ups);
   else
     sus_record_loss (node, ups, frq->fingerprint);
-  ups_record_failure (ups, clk_now_ms ());
+  record_failure (frq, ups);
   frq_release_upstream (frq);
   if (outcome == UCN_NOT_SENT)
     {
@@ -215,13 +243,15 @@
 }
 
 /* The upstream stopped accepting requests while the connection was being made: it is leaving or
- * paused, or its zone is being evacuated. */
+ * paused, or its zone is being evacuated. A new incarnation of it may be tried. */
 static void
 on_withdrawn (Frq *frq)
 {
   frq->node->counters.withdrawn++;
   log_event (&frq->node->request_log, LOG_INFO, "request_withdrawn", "id=%s upstream=%s send=%u",
              frq->id != NULL ? frq->id : "-", frq->last_upstream, frq->sends);
+  if (!is_current (frq))
+    frq->tried[frq->sends - 1] = 0;
   frq_release_upstream (frq);
   if (frq->sends < FRQ_SENDS_MAX && clk_now_ms () < frq->deadline_at_ms)
     fwd_dispatch (frq);
@@ -232,8 +262,8 @@
 /* ---- Calls ---- */
 
 /* Called when the connection is ready, so that the deadline header states the time that remains
- * then. Return: NULL when the upstream no longer accepts requests, or the request's API key has
- * been removed. */
+ * then. Return: NULL when the upstream no longer accepts requests or another incarnation of it is
+ * registered, or the request's API key has been removed. */
 static GString *
 build_message (void *user)
 {
@@ -242,7 +272,7 @@
   uint64_t now_ms = clk_now_ms ();
   char extra[512];
 
-  if (frq->is_revoked)
+  if (frq->is_revoked || !is_current (frq))
     return NULL;
   if (!chs_accepts_requests (frq->node, frq->ups) || now_ms < frq->ups->paused_until_ms)
     return NULL;
@@ -257,6 +287,16 @@
   return msg_build (&frq->message, extra);
 }
 
+/* A relay's own response says nothing of the upstream. */
+static void
+on_head (void *user, const UcnResponse *response)
+{
+  const Frq *frq = user;
+
+  if (frq->relay == NULL || rly_parse_outcome (response) == RLY_ANSWERED)
+    fbk_apply (frq->node, frq->ups, &frq->incarnation, frq->id, response);
+}
+
 static void on_done (void *user, UcnOutcome outcome, const UcnResponse *response);
 
 /* An idle connection may be closed by the peer at any time, so requests that are not idempotent use
@@ -274,6 +314,7 @@
 {
   UcnPool *pool = frq->relay != NULL ? &frq->relay->pool : &frq->ups->pool;
   UcnSpec spec = { .build = build_message,
+                   .on_head = on_head,
                    .body = frq->message.body,
                    .id_header = frq->id != NULL ? frq->node->headers.request_id : NULL,
                    .id = frq->id,
@@ -367,6 +408,20 @@
 
 /* ---- Sending ---- */
 
+static void
+log_send (const Frq *frq, const Ups *ups, uint64_t now_ms)
+{
+  ChsFeedback feedback = chs_count_feedback (frq->node, frq->service->name, now_ms);
+
+  log_event (&frq->node->request_log, LOG_INFO, "request_sent",
+             "id=%s upstream=%s relay=%s send=%u warm=%d in_flight=%u others=%u slots=%u "
+             "remaining_ms=%llu paused=%u leaving=%u",
+             frq->id != NULL ? frq->id : "-", ups->record.id,
+             frq->relay != NULL ? frq->relay->vm : "-", frq->sends, frq->sent_warm, ups->in_flight,
+             ups->others, ups->record.slots, (unsigned long long) (frq->deadline_at_ms - now_ms),
+             feedback.paused, feedback.leaving);
+}
+
 static void
 send_to (Frq *frq, ChsChoice choice)
 {
@@ -382,6 +437,7 @@
   g_strlcpy (frq->last_upstream, ups->record.id, sizeof frq->last_upstream);
   frq->sent_at_ms = now_ms;
   frq->sent_warm = frq->key != 0 && ups_is_warm_for (ups, frq->key);
+  frq->incarnation = ups_incarnation (ups);
   ups->in_flight++;
   frq->load_at_send = chs_in_flight (node, ups, now_ms);
   if (region < REGIONS_MAX)
@@ -396,45 +452,47 @@
       now_ms);
   node->counters.sent_by_relay += frq->relay != NULL;
   if (frq->sends > 1 || frq_is_sampled (frq))
-    log_event (&node->request_log, LOG_INFO, "request_sent",
-               "id=%s upstream=%s relay=%s send=%u warm=%d in_flight=%u others=%u slots=%u "
-               "remaining_ms=%llu",
-               frq->id != NULL ? frq->id : "-", ups->record.id,
-               frq->relay != NULL ? frq->relay->vm : "-", frq->sends, frq->sent_warm,
-               ups->in_flight, ups->others, ups->record.slots,
-               (unsigned long long) (frq->deadline_at_ms - now_ms));
+    log_send (frq, ups, now_ms);
   start_call (frq);
   if (frq->sends == 1 && !ucn_was_sent (frq->call))
     rgn_count_connected (&node->sent_by_region, region);
 }
 
 static void
-reject_no_capacity (Frq *frq)
+reject_no_capacity (Frq *frq, const char *reason)
 {
   nsh_count_rejected (frq->service, frq->region);
-  frq_fail (frq, "no_room");
+  frq_fail (frq, reason);
 }
 
-/* No upstream is eligible, or all of them are paused for longer than the request may wait. Sets the
- * least Retry-After time. */
-static bool
-no_upstream_within_wait (Frq *frq, uint64_t now_ms)
+/* The reason when no upstream is eligible, or all of them are paused for longer than the request
+ * may wait, else NULL. Sets the least Retry-After time. */
+static const char *
+reason_unavailable (Frq *frq, uint64_t now_ms)
 {
   ChsRequest request = selection_request (frq);
   uint64_t resume_ms = chs_earliest_resume_ms (frq->node, &request);
 
-  if (resume_ms <= frq->waits_until_ms)
-    return false;
+  if (resume_ms <= MAX (frq->waits_until_ms, now_ms))
+    return NULL;
   frq->retry_after_min_ms = (uint32_t) MIN (resume_ms - now_ms, FBK_PAUSE_MAX_MS);
-  return true;
+  return resume_ms == UINT64_MAX ? "no_upstream" : "all_paused";
+}
+
+static const char *
+rejection_reason (Frq *frq, uint64_t now_ms)
+{
+  const char *reason = reason_unavailable (frq, now_ms);
+
+  return reason != NULL ? reason : "no_room";
 }
 
 static void
 wait_for_slot (Frq *frq, uint64_t now_ms)
 {
-  if (now_ms >= frq->waits_until_ms || no_upstream_within_wait (frq, now_ms))
+  if (now_ms >= frq->waits_until_ms || reason_unavailable (frq, now_ms) != NULL)
     {
-      reject_no_capacity (frq);
+      reject_no_capacity (frq, rejection_reason (frq, now_ms));
       return;
     }
   if (frq->waiting)
@@ -581,7 +639,7 @@
           item = item->next;
           nod_run_control (node);
           if (now_ms >= frq->waits_until_ms)
-            reject_no_capacity (frq);
+            reject_no_capacity (frq, rejection_reason (frq, now_ms));
         }
     }
 }
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -5,9 +5,11 @@
 extern "C"
 {
 #include "ups.h"
+#include "vws.h"
 }
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace
 {
@@ -67,6 +69,42 @@
   EXPECT_FALSE (ups_apply (&table_, &old, 0, 1000));
 }
 
+TEST_F (UpsTest, NewStartOrAddressIsAnotherIncarnation)
+{
+  Ups *ups = Add (Record ("a", 100));
+  UpsIncarnation first = ups_incarnation (ups);
+  Add (Record ("a", 100, 2));
+  EXPECT_TRUE (ups_is_incarnation (ups, &first));
+  UpsRecord moved = Record ("a", 100, 3);
+  moved.addr.port = 81;
+  Add (moved);
+  EXPECT_FALSE (ups_is_incarnation (ups, &first));
+  UpsIncarnation second = ups_incarnation (ups);
+  moved.born_ms = 200;
+  Add (moved);
+  EXPECT_FALSE (ups_is_incarnation (ups, &second));
+}
+
+// Guards against an upstream that is filled at once by all nodes whose pauses end together.
+TEST_F (UpsTest, SlotsAreUsedInStepsAfterAPause)
+{
+  Ups *ups = Add (Record ("a"));
+  EXPECT_EQ (ups_resume_slots (ups, 10, 100), 10u);
+  ups_pause (ups, 5000);
+  uint32_t previous = 0;
+  for (uint64_t now_ms = 5000; now_ms < 5000 + UPS_RESUME_MS; now_ms += 10)
+    {
+      uint32_t slots = ups_resume_slots (ups, 10, now_ms);
+      EXPECT_GE (slots, MAX (previous, 1u));
+      EXPECT_LT (slots, 10u);
+      previous = slots;
+    }
+  EXPECT_EQ (ups_resume_slots (ups, 10, 5000), 2u);
+  EXPECT_EQ (ups_resume_slots (ups, 1, 5000), 1u);
+  EXPECT_EQ (ups_resume_slots (ups, 0, 5000), 0u);
+  EXPECT_EQ (ups_resume_slots (ups, 10, 5000 + UPS_RESUME_MS), 10u);
+}
+
 TEST_F (UpsTest, NewIncarnationResetsFailuresAndObjects)
 {
   Ups *ups = Add (Record ("a", 100));
@@ -171,3 +209,27 @@
     EXPECT_GT (sent[i] - sent[i - 3], 1000u);
   EXPECT_GE (sent.size (), 9u);
 }
+
+// Guards against leaving upstreams of which no peer is told while as many as a view has room for
+// leave at the same time.
+TEST_F (UpsTest, ViewsReportEveryLeavingUpstreamInTurn)
+{
+  constexpr uint32_t kLeaving = 3 * PER_LEAVING_MAX;
+  Per per = {};
+  std::set<uint32_t> reported;
+  per.upstreams = &table_;
+  for (uint32_t i = 0; i < kLeaving; i++)
+    {
+      std::string id = "up-" + std::to_string (i);
+      EXPECT_TRUE (ups_mark_leaving (Add (Record (id.c_str ())), 1));
+    }
+  for (int view = 0; view < 100; view++)
+    {
+      peer_leaving leaving[PER_LEAVING_MAX];
+      u_int count = vws_list_leaving (&per, leaving, PER_LEAVING_MAX);
+      EXPECT_EQ (count, PER_LEAVING_MAX);
+      for (u_int i = 0; i < count; i++)
+        reported.insert (leaving[i].upstream);
+    }
+  EXPECT_EQ (reported.size (), kLeaving);
+}
