--- a/src/lim.h
+++ b/src/lim.h
@@ -238,6 +238,15 @@
 #define ADM_RETRY_AFTER_MIN_MS 150
 #define ADM_RETRY_AFTER_MAX_MS 1000
 
+/* Fair queueing. Counts decay in steps of FQS_STEP_MS: the slots that a flow took over about 1 s,
+ * so that little is left of a burst after two seconds; served and requested over about 10 s. */
+#define FQS_ACCOUNTS_MAX 64
+#define FQS_FLOWS_MAX 1024
+#define FQS_STEP_MS 100
+#define FQS_SHARE_DECAY_STEPS 10
+#define FQS_RATIO_DECAY_STEPS 100
+#define FQS_LISTED_MAX 16
+
 /* Retry budget. */
 #define RBG_SLOT_MS 1000
 #define RBG_SLOTS 16
