--- a/src/frq.c
+++ b/src/frq.c
@@ -67,6 +67,8 @@
 {
   refund_quota (frq);
   frq_stop_waiting (frq);
+  if (frq->flow != NULL)
+    fqs_release (frq->flow);
   cancel_call (frq);
   if (frq->caller_watch != NULL)
     hsv_unwatch_disconnect (frq->node->front, frq->caller_watch);
@@ -122,6 +124,8 @@
       return;
     }
   node->counters.refused++;
+  if (frq->flow != NULL && frq->sends > 0)
+    fqs_uncount_served (frq->service->flows, frq->flow, now_ms);
   if (frq->is_revoked)
     {
       node->counters.revoked++;
--- a/src/frq.h
+++ b/src/frq.h
@@ -41,6 +41,9 @@
  * @may_have_run: an upstream received it and has not stated that it did not run it
  * @waiting: it is in the queue of @service
  * @tried_round: see adm_may_try()
+ * @flow: its flow of @service; NULL without fair queueing
+ * @rank: rank by its flow in the last pass over the queue
+ * @place: its place in that queue without fair queueing
  * @sent_warm: the upstream of the last send was warm for its object
  * @tried: hashes of the upstreams to which it was sent
  * @last_upstream: ID of the upstream of the last send
@@ -85,6 +88,9 @@
   bool may_have_run;
   bool waiting;
   uint32_t tried_round;
+  FqsFlow *flow;
+  FqsRank rank;
+  uint32_t place;
   bool sent_warm;
   uint32_t tried[FRQ_SENDS_MAX];
   char last_upstream[NAME_MAX_BYTES];
--- a/src/fst.c
+++ b/src/fst.c
@@ -222,7 +222,7 @@
   else if (lacks_memory (frq))
     frq_fail (frq, "no_memory");
   else
-    fwd_dispatch (frq);
+    fwd_start (frq);
 }
 
 void
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -377,6 +377,8 @@
 
   if (frq->sends == 0)
     rbg_count_request (&frq->service->retries, now_ms);
+  if (frq->sends == 0 && frq->flow != NULL)
+    fqs_count_served (frq->service->flows, frq->flow, now_ms);
   frq->tried[frq->sends++] = ups->hash;
   frq->ups = ups;
   g_strlcpy (frq->last_upstream, ups->record.id, sizeof frq->last_upstream);
@@ -441,6 +443,8 @@
     return;
   frq->waiting = true;
   frq->waiting_since_ms = now_ms;
+  /* Until it has a rank it does not yield. */
+  frq->rank = (FqsRank){ .is_starved = true };
   g_queue_push_tail (&frq->service->waiting, frq);
 }
 
@@ -473,6 +477,137 @@
   send_to (frq, choice);
 }
 
+/* ---- Fair queueing ---- */
+
+/* A service with a single flow is not slowed down by it. */
+static bool
+uses_flows (const Node *node, const RteTable *table)
+{
+  switch (node->settings.fair_queueing)
+    {
+    case NOD_FAIR_OFF:
+      return false;
+    case NOD_FAIR_WITH_ACCOUNTS:
+      return table->accounts != NULL;
+    case NOD_FAIR_ON:
+      return table->accounts != NULL || table->routes->len > 1;
+    }
+  return false;
+}
+
+static void
+join_flow (Frq *frq)
+{
+  NodService *service = frq->service;
+  const char *account = frq->account != NULL ? frq->account->name : NULL;
+
+  if (service->flows == NULL)
+    service->flows = fqs_new ();
+  frq->flow = fqs_acquire (service->flows, account, frq->route->name, frq->received_at_ms);
+  if (!frq->admission.caller_retry)
+    fqs_count_requested (service->flows, frq->flow, frq->received_at_ms);
+}
+
+void
+fwd_start (Frq *frq)
+{
+  if (uses_flows (frq->node, frq->table))
+    join_flow (frq);
+  fwd_dispatch (frq);
+}
+
+static FqsWaiting
+fair_view (const Frq *frq, uint64_t now_ms)
+{
+  return (FqsWaiting){ .flow = frq->flow,
+                       .admission = &frq->admission,
+                       .rank = frq->rank,
+                       .waited_ms = (uint32_t) (now_ms - frq->waiting_since_ms) };
+}
+
+static gint
+compare_fair (gconstpointer a, gconstpointer b, gpointer user)
+{
+  uint64_t now_ms = *(const uint64_t *) user;
+  FqsWaiting x = fair_view (a, now_ms);
+  FqsWaiting y = fair_view (b, now_ms);
+
+  return fqs_precedes (&x, &y) ? -1 : 1;
+}
+
+/* Requests that arrived before fair queueing came into force have no flow. */
+static bool
+all_have_flows (const NodService *service)
+{
+  for (const GList *item = service->waiting.head; item != NULL; item = item->next)
+    if (((const Frq *) item->data)->flow == NULL)
+      return false;
+  return true;
+}
+
+/* Reorders the queue, which is in the order of adm_precedes(). Return: false without effect. */
+static bool
+order_by_flows (NodService *service, uint64_t now_ms)
+{
+  uint32_t place = 0;
+
+  if (service->flows == NULL || service->waiting.length < 2 || !all_have_flows (service))
+    return false;
+  fqs_begin_pass (service->flows, now_ms);
+  for (GList *item = service->waiting.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      fqs_add_waiting (service->flows, frq->flow, &frq->admission);
+      frq->place = place++;
+    }
+  for (GList *item = service->waiting.head; item != NULL; item = item->next)
+    {
+      Frq *frq = item->data;
+      frq->rank = fqs_rank (service->flows, frq->flow);
+    }
+  g_queue_sort (&service->waiting, compare_fair, &now_ms);
+  return true;
+}
+
+static void
+log_yielded (const Frq *rejected, const Frq *kept)
+{
+  const Fqs *flows = rejected->service->flows;
+
+  log_event (&rejected->node->request_log, LOG_INFO, "request_yielded",
+             "id=%s service=%s route=%s account=%s served_permille=%u mean_permille=%u "
+             "kept_route=%s kept_account=%s kept_served_permille=%u",
+             rejected->id != NULL ? rejected->id : "-", rejected->service->name,
+             rejected->route->name, rejected->account != NULL ? rejected->account->name : "-",
+             fqs_served_permille (flows, rejected->flow), fqs_served_permille (flows, NULL),
+             kept->route->name, kept->account != NULL ? kept->account->name : "-",
+             fqs_served_permille (flows, kept->flow));
+}
+
+/* The request to reject when the waiting time of @expired is over: one of a flow that took more
+ * slots, whose remaining time @expired gets, or @expired itself. */
+static Frq *
+choose_rejected (Frq *expired, uint64_t now_ms)
+{
+  const NodService *service = expired->service;
+  FqsWaiting expired_view = fair_view (expired, now_ms);
+
+  if (service->flows == NULL || !all_have_flows (service))
+    return expired;
+  for (GList *item = service->waiting.tail; item->data != expired; item = item->prev)
+    {
+      Frq *frq = item->data;
+      FqsWaiting waiting = fair_view (frq, now_ms);
+      if (now_ms >= frq->waits_until_ms || !fqs_yields (&waiting, &expired_view))
+        continue;
+      expired->waits_until_ms = frq->waits_until_ms;
+      expired->node->counters.fair_yielded++;
+      log_yielded (frq, expired);
+      return frq;
+    }
+  return expired;
+}
+
 /* ---- Waiting ---- */
 
 static gint
@@ -541,14 +676,16 @@
   GHashTable *candidates_by_key = g_hash_table_new_full (cache_key_hash, cache_key_equal, g_free,
                                                          (GDestroyNotify) chs_candidates_free);
   g_queue_sort (&service->waiting, compare_waiting, &now_ms);
+  bool reordered = order_by_flows (service, now_ms);
   GList *item = service->waiting.head;
   adm_begin_pass (&service->tries);
-  while (item != NULL)
+  for (uint32_t place = 0; item != NULL; place++)
     {
       Frq *frq = item->data;
       item = item->next;
       if (!adm_may_try (&service->tries, &frq->tried_round))
         continue;
+      frq->node->counters.fair_reordered += reordered && frq->place > place;
       ChsChoice choice = { .region = REGIONS_MAX };
       if (now_ms < frq->deadline_at_ms && !frq->is_revoked)
         choice = choose_cached (candidates_by_key, frq);
@@ -580,8 +717,12 @@
           Frq *frq = item->data;
           item = item->next;
           nod_run_control (node);
-          if (now_ms >= frq->waits_until_ms)
-            reject_no_capacity (frq);
+          if (now_ms < frq->waits_until_ms)
+            continue;
+          Frq *rejected = choose_rejected (frq, now_ms);
+          if (item != NULL && item->data == rejected)
+            item = item->next;
+          reject_no_capacity (rejected);
         }
     }
 }
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -3,6 +3,9 @@
 
 #include "frq.h"
 
+/** fwd_start() - fwd_dispatch() for a request that arrived: counts it for its flow. */
+void fwd_start (Frq *frq);
+
 /** fwd_dispatch() - sends a request to an upstream, or queues it while no upstream accepts it.
  * Rejects it at the end of its waiting time, and a first attempt also when it would exceed the cap
  * on shift between regions. */
--- a/src/nod.c
+++ b/src/nod.c
@@ -63,6 +63,7 @@
 
   crd_clear (&service->objects);
   g_queue_clear (&service->waiting);
+  fqs_free (service->flows);
   g_free (service);
 }
 
--- a/src/nod.h
+++ b/src/nod.h
@@ -6,6 +6,7 @@
 #include "crd.h"
 #include "clk.h"
 #include "cts.h"
+#include "fqs.h"
 #include "hsv.h"
 #include "lag.h"
 #include "log.h"
@@ -29,6 +30,14 @@
   NOD_STOPPING,
 } NodState;
 
+/** typedef NodFairness - where fair queueing is in force */
+typedef enum
+{
+  NOD_FAIR_WITH_ACCOUNTS,
+  NOD_FAIR_ON,
+  NOD_FAIR_OFF,
+} NodFairness;
+
 /** struct NodZone - an availability zone; @region: index of its region */
 typedef struct
 {
@@ -80,6 +89,7 @@
  * @capacity: CPU capacity of the VM in thousandths of a core
  * @grace_ms: time between the signal to stop and the forced end of the process
  * @learned_capacity: use the learned capacity of upstreams
+ * @fair_queueing: where waiting requests are ordered by the shares of their flows
  * @lookup_ttl_ms: longest time for which callers may cache the response to a lookup
  * @memory_mb: memory of the VM; 0 if not stated
  * @max_fds: file descriptors that the process may open; 0 if not stated
@@ -104,6 +114,7 @@
   uint32_t capacity;
   uint32_t grace_ms;
   bool learned_capacity;
+  NodFairness fair_queueing;
   uint32_t lookup_ttl_ms;
   uint32_t memory_mb;
   uint32_t max_fds;
@@ -199,6 +210,7 @@
  * @curve: service time of its upstreams by their load
  * @waiting: requests that wait for a free slot, as Frq
  * @tries: which of @waiting to try next
+ * @flows: shares of its flows; NULL before fair queueing is in force
  */
 typedef struct
 {
@@ -209,6 +221,7 @@
   LrnCurve curve;
   GQueue waiting;
   AdmTries tries;
+  Fqs *flows;
 } NodService;
 
 /**
@@ -241,6 +254,8 @@
  * @over_quota: requests rejected because their account was over its quota
  * @load_reports: reports of their load in upstreams' responses
  * @load_reports_invalid: those of them that were malformed and ignored
+ * @fair_reordered: tries of waiting requests out of the order without fair queueing
+ * @fair_yielded: waiting requests rejected in place of one of another flow
  */
 typedef struct
 {
@@ -271,6 +286,8 @@
   uint64_t over_quota;
   uint64_t load_reports;
   uint64_t load_reports_invalid;
+  uint64_t fair_reordered;
+  uint64_t fair_yielded;
 } NodCounters;
 
 /**
--- a/src/nst.c
+++ b/src/nst.c
@@ -30,6 +30,7 @@
   COUNTER (held_back),      COUNTER (sent_by_relay),  COUNTER (relayed),
   COUNTER (relays_lost),    COUNTER (unauthorized),   COUNTER (revoked),
   COUNTER (over_quota),     COUNTER (load_reports),   COUNTER (load_reports_invalid),
+  COUNTER (fair_reordered), COUNTER (fair_yielded),
 };
 
 /** struct BudgetValue - a value of the memory budget */
@@ -255,6 +256,21 @@
   g_ptr_array_unref (accounts);
 }
 
+static void
+dump_flows (const Node *node, uint64_t now_ms, GString *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const NodService *service = value;
+      if (service->flows != NULL)
+        fqs_dump (service->flows, service->name, now_ms, out);
+    }
+}
+
 char *
 nst_dump (const Node *node)
 {
@@ -267,6 +283,7 @@
   dump_upstreams (node, now_ms, out);
   dump_accounts (node, out);
   quo_dump (node->quotas, now_ms, out);
+  dump_flows (node, now_ms, out);
   return g_string_free (out, FALSE);
 }
 
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -17,6 +17,8 @@
 // Requests may wait for 2 s, an eighth of the objective, for an upstream that has paused.
 const char kWaitingFields[] = "\"timeout-s\":15,\"goal-s\":16";
 constexpr int kWaitMs = 2000;
+// Until then a new upstream gets few requests.
+constexpr auto kColdStart = 3500ms;
 
 Headers
 WithKey (const std::string &id, const std::string &key, int deadline_ms = 4000)
@@ -773,3 +775,72 @@
   EXPECT_FALSE (Contains (state, "unknown-"));
   EXPECT_EQ (Count (node_->Status ("/metrics").body, "_total "), counters);
 }
+
+// ---- Fair queueing ----
+
+// Guards against the order of waiting requests being that without accounts, in which the newest of
+// an account with many requests precede the older one of another.
+TEST_F (AccountsTest, WaitingRequestOfAnotherAccountPrecedesThoseOfAnExcess)
+{
+  Start (WithAccounts (7, kTwoAccounts, kWaitingFields));
+  std::this_thread::sleep_for (kColdStart);
+  east_.SetBehaviour ([this] (int fd, const Request &request) {
+    std::this_thread::sleep_for (800ms);
+    WriteAll (fd, east_.SignedResponse (request, "ok"));
+  });
+  for (int i = 0; i < 20; i++)
+    SendLater ("early-" + std::to_string (i), "key-one");
+  std::this_thread::sleep_for (200ms);
+  SendLater ("other", "key-two");
+  std::this_thread::sleep_for (200ms);
+  for (int i = 0; i < 10; i++)
+    SendLater ("late-" + std::to_string (i), "key-one");
+  std::map<std::string, Reply> replies = JoinCallers ();
+  EXPECT_EQ (replies["other"].status, 200);
+  // Some that are sent at the same time as the other one may arrive before it.
+  int before = 0;
+  for (const Request &request : east_.requests ())
+    {
+      std::string id = request.headers.at ("x-request-id");
+      if (id == "other")
+        break;
+      before += Contains (id, "late-");
+    }
+  EXPECT_LT (before, 8);
+  EXPECT_GE (Counter ("fair_reordered"), 1);
+  std::string state = node_->Status ("/state").body;
+  EXPECT_TRUE (Contains (state, "flow service=desk route=read account=one requested=")) << state;
+}
+
+// Slots become free after the other account's request may wait no longer, and before that time of
+// the later ones of an account that has taken them all. Guards against rejecting the former.
+TEST_F (AccountsTest, RequestWhoseTimeIsOverIsKeptInPlaceOfOneOfAnExcess)
+{
+  Start (WithAccounts (7, kTwoAccounts, kWaitingFields));
+  std::this_thread::sleep_for (kColdStart);
+  east_.SetBehaviour ([this] (int fd, const Request &request) {
+    std::this_thread::sleep_for (std::chrono::milliseconds (kWaitMs + 400));
+    WriteAll (fd, east_.SignedResponse (request, "ok"));
+  });
+  for (int i = 0; i < 12; i++)
+    SendLater ("early-" + std::to_string (i), "key-one");
+  std::this_thread::sleep_for (100ms);
+  SendLater ("other", "key-two");
+  std::this_thread::sleep_for (900ms);
+  for (int i = 0; i < 3; i++)
+    SendLater ("late-" + std::to_string (i), "key-one");
+  std::map<std::string, Reply> replies = JoinCallers ();
+  EXPECT_EQ (replies["other"].status, 200);
+  int served = 0;
+  for (int i = 0; i < 3; i++)
+    served += replies["late-" + std::to_string (i)].status == 200;
+  EXPECT_EQ (served, 2);
+  EXPECT_EQ (Counter ("fair_yielded"), 1);
+  EXPECT_TRUE (Contains (node_->Log (), "event=request_yielded id=late-"));
+}
+
+TEST (FairQueueingOption, OtherValuesThanOnAndOffAreRefused)
+{
+  int status = system (PROGRAMS_DIR "/cardamom-node --fair-queueing=maybe 2>/dev/null");
+  EXPECT_EQ (WEXITSTATUS (status), 2);
+}
