Node's queue: a kept request waits no longer than its own route allows

Cause: a request kept in place of one of another route got that one's remaining time, which is many times its own where the other route's objective is longer. Change: the time is at most the kept request's own waiting time, from now.

--- a/src/fqs.h
+++ b/src/fqs.h
@@ -97,7 +97,8 @@
 bool fqs_precedes (const FqsWaiting *a, const FqsWaiting *b);
 
 /** fqs_yields() - true when @waiting is to be rejected in place of @expired, a request of another
- * flow whose waiting time is over; @expired then waits for as long as @waiting would have. */
+ * flow whose waiting time is over; @expired then waits for as long as @waiting would have, up to
+ * adm_max_wait_ms(). */
 bool fqs_yields (const FqsWaiting *waiting, const FqsWaiting *expired);
 
 /** fqs_served_permille() - served part of the flow's requests, or of all when @flow is NULL. */
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -585,7 +585,7 @@
 }
 
 /* The request to reject when the waiting time of @expired is over: one of a flow that took more
- * slots, whose remaining time @expired gets, or @expired itself. */
+ * slots, whose remaining time @expired gets up to its own waiting time, or @expired itself. */
 static Frq *
 choose_rejected (Frq *expired, uint64_t now_ms)
 {
@@ -600,7 +600,8 @@
       FqsWaiting waiting = fair_view (frq, now_ms);
       if (now_ms >= frq->waits_until_ms || !fqs_yields (&waiting, &expired_view))
         continue;
-      expired->waits_until_ms = frq->waits_until_ms;
+      expired->waits_until_ms
+          = MIN (frq->waits_until_ms, now_ms + adm_max_wait_ms (&expired->admission));
       expired->node->counters.fair_yielded++;
       log_yielded (frq, expired);
       return frq;
