--- a/src/acc.c
+++ b/src/acc.c
@@ -128,6 +128,22 @@
   return true;
 }
 
+const AccKey *
+acc_next_key (const AccTable *table, AccKeyIter *iter)
+{
+  for (; iter->shard < ACC_SHARDS; iter->shard++, iter->slot = 0)
+    {
+      const AccShard *shard = &table->shards[iter->shard];
+      while (iter->slot < shard->capacity)
+        {
+          const AccKey *key = &shard->slots[iter->slot++];
+          if (key->account != NULL)
+            return key;
+        }
+    }
+  return NULL;
+}
+
 size_t
 acc_key_bytes (const AccTable *table)
 {
--- a/src/acc.h
+++ b/src/acc.h
@@ -101,6 +101,16 @@
 /** acc_add_key() - adds a key of an account; false when it is another account's key. */
 bool acc_add_key (AccTable *table, AccAccount *account, const AccDigest *digest);
 
+/** struct AccKeyIter - position among the keys; starts with zeros */
+typedef struct
+{
+  uint32_t shard;
+  uint32_t slot;
+} AccKeyIter;
+
+/** acc_next_key() - next key of any account, NULL after the last; the table must not change. */
+const AccKey *acc_next_key (const AccTable *table, AccKeyIter *iter);
+
 /** acc_key_bytes() - memory of the keys of all accounts. */
 size_t acc_key_bytes (const AccTable *table);
 
--- a/src/chs.c
+++ b/src/chs.c
@@ -159,7 +159,7 @@
         .hash = ups->hash,
         .region = region,
         .local_zone = ups->zone == node->settings.zone_index,
-        .slots = chs_slots (node, ups, now_ms),
+        .slots = ups_resume_slots (ups, chs_slots (node, ups, now_ms), now_ms),
         .good_slots = chs_good_slots (node, request->service, ups, now_ms),
         .in_flight = chs_in_flight (node, ups, now_ms),
         .rtt_ms = chs_expected_rtt_ms (node, ups),
@@ -342,6 +342,21 @@
   return soonest_ms;
 }
 
+ChsFeedback
+chs_count_feedback (const Node *node, const char *service, uint64_t now_ms)
+{
+  const GPtrArray *upstreams = ups_by_service (&node->upstreams, service);
+  ChsFeedback count = { 0 };
+
+  for (guint i = 0; upstreams != NULL && i < upstreams->len; i++)
+    {
+      const Ups *ups = g_ptr_array_index (upstreams, i);
+      count.paused += now_ms < ups->paused_until_ms;
+      count.leaving += ups->leaving;
+    }
+  return count;
+}
+
 ChsChoice
 chs_choose (ChsCandidates *set, const ChsRequest *request)
 {
--- a/src/frq.c
+++ b/src/frq.c
@@ -67,6 +67,8 @@
 {
   refund_quota (frq);
   frq_stop_waiting (frq);
+  if (frq->flow != NULL)
+    fqs_release (frq->flow);
   cancel_call (frq);
   if (frq->caller_watch != NULL)
     hsv_unwatch_disconnect (frq->node->front, frq->caller_watch);
@@ -122,6 +124,8 @@
       return;
     }
   node->counters.refused++;
+  if (frq->flow != NULL && frq->sends > 0)
+    fqs_uncount_served (frq->service->flows, frq->flow, now_ms);
   if (frq->is_revoked)
     {
       node->counters.revoked++;
@@ -156,7 +160,8 @@
       const UcnHeader *header = g_ptr_array_index (response->headers, i);
       char *name = g_ascii_strdown (header->name, -1);
       if (!msg_is_hop_by_hop (name, strlen (name)) && !g_strv_contains (node_headers, name)
-          && g_ascii_strcasecmp (name, frq->node->headers.request_id) != 0)
+          && g_ascii_strcasecmp (name, frq->node->headers.request_id) != 0
+          && g_ascii_strcasecmp (name, frq->node->headers.leaving) != 0)
         hsv_add_header (frq->h2o, name, header->value);
       g_free (name);
     }
--- a/src/frq.h
+++ b/src/frq.h
@@ -41,10 +41,14 @@
  * @may_have_run: an upstream received it and has not stated that it did not run it
  * @waiting: it is in the queue of @service
  * @tried_round: see adm_may_try()
+ * @flow: its flow of @service; NULL without fair queueing
+ * @rank: rank by its flow in the last pass over the queue
+ * @place: its place in that queue without fair queueing
  * @sent_warm: the upstream of the last send was warm for its object
  * @tried: hashes of the upstreams to which it was sent
  * @last_upstream: ID of the upstream of the last send
  * @ups: the upstream on which it is in flight, or NULL
+ * @incarnation: of @ups when it was chosen
  * @relay: the node that relays it to @ups; NULL when it was sent directly
  * @timer: expires at @deadline_at_ms
  * @queue_link: its element of Node.requests
@@ -85,10 +89,14 @@
   bool may_have_run;
   bool waiting;
   uint32_t tried_round;
+  FqsFlow *flow;
+  FqsRank rank;
+  uint32_t place;
   bool sent_warm;
   uint32_t tried[FRQ_SENDS_MAX];
   char last_upstream[NAME_MAX_BYTES];
   Ups *ups;
+  UpsIncarnation incarnation;
   RlyPeer *relay;
   UcnCall *call;
   uv_timer_t timer;
--- a/src/lim.h
+++ b/src/lim.h
@@ -189,6 +189,11 @@
 #define UPS_COLD_NODES 2
 #define UPS_REMOVAL_DEFER_MAX_MS 2000
 #define UPS_COLD_SENDS_MAX 24
+/* After a pause, the slots of an upstream are used in steps. */
+#define UPS_RESUME_MS 1000
+#define UPS_RESUME_STEPS 4
+/* Registrations that are gone and may come back: what their instances asked for is kept. */
+#define UPS_DEPARTED_MAX 64
 #define UPS_OBJECTS_MAX 24
 #define UPS_SLOTS_MAX 65536
 #define UPS_LOST_MAX 16
@@ -253,6 +258,15 @@
 #define ADM_RETRY_AFTER_MIN_MS 150
 #define ADM_RETRY_AFTER_MAX_MS 1000
 
+/* Fair queueing. Counts decay in steps of FQS_STEP_MS: the slots that a flow took over about 1 s,
+ * so that little is left of a burst after two seconds; served and requested over about 10 s. */
+#define FQS_ACCOUNTS_MAX 64
+#define FQS_FLOWS_MAX 1024
+#define FQS_STEP_MS 100
+#define FQS_SHARE_DECAY_STEPS 10
+#define FQS_RATIO_DECAY_STEPS 100
+#define FQS_LISTED_MAX 16
+
 /* Retry budget. */
 #define RBG_SLOT_MS 1000
 #define RBG_SLOTS 16
@@ -324,3 +338,4 @@
 #define LOG_LINES_PER_S 200
 #define LOG_REJECTS_PER_S 50
 #define LOG_SAMPLE 64
+#define TRF_LOG_PERIOD_MS 5000
--- a/src/nod.h
+++ b/src/nod.h
@@ -6,6 +6,7 @@
 #include "crd.h"
 #include "clk.h"
 #include "cts.h"
+#include "fqs.h"
 #include "hsv.h"
 #include "lag.h"
 #include "log.h"
@@ -20,6 +21,7 @@
 #include "rte.h"
 #include "shr.h"
 #include "ucn.h"
+#include "trf.h"
 #include "ups.h"
 
 typedef enum
@@ -29,6 +31,14 @@
   NOD_STOPPING,
 } NodState;
 
+/** typedef NodFairness - where fair queueing is in force */
+typedef enum
+{
+  NOD_FAIR_WITH_ACCOUNTS,
+  NOD_FAIR_ON,
+  NOD_FAIR_OFF,
+} NodFairness;
+
 /** struct NodZone - an availability zone; @region: index of its region */
 typedef struct
 {
@@ -80,6 +90,7 @@
  * @capacity: CPU capacity of the VM in thousandths of a core
  * @grace_ms: time between the signal to stop and the forced end of the process
  * @learned_capacity: use the learned capacity of upstreams
+ * @fair_queueing: where waiting requests are ordered by the shares of their flows
  * @lookup_ttl_ms: longest time for which callers may cache the response to a lookup
  * @memory_mb: memory of the VM; 0 if not stated
  * @max_fds: file descriptors that the process may open; 0 if not stated
@@ -104,6 +115,7 @@
   uint32_t capacity;
   uint32_t grace_ms;
   bool learned_capacity;
+  NodFairness fair_queueing;
   uint32_t lookup_ttl_ms;
   uint32_t memory_mb;
   uint32_t max_fds;
@@ -199,6 +211,7 @@
  * @curve: service time of its upstreams by their load
  * @waiting: requests that wait for a free slot, as Frq
  * @tries: which of @waiting to try next
+ * @flows: shares of its flows; NULL before fair queueing is in force
  */
 typedef struct
 {
@@ -209,6 +222,7 @@
   LrnCurve curve;
   GQueue waiting;
   AdmTries tries;
+  Fqs *flows;
 } NodService;
 
 /**
@@ -241,6 +255,11 @@
  * @over_quota: requests rejected because their account was over its quota
  * @load_reports: reports of their load in upstreams' responses
  * @load_reports_invalid: those of them that were malformed and ignored
+ * @leaving_notices: upstreams that announced in a response that they leave
+ * @pauses: responses that paused their upstream
+ * @pauses_invalid: 503 responses whose Retry-After was not valid and ignored
+ * @fair_reordered: tries of waiting requests out of the order without fair queueing
+ * @fair_yielded: waiting requests rejected in place of one of another flow
  */
 typedef struct
 {
@@ -271,6 +290,11 @@
   uint64_t over_quota;
   uint64_t load_reports;
   uint64_t load_reports_invalid;
+  uint64_t leaving_notices;
+  uint64_t pauses;
+  uint64_t pauses_invalid;
+  uint64_t fair_reordered;
+  uint64_t fair_yielded;
 } NodCounters;
 
 /**
@@ -299,6 +323,7 @@
  * @store_lost: the platform's store cannot be reached
  * @splits_updated_at_ms: time of the last update of the traffic splits
  * @sent_by_region: requests sent since the last log line, by region
+ * @traffic: bytes sent and received, by purpose and distance
  * @control: scheduler of control work: messages between nodes and calls of the platform's store
  * @store_connections: connections to the platform's store, on the loop of @control
  * @ucn: connections to upstreams and relays
@@ -335,6 +360,7 @@
   bool store_lost;
   uint64_t splits_updated_at_ms;
   RgnCounts sent_by_region;
+  Trf traffic;
   Cts control;
   UcnCtx store_connections;
   UcnCtx ucn;
@@ -429,6 +455,9 @@
 /** nod_region() - index of a zone's region, or REGIONS_MAX when the zone is not in the settings. */
 uint32_t nod_region (const Node *node, uint32_t zone);
 
+/** nod_traffic() - the counter of traffic with a zone. */
+TrfCount *nod_traffic (Node *node, TrfPurpose purpose, uint32_t zone);
+
 /** nod_service(), nod_route_stats() - the state of a service, the statistics of a route; created at
  * first use. */
 NodService *nod_service (Node *node, const char *name);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -34,6 +34,7 @@
  * @discarding_link: in &Rdl.discarding, with the connection as data while it is there
  * @discarded_bytes: bytes received since the request was rejected
  * @discard_until_ms: when the connection is closed then
+ * @counted_bytes: written bytes that are counted as traffic
  * @h2o_write: h2o's callback for the end of a write, while on_guarded_write() stands in for it
  */
 typedef struct RdlConn
@@ -50,6 +51,7 @@
   GList discarding_link;
   size_t discarded_bytes;
   uint64_t discard_until_ms;
+  size_t counted_bytes;
   h2o_socket_cb h2o_write;
 } RdlConn;
 
@@ -194,6 +196,7 @@
       conn->rdl->h2o_read (sock, err);
       return;
     }
+  rdl_count_read (conn->rdl, sock);
   conn->discarded_bytes += sock->input->size;
   h2o_buffer_consume (&sock->input, sock->input->size);
   if (conn->discarded_bytes >= RDL_DISCARD_MAX_BYTES)
@@ -400,6 +403,7 @@
       rdl->h2o_read (sock, err);
       return;
     }
+  rdl_count_read (rdl, sock);
   set_reading (conn, true);
   if (!check_head (conn) || !call_h2o (conn, rdl->h2o_read, NULL))
     return;
@@ -445,6 +449,19 @@
     }
 }
 
+void
+rdl_count_read (Rdl *rdl, const h2o_socket_t *sock)
+{
+  trf_add_received (rdl->traffic, sock->bytes_read);
+}
+
+static void
+count_written (RdlConn *conn)
+{
+  trf_add_sent (conn->rdl->traffic, conn->sock->bytes_written - conn->counted_bytes);
+  conn->counted_bytes = conn->sock->bytes_written;
+}
+
 void
 rdl_answered (Rdl *rdl, h2o_socket_t *sock)
 {
@@ -452,6 +469,7 @@
 
   if (conn == NULL)
     return;
+  count_written (conn);
   mbg_release (rdl->mbg, &conn->claim);
   resume_waiting (rdl->mbg, uv_now (rdl->loop));
   g_ptr_array_add (rdl->answered, sock);
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -23,6 +23,7 @@
   UcnDoneFn fn;
   void *user;
   UcnBuildFn build;
+  UcnHeadFn on_head;
   GString *message;
   GBytes *body;
   char *id_header;
@@ -41,6 +42,7 @@
  * @held_bytes: what it counts in &UcnCtx.buffered_bytes
  * @waits_for_room: it is in &UcnCtx.waiting
  * @open_handles: libuv handles not closed yet; the last one to close frees the connection
+ * @traffic: as &UcnPool.traffic, which it outlives
  * @keep_alive_ms: timeout from the peer's Keep-Alive header, UINT32_MAX if it sent none
  */
 typedef struct Conn
@@ -68,6 +70,7 @@
   bool waits_for_room;
   uint64_t held_bytes;
   uint32_t open_handles;
+  TrfCount *traffic;
   uint32_t keep_alive_ms;
   uint64_t connect_start_ms;
   uint64_t idle_since_ms;
@@ -319,6 +322,8 @@
   conn->discarding = parser->status_code >= 200 && is_stale_response (conn);
   if (conn->discarding)
     conn->no_reuse = true;
+  else if (parser->status_code >= 200 && conn->call->on_head != NULL)
+    conn->call->on_head (conn->call->user, &conn->response);
   reserve_body (conn);
   return conn->call->method_is_head ? 1 : 0;
 }
@@ -443,6 +448,8 @@
 
   if (size == 0)
     return;
+  if (size > 0)
+    trf_add_received (conn->traffic, (uint64_t) size);
   if (size < 0)
     on_disconnect (conn, size);
   else if (conn->state == CONN_IDLE)
@@ -502,6 +509,7 @@
   http_parser_init (&conn->parser, HTTP_RESPONSE);
   conn->parser.data = conn;
   conn->write.data = message;
+  trf_add_sent (conn->traffic, bufs[0].len + bufs[1].len);
   if (uv_write (&conn->write, (uv_stream_t *) &conn->tcp, bufs, count, on_written) != 0)
     {
       release_message (conn);
@@ -574,6 +582,7 @@
 
   conn->pool = pool;
   conn->ctx = pool->ctx;
+  conn->traffic = pool->traffic;
   conn->response.headers = g_ptr_array_new_with_free_func (header_free);
   conn->response.body = g_byte_array_new ();
   conn->header_name = g_string_new (NULL);
@@ -704,6 +713,7 @@
   call->fn = fn;
   call->user = user;
   call->build = spec->build;
+  call->on_head = spec->on_head;
   call->message = spec->message;
   call->body = spec->body != NULL ? g_bytes_ref (spec->body) : NULL;
   call->id_header = g_strdup (spec->id_header);
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -3,6 +3,7 @@
 
 #include "mbg.h"
 #include "net.h"
+#include "trf.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -78,6 +79,7 @@
  * @idle_max_ms: connections idle for longer are closed when the pool is next used
  * @min_connect_ms: shortest time that connecting took, UINT32_MAX before the first connection
  * @connection_count: all connections, including those being opened
+ * @traffic: counts the bytes of connections opened from now on; NULL: they are not counted
  * @idle: connections without a request, the most recently used first
  * @busy: connections being opened or with a request
  */
@@ -88,6 +90,7 @@
   uint32_t idle_max_ms;
   uint32_t min_connect_ms;
   uint32_t connection_count;
+  TrfCount *traffic;
   GQueue idle;
   GQueue busy;
 } UcnPool;
@@ -101,11 +104,19 @@
  */
 typedef GString *(*UcnBuildFn) (void *user);
 
+/**
+ * typedef UcnHeadFn - receives the head of the response to a request, before its body
+ *
+ * Must not cancel the call. The response may still end as UCN_TRUNCATED or UCN_INVALID.
+ */
+typedef void (*UcnHeadFn) (void *user, const UcnResponse *response);
+
 /**
  * struct UcnSpec - one request
  * @message: request line, headers and, without @body, the body; ownership is transferred. NULL:
  * @build is called
  * @build: builds the message once a connection is available
+ * @on_head: may be NULL
  * @body: sent after the message, not copied; the call holds a reference. May be NULL
  * @id_header: response header in which the peer repeats @id; responses with another ID are
  * discarded. NULL: responses are not checked
@@ -118,6 +129,7 @@
 {
   GString *message;
   UcnBuildFn build;
+  UcnHeadFn on_head;
   GBytes *body;
   const char *id_header;
   const char *id;
--- a/src/ups.c
+++ b/src/ups.c
@@ -37,6 +37,8 @@
 ups_init (UpsTable *table, UcnCtx *ucn)
 {
   table->ucn = ucn;
+  table->departed_next = 0;
+  memset (table->departed, 0, sizeof table->departed);
   table->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, ups_free);
   table->by_hash = g_hash_table_new (g_direct_hash, g_direct_equal);
   table->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, array_free);
@@ -90,6 +92,52 @@
     g_ptr_array_remove (list, ups);
 }
 
+static bool
+is_same_addr (NetAddr a, NetAddr b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+UpsIncarnation
+ups_incarnation (const Ups *ups)
+{
+  return (UpsIncarnation){ .born_ms = ups->record.born_ms, .addr = ups->record.addr };
+}
+
+bool
+ups_is_incarnation (const Ups *ups, const UpsIncarnation *incarnation)
+{
+  return ups->record.born_ms == incarnation->born_ms
+         && is_same_addr (ups->record.addr, incarnation->addr);
+}
+
+/* Keeps what an instance asked for in case its registration lapses and comes back. Without born_ms,
+ * another instance can't be told from it. */
+static void
+remember_feedback (UpsTable *table, const Ups *ups)
+{
+  if (ups->record.born_ms == 0 || (!ups->leaving && ups->paused_until_ms == 0))
+    return;
+  table->departed[table->departed_next] = (UpsDeparted){ .hash = ups->hash,
+                                                         .incarnation = ups_incarnation (ups),
+                                                         .leaving = ups->leaving,
+                                                         .paused_until_ms = ups->paused_until_ms };
+  table->departed_next = (table->departed_next + 1) % UPS_DEPARTED_MAX;
+}
+
+static void
+recall_feedback (const UpsTable *table, Ups *ups)
+{
+  for (uint32_t i = 0; i < UPS_DEPARTED_MAX; i++)
+    {
+      const UpsDeparted *departed = &table->departed[i];
+      if (departed->hash != ups->hash || !ups_is_incarnation (ups, &departed->incarnation))
+        continue;
+      ups->leaving = ups->leaving || departed->leaving;
+      ups->paused_until_ms = MAX (ups->paused_until_ms, departed->paused_until_ms);
+    }
+}
+
 static Ups *
 ups_add (UpsTable *table, const UpsRecord *record)
 {
@@ -99,6 +147,7 @@
   ups->hash = ups_hash (record->id);
   ups->slowness_permille = PERMILLE;
   lrn_init (&ups->learned);
+  recall_feedback (table, ups);
   ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
   g_hash_table_insert (table->by_id, ups->record.id, ups);
   g_hash_table_insert (table->by_hash, GUINT_TO_POINTER (ups->hash), ups);
@@ -106,13 +155,8 @@
   return ups;
 }
 
-static bool
-is_same_addr (NetAddr a, NetAddr b)
-{
-  return a.ip == b.ip && a.port == b.port;
-}
-
-/* Resets what was observed of the previous incarnation. */
+/* Resets what was observed of the previous incarnation. Its connections are closed even when the
+ * address stays the same: the old process may still respond on them. */
 static void
 start_incarnation (UpsTable *table, Ups *ups, const UpsRecord *record)
 {
@@ -125,11 +169,8 @@
   lrn_init (&ups->learned);
   ups->fault_permille = 0;
   memset (ups->objects, 0, sizeof ups->objects);
-  if (!is_same_addr (ups->record.addr, record->addr))
-    {
-      ucn_pool_close (&ups->pool);
-      ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
-    }
+  ucn_pool_close (&ups->pool);
+  ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
 }
 
 static bool
@@ -181,6 +222,7 @@
 {
   if (!ups->gone || ups->in_flight > 0 || ups->relayed > 0)
     return;
+  remember_feedback (table, ups);
   remove_from_service (table, ups);
   g_hash_table_remove (table->by_hash, GUINT_TO_POINTER (ups->hash));
   g_hash_table_remove (table->by_id, ups->record.id);
@@ -251,6 +293,16 @@
   ups->paused_until_ms = MAX (ups->paused_until_ms, until_ms);
 }
 
+uint32_t
+ups_resume_slots (const Ups *ups, uint32_t slots, uint64_t now_ms)
+{
+  if (now_ms < ups->paused_until_ms || now_ms - ups->paused_until_ms >= UPS_RESUME_MS
+      || ups->paused_until_ms == 0)
+    return slots;
+  uint64_t step = (now_ms - ups->paused_until_ms) * UPS_RESUME_STEPS / UPS_RESUME_MS + 1;
+  return MAX ((uint32_t) (slots * step / (UPS_RESUME_STEPS + 1)), MIN (slots, 1));
+}
+
 void
 ups_adjust_total (uint32_t *total, uint32_t count, bool add)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -29,6 +29,17 @@
   uint32_t cold_ms;
 } UpsRecord;
 
+/**
+ * struct UpsIncarnation - one run of an upstream's process
+ * @born_ms: its start; not all platforms state it
+ * @addr: its address, which differs from that of an incarnation with the same @born_ms
+ */
+typedef struct
+{
+  uint64_t born_ms;
+  NetAddr addr;
+} UpsIncarnation;
+
 /**
  * struct Ups - state of one upstream
  * @hash: ups_hash() of its id; identifies it in messages between nodes
@@ -95,11 +106,26 @@
   UcnPool pool;
 } Ups;
 
+/**
+ * struct UpsDeparted - feedback of an incarnation whose registration is gone
+ * @hash: that of its upstream
+ * @leaving, @paused_until_ms: as in &Ups
+ */
+typedef struct
+{
+  uint32_t hash;
+  UpsIncarnation incarnation;
+  bool leaving;
+  uint64_t paused_until_ms;
+} UpsDeparted;
+
 /**
  * struct UpsTable - all known upstreams
  * @by_id: owns them
  * @by_hash: by ups_hash() of the id
  * @by_service: arrays of upstreams by service name
+ * @departed: ring buffer, for registrations that come back
+ * @departed_next: index in @departed of the next entry to overwrite
  */
 typedef struct
 {
@@ -107,6 +133,8 @@
   GHashTable *by_id;
   GHashTable *by_hash;
   GHashTable *by_service;
+  UpsDeparted departed[UPS_DEPARTED_MAX];
+  uint32_t departed_next;
 } UpsTable;
 
 void ups_init (UpsTable *table, UcnCtx *ucn);
@@ -116,12 +144,19 @@
  * ups_apply() - adds an upstream or updates it from its registration
  * @zone: index of the upstream's zone, or ZONE_NONE
  *
- * A new incarnation or address resets failures, pauses and cached objects.
+ * A new incarnation or address resets failures, pauses and cached objects, and closes the
+ * connections to the previous one as soon as they are idle.
  *
  * Return: false when the registration is older than the one known; nothing changes then.
  */
 bool ups_apply (UpsTable *table, const UpsRecord *record, uint32_t zone, uint64_t now_ms);
 
+/** ups_incarnation() - the incarnation that is registered. */
+UpsIncarnation ups_incarnation (const Ups *ups);
+
+/** ups_is_incarnation() - whether it is still the one that is registered. */
+bool ups_is_incarnation (const Ups *ups, const UpsIncarnation *incarnation);
+
 /** ups_remove() - marks an upstream as gone; frees it when no requests are in flight. */
 void ups_remove (UpsTable *table, const char *id);
 
@@ -162,6 +197,14 @@
 /** ups_pause() - no requests from this node until then; a later end already set stays. */
 void ups_pause (Ups *ups, uint64_t until_ms);
 
+/**
+ * ups_resume_slots() - part of @slots that may be used after the end of a pause
+ *
+ * Rises in UPS_RESUME_STEPS steps over UPS_RESUME_MS, so that an upstream isn't filled at once by
+ * all nodes whose pauses end together. At least 1 unless @slots is 0.
+ */
+uint32_t ups_resume_slots (const Ups *ups, uint32_t slots, uint64_t now_ms);
+
 /** ups_adjust_total() - adds @count to a total, or subtracts it, stopping at 0. */
 void ups_adjust_total (uint32_t *total, uint32_t count, bool add);
 
--- a/tests/test_acc.cc
+++ b/tests/test_acc.cc
@@ -67,6 +67,25 @@
   EXPECT_EQ (acc_find_name (table_, "three"), nullptr);
 }
 
+// Guards against keys that are lost while a shard grows.
+TEST_F (Accounts, AllKeysAreListedOnce)
+{
+  AccAccount *accounts[] = { acc_add (table_, "one"), acc_add (table_, "two") };
+  for (int i = 0; i < 5000; i++)
+    EXPECT_TRUE (AddKey (accounts[i % 2], "key-" + std::to_string (i)));
+  for (int i = 0; i < 5000; i++)
+    EXPECT_EQ (Find ("key-" + std::to_string (i)), accounts[i % 2]) << i;
+  int counts[2] = { 0, 0 };
+  AccKeyIter iter = {};
+  while (const AccKey *key = acc_next_key (table_, &iter))
+    {
+      EXPECT_EQ (acc_find (table_, &key->digest), key->account);
+      counts[key->account == accounts[1]]++;
+    }
+  EXPECT_EQ (counts[0], 2500);
+  EXPECT_EQ (counts[1], 2500);
+}
+
 TEST_F (Accounts, KeyOfAnotherAccountIsRefused)
 {
   AccAccount *one = acc_add (table_, "one");
