--- a/src/hsv.h
+++ b/src/hsv.h
@@ -71,7 +71,7 @@
 typedef bool (*HsvHeadFn) (void *user, const Hed *head, HsvReply *reply);
 
 /**
- * hsv_set_head_check() - @fn checks requests of HTTP/1 before their bodies are received
+ * hsv_set_head_check() - @fn checks requests of HTTP/1 before their bodies are received; NULL: none
  *
  * The response to a rejected one announces that the connection is closed, and what follows is not
  * kept. Needs hsv_set_budget().
--- a/src/nod.c
+++ b/src/nod.c
@@ -202,6 +202,7 @@
   for (guint i = 0; i < table->services->len; i++)
     nod_service (node, ((const RteService *) g_ptr_array_index (table->services, i))->name);
   hsv_set_limits (node->front, table->idle_timeout_ms, table->body_max_bytes);
+  hsv_set_head_check (node->front, table->accounts != NULL ? fst_reject_head : NULL, node);
   if (node->relay != NULL)
     hsv_set_limits (node->relay, RLY_SERVER_IDLE_MAX_MS, table->body_max_bytes);
   log_event (&node->log, LOG_INFO, "configured", "config=%llu routes=%u accounts=%u",
@@ -619,7 +620,6 @@
   if (node->lookup == NULL)
     return false;
   hsv_set_budget (node->front, &node->memory, RDL_CALLERS);
-  hsv_set_head_check (node->front, fst_reject_head, node);
   hsv_set_budget (node->ready, &node->memory, RDL_PROBES);
   hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
--- a/tests/test_hed.cc
+++ b/tests/test_hed.cc
@@ -1,6 +1,8 @@
 #include <glib.h>
 #include <gtest/gtest.h>
+#include <random>
 #include <string>
+#include <vector>
 
 extern "C"
 {
@@ -94,3 +96,40 @@
   EXPECT_TRUE (LacksBody ("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n"));
   EXPECT_FALSE (LacksBody ("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"));
 }
+
+// Guards against reads outside the bytes received, which the sanitizers' build reports.
+TEST (Hed, DamagedHeadsStayWithinTheirBytes)
+{
+  const std::string usual = Head ("Content-Length: 12\r\nAuthorization: Bearer key\r\n") + "body";
+  std::mt19937 random (7);
+  for (int i = 0; i < 50000; i++)
+    {
+      std::string bytes = usual;
+      for (int k = random () % 4; k >= 0; k--)
+        {
+          size_t at = random () % bytes.size ();
+          switch (random () % 3)
+            {
+            case 0:
+              bytes[at] = "\r\n: \t0\0HX"[random () % 9];
+              break;
+            case 1:
+              bytes.erase (at, 1 + random () % 5);
+              break;
+            default:
+              bytes.insert (at, bytes.substr (random () % bytes.size (), random () % 20));
+            }
+          if (bytes.empty ())
+            bytes = "\r";
+        }
+      std::vector<char> exact (bytes.begin (), bytes.end ());
+      Hed head;
+      if (hed_read (exact.data (), exact.size (), &head) != HED_READ)
+        continue;
+      ASSERT_LE (head.size, exact.size ());
+      ASSERT_GE (head.host.at, exact.data ());
+      ASSERT_LE (head.host.at + head.host.size, exact.data () + head.size);
+      hed_lacks_body (&head, exact.data (), exact.size ());
+      g_free (hed_header (&head, "authorization"));
+    }
+}
