Tests: a rejected caller's sends succeed for a while, and its connection ends

CallerThatSendsItsWholeBodyGets401 passed also when the connection was closed at once, since Linux keeps received data readable after a reset; it now checks that no send fails (fails with close_conn() in place of reject_unread()).

--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -622,7 +622,8 @@
   std::this_thread::sleep_for (100ms);
   for (int i = 0; i < 10; i++)
     {
-      WriteAll (fd, std::string (50000, 'b'));
+      std::string part (50000, 'b');
+      EXPECT_EQ (send (fd, part.data (), part.size (), MSG_NOSIGNAL), 50000) << strerror (errno);
       std::this_thread::sleep_for (20ms);
     }
   bool ended = false;
@@ -631,6 +632,25 @@
   close (fd);
 }
 
+// Guards against a rejected caller that holds its connection, and one that sends without end.
+TEST_F (AccountsTest, RejectedCallerDoesNotKeepItsConnection)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  for (size_t part_bytes : { size_t{ 1 }, size_t{ 100000 } })
+    {
+      int fd = Connect (node_->front ());
+      WriteAll (fd, HeadOnly ("holder", "wrong", kLargeBody));
+      const std::string part (part_bytes, 'b');
+      EXPECT_TRUE (WaitUntil (6000, [&] {
+        ssize_t sent = send (fd, part.data (), part.size (), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return sent < 0 && errno != EAGAIN;
+      })) << part_bytes;
+      close (fd);
+    }
+  EXPECT_LT (node_->PeakMemoryKb (), 40000);
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+}
+
 // Guards against a check of the first request of a connection alone.
 TEST_F (AccountsTest, LaterRequestOfAConnectionGets401BeforeTheBody)
 {
