Test: keys, quotas, shutdown notices and pauses beside random faults

The soak test had no accounts, and its upstreams neither announced their shutdown nor asked for pauses, so that nothing checked these bounds together with restarts, freezes, outages of the store and changes of the configuration.

Threads beside the injected faults now remove an API key and add it again while its callers keep their connections, send five times the limit of a hot account, let an upstream announce its shutdown until its next incarnation is registered, and let upstreams ask for pauses with and without the not-run header. At the end, pure functions over the recorded calls, arrivals and faults check the bounds.

A fault that meets a change of the configuration moves the time by which it must be in force to 3 s after the fault, as the change can't arrive before. The node's own restarts and freezes are exempt for notices; those of its possible relays too for pauses. A pause ends when the next incarnation of its upstream is registered.

--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -1,10 +1,15 @@
 // Several nodes under random faults: killed, suspended and terminated processes, a store and an
-// upstream behind fault proxies, lost responses, removed upstreams. CARDAMOM_SOAK_SEED sets the
-// seed, CARDAMOM_SOAK_S the duration in seconds.
+// upstream behind fault proxies, lost responses, removed upstreams. Beside the faults, an API key
+// is removed and added again, an account exceeds its quota, and upstreams announce their shutdown
+// or ask for a pause; the seed decides which of these take place. CARDAMOM_SOAK_SEED sets the seed,
+// CARDAMOM_SOAK_S the duration in seconds.
 #include "fakes.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <sys/socket.h>
@@ -64,6 +69,316 @@
   pid_t pid_;
 };
 
+constexpr int kNodes = 3;
+constexpr int kStore = -1; // In Fault::node: all nodes are cut off from the store.
+constexpr int kUpstreamsMax = 8;
+// A configuration is in force, and a shutdown notice takes effect, within this time.
+constexpr int kInForceMs = 3000;
+// Time for requests in transit when an upstream asks for a pause.
+constexpr int kTransitMs = 500;
+constexpr size_t kSendsDuringPauseMax = 2;
+constexpr int kHotRate = 20;
+constexpr int kHotBurst = 20;
+constexpr int kHotFactor = 5;
+constexpr int kHotCallers = 5;
+constexpr int kQuotaWindowMs = 5000;
+// (rate x window + burst) x 1.1 + 20
+constexpr int kQuotaMax = (kHotRate * kQuotaWindowMs / 1000 + kHotBurst) * 11 / 10 + 20;
+
+std::string
+ZoneOfNode (int node)
+{
+  return node < 2 ? "east-a" : "west-a";
+}
+
+std::string
+ZoneOfUpstream (int upstream)
+{
+  return upstream % 2 == 0 ? "east-a" : "west-a";
+}
+
+// A request of a caller. `notice`: number of the shutdown notice in its response, -1 for none.
+struct Call
+{
+  int node;
+  int sent_ms;
+  int replied_ms = 0;
+  int status = 0;
+  bool uses_rotated_key = false;
+  int notice = -1;
+};
+
+struct Arrival
+{
+  std::string id;
+  int upstream;
+  int at_ms;
+};
+
+// An upstream's response with Retry-After. `says_not_run`: it has the header for that.
+struct Pause
+{
+  std::string id;
+  int upstream;
+  int at_ms;
+  int until_ms;
+  bool says_not_run;
+};
+
+// The time in which an upstream announces its shutdown, until its next incarnation is registered.
+struct Notice
+{
+  int upstream;
+  int start_ms;
+  int end_ms = INT32_MAX;
+};
+
+struct KeyChange
+{
+  bool removed;
+  int put_ms;
+  int acknowledged_ms;
+};
+
+// A restart or a freeze of a node, or an outage of the store.
+struct Fault
+{
+  int node;
+  int start_ms;
+  int end_ms;
+};
+
+// What callers, upstreams and the injection of faults recorded.
+struct Records
+{
+  std::mutex mutex;
+  std::map<std::string, Call> calls;
+  std::vector<Arrival> arrivals;
+  std::map<std::string, int> first_run_ms;
+  std::vector<Pause> pauses;
+  std::vector<Notice> notices;
+  std::vector<KeyChange> key_changes;
+  std::vector<Fault> faults;
+};
+
+bool
+IsAffected (const Records &records, int node, int from_ms, int to_ms)
+{
+  return std::any_of (records.faults.begin (), records.faults.end (), [&] (const Fault &fault) {
+    return fault.node == node && fault.start_ms <= to_ms && fault.end_ms >= from_ms;
+  });
+}
+
+// The node, or one that may relay its requests to the upstream, was restarted or frozen.
+bool
+IsPathAffected (const Records &records, int node, int upstream, int from_ms, int to_ms)
+{
+  bool affected = IsAffected (records, node, from_ms, to_ms);
+  for (int relay = 0; relay < kNodes; relay++)
+    if (ZoneOfNode (relay) == ZoneOfUpstream (upstream) && ZoneOfNode (node) != ZoneOfNode (relay))
+      affected = affected || IsAffected (records, relay, from_ms, to_ms);
+  return affected;
+}
+
+// Until when a change of the configuration must be in force on a node. During a fault that the
+// change meets, it cannot reach the node.
+int
+InForceMs (const Records &records, const KeyChange &change, int node)
+{
+  int until_ms = change.acknowledged_ms + kInForceMs;
+  for (const Fault &fault : records.faults)
+    if ((fault.node == node || fault.node == kStore) && fault.start_ms < until_ms
+        && fault.end_ms > change.put_ms)
+      until_ms = std::max (until_ms, fault.end_ms + kInForceMs);
+  return until_ms;
+}
+
+// Requests with a removed key that reached an upstream, and those with a valid one that got 401.
+std::vector<std::string>
+KeyViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  auto end_ms = [&] (size_t i) {
+    return i + 1 < records.key_changes.size () ? records.key_changes[i + 1].put_ms : INT32_MAX;
+  };
+  for (size_t i = 0; i < records.key_changes.size (); i++)
+    {
+      const KeyChange &change = records.key_changes[i];
+      for (const Arrival &arrival : records.arrivals)
+        {
+          auto call = records.calls.find (arrival.id);
+          if (!change.removed || call == records.calls.end () || !call->second.uses_rotated_key)
+            continue;
+          int late_ms = arrival.at_ms - InForceMs (records, change, call->second.node);
+          if (late_ms >= 0 && arrival.at_ms < end_ms (i))
+            violations.push_back (arrival.id + " reached upstream "
+                                  + std::to_string (arrival.upstream) + " with a removed key, "
+                                  + std::to_string (late_ms) + " ms late, by node "
+                                  + std::to_string (call->second.node));
+        }
+      for (const auto &[id, call] : records.calls)
+        if (!change.removed && call.uses_rotated_key && call.status == 401
+            && call.sent_ms >= InForceMs (records, change, call.node)
+            && call.replied_ms < end_ms (i))
+          violations.push_back (id + " got 401 with a valid key from node "
+                                + std::to_string (call.node));
+    }
+  for (const auto &[id, call] : records.calls)
+    if (!call.uses_rotated_key && call.status == 401)
+      violations.push_back (id + " got 401 with a key that was never removed");
+  return violations;
+}
+
+// Requests to an upstream that were sent too long after their node had passed its notice on.
+std::vector<std::string>
+NoticeViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  for (size_t i = 0; i < records.notices.size (); i++)
+    {
+      const Notice &notice = records.notices[i];
+      int passed_on_ms[kNodes];
+      std::fill (passed_on_ms, passed_on_ms + kNodes, INT32_MAX);
+      for (const auto &[id, call] : records.calls)
+        if (call.notice == static_cast<int> (i))
+          passed_on_ms[call.node] = std::min (passed_on_ms[call.node], call.replied_ms);
+      for (const Arrival &arrival : records.arrivals)
+        {
+          auto found = records.calls.find (arrival.id);
+          if (found == records.calls.end () || arrival.upstream != notice.upstream
+              || arrival.at_ms < notice.start_ms || arrival.at_ms >= notice.end_ms)
+            continue;
+          const Call &call = found->second;
+          int since_ms = passed_on_ms[call.node];
+          if (since_ms == INT32_MAX || call.sent_ms <= since_ms + kInForceMs
+              || IsAffected (records, call.node, since_ms, arrival.at_ms))
+            continue;
+          violations.push_back (
+              arrival.id + " reached leaving upstream " + std::to_string (notice.upstream)
+              + " by node " + std::to_string (call.node) + ", sent "
+              + std::to_string (call.sent_ms - since_ms) + " ms after its notice was passed on");
+        }
+    }
+  return violations;
+}
+
+// End of a pause: a new incarnation of the upstream has asked for none.
+int
+PauseEndMs (const Records &records, const Pause &pause)
+{
+  int end_ms = pause.until_ms;
+  for (const Notice &notice : records.notices)
+    if (notice.upstream == pause.upstream && notice.end_ms > pause.at_ms)
+      end_ms = std::min (end_ms, notice.end_ms);
+  return end_ms;
+}
+
+// Pauses during which more requests than allowed reached the upstream from the node that got the
+// response.
+std::vector<std::string>
+PauseViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  for (const Pause &pause : records.pauses)
+    {
+      auto paused = records.calls.find (pause.id);
+      if (paused == records.calls.end ())
+        continue;
+      int node = paused->second.node;
+      int until_ms = PauseEndMs (records, pause);
+      std::vector<std::string> sent;
+      for (const Arrival &arrival : records.arrivals)
+        {
+          auto call = records.calls.find (arrival.id);
+          if (call != records.calls.end () && call->second.node == node
+              && arrival.upstream == pause.upstream && arrival.at_ms >= pause.at_ms + kTransitMs
+              && arrival.at_ms < until_ms)
+            sent.push_back (arrival.id + " at +" + std::to_string (arrival.at_ms - pause.at_ms));
+        }
+      if (sent.size () <= kSendsDuringPauseMax
+          || IsPathAffected (records, node, pause.upstream, pause.at_ms, until_ms))
+        continue;
+      violations.push_back (std::to_string (sent.size ()) + " requests by node "
+                            + std::to_string (node) + " to upstream "
+                            + std::to_string (pause.upstream) + " in its pause of "
+                            + std::to_string (pause.until_ms - pause.at_ms) + " ms after "
+                            + pause.id + (pause.says_not_run ? "" : " (without not-run)")
+                            + ", the first " + sent.front () + " ms");
+    }
+  return violations;
+}
+
+// Most requests of the hot account that ran in a window of 5 s.
+int
+LargestHotWindow (const Records &records)
+{
+  std::vector<int> times_ms;
+  for (const auto &[id, at_ms] : records.first_run_ms)
+    if (id[0] == 'h')
+      times_ms.push_back (at_ms);
+  std::sort (times_ms.begin (), times_ms.end ());
+  size_t largest = 0;
+  size_t first = 0;
+  for (size_t i = 0; i < times_ms.size (); i++)
+    {
+      while (times_ms[i] - times_ms[first] >= kQuotaWindowMs)
+        first++;
+      largest = std::max (largest, i + 1 - first);
+    }
+  return static_cast<int> (largest);
+}
+
+// A connection that is kept for several requests.
+class KeptConnection
+{
+public:
+  explicit KeptConnection (const std::string &address) : fd_ (Connect (address))
+  {
+    timeval timeout = { 3, 0 };
+    if (fd_ >= 0)
+      setsockopt (fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  }
+
+  ~KeptConnection ()
+  {
+    if (fd_ >= 0)
+      close (fd_);
+  }
+
+  // Status of the response; 0 without one, after which the connection is of no more use.
+  int
+  Get (const std::string &id, const std::string &key)
+  {
+    if (fd_ < 0)
+      return 0;
+    WriteAll (fd_, "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + id
+                       + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer " + key + "\r\n\r\n");
+    std::string bytes;
+    char buffer[4096];
+    for (ssize_t n; !IsWhole (bytes); bytes.append (buffer, static_cast<size_t> (n)))
+      if ((n = recv (fd_, buffer, sizeof buffer, 0)) <= 0)
+        return 0;
+    return atoi (bytes.substr (bytes.find (' ') + 1, 3).c_str ());
+  }
+
+private:
+  static bool
+  IsWhole (const std::string &bytes)
+  {
+    static const std::string name = "\r\ncontent-length: ";
+    size_t end = bytes.find ("\r\n\r\n");
+    if (end == std::string::npos)
+      return false;
+    std::string head = bytes.substr (0, end);
+    std::transform (head.begin (), head.end (), head.begin (), ::tolower);
+    size_t at = head.find (name);
+    return at != std::string::npos
+           && bytes.size () >= end + 4 + strtoul (head.c_str () + at + name.size (), nullptr, 10);
+  }
+
+  int fd_;
+};
+
 // Responses received by callers and executions on upstreams, by request ID.
 struct RequestLog
 {
@@ -98,38 +413,71 @@
   {
     seed_ = static_cast<unsigned> (FromEnvironment ("CARDAMOM_SOAK_SEED", 1));
     random_.seed (seed_);
+    ChooseEvents ();
+    for (auto &notice : notice_)
+      notice = -1;
+    upstreams_.reserve (kUpstreamsMax);
     store_proxy_ = std::make_unique<FaultProxy> (store_.address ());
-    store_.Put ("config", "main", Configuration (version_));
+    Configure (true);
     for (int i = 0; i < 4; i++)
       AddUpstream ();
     upstream_proxy_ = std::make_unique<FaultProxy> (upstreams_[0]->address ());
     Register (0, "ready");
     for (int i = 0; i < 3; i++)
       {
-        nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (i),
-                                                         i < 2 ? "east-a" : "west-a",
+        nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (i), ZoneOfNode (i),
                                                          store_proxy_->address (), i + 1));
         ASSERT_TRUE (nodes_[i]->WaitReady (5000));
       }
   }
 
+  // Each kind of event is absent from one day of five; the days of CI's seed 1 have all kinds.
+  void
+  ChooseEvents ()
+  {
+    changes_keys_ = seed_ % 5 != 2;
+    has_hot_account_ = seed_ % 5 != 3;
+    has_notices_ = seed_ % 5 != 4;
+    has_pauses_ = seed_ % 5 != 0;
+  }
+
+  // Writes a new version of the configuration, with or without the rotated key, or as before.
+  void
+  Configure (std::optional<bool> has_rotated_key = std::nullopt)
+  {
+    std::lock_guard<std::mutex> lock (configuration_mutex_);
+    has_rotated_key_ = has_rotated_key.value_or (has_rotated_key_);
+    version_ += 2;
+    std::string keys = has_rotated_key_ ? "\"key-kept\",\"key-rotated\"" : "\"key-kept\"";
+    std::string limit = ",\"rate-per-s\":" + std::to_string (kHotRate)
+                        + ",\"burst\":" + std::to_string (kHotBurst);
+    store_.Put ("config", "main",
+                "{\"tenants\":{\"usual\":{\"api-keys\":[\"key-usual\"]},"
+                "\"rotating\":{\"api-keys\":["
+                    + keys + "]},\"hot\":{\"api-keys\":[\"key-hot\"]" + limit + "}},"
+                    + Configuration (version_).substr (1));
+  }
+
   void
   AddUpstream ()
   {
     int index = static_cast<int> (upstreams_.size ());
     upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (index), 10));
     FakeUpstream *upstream = upstreams_.back ().get ();
-    upstream->SetBehaviour (
-        [this, upstream] (int fd, const Request &request) { Respond (upstream, fd, request); });
+    upstream->SetBehaviour ([this, upstream, index] (int fd, const Request &request) {
+      Respond (upstream, index, fd, request);
+    });
     if (index > 0)
       Register (index, "ready");
+    upstream_count_ = index + 1;
   }
 
   void
   Register (int index, const std::string &state)
   {
     std::string record
-        = upstreams_[index]->Record ("desk", index % 2 == 0 ? "east-a" : "west-a", state);
+        = upstreams_[index]->Record ("desk", ZoneOfUpstream (index), state,
+                                     ",\"born\":" + std::to_string (incarnations_[index]));
     if (index == 0)
       {
         std::string own = upstreams_[0]->address ();
@@ -138,11 +486,44 @@
     store_.Put ("servers", upstreams_[index]->id (), record);
   }
 
+  // The response to a request during a pause.
+  std::string
+  PauseResponse (int index, const std::string &id)
+  {
+    int now_ms = NowMs ();
+    int pause_ms = pause_ms_[index];
+    bool says_not_run = says_not_run_[index];
+    {
+      std::lock_guard<std::mutex> lock (records_.mutex);
+      records_.pauses.push_back ({ id, index, now_ms, now_ms + pause_ms, says_not_run });
+    }
+    return "HTTP/1.1 503 Busy\r\nX-Request-Id: " + id + "\r\n"
+           + (says_not_run ? "X-Not-Executed: 1\r\n" : "")
+           + "Retry-After: " + std::to_string (pause_ms / 1000.0) + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  // A signed response, with the shutdown notice of the upstream if there is one.
+  std::string
+  FinalResponse (FakeUpstream *upstream, int index, const Request &request, const std::string &body)
+  {
+    std::string response = upstream->SignedResponse (request, body);
+    int notice = notice_[index];
+    if (notice >= 0)
+      response.insert (response.find ("\r\n") + 2,
+                       "Server-Leaving: 1\r\nX-Notice-Number: " + std::to_string (notice) + "\r\n");
+    return response;
+  }
+
   // Responds to a request: some are shed, some responses are lost or followed by an extra one.
   void
-  Respond (FakeUpstream *upstream, int fd, const Request &request)
+  Respond (FakeUpstream *upstream, int index, int fd, const Request &request)
   {
     const std::string &id = request.headers.at ("x-request-id");
+    if (NowMs () < pauses_until_ms_[index])
+      {
+        WriteAll (fd, PauseResponse (index, id));
+        return;
+      }
     unsigned fate = request_count_++ % 31;
     if (fate == 7)
       {
@@ -150,13 +531,206 @@
         return;
       }
     request_log_.RecordRun (id);
+    {
+      std::lock_guard<std::mutex> lock (records_.mutex);
+      records_.first_run_ms.emplace (id, NowMs ());
+    }
     if (fate == 13)
       shutdown (fd, SHUT_RDWR);
     else if (fate == 19)
-      WriteAll (fd, upstream->SignedResponse (request, id)
+      WriteAll (fd, FinalResponse (upstream, index, request, id)
                         + upstream->SignedResponse (request, "extra"));
     else
-      WriteAll (fd, upstream->SignedResponse (request, id));
+      WriteAll (fd, FinalResponse (upstream, index, request, id));
+  }
+
+  void
+  RecordCall (const std::string &id, int node, int sent_ms, bool uses_rotated_key)
+  {
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    Call call{ node, sent_ms };
+    call.uses_rotated_key = uses_rotated_key;
+    records_.calls.emplace (id, call);
+  }
+
+  void
+  RecordReply (const std::string &id, const Reply &reply)
+  {
+    auto notice = reply.headers.find ("x-notice-number");
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    Call &call = records_.calls.at (id);
+    call.replied_ms = NowMs ();
+    call.status = reply.status;
+    if (notice != reply.headers.end ())
+      call.notice = std::stoi (notice->second);
+  }
+
+  // Sends requests with the key that is removed and added again, on connections that are kept.
+  void
+  CallWithRotatedKey (int node)
+  {
+    auto connection = std::make_unique<KeptConnection> (nodes_[node]->front ());
+    for (int i = 0; !ending_; i++)
+      {
+        std::string id = "k" + std::to_string (node) + "-" + std::to_string (i);
+        RecordCall (id, node, NowMs (), true);
+        Reply reply;
+        reply.status = connection->Get (id, "key-rotated");
+        RecordReply (id, reply);
+        if (reply.status == 0)
+          connection = std::make_unique<KeptConnection> (nodes_[node]->front ());
+        std::this_thread::sleep_for (40ms);
+      }
+  }
+
+  // The callers of the hot account together send five times its limit, to all nodes in turn.
+  void
+  CallOverQuota (int caller)
+  {
+    auto next = std::chrono::steady_clock::now ();
+    for (int i = 0; !ending_; i++)
+      {
+        std::string id = "h" + std::to_string (caller) + "-" + std::to_string (i);
+        int node = (caller + i) % kNodes;
+        RecordCall (id, node, NowMs (), false);
+        RecordReply (id, nodes_[node]->Call ("GET", "/read/a",
+                                             { { "X-Request-Id", id },
+                                               { "X-Deadline-Ms", "1000" },
+                                               { "Authorization", "Bearer key-hot" } },
+                                             "", 1000));
+        next += std::chrono::milliseconds (1000 * kHotCallers / (kHotFactor * kHotRate));
+        std::this_thread::sleep_until (next);
+      }
+  }
+
+  // Sleeps, and returns early at the end of the test.
+  void
+  Pass (int duration_ms)
+  {
+    WaitUntil (duration_ms, [this] { return ending_.load (); });
+  }
+
+  void
+  ChangeKeys (std::mt19937 random)
+  {
+    {
+      std::lock_guard<std::mutex> lock (records_.mutex);
+      records_.key_changes.push_back ({ false, NowMs (), NowMs () });
+    }
+    for (bool removed = true; !ending_; removed = !removed)
+      {
+        Pass (4500 + static_cast<int> (random () % 1500));
+        if (ending_)
+          return;
+        int put_ms = NowMs ();
+        Configure (!removed);
+        std::lock_guard<std::mutex> lock (records_.mutex);
+        records_.key_changes.push_back ({ removed, put_ms, NowMs () });
+      }
+  }
+
+  // An upstream other than the first two, whose responses may be lost on their way.
+  int
+  RandomUpstream (std::mt19937 *random)
+  {
+    return 2 + static_cast<int> ((*random) () % (upstream_count_ - 2));
+  }
+
+  void
+  AnnounceShutdowns (std::mt19937 random)
+  {
+    while (!ending_)
+      {
+        Pass (1000 + static_cast<int> (random () % 1500));
+        int index = RandomUpstream (&random);
+        int number;
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          number = static_cast<int> (records_.notices.size ());
+          records_.notices.push_back ({ index, NowMs () });
+        }
+        notice_[index] = number;
+        Pass (kInForceMs + 3000);
+        notice_[index] = -1;
+        incarnations_[index]++;
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          records_.notices[number].end_ms = NowMs ();
+        }
+        Register (index, drained_[index] ? "draining" : "ready");
+      }
+  }
+
+  void
+  AskForPauses (std::mt19937 random)
+  {
+    while (!ending_)
+      {
+        Pass (500 + static_cast<int> (random () % 1500));
+        int index = RandomUpstream (&random);
+        pause_ms_[index] = 900 + static_cast<int> (random () % 1600);
+        says_not_run_[index] = random () % 2 == 0;
+        pauses_until_ms_[index] = NowMs () + 200;
+      }
+  }
+
+  // Starts the callers and changes of the events that this day has.
+  std::vector<std::thread>
+  StartEvents ()
+  {
+    std::vector<std::thread> threads;
+    for (int node = 0; changes_keys_ && node < kNodes; node++)
+      threads.emplace_back ([this, node] { CallWithRotatedKey (node); });
+    for (int caller = 0; has_hot_account_ && caller < kHotCallers; caller++)
+      threads.emplace_back ([this, caller] { CallOverQuota (caller); });
+    if (changes_keys_)
+      threads.emplace_back ([this] { ChangeKeys (std::mt19937 (seed_ + 1)); });
+    if (has_notices_)
+      threads.emplace_back ([this] { AnnounceShutdowns (std::mt19937 (seed_ + 2)); });
+    if (has_pauses_)
+      threads.emplace_back ([this] { AskForPauses (std::mt19937 (seed_ + 3)); });
+    return threads;
+  }
+
+  void
+  CollectArrivals ()
+  {
+    for (size_t index = 0; index < upstreams_.size (); index++)
+      {
+        std::vector<Request> requests = upstreams_[index]->requests ();
+        std::vector<int> times_ms = upstreams_[index]->arrival_times_ms ();
+        for (size_t i = 0; i < std::min (requests.size (), times_ms.size ()); i++)
+          records_.arrivals.push_back (
+              { requests[i].headers["x-request-id"], static_cast<int> (index), times_ms[i] });
+      }
+  }
+
+  void
+  CheckEvents ()
+  {
+    const std::pair<const char *, std::vector<std::string>> checks[] = {
+      { "keys", KeyViolations (records_) },
+      { "notices", NoticeViolations (records_) },
+      { "pauses", PauseViolations (records_) },
+    };
+    for (const auto &[name, violations] : checks)
+      {
+        for (size_t i = 0; i < std::min<size_t> (violations.size (), 5); i++)
+          ADD_FAILURE () << name << ": " << violations[i] << ", seed " << seed_;
+        printf ("soak: seed %u, check %s, %zu violations\n", seed_, name, violations.size ());
+      }
+    size_t not_run = std::count_if (records_.pauses.begin (), records_.pauses.end (),
+                                    [] (const Pause &pause) { return pause.says_not_run; });
+    size_t unauthorized
+        = std::count_if (records_.calls.begin (), records_.calls.end (),
+                         [] (const auto &call) { return call.second.status == 401; });
+    int hot = LargestHotWindow (records_);
+    EXPECT_LE (hot, kQuotaMax) << "requests of the hot account in " << kQuotaWindowMs
+                               << " ms, seed " << seed_;
+    printf ("soak: seed %u, %zu key states, %zu requests got 401, %zu notices, %zu pause responses "
+            "(%zu say not run), %d hot requests ran in a window of %d ms, %d are allowed\n",
+            seed_, records_.key_changes.size (), unauthorized, records_.notices.size (),
+            records_.pauses.size (), not_run, hot, kQuotaWindowMs, kQuotaMax);
   }
 
   void
@@ -167,11 +741,15 @@
         std::string id = "c" + std::to_string (caller) + "-" + std::to_string (i);
         Headers headers = { { "X-Request-Id", id },
                             { "X-Deadline-Ms", "2000" },
+                            { "Authorization", "Bearer key-usual" },
                             { "Cookie", "X-Affinity-Key=" + std::to_string (i % 11) } };
-        NodeProcess &node = *nodes_[static_cast<size_t> ((caller + i) % 3)];
+        int node_index = (caller + i) % kNodes;
+        NodeProcess &node = *nodes_[node_index];
         bool post = i % 2 == 0;
+        RecordCall (id, node_index, NowMs (), false);
         Reply reply = post ? node.Call ("POST", "/post/a", headers, "body", 3000)
                            : node.Call ("GET", "/read/a", headers, "", 3000);
+        RecordReply (id, reply);
         request_log_.RecordReply ((post ? "p" : "g") + id,
                                   WithKindPrefix (reply, (post ? "p" : "g")));
       }
@@ -189,26 +767,33 @@
   void
   InjectFault ()
   {
-    NodeProcess &node = *nodes_[random_ () % 3];
+    int index = static_cast<int> (random_ () % kNodes);
+    int start_ms = NowMs ();
+    NodeProcess &node = *nodes_[index];
+    std::optional<int> affected;
     switch (random_ () % 8)
       {
       case 0:
         node.Signal (SIGKILL);
         node.WaitExit (2000);
         node.Start ();
+        affected = index;
         break;
       case 1:
         node.Signal (SIGTERM);
         EXPECT_EQ (node.WaitExit (6500), 0) << "seed " << seed_ << "\n" << StopEvents (node);
         node.Start ();
+        affected = index;
         break;
       case 2:
         node.Signal (SIGSTOP);
         std::this_thread::sleep_for (1s);
         node.Signal (SIGCONT);
+        affected = index;
         break;
       case 3:
         ApplyFault (*store_proxy_, random_ () % 2 == 0 ? "cut" : "blackhole");
+        affected = kStore;
         break;
       case 4:
         ApplyFault (*upstream_proxy_, random_ () % 2 == 0 ? "refuse" : "silent");
@@ -219,11 +804,14 @@
         upstreams_[1]->Restart ();
         break;
       case 6:
-        store_.Put ("config", "main", Configuration (version_ += 2));
+        Configure ();
         break;
       default:
         ReplaceUpstream ();
       }
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    if (affected.has_value ())
+      records_.faults.push_back ({ *affected, start_ms, NowMs () });
   }
 
   // The lines of the node's log that tell how its stop went.
@@ -250,10 +838,12 @@
   void
   ReplaceUpstream ()
   {
-    if (upstreams_.size () >= 8)
+    if (upstreams_.size () >= kUpstreamsMax)
       return;
     AddUpstream ();
-    Register (static_cast<int> (upstreams_.size ()) - 3, "draining");
+    int drained = static_cast<int> (upstreams_.size ()) - 3;
+    drained_[drained] = true;
+    Register (drained, "draining");
   }
 
   double
@@ -262,8 +852,9 @@
     int served = 0;
     for (int i = 0; i < 60; i++)
       {
-        Headers headers
-            = { { "X-Request-Id", "end-" + std::to_string (i) }, { "X-Deadline-Ms", "2000" } };
+        Headers headers = { { "X-Request-Id", "end-" + std::to_string (i) },
+                            { "X-Deadline-Ms", "2000" },
+                            { "Authorization", "Bearer key-usual" } };
         served
             += nodes_[static_cast<size_t> (i % 3)]->Call ("GET", "/read/a", headers).status == 200;
       }
@@ -276,6 +867,21 @@
   std::atomic<bool> ending_{ false };
   std::atomic<unsigned> request_count_{ 0 };
   RequestLog request_log_;
+  Records records_;
+  bool changes_keys_ = false;
+  bool has_hot_account_ = false;
+  bool has_notices_ = false;
+  bool has_pauses_ = false;
+  std::mutex configuration_mutex_;
+  bool has_rotated_key_ = true;
+  std::atomic<int> upstream_count_{ 0 };
+  // By index of the upstream.
+  std::array<std::atomic<int>, kUpstreamsMax> incarnations_{};
+  std::array<std::atomic<bool>, kUpstreamsMax> drained_{};
+  std::array<std::atomic<int>, kUpstreamsMax> notice_{};
+  std::array<std::atomic<int>, kUpstreamsMax> pauses_until_ms_{};
+  std::array<std::atomic<int>, kUpstreamsMax> pause_ms_{};
+  std::array<std::atomic<bool>, kUpstreamsMax> says_not_run_{};
   FakeStore store_;
   std::unique_ptr<FaultProxy> store_proxy_;
   std::unique_ptr<FaultProxy> upstream_proxy_;
@@ -290,6 +896,7 @@
   std::vector<std::thread> callers;
   for (int i = 0; i < 6; i++)
     callers.emplace_back ([this, i] { CallUntilEnd (i); });
+  std::vector<std::thread> events = StartEvents ();
   while (NowMs () < end_ms)
     {
       InjectFault ();
@@ -298,6 +905,9 @@
   ending_ = true;
   for (std::thread &caller : callers)
     caller.join ();
+  for (std::thread &event : events)
+    event.join ();
+  CollectArrivals ();
   EXPECT_TRUE (WaitUntil (15000, [this] { return SuccessRate () >= 0.9; })) << "seed " << seed_;
   int answered = 0;
   // Requests to nodes that were down; callers send their next request without a pause.
@@ -316,6 +926,7 @@
   for (const std::string &wrong : request_log_.wrong)
     ADD_FAILURE () << wrong << ", seed " << seed_;
   EXPECT_GT (answered, static_cast<int> (request_log_.statuses.size ()) / 2) << "seed " << seed_;
+  CheckEvents ();
   RecordProperty ("requests", static_cast<int> (request_log_.statuses.size ()));
   printf ("soak: seed %u, %zu requests, %d answered, %d without response\n", seed_,
           request_log_.statuses.size (), answered, no_response);
