Test: traffic of the exchange is counted alike at both ends; table for CAPACITY

The counters of a simulated fleet are summed over all nodes: what is sent at a distance has to be received at the same one, and none at an unknown one. Without this check, a message counted at a wrong distance would hide what crosses regions.

The sums give the first table of traffic by purpose.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -73,6 +73,7 @@
       node->per.region_of = RegionOf;
       node->per.upstreams = &node->upstreams;
       node->per.poison = &node->poison;
+      node->per.traffic = &node->traffic;
       node->per.transport = PerTransport{ Send, StartFetch, node.get () };
       per_init (&node->per);
       upd_push (&node->per, false);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -30,6 +30,7 @@
   UpsTable upstreams = {};
   UcnCtx connections = {};
   PoiTable poison = {};
+  Trf traffic = {};
   Log log = {};
   LogRateLimit load = {};
   Fleet *fleet = nullptr;
--- a/tests/test_exc.cc
+++ b/tests/test_exc.cc
@@ -126,6 +126,42 @@
 INSTANTIATE_TEST_SUITE_P (Sizes, Exchange, testing::Values (9, 30, 99, 300));
 #endif
 
+// What nodes send at a distance is what others receive at the same one; a message counted at
+// another distance would hide what crosses regions. Prints the bytes for docs/CAPACITY.md.
+TEST_P (Exchange, TrafficIsCountedAlikeAtBothEnds)
+{
+  constexpr uint64_t kSeconds = 10;
+  Fleet fleet (GetParam (), 7, 0);
+  fleet.Run (kStartMs);
+  for (uint32_t i = 0; i < fleet.size (); i++)
+    fleet.node (i).traffic = {};
+  for (uint64_t second = 0; second < kSeconds; second++)
+    {
+      fleet.ChangeObject ("changed-" + std::to_string (second));
+      fleet.Run (1000);
+    }
+  for (TrfPurpose purpose : { TRF_VIEWS, TRF_SUMMARIES, TRF_UPDATES })
+    for (TrfDistance distance : { TRF_ZONE, TRF_REGION, TRF_REMOTE, TRF_UNKNOWN })
+      {
+        uint64_t sent = 0;
+        uint64_t received = 0;
+        for (uint32_t i = 0; i < fleet.size (); i++)
+          {
+            sent += fleet.node (i).traffic.counts[purpose][distance].sent_bytes;
+            received += fleet.node (i).traffic.counts[purpose][distance].received_bytes;
+          }
+        // Messages in transit at the start and at the end differ by little.
+        EXPECT_NEAR ((double) sent, (double) received, 0.02 * (double) sent + 2000)
+            << trf_purpose_name (purpose) << " " << trf_distance_name (distance);
+        if (distance == TRF_UNKNOWN)
+          EXPECT_EQ (sent + received, 0u) << trf_purpose_name (purpose);
+        else
+          printf ("traffic: nodes=%u purpose=%s distance=%s sent_bytes_per_s_and_node=%llu\n",
+                  GetParam (), trf_purpose_name (purpose), trf_distance_name (distance),
+                  (unsigned long long) (sent / kSeconds / fleet.size ()));
+      }
+}
+
 TEST_P (Exchange, OneNodePerRegionWatchesTheStore)
 {
   std::vector<uint32_t> watchers = fleet_->Watchers ();
