Test: hostile callers and the memory watch in a module of their own

The tests of entry and steer need the same callers as those of the node, but can't link its stand-ins, whose names collide with those of the cluster.

--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -1,14 +1,10 @@
 // End-to-end tests of a node process whose callers try to exhaust its memory or its descriptors.
 // None of them checks times or how many requests are served.
+#include "crowd.h"
 #include "fakes.h"
 
 #include <atomic>
-#include <csignal>
-#include <dirent.h>
-#include <fstream>
 #include <gtest/gtest.h>
-#include <poll.h>
-#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,115 +18,9 @@
 constexpr int kMaxFds = 400;
 constexpr size_t kBodyMaxBytes = 8 << 20;
 constexpr int kCallers = 30;
-constexpr int kLoadMaxMs = 4000;
 // Not a bound on the node: a test that needs so long has failed.
 constexpr int kAnswerMaxMs = 60000;
 
-// Peak of the process's resident memory and of the bytes that its sockets have received but it has
-// not read, which the platform counts as the process's memory.
-class MemoryWatch
-{
-public:
-  MemoryWatch (pid_t pid, int port) : pid_ (pid), port_ (port), thread_ ([this] { Run (); }) {}
-  ~MemoryWatch ()
-  {
-    ended_ = true;
-    thread_.join ();
-  }
-  void
-  Sample ()
-  {
-    long kb = ResidentKb () + UnreadKb ();
-    int descriptors = Descriptors ();
-    std::lock_guard<std::mutex> lock (mutex_);
-    peak_kb_ = std::max (peak_kb_, kb);
-    peak_descriptors_ = std::max (peak_descriptors_, descriptors);
-  }
-  long
-  PeakKb () const
-  {
-    return peak_kb_;
-  }
-  int
-  PeakDescriptors () const
-  {
-    return peak_descriptors_;
-  }
-
-private:
-  long
-  ResidentKb () const
-  {
-    std::ifstream status ("/proc/" + std::to_string (pid_) + "/status");
-    std::string line;
-    while (std::getline (status, line))
-      if (line.rfind ("VmRSS:", 0) == 0)
-        return atol (line.c_str () + strlen ("VmRSS:"));
-    return 0;
-  }
-
-  // Also bytes that the process has sent and its callers have not read.
-  long
-  UnreadKb () const
-  {
-    std::ifstream sockets ("/proc/net/tcp");
-    std::string line;
-    long bytes = 0;
-    while (std::getline (sockets, line))
-      {
-        unsigned ip, port, peer_ip, peer_port, state, sent, unread;
-        if (sscanf (line.c_str (), " %*d: %x:%x %x:%x %x %x:%x", &ip, &port, &peer_ip, &peer_port,
-                    &state, &sent, &unread)
-                == 7
-            && state == 1 && static_cast<int> (port) == port_)
-          bytes += sent + unread;
-      }
-    return bytes / 1024;
-  }
-
-  int
-  Descriptors () const
-  {
-    int count = 0;
-    DIR *folder = opendir (("/proc/" + std::to_string (pid_) + "/fd").c_str ());
-    while (folder != nullptr && readdir (folder) != nullptr)
-      count++;
-    if (folder != nullptr)
-      closedir (folder);
-    return count - 2;
-  }
-
-  void
-  Run ()
-  {
-    while (!ended_)
-      {
-        Sample ();
-        std::this_thread::sleep_for (10ms);
-      }
-  }
-
-  pid_t pid_;
-  int port_;
-  std::atomic<bool> ended_{ false };
-  std::mutex mutex_;
-  long peak_kb_ = 0;
-  int peak_descriptors_ = 0;
-  std::thread thread_;
-};
-
-// What one caller sends: a first request whose response it awaits, if any; the head; then the
-// piece, up to a number of bytes; and the end.
-struct Load
-{
-  std::string head;
-  std::string piece;
-  size_t bytes = SIZE_MAX;
-  std::string end = "";
-  int pause_ms = 0;
-  std::string first = "";
-};
-
 std::string
 Head (const std::string &framing)
 {
@@ -145,106 +35,6 @@
   return Head ("Content-Length: " + std::to_string (bytes) + "\r\n");
 }
 
-std::string
-Chunk (size_t bytes)
-{
-  std::stringstream out;
-  out << std::hex << bytes << "\r\n" << std::string (bytes, 'c') << "\r\n";
-  return out.str ();
-}
-
-std::string
-Repeat (const std::string &text, int times)
-{
-  std::string out;
-  while (times-- > 0)
-    out += text;
-  return out;
-}
-
-// Callers on threads of their own that send their loads at the same time and then keep their
-// connections open, until Close().
-class Crowd
-{
-public:
-  Crowd (const std::string &address, int size, const std::function<Load (int)> &load)
-      : until_ms_ (NowMs () + kLoadMaxMs)
-  {
-    for (int i = 0; i < size; i++)
-      {
-        int fd = Connect (address);
-        if (fd < 0)
-          continue;
-        fds_.push_back (fd);
-        threads_.emplace_back ([this, fd, caller = load (i)] { Run (fd, caller); });
-      }
-  }
-  ~Crowd () { Close (); }
-  void
-  Join ()
-  {
-    for (std::thread &thread : threads_)
-      thread.join ();
-    threads_.clear ();
-  }
-  void
-  Close ()
-  {
-    Join ();
-    for (int fd : fds_)
-      close (fd);
-    fds_.clear ();
-  }
-
-private:
-  // False when the connection is closed or the load's time has passed.
-  bool
-  Send (int fd, const std::string &bytes, size_t size)
-  {
-    size_t sent = 0;
-    while (sent < size && NowMs () < until_ms_)
-      {
-        pollfd ready = { .fd = fd, .events = POLLOUT, .revents = 0 };
-        if (poll (&ready, 1, 50) == 0)
-          continue;
-        ssize_t n = send (fd, bytes.data () + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (n < 0 && errno != EAGAIN)
-          return false;
-        sent += n > 0 ? static_cast<size_t> (n) : 0;
-      }
-    return sent == size;
-  }
-
-  void
-  Run (int fd, const Load &load)
-  {
-    if (!load.first.empty ())
-      {
-        timeval limit{ 2, 0 };
-        char bytes[4096];
-        setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-        if (!Send (fd, load.first, load.first.size ()) || recv (fd, bytes, sizeof bytes, 0) <= 0)
-          return;
-      }
-    if (!Send (fd, load.head, load.head.size ()))
-      return;
-    size_t sent = 0;
-    while (sent < load.bytes)
-      {
-        size_t size = std::min (load.piece.size (), load.bytes - sent);
-        if (!Send (fd, load.piece, size))
-          return;
-        sent += size;
-        std::this_thread::sleep_for (std::chrono::milliseconds (load.pause_ms));
-      }
-    Send (fd, load.end, load.end.size ());
-  }
-
-  int until_ms_;
-  std::vector<int> fds_;
-  std::vector<std::thread> threads_;
-};
-
 class UntrustedTest : public ::testing::Test
 {
 protected:
@@ -605,15 +395,6 @@
   CheckBounds ();
 }
 
-// True if the peer has closed the connection.
-static bool
-IsClosed (int fd)
-{
-  char byte;
-  ssize_t n = recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN);
-}
-
 // Guards against a node that has no descriptors left for its upstreams and its store, and against
 // one that closes connections in another order than by their idle time.
 TEST_F (UntrustedTest, ManyIdleConnections)
