--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <sys/types.h>
 #include <vector>
 
 // A process started by a test, terminated by its id.
@@ -56,6 +57,11 @@
   // it.
   int WaitExit (const std::string &name, int timeout_ms);
   bool IsRunning (const std::string &name);
+  pid_t
+  Pid (const std::string &name) const
+  {
+    return processes_.at (name).pid;
+  }
 
   HttpResponse Http (const std::string &method, const std::string &addr, const std::string &path,
                      const std::vector<std::string> &headers = {}, long timeout_ms = 20000);
