Test: a buffer kept behind an answered body, a chunked body that waits forever, chunked requests with another behind them

On a node of 64 MB, 12 callers that send a body of 8 MB, read the response late and send the beginning of a next request meanwhile keep 104 MB. On a node of 24 MB, a chunked body of 2 MB gets no response within 15 s: its claim exceeds by the size of its head what is ever free.

A request behind a chunked body closes the connection already, and a chunked request alone keeps it: the exception for chunked bodies has no effect.

--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -159,11 +159,18 @@
   };
   for (const auto &upstream : upstreams_)
     upstream->SetWork (300);
+  auto chunked = [] (const std::string &id) {
+    return "POST /post/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + id
+           + "\r\nX-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
+  };
   const std::vector<std::string> pieces[] = {
     { request ("first-0", "") + request ("behind-0", "") },
     { request ("first-1", ""), request ("behind-1", "") },
     { request ("first-2", "body") + request ("behind-2", "") },
     { request ("first-3", "body"), request ("behind-3", "") },
+    { chunked ("first-4") + request ("behind-4", "") },
+    { chunked ("first-5"), request ("behind-5", "") },
   };
   for (size_t i = 0; i < std::size (pieces); i++)
     {
@@ -183,7 +190,10 @@
   Start ();
   std::string request = "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: r\r\n"
                         "X-Deadline-Ms: 4000\r\n\r\n";
-  std::string response = node_->ExchangeBytes ({ request, request, request }, 300, 500);
+  std::string chunked = "POST /post/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: r\r\n"
+                        "X-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "4\r\nbody\r\n0\r\n\r\n";
+  std::string response = node_->ExchangeBytes ({ request, chunked, request }, 300, 500);
   EXPECT_EQ (response.find ("onnection: close"), std::string::npos) << response;
   EXPECT_EQ (Runs ("r"), 3);
 }
--- a/tests/test_untrusted.cc
+++ b/tests/test_untrusted.cc
@@ -478,3 +478,49 @@
   EXPECT_EQ (response.rfind ("HTTP/1.1 200", 0), 0u) << response;
   CheckBounds ();
 }
+
+// Guards against a chunked request that waits forever where the memory is too small for the
+// largest body of the configuration.
+TEST_F (UntrustedTest, ChunkedBodyIsServedWhereMemoryLimitsBodies)
+{
+  Start (24);
+  std::string message = Head ("Transfer-Encoding: chunked\r\nConnection: close\r\n")
+                        + Repeat (Chunk (1 << 20), 2) + "0\r\n\r\n";
+  std::string response = node_->ExchangeBytes ({ message }, 0, 15000);
+  EXPECT_EQ (response.rfind ("HTTP/1.1 200", 0), 0u) << response;
+}
+
+// Guards against the buffer of an answered body that is kept, and not counted, while its caller
+// has sent the beginning of a next request. The callers read their responses late: bytes that
+// arrive before the response is written whole don't close the connection.
+TEST_F (UntrustedTest, BytesBehindAnAnsweredBody)
+{
+  Start ();
+  for (const auto &upstream : upstreams_)
+    upstream->SetBehaviour ([&upstream] (int fd, const Request &request) {
+      bool is_large = request.method == "POST";
+      WriteAll (fd, upstream->SignedResponse (request, std::string (is_large ? 1 << 20 : 2, 'f')));
+    });
+  std::vector<int> fds;
+  for (int i = 0; i < 12; i++)
+    {
+      int fd = Connect (node_->front (), 4096);
+      timeval limit{ 0, 500000 };
+      setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+      WriteAll (fd, Announce (kBodyMaxBytes - 1) + std::string (kBodyMaxBytes - 1, 'b'));
+      std::vector<char> bytes (64 << 10);
+      recv (fd, bytes.data (), 1, 0);
+      WriteAll (fd, "GET /read/a HTTP/1.1\r\nHost");
+      while (recv (fd, bytes.data (), bytes.size (), 0) > 0)
+        continue;
+      fds.push_back (fd);
+    }
+  int open = 0;
+  for (int fd : fds)
+    open += IsClosed (fd) ? 0 : 1;
+  printf ("%d of %zu connections are open\n", open, fds.size ());
+  EXPECT_TRUE (WaitUntil (kAnswerMaxMs, [&] { return IsAnswering (); }));
+  for (int fd : fds)
+    close (fd);
+  CheckBounds ();
+}
