HTTP server: remove the exception for chunked bodies without effect

h2o doesn't list transfer-encoding among a request's headers, and keeps a chunked body decoded: the size of head and body is right without the exception. NodeTest.PipelinedRequestIsNotRunAndTheConnectionCloses covers chunked bodies.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -337,16 +337,15 @@
 /* ---- Requests and responses ---- */
 
 /* True if the buffer holds data after the request's head and body. h2o keeps the request in the
- * buffer until the response is sent. */
+ * buffer until the response is sent, a chunked body without its chunk sizes. */
 static bool
 has_pipelined_data (h2o_req_t *req)
 {
   static const char end[] = "\r\n\r\n";
   const h2o_buffer_t *input = req->conn->callbacks->get_socket (req->conn)->input;
   const char *head_end = g_strstr_len (input->bytes, (gssize) input->size, end);
-  bool is_chunked = h2o_find_header (&req->headers, H2O_TOKEN_TRANSFER_ENCODING, SIZE_MAX) != -1;
 
-  if (head_end == NULL || is_chunked)
+  if (head_end == NULL)
     return false;
   size_t head_size = (size_t) (head_end - input->bytes) + strlen (end);
   return input->size > head_size + req->entity.len;
