--- a/src/nod.c
+++ b/src/nod.c
@@ -7,6 +7,7 @@
 #include "exc.h"
 #include "fst.h"
 #include "fwd.h"
+#include "mbs.h"
 #include "nsh.h"
 #include "nst.h"
 #include "rls.h"
@@ -404,31 +405,6 @@
 
 /* ---- Timer and control work ---- */
 
-static void
-log_turned_away (Node *node)
-{
-  const Mbg *mbg = &node->memory;
-  const MbgCounters *counters = &mbg->counters;
-
-  if (mbg_turned_away (mbg) == node->turned_away_logged)
-    return;
-  node->turned_away_logged = mbg_turned_away (mbg);
-  log_event (&node->log, LOG_WARN, "callers_turned_away",
-             "rejected=%llu stalled=%llu unread=%llu heads=%llu bodies=%llu closed=%llu "
-             "refused=%llu small_bytes=%llu large_bytes=%llu answer_bytes=%llu waiting=%u "
-             "connections=%u",
-             (unsigned long long) counters->rejected, (unsigned long long) counters->stalled,
-             (unsigned long long) counters->unread_closed,
-             (unsigned long long) counters->heads_over_limit,
-             (unsigned long long) counters->bodies_over_limit,
-             (unsigned long long) counters->connections_closed,
-             (unsigned long long) counters->connections_refused,
-             (unsigned long long) mbg->used_bytes[MBG_SMALL],
-             (unsigned long long) mbg->used_bytes[MBG_LARGE],
-             (unsigned long long) (mbg->receiving_bytes + mbg->unread_bytes),
-             mbg->waiting[MBG_SMALL].length + mbg->waiting[MBG_LARGE].length, mbg->connections);
-}
-
 static void
 tick_peers (Node *node, uint64_t now_ms)
 {
@@ -443,7 +419,7 @@
       rgn_log (&node->sent_by_region, node->settings.regions->len, &node->log);
       trf_log (&node->traffic, &node->log, now_ms);
       nsh_log_splits (node);
-      log_turned_away (node);
+      mbs_log (&node->memory, &node->log, &node->turned_away_logged);
       poi_expire (&node->poison, now_ms);
     }
 }
--- a/src/nst.c
+++ b/src/nst.c
@@ -2,6 +2,7 @@
 #include "nst.h"
 
 #include "chs.h"
+#include "mbs.h"
 
 #include <string.h>
 
@@ -34,56 +35,6 @@
   COUNTER (fair_reordered),  COUNTER (fair_yielded),
 };
 
-/** struct BudgetValue - a value of the memory budget */
-typedef struct
-{
-  const char *name;
-  size_t offset;
-} BudgetValue;
-
-static const BudgetValue budget_counters[] = {
-  { "memory_waited", offsetof (MbgCounters, waited) },
-  { "memory_rejected", offsetof (MbgCounters, rejected) },
-  { "memory_stalled", offsetof (MbgCounters, stalled) },
-  { "memory_unread_closed", offsetof (MbgCounters, unread_closed) },
-  { "heads_over_limit", offsetof (MbgCounters, heads_over_limit) },
-  { "bodies_over_limit", offsetof (MbgCounters, bodies_over_limit) },
-  { "connections_closed", offsetof (MbgCounters, connections_closed) },
-  { "connections_refused", offsetof (MbgCounters, connections_refused) },
-};
-
-static const BudgetValue budget_parts[] = {
-  { "memory_small_requests_bytes", offsetof (Mbg, used_bytes[MBG_SMALL]) },
-  { "memory_large_requests_bytes", offsetof (Mbg, used_bytes[MBG_LARGE]) },
-  { "memory_relayed_requests_bytes", offsetof (Mbg, relayed_bytes) },
-  { "memory_received_answers_bytes", offsetof (Mbg, receiving_bytes) },
-  { "memory_unread_answers_bytes", offsetof (Mbg, unread_bytes) },
-};
-
-static uint64_t
-value_at (const void *base, const BudgetValue *value)
-{
-  return *(const uint64_t *) ((const char *) base + value->offset);
-}
-
-static void
-write_budget (const Mbg *mbg, GString *out)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (budget_counters); i++)
-    {
-      char name[64];
-      g_snprintf (name, sizeof name, PREFIX "%s_total", budget_counters[i].name);
-      met_write_value (out, name, NULL, value_at (&mbg->counters, &budget_counters[i]));
-    }
-  for (size_t i = 0; i < G_N_ELEMENTS (budget_parts); i++)
-    {
-      char name[64];
-      g_snprintf (name, sizeof name, PREFIX "%s", budget_parts[i].name);
-      met_write_value (out, name, NULL, value_at (mbg, &budget_parts[i]));
-    }
-  met_write_value (out, PREFIX "caller_connections", NULL, mbg->connections);
-}
-
 static void
 write_feedback (const Node *node, uint64_t now_ms, GString *out)
 {
@@ -114,7 +65,7 @@
       const char *counter = (const char *) &node->counters + counters[i].offset;
       met_write_value (out, counters[i].name, NULL, *(const uint64_t *) counter);
     }
-  write_budget (&node->memory, out);
+  mbs_write_metrics (&node->memory, PREFIX, out);
   met_write_value (out, PREFIX "log_lines_dropped_total", NULL,
                    log_dropped (&node->log) + log_dropped (&node->request_log));
   met_write_value (out, PREFIX "open_requests", NULL, node->open_requests);
@@ -186,9 +137,7 @@
       mbg->waiting[MBG_SMALL].length + mbg->waiting[MBG_LARGE].length, limits->waiting,
       mbg->connections, limits->callers);
   g_string_append (out, "turned_away");
-  for (size_t i = 0; i < G_N_ELEMENTS (budget_counters); i++)
-    g_string_append_printf (out, " %s=%llu", budget_counters[i].name,
-                            (unsigned long long) value_at (&mbg->counters, &budget_counters[i]));
+  mbs_write_counters (mbg, out);
   g_string_append_c (out, '\n');
 }
 
