Memory budget: copies of requests, outgoing calls of requests, texts and streams that are written

An entry copies requests twice and makes calls to an upstream and to the store for each, so claims and the limit of callers count these. Responses that a module streams itself can be closed when their callers don't read, as those of hsv_send_body(). The node has one copy and calls none of it: its limits are unchanged.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -26,7 +26,7 @@
   void *hook_user;
   GHashTable *watch_table;
   uint32_t unwritten_bodies;
-  GQueue held_bodies;
+  GQueue writes;
   Rdl reading;
 };
 
@@ -376,20 +376,30 @@
   send_response (req, status, h2o_strdup (&req->pool, body, size), size);
 }
 
-/**
- * struct HeldBody - body of a response that is being written
- * @link: in &HsvServer.held_bodies
- * @unsent_bytes: what the kernel had not taken at @progress_at_ms
- * @progress_at_ms: when the kernel last took bytes
- */
+void
+hsv_begin_write (h2o_req_t *req, HsvWrite *write)
+{
+  *write = (HsvWrite){ .server = server_of_conn (req->conn),
+                       .sock = req->conn->callbacks->get_socket (req->conn),
+                       .link = { .data = write },
+                       .unsent_bytes = SIZE_MAX };
+  g_queue_push_tail_link (&write->server->writes, &write->link);
+}
+
+void
+hsv_end_write (HsvWrite *write)
+{
+  if (write->server == NULL)
+    return;
+  g_queue_unlink (&write->server->writes, &write->link);
+  write->server = NULL;
+}
+
+/** struct HeldBody - body of a response that is being written */
 typedef struct
 {
   HsvBody body;
-  HsvServer *server;
-  h2o_socket_t *sock;
-  GList link;
-  size_t unsent_bytes;
-  uint64_t progress_at_ms;
+  HsvWrite write;
 } HeldBody;
 
 /* When enabled, the kernel resets the connection if the process ends: without a length, an orderly
@@ -408,10 +418,10 @@
 {
   HeldBody *held = data;
 
-  held->server->unwritten_bodies--;
-  g_queue_unlink (&held->server->held_bodies, &held->link);
+  held->write.server->unwritten_bodies--;
+  hsv_end_write (&held->write);
   if (held->body.close_delimited)
-    set_reset_on_close (held->sock, false);
+    set_reset_on_close (held->write.sock, false);
   held->body.release (held->body.user, held->body.bytes);
 }
 
@@ -422,16 +432,12 @@
   HeldBody *held = h2o_mem_alloc_shared (&req->pool, sizeof *held, on_body_disposed);
   h2o_iovec_t buf = h2o_iovec_init (body.bytes->data, body.bytes->len);
 
-  *held = (HeldBody){ .body = body,
-                      .server = server_of_conn (req->conn),
-                      .sock = req->conn->callbacks->get_socket (req->conn),
-                      .link = { .data = held },
-                      .unsent_bytes = SIZE_MAX };
-  held->server->unwritten_bodies++;
-  g_queue_push_tail_link (&held->server->held_bodies, &held->link);
+  held->body = body;
+  hsv_begin_write (req, &held->write);
+  held->write.server->unwritten_bodies++;
   if (body.close_delimited)
     {
-      set_reset_on_close (held->sock, true);
+      set_reset_on_close (held->write.sock, true);
       req->version = 0x100;
       req->http1_is_persistent = 0;
     }
@@ -439,16 +445,16 @@
 }
 
 static bool
-is_stalled (HeldBody *held, uint64_t now_ms)
+is_stalled (HsvWrite *write, uint64_t now_ms)
 {
-  size_t unsent = rdl_unsent_bytes (held->sock);
+  size_t unsent = rdl_unsent_bytes (write->sock);
 
-  if (unsent < held->unsent_bytes)
+  if (unsent < write->unsent_bytes)
     {
-      held->unsent_bytes = unsent;
-      held->progress_at_ms = now_ms;
+      write->unsent_bytes = unsent;
+      write->progress_at_ms = now_ms;
     }
-  return mbg_must_close_unread (held->server->reading.mbg, now_ms - held->progress_at_ms);
+  return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms);
 }
 
 /* h2o frees the response when its write fails. */
@@ -457,14 +463,14 @@
 {
   GList *next;
 
-  for (GList *item = server->held_bodies.head; item != NULL; item = next)
+  for (GList *item = server->writes.head; item != NULL; item = next)
     {
-      HeldBody *held = item->data;
+      HsvWrite *write = item->data;
       next = item->next;
-      if (!is_stalled (held, now_ms))
+      if (!is_stalled (write, now_ms))
         continue;
       server->reading.mbg->counters.unread_closed++;
-      shutdown (h2o_socket_get_fd (held->sock), SHUT_RDWR);
+      shutdown (h2o_socket_get_fd (write->sock), SHUT_RDWR);
     }
 }
 
@@ -485,6 +491,36 @@
   hsv_send (req, status, body, strlen (body));
 }
 
+static void
+release_text (void *user, GByteArray *bytes)
+{
+  mbg_add_unread (user, -(int64_t) bytes->len);
+  g_byte_array_unref (bytes);
+}
+
+void
+hsv_send_text (h2o_req_t *req, const char *media_type, char *text)
+{
+  Mbg *mbg = server_of_conn (req->conn)->reading.mbg;
+  size_t size = strlen (text);
+
+  if (mbg == NULL || !mbg_has_response_room (mbg, size))
+    {
+      bool has_room = mbg == NULL;
+      hsv_respond (req, has_room ? 200 : 503, has_room ? media_type : "text/plain",
+                   has_room ? text : "no memory\n");
+      g_free (text);
+      return;
+    }
+  h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, media_type,
+                  strlen (media_type));
+  mbg_add_unread (mbg, (int64_t) size);
+  hsv_send_body (req, 200,
+                 (HsvBody){ .bytes = g_byte_array_new_take ((guint8 *) text, size),
+                            .release = release_text,
+                            .user = mbg });
+}
+
 char *
 hsv_path (h2o_req_t *req)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -107,6 +107,32 @@
  */
 void hsv_close_if_pipelined (h2o_req_t *req);
 
+/**
+ * struct HsvWrite - a response of which something is being written
+ * @link: in the server's list
+ * @unsent_bytes: what the kernel had not taken at @progress_at_ms
+ * @progress_at_ms: when the kernel last took bytes
+ */
+typedef struct
+{
+  HsvServer *server;
+  h2o_socket_t *sock;
+  GList link;
+  size_t unsent_bytes;
+  uint64_t progress_at_ms;
+} HsvWrite;
+
+/** hsv_begin_write() - hsv_close_stalled() closes the connection if its caller doesn't read, until
+ * hsv_end_write(). */
+void hsv_begin_write (h2o_req_t *req, HsvWrite *write);
+
+/** hsv_end_write() - ends what hsv_begin_write() began; no effect if it did not. */
+void hsv_end_write (HsvWrite *write);
+
+/** hsv_send_text() - sends a text, which it frees, with status 200; a server with a budget counts
+ * it until it is written, or responds with 503 if there is no room. */
+void hsv_send_text (h2o_req_t *req, const char *media_type, char *text);
+
 /** hsv_respond() - sends a response with a text @body; @media_type may be NULL. */
 void hsv_respond (h2o_req_t *req, int status, const char *media_type, const char *body);
 
--- a/src/lim.h
+++ b/src/lim.h
@@ -139,6 +139,16 @@
 #define MBG_RESERVED_FDS 200
 #define MBG_OUTGOING_FDS_DIVISOR 3
 #define MBG_PROBES_DIVISOR 16
+#define MBG_TICK_MS 100
+
+/* Memory of larger blocks returns to the system when they are freed; by default the C library
+ * raises this limit with the blocks that it has freed. */
+#define MBG_MMAP_THRESHOLD_BYTES (128 * 1024)
+
+/* An entry holds a request in the buffer in which it was received, for further attempts, and in the
+ * attempt. A request has a connection to an upstream and one to the store. */
+#define ENTRY_REQUEST_COPIES 3
+#define ENTRY_CALLS_PER_REQUEST 2
 
 /* Socket buffers of callers in processes whose memory is stated. The kernel doubles the sizes. A
  * connection that waits holds up to MBG_UNREAD_BYTES unread. */
--- a/src/mbg.c
+++ b/src/mbg.c
@@ -13,10 +13,16 @@
                                                           : MBG_LARGE_MIN_BYTES;
 }
 
+static uint32_t
+usable_fds (uint32_t max_fds)
+{
+  return max_fds > MBG_RESERVED_FDS ? max_fds - MBG_RESERVED_FDS : 0;
+}
+
 static uint32_t
 callers_within (uint32_t max_fds)
 {
-  uint32_t usable = max_fds > MBG_RESERVED_FDS ? max_fds - MBG_RESERVED_FDS : 0;
+  uint32_t usable = usable_fds (max_fds);
 
   return MAX (usable - usable / MBG_OUTGOING_FDS_DIVISOR, 1);
 }
@@ -29,7 +35,8 @@
                       .responses_bytes = RESPONSES_TOTAL_MAX_BYTES,
                       .responses_max_bytes = RESPONSES_TOTAL_MAX_BYTES,
                       .waiting = UINT32_MAX,
-                      .callers = UINT32_MAX };
+                      .callers = UINT32_MAX,
+                      .copies = 1 };
 }
 
 MbgLimits
@@ -50,12 +57,27 @@
                           .responses_max_bytes = RESPONSES_TOTAL_MAX_BYTES,
                           .waiting = (uint32_t) (part_bytes / MBG_UNREAD_BYTES),
                           .callers = (uint32_t) (part_bytes / MBG_FREE_BYTES),
+                          .copies = 1,
                           .bounded = true };
   if (max_fds > 0)
     limits.callers = MIN (limits.callers, callers_within (max_fds));
   return limits;
 }
 
+void
+mbg_set_copies (MbgLimits *limits, uint32_t copies)
+{
+  if (limits->bounded)
+    limits->copies = copies;
+}
+
+void
+mbg_set_calls (MbgLimits *limits, uint32_t max_fds, uint32_t calls)
+{
+  if (max_fds > 0)
+    limits->callers = MIN (limits->callers, MAX (usable_fds (max_fds) / (calls + 1), 1));
+}
+
 void
 mbg_init (Mbg *mbg, const MbgLimits *limits)
 {
@@ -67,7 +89,8 @@
 {
   if (!mbg->limits.bounded)
     return configured_bytes;
-  return MIN (configured_bytes, mbg->limits.large_bytes - MBG_HEAD_MAX_BYTES - MBG_SPARE_BYTES);
+  return MIN (configured_bytes,
+              mbg->limits.large_bytes / mbg->limits.copies - MBG_HEAD_MAX_BYTES - MBG_SPARE_BYTES);
 }
 
 /* ---- Claims ---- */
@@ -301,6 +324,12 @@
   mbg->unread_bytes = unread_bytes;
 }
 
+void
+mbg_add_unread (Mbg *mbg, int64_t bytes)
+{
+  mbg->unread_bytes += (uint64_t) bytes;
+}
+
 bool
 mbg_is_full_of_unread (const Mbg *mbg)
 {
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -19,6 +19,7 @@
  * @responses_max_bytes: the same, including what is lent to them
  * @waiting: connections that may wait at the same time
  * @callers: connections of callers
+ * @copies: how many times the process holds a request that it has received
  * @bounded: the limits come from a stated memory size; if not, only @large_bytes and
  *   @responses_bytes are limited
  */
@@ -33,6 +34,7 @@
   uint64_t responses_max_bytes;
   uint32_t waiting;
   uint32_t callers;
+  uint32_t copies;
   bool bounded;
 } MbgLimits;
 
@@ -141,6 +143,14 @@
  */
 MbgLimits mbg_limits (uint32_t memory_mb, uint32_t max_fds);
 
+/** mbg_set_copies() - the process copies requests, so that it holds each @copies times; no effect
+ * if its memory is unknown. */
+void mbg_set_copies (MbgLimits *limits, uint32_t copies);
+
+/** mbg_set_calls() - limits the callers so that each can have @calls outgoing connections; no
+ * effect if @max_fds is 0. */
+void mbg_set_calls (MbgLimits *limits, uint32_t max_fds, uint32_t calls);
+
 void mbg_init (Mbg *mbg, const MbgLimits *limits);
 
 /** mbg_body_max_bytes() - largest request body that the budget can ever hold, at most
@@ -182,6 +192,10 @@
 /** mbg_set_responses() - records the memory of responses; @total_bytes includes @unread_bytes. */
 void mbg_set_responses (Mbg *mbg, uint64_t total_bytes, uint64_t unread_bytes);
 
+/** mbg_add_unread() - adds @bytes, which may be negative, to the responses that callers have not
+ * read; for processes that don't call mbg_set_responses(). */
+void mbg_add_unread (Mbg *mbg, int64_t bytes);
+
 /** mbg_is_full_of_unread() - whether responses that callers have not read take so much that
  * mbg_must_close_unread() can be true. */
 bool mbg_is_full_of_unread (const Mbg *mbg);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -201,6 +201,19 @@
   return conn->framing.head_bytes == 0 && conn->sock->input->size > MBG_HEAD_MAX_BYTES;
 }
 
+static uint32_t
+copies (const RdlConn *conn)
+{
+  return conn->rdl->mbg->limits.copies;
+}
+
+/* A request within that size, with its copies, is covered by its connection. */
+static size_t
+free_bytes (const RdlConn *conn)
+{
+  return MBG_FREE_BYTES / copies (conn);
+}
+
 /* Memory that the request takes in the end, as far as it is known. A chunked body takes a small
  * part first, then as much as the largest one. */
 static uint64_t
@@ -211,10 +224,12 @@
   uint64_t most_bytes = conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
 
   if (framing->head_bytes == 0)
-    return MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+    return (uint64_t) copies (conn) * (MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES);
   if (framing->is_chunked)
-    return size <= MBG_SMALL_BYTES / 2 ? MBG_SMALL_BYTES : most_bytes;
-  return MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
+    return size <= MBG_SMALL_BYTES / 2 / copies (conn) ? MBG_SMALL_BYTES
+                                                       : copies (conn) * most_bytes;
+  return copies (conn)
+         * MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
 }
 
 static void
@@ -232,7 +247,7 @@
 {
   bool is_large = conn->claim.bytes > MBG_SMALL_BYTES;
 
-  enlarge_input (conn->sock, conn->claim.bytes);
+  enlarge_input (conn->sock, conn->claim.bytes / copies (conn));
   if (conn->rdl->mbg->limits.bounded && (is_large || conn->is_paused))
     set_buffer (conn->sock, SO_RCVBUF,
                 is_large ? RDL_LARGE_RECEIVE_BUFFER_BYTES : RDL_RECEIVE_BUFFER_BYTES);
@@ -257,7 +272,7 @@
   size_t size = conn->sock->input->size;
   uint64_t now_ms = uv_now (conn->rdl->loop);
 
-  if (size < MBG_FREE_BYTES)
+  if (size < free_bytes (conn))
     return;
   if (conn->framing.head_bytes == 0)
     conn->framing = read_framing (conn->sock->input->bytes, size);
@@ -297,9 +312,9 @@
   size_t size = conn->sock->input->size;
 
   set_reading (conn, false);
-  if (size <= MBG_FREE_BYTES && conn->claim.bytes == 0)
+  if (size <= free_bytes (conn) && conn->claim.bytes == 0)
     return;
-  mbg_complete (conn->rdl->mbg, &conn->claim, size + MBG_SPARE_BYTES);
+  mbg_complete (conn->rdl->mbg, &conn->claim, copies (conn) * (size + MBG_SPARE_BYTES));
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
 }
 
@@ -388,7 +403,8 @@
 
   if (conn->sock->_cb.read != conn->rdl->h2o_read && input->bytes != NULL
       && input->capacity > MBG_SPARE_BYTES)
-    mbg_complete (conn->rdl->mbg, &conn->claim, input->capacity);
+    mbg_complete (conn->rdl->mbg, &conn->claim,
+                  input->capacity + (copies (conn) - 1) * input->size);
 }
 
 /* h2o reads the next request of a connection after it has freed the one before. */
--- a/tests/test_mbg.cc
+++ b/tests/test_mbg.cc
@@ -224,3 +224,49 @@
   EXPECT_TRUE (mbg_has_response_room (&mbg_, 6 * kMb));
   EXPECT_FALSE (mbg_has_response_room (&mbg_, 32 * kMb));
 }
+
+// Guards against a process that copies bodies and accepts one whose copies exceed the memory.
+TEST_F (BudgetTest, CopiesCountInTheLargestBody)
+{
+  for (uint32_t memory_mb : { 24u, 64u, 112u })
+    {
+      MbgLimits limits = mbg_limits (memory_mb, 0);
+      mbg_set_copies (&limits, 3);
+      mbg_init (&mbg_, &limits);
+      uint64_t body_bytes = mbg_body_max_bytes (&mbg_, UINT64_MAX);
+      EXPECT_GT (body_bytes, kMb);
+      MbgClaim claim = {};
+      EXPECT_EQ (Take (&claim, 3 * (body_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES)), MBG_TAKE);
+      mbg_release (&mbg_, &claim);
+    }
+  MbgLimits unknown = mbg_limits (0, 1000);
+  mbg_set_copies (&unknown, 3);
+  EXPECT_EQ (unknown.copies, 1u);
+}
+
+// Guards against callers whose requests' own connections exceed the descriptors.
+TEST_F (BudgetTest, CallsOfRequestsCountInTheDescriptors)
+{
+  for (uint32_t max_fds : { 1u, 201u, 400u, 2870u })
+    {
+      MbgLimits limits = mbg_limits (0, max_fds);
+      mbg_set_calls (&limits, max_fds, 2);
+      EXPECT_GE (limits.callers, 1u);
+      EXPECT_TRUE (limits.callers == 1 || 3 * limits.callers + MBG_RESERVED_FDS <= max_fds);
+    }
+  MbgLimits unknown = mbg_limits (64, 0);
+  uint32_t callers = unknown.callers;
+  mbg_set_calls (&unknown, 0, 2);
+  EXPECT_EQ (unknown.callers, callers);
+}
+
+// Guards against responses that stay counted after they have been read.
+TEST_F (BudgetTest, UnreadBytesAreAddedAndSubtracted)
+{
+  SetMemory (64);
+  mbg_add_unread (&mbg_, 3 * kMb);
+  EXPECT_TRUE (mbg_must_close_unread (&mbg_, MBG_UNREAD_STALL_MS));
+  mbg_add_unread (&mbg_, -static_cast<int64_t> (3 * kMb));
+  EXPECT_FALSE (mbg_must_close_unread (&mbg_, MBG_UNREAD_STALL_MS));
+  EXPECT_EQ (mbg_.unread_bytes, 0u);
+}
