--- a/src/dsp.c
+++ b/src/dsp.c
@@ -181,10 +181,7 @@
     g_byte_array_append (req->claim_body, (const guint8 *) data, (guint) size);
   if (req->h2o == NULL)
     return;
-  g_byte_array_append (req->pending_body, (const guint8 *) data, (guint) size);
-  rsp_flush (req);
-  if (req->pending_body->len >= STREAM_BUFFER_MAX_BYTES)
-    hcl_pause (call);
+  rsp_add (req, call, data, size);
 }
 
 static void
--- a/src/edm.c
+++ b/src/edm.c
@@ -1,6 +1,7 @@
 /* State dump (JSON) and metrics (Prometheus text) of an entry. */
 #include "entry.h"
 #include "jsn.h"
+#include "mbs.h"
 
 #include <string.h>
 
@@ -167,6 +168,8 @@
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (rows); i++)
     met_write_value (out, rows[i].name, NULL, rows[i].value);
+  if (entry->has_budget)
+    mbs_write_metrics (&entry->memory, "cardamom_entry_", out);
   met_write_histogram (out, "cardamom_entry_request_seconds", &entry->latency);
   met_write_histogram (out, "cardamom_entry_claim_seconds", &entry->claim_latency);
   return g_string_free (out, FALSE);
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,8 +1,10 @@
 /* Entry process: answers lookups and forwards requests of callers to upstreams. */
 #include "entry.h"
 
+#include "mbs.h"
 #include "set.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <time.h>
@@ -22,6 +24,8 @@
     "selection of the upstream" },
   { "claims", SET_CHOICE, "on", "on|off", "claims for non-idempotent requests" },
   { "budgets", SET_CHOICE, "on", "on|off", "budgets of requests in flight" },
+  { "memory-mb", SET_UINT, "0", "0..1048576", "memory of this process in MB; 0: not bounded" },
+  { "max-fds", SET_UINT, "0", "0..1048576", "file descriptors of this process; 0: not bounded" },
   { "log-level", SET_CHOICE, "info", "debug|info|warn|error", "minimum level of logged events" },
   { NULL, SET_TEXT, NULL, NULL, NULL },
 };
@@ -44,13 +48,6 @@
 
 /* ---- HTTP ---- */
 
-static void
-reply_and_free (h2o_req_t *req, const char *type, char *text)
-{
-  hsv_respond (req, 200, type, text);
-  g_free (text);
-}
-
 static void
 on_http (void *user, h2o_req_t *req)
 {
@@ -64,9 +61,9 @@
   else if (strcmp (path, "/lookup") == 0)
     lkp_respond (entry, req);
   else if (strcmp (path, "/dump") == 0)
-    reply_and_free (req, "application/json", edm_dump (entry));
+    hsv_send_text (req, "application/json", edm_dump (entry));
   else if (strcmp (path, "/metrics") == 0)
-    reply_and_free (req, "text/plain", edm_metrics (entry));
+    hsv_send_text (req, "text/plain", edm_metrics (entry));
   else
     hsv_respond (req, 404, "text/plain", "known paths: /lookup /svc/NAME/... /dump /metrics\n");
   g_free (path);
@@ -196,6 +193,38 @@
   return entry->server != NULL;
 }
 
+static void
+on_budget_timer (uv_timer_t *timer)
+{
+  Entry *entry = timer->data;
+
+  hsv_close_stalled (entry->server);
+  mbs_log (&entry->memory, &entry->log, &entry->turned_away_logged);
+}
+
+/* Without the settings, nothing is bounded but what the constants of lim.h bound. */
+static void
+start_budget (Entry *entry, const Settings *settings)
+{
+  uint32_t memory_mb = set_uint (settings, "memory-mb");
+  uint32_t max_fds = set_uint (settings, "max-fds");
+  MbgLimits limits = mbg_limits (memory_mb, max_fds);
+  uv_timer_t *timer;
+
+  if (memory_mb == 0 && max_fds == 0)
+    return;
+  mallopt (M_MMAP_THRESHOLD, MBG_MMAP_THRESHOLD_BYTES);
+  mbg_set_copies (&limits, ENTRY_REQUEST_COPIES);
+  mbg_set_calls (&limits, max_fds, ENTRY_CALLS_PER_REQUEST);
+  mbg_init (&entry->memory, &limits);
+  hsv_set_budget (entry->server, &entry->memory, RDL_CALLERS);
+  entry->has_budget = true;
+  timer = g_new0 (uv_timer_t, 1);
+  uv_timer_init (entry->loop, timer);
+  timer->data = entry;
+  uv_timer_start (timer, on_budget_timer, MBG_TICK_MS, MBG_TICK_MS);
+}
+
 static int
 run (Entry *entry)
 {
@@ -242,6 +271,7 @@
       fprintf (stderr, "%s\n", err.text);
       return 1;
     }
+  start_budget (entry, settings);
   int code = run (entry);
   set_free (settings);
   return code;
--- a/src/entry.h
+++ b/src/entry.h
@@ -166,6 +166,8 @@
  * @granted_loans: loans to other entries
  * @loan_sequence: number of the latest loan request or statement sent
  * @sync: state of the synchronization with the steer, private to syn.c
+ * @has_budget: requests and responses are held within @memory
+ * @turned_away_logged: mbg_turned_away() of the last log line
  * @latency: from the start of a request to the end of its response
  */
 typedef struct
@@ -209,6 +211,9 @@
   MetHistogram latency;
   MetHistogram claim_latency;
   EntryCounters counters;
+  Mbg memory;
+  bool has_budget;
+  uint64_t turned_away_logged;
 } Entry;
 
 /** entry_now_ms() - monotonic time, cached by the event loop once per iteration. */
--- a/src/req.c
+++ b/src/req.c
@@ -23,6 +23,7 @@
   Req *req = ref->req;
 
   req->h2o = NULL;
+  hsv_end_write (&req->write);
   if (!req->response_ended)
     {
       req->entry->counters.callers_gone++;
@@ -41,6 +42,9 @@
       else if (req->call != NULL)
         hcl_resume (req->call);
     }
+  /* h2o's buffer is freed, the other copies are not. */
+  if (req->entry->has_budget && req->body->len > 0)
+    mbg_complete (&req->entry->memory, &req->memory, (ENTRY_REQUEST_COPIES - 1) * req->body->len);
   rqs_free_if_done (req);
 }
 
--- a/src/rqs.c
+++ b/src/rqs.c
@@ -29,6 +29,11 @@
       else
         clm_release (req->claim);
     }
+  if (req->entry->has_budget)
+    {
+      mbg_add_unread (&req->entry->memory, -(int64_t) req->counted_bytes);
+      mbg_release (&req->entry->memory, &req->memory);
+    }
   uv_close ((uv_handle_t *) req->timer, on_timer_closed);
   g_free (req->method);
   g_free (req->target);
--- a/src/rqs.h
+++ b/src/rqs.h
@@ -75,6 +75,9 @@
  * @response_failed: the response to the caller can't be completed
  * @pending_body: response body that waits to be sent to the caller
  * @sending_body: response body that the HTTP server is sending
+ * @write: while @sending
+ * @counted_bytes: bytes of @pending_body and @sending_body that the budget counts
+ * @memory: what the budget counts of a request that goes on without its caller
  * @claim_body: response body to store with the claim, at most CLAIM_RESPONSE_MAX_BYTES
  */
 typedef struct
@@ -127,6 +130,9 @@
   GByteArray *pending_body;
   GByteArray *sending_body;
   GByteArray *claim_body;
+  HsvWrite write;
+  uint32_t counted_bytes;
+  MbgClaim memory;
 } Req;
 
 /**
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -6,6 +6,51 @@
 
 #define CONTENT_RANGE_PREFIX "bytes "
 
+/* ---- Memory budget ---- */
+
+static void
+count_buffered (Req *req)
+{
+  uint32_t bytes = req->pending_body->len + req->sending_body->len;
+
+  if (!req->entry->has_budget)
+    return;
+  mbg_add_unread (&req->entry->memory, (int64_t) bytes - req->counted_bytes);
+  req->counted_bytes = bytes;
+}
+
+/* A response of which nothing is held goes on in any case: its caller reads. */
+static bool
+may_buffer (const Req *req)
+{
+  if (req->pending_body->len >= STREAM_BUFFER_MAX_BYTES)
+    return false;
+  return !req->entry->has_budget || req->counted_bytes == 0
+         || mbg_has_response_room (&req->entry->memory, 0);
+}
+
+static void
+free_sent (Req *req)
+{
+  if (!req->entry->has_budget)
+    return;
+  g_byte_array_unref (req->sending_body);
+  req->sending_body = g_byte_array_new ();
+  count_buffered (req);
+}
+
+/* ---- Sending ---- */
+
+void
+rsp_add (Req *req, HclCall *call, const char *data, size_t size)
+{
+  g_byte_array_append (req->pending_body, (const guint8 *) data, (guint) size);
+  rsp_flush (req);
+  count_buffered (req);
+  if (!may_buffer (req))
+    hcl_pause (call);
+}
+
 void
 rsp_flush (Req *req)
 {
@@ -21,6 +66,8 @@
   g_byte_array_set_size (req->pending_body, 0);
   data = h2o_iovec_init (req->sending_body->data, req->sending_body->len);
   req->sending = true;
+  if (req->entry->has_budget)
+    hsv_begin_write (req->h2o, &req->write);
   if (req->response_failed || req->upstream_response_complete)
     rqs_end_response (req);
   h2o_send (req->h2o, &data, data.len > 0 ? 1 : 0,
@@ -45,7 +92,9 @@
   (void) h2o;
 
   req->sending = false;
-  if (req->call != NULL && req->pending_body->len < STREAM_BUFFER_MAX_BYTES)
+  hsv_end_write (&req->write);
+  free_sent (req);
+  if (req->call != NULL && may_buffer (req))
     hcl_resume (req->call);
   rsp_flush (req);
 }
--- a/src/steer.c
+++ b/src/steer.c
@@ -2,11 +2,12 @@
  * steers and passes it to entries, and plans while it holds the planner's lease. */
 #include "steer.h"
 
-#include "hsv.h"
 #include "jsn.h"
+#include "mbs.h"
 #include "set.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <time.h>
@@ -27,6 +28,8 @@
   { "peers", SET_TEXT, "none", NULL,
     "steers to contact at start: comma-separated addresses, or 'none'" },
   { "charts", SET_TEXT, "charts", NULL, "directory of the state charts" },
+  { "memory-mb", SET_UINT, "0", "0..1048576", "memory of this process in MB; 0: not bounded" },
+  { "max-fds", SET_UINT, "0", "0..1048576", "file descriptors of this process; 0: not bounded" },
   { "log-level", SET_CHOICE, "info", "debug|info|warn|error", "minimum level of logged events" },
   { NULL, SET_TEXT, NULL, NULL, NULL },
 };
@@ -441,6 +444,8 @@
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (rows); i++)
     met_write_value (out, rows[i].name, NULL, rows[i].value);
+  if (steer->has_budget)
+    mbs_write_metrics (&steer->memory, "cardamom_steer_", out);
   return g_string_free (out, FALSE);
 }
 
@@ -449,15 +454,13 @@
 {
   Steer *steer = user;
   char *path = hsv_path (req);
-  char *text = NULL;
 
   if (strcmp (path, "/dump") == 0)
-    hsv_respond (req, 200, "application/json", text = dump_text (steer));
+    hsv_send_text (req, "application/json", dump_text (steer));
   else if (strcmp (path, "/metrics") == 0)
-    hsv_respond (req, 200, "text/plain", text = metrics_text (steer));
+    hsv_send_text (req, "text/plain", metrics_text (steer));
   else
     hsv_respond (req, 404, "text/plain", "known paths: /dump /metrics\n");
-  g_free (text);
   g_free (path);
 }
 
@@ -570,33 +573,60 @@
   return true;
 }
 
+static void
+on_budget_timer (uv_timer_t *timer)
+{
+  Steer *steer = timer->data;
+
+  hsv_close_stalled (steer->status_server);
+  mbs_log (&steer->memory, &steer->log, &steer->turned_away_logged);
+}
+
+/* Without the settings, nothing is bounded but what the constants of lim.h bound. */
+static void
+start_budget (Steer *steer, const Settings *settings, uv_timer_t *timer)
+{
+  uint32_t memory_mb = set_uint (settings, "memory-mb");
+  uint32_t max_fds = set_uint (settings, "max-fds");
+  MbgLimits limits = mbg_limits (memory_mb, max_fds);
+
+  if (memory_mb == 0 && max_fds == 0)
+    return;
+  mallopt (M_MMAP_THRESHOLD, MBG_MMAP_THRESHOLD_BYTES);
+  mbg_init (&steer->memory, &limits);
+  hsv_set_budget (steer->status_server, &steer->memory, RDL_PROBES);
+  steer->has_budget = true;
+  start_timer (steer, timer, on_budget_timer, MBG_TICK_MS);
+}
+
 static int
 run (Steer *steer, const Settings *settings)
 {
   uv_timer_t join_timer;
   uv_timer_t report_timer;
+  uv_timer_t budget_timer;
   uv_signal_t signals[3];
   const int signal_numbers[] = { SIGTERM, SIGINT, SIGUSR1 };
   NetAddr http;
   Err err = { 0 };
-  HsvServer *server;
 
   signal (SIGPIPE, SIG_IGN);
   net_addr_parse (set_text (settings, "steer-http"), &http);
-  server = hsv_start (steer->loop, http, on_http, steer, &err);
-  if (server == NULL)
+  steer->status_server = hsv_start (steer->loop, http, on_http, steer, &err);
+  if (steer->status_server == NULL)
     {
       log_event (&steer->log, LOG_ERROR, "start_failed", "error=\"%s\"", err.text);
       return 1;
     }
   log_event (&steer->log, LOG_INFO, "listening", "rpc_port=%u http_port=%u",
-             onc_port (steer->server), hsv_port (server));
+             onc_port (steer->server), hsv_port (steer->status_server));
   for (uint32_t i = 0; i < 3; i++)
     {
       uv_signal_init (steer->loop, &signals[i]);
       signals[i].data = steer;
       uv_signal_start (&signals[i], on_signal, signal_numbers[i]);
     }
+  start_budget (steer, settings, &budget_timer);
   flw_start (steer);
   gsp_start (steer);
   prb_start (steer);
--- a/src/steer.h
+++ b/src/steer.h
@@ -4,6 +4,7 @@
 #include "cfg.h"
 #include "hcl.h"
 #include "hlt.h"
+#include "hsv.h"
 #include "log.h"
 #include "mem.h"
 #include "met.h"
@@ -62,6 +63,9 @@
  * @local_sync_at_ms: last sync call of this VM's entry; 0 before the first
  * @poison_sends_left: gossip messages that are still to carry a suspect, by fingerprint
  * @reports: last report (SteerReport) of each entry, by VM name
+ * @status_server: metrics and state dump
+ * @memory: budget of @status_server, if @has_budget
+ * @turned_away_logged: mbg_turned_away() of the last log line
  */
 typedef struct
 {
@@ -90,6 +94,10 @@
   GHashTable *poison_sends_left;
   GHashTable *reports;
   SteerCounters counters;
+  HsvServer *status_server;
+  Mbg memory;
+  bool has_budget;
+  uint64_t turned_away_logged;
   Flw *follower;
   Gsp *gossip;
   Prb *probe;
