HTTP client: an upstream's Content-Length or Transfer-Encoding no longer ends the process

h2o's client asserts that the connection isn't persistent when it reports an error of the framing, but sets that before it reads the headers. A Content-Length that is no number, an unknown Transfer-Encoding, and also "Chunked" or a space behind a number ended entry, steer and cardamomctl. Heads are checked before h2o parses them; the value is written as h2o expects it, or the connection counts as lost. Heads over 64 KB, for which h2o has no limit, are rejected too.

--- a/src/hcl.c
+++ b/src/hcl.c
@@ -2,6 +2,7 @@
 #include "hcl.h"
 
 #include "lim.h"
+#include "rhd.h"
 
 #include <netinet/tcp.h>
 #include <string.h>
@@ -35,6 +36,8 @@
   char *body;
   h2o_iovec_t bufs[2];
   h2o_socket_cb paused_read_cb;
+  h2o_socket_cb head_read_cb;
+  h2o_socket_cb written_cb;
   bool method_is_head;
   bool write_started;
   bool head_received;
@@ -61,6 +64,7 @@
       g_string_free (call->fetch->body, TRUE);
       g_free (call->fetch);
     }
+  g_ptr_array_remove_fast (call->ctx->connected, call);
   uv_close ((uv_handle_t *) call->timer, on_timer_closed);
   g_free (call->head);
   g_free (call->body);
@@ -180,6 +184,66 @@
   return on_body;
 }
 
+/* ---- Check of heads before h2o parses them ---- */
+
+/* The socket's data is h2o's client state, whose first member is its h2o_http1client_t. */
+static HclCall *
+call_of_socket (const h2o_socket_t *sock)
+{
+  return ((h2o_http1client_t *) sock->data)->data;
+}
+
+static void
+on_guarded_read (h2o_socket_t *sock, const char *err)
+{
+  h2o_socket_cb read = call_of_socket (sock)->head_read_cb;
+
+  if (err == NULL && !rhd_check (sock->input->bytes, sock->input->size))
+    err = h2o_socket_error_closed;
+  read (sock, err);
+}
+
+static void
+guard_read (HclCall *call, h2o_socket_t *sock)
+{
+  if (call->head_received || sock->_cb.read == NULL)
+    return;
+  call->head_read_cb = sock->_cb.read;
+  sock->_cb.read = on_guarded_read;
+}
+
+/* h2o reads the head when the request is written, or closes the connection if that fails. */
+static void
+on_guarded_write (h2o_socket_t *sock, const char *err)
+{
+  HclCall *call = call_of_socket (sock);
+
+  call->written_cb (sock, err);
+  if (err == NULL)
+    guard_read (call, sock);
+}
+
+static void
+on_guard_heads (uv_prepare_t *prepare)
+{
+  HclCtx *ctx = prepare->data;
+
+  uv_prepare_stop (prepare);
+  for (guint i = 0; i < ctx->connected->len; i++)
+    {
+      HclCall *call = ctx->connected->pdata[i];
+      h2o_socket_t *sock = call->client->sock;
+      if (sock->_cb.write != NULL)
+        {
+          call->written_cb = sock->_cb.write;
+          sock->_cb.write = on_guarded_write;
+        }
+      else
+        guard_read (call, sock);
+    }
+  g_ptr_array_set_size (ctx->connected, 0);
+}
+
 static void
 set_socket_options (h2o_socket_t *sock)
 {
@@ -203,6 +267,8 @@
     }
   set_socket_options (client->sock);
   call->write_started = true;
+  g_ptr_array_add (call->ctx->connected, call);
+  uv_prepare_start (&call->ctx->guard_heads, on_guard_heads);
   *reqbufs = call->bufs;
   *reqbufcnt = call->bufs[1].len > 0 ? 2 : 1;
   *method_is_head = call->method_is_head;
@@ -220,6 +286,10 @@
   h2o_timeout_init (loop, &ctx->io_timeout, IO_TIMEOUT_MS);
   ctx->h2o.loop = loop;
   ctx->h2o.io_timeout = &ctx->io_timeout;
+  ctx->connected = g_ptr_array_new ();
+  uv_prepare_init (loop, &ctx->guard_heads);
+  uv_unref ((uv_handle_t *) &ctx->guard_heads);
+  ctx->guard_heads.data = ctx;
 }
 
 static HclCall *
--- a/src/hcl.h
+++ b/src/hcl.h
@@ -30,12 +30,18 @@
 /** typedef HclCall - one request and its response; freed after @on_end or hcl_cancel() */
 typedef struct _HclCall HclCall;
 
-/** struct HclCtx - state that all calls on one event loop share */
+/**
+ * struct HclCtx - state that all calls on one event loop share
+ * @connected: calls whose connections have just been made; their heads are checked from
+ *   @guard_heads on, which runs before the next poll
+ */
 typedef struct
 {
   uv_loop_t *loop;
   h2o_timeout_t io_timeout;
   h2o_http1client_ctx_t h2o;
+  GPtrArray *connected;
+  uv_prepare_t guard_heads;
 } HclCtx;
 
 /** struct HclHead - a response's status and headers; valid during the callback only */
--- a/src/lim.h
+++ b/src/lim.h
@@ -79,6 +79,7 @@
 #define SYNC_ITEMS_MAX 4096
 
 /* Request path. */
+#define RESPONSE_HEAD_MAX_BYTES (64u * 1024u)
 #define CONNECT_TIMEOUT_MS 500
 #define HEAD_TIMEOUT_MS 10000
 #define REUSED_HEAD_DIVISOR 3
--- /dev/null
+++ b/src/rhd.c
@@ -0,0 +1,121 @@
+/* Heads of responses: check of the framing before the HTTP library parses it. Pure. */
+#include "rhd.h"
+
+#include "lim.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Digits of a Content-Length that a 64-bit number holds in any case. */
+#define LENGTH_DIGITS_MAX 18
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+/* Moves the value to the end of the line, as h2o passes over spaces only before it. */
+static char *
+trim_value (char *value, char **end)
+{
+  char *last = *end;
+
+  while (value < last && is_blank (*value))
+    value++;
+  while (last > value && is_blank (last[-1]))
+    last--;
+  size_t size = (size_t) (last - value);
+  char *moved = *end - size;
+  memmove (moved, value, size);
+  memset (value, ' ', (size_t) (moved - value));
+  return moved;
+}
+
+static bool
+check_length (const char *value, const char *end)
+{
+  if (value == end || end - value > LENGTH_DIGITS_MAX)
+    return false;
+  while (value < end && g_ascii_isdigit (*value))
+    value++;
+  return value == end;
+}
+
+static bool
+check_encoding (char *value, const char *end)
+{
+  static const char *const names[] = { "chunked", "identity" };
+  size_t size = (size_t) (end - value);
+
+  for (size_t i = 0; i < size; i++)
+    value[i] = g_ascii_tolower (value[i]);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (size == strlen (names[i]) && memcmp (value, names[i], size) == 0)
+      return true;
+  return false;
+}
+
+static bool
+has_name (const char *line, const char *end, const char *name)
+{
+  size_t size = strlen (name);
+
+  return (size_t) (end - line) >= size && g_ascii_strncasecmp (line, name, size) == 0;
+}
+
+/* Responses such as "100 Continue" are followed by another head; h2o skips spaces before the
+ * status. */
+static bool
+is_informational (const char *line, const char *end)
+{
+  const char *status = memchr (line, ' ', (size_t) (end - line));
+
+  while (status != NULL && status < end && *status == ' ')
+    status++;
+  return status != NULL && end - status >= 3 && status[0] == '1' && strncmp (status, "101", 3) != 0;
+}
+
+static bool
+check_header (char *line, char *end, bool *is_framing)
+{
+  if (*is_framing && is_blank (line[0]))
+    return false;
+  *is_framing = true;
+  if (has_name (line, end, "content-length:"))
+    return check_length (trim_value (line + strlen ("content-length:"), &end), end);
+  if (has_name (line, end, "transfer-encoding:"))
+    return check_encoding (trim_value (line + strlen ("transfer-encoding:"), &end), end);
+  *is_framing = false;
+  return true;
+}
+
+bool
+rhd_check (char *bytes, size_t size)
+{
+  size_t head_at = 0;
+  bool is_status_line = true;
+  bool informational = false;
+  bool is_framing = false;
+
+  for (size_t at = 0; at < size;)
+    {
+      char *line = bytes + at;
+      char *end = memchr (line, '\n', size - at);
+      if (end == NULL)
+        break;
+      at = (size_t) (end - bytes) + 1;
+      if (end > line && end[-1] == '\r')
+        end--;
+      if (is_status_line)
+        informational = is_informational (line, end);
+      else if (line == end && !informational)
+        return at - head_at <= RESPONSE_HEAD_MAX_BYTES;
+      else if (line == end)
+        head_at = at;
+      else if (!check_header (line, end, &is_framing))
+        return false;
+      is_status_line = line == end && head_at == at;
+    }
+  return size - head_at <= RESPONSE_HEAD_MAX_BYTES;
+}
--- a/tests/test_hcl.cc
+++ b/tests/test_hcl.cc
@@ -147,3 +147,46 @@
   for (size_t size = 0; size <= response.size (); size++)
     EXPECT_NE (OutcomeOf (response.substr (0, size)), HCL_DONE) << size;
 }
+
+// The HTTP library ends the process for some heads of HTTP/1.1 responses with a framing that it
+// can't use. Found by FuzzLoop.ResponsesToEntryAndSteer.
+class MalformedFraming : public HttpClient, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P (MalformedFraming, IsNoCompleteResponse)
+{
+  EXPECT_NE (OutcomeOf (kHead + GetParam () + "\r\n\r\nhello"), HCL_DONE);
+  EXPECT_NE (OutcomeOf ("HTTP/1.1 100 Continue\r\n\r\n" + kHead + GetParam () + "\r\n\r\nhello"),
+             HCL_DONE);
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Heads, MalformedFraming,
+    testing::Values ("Content-Length: x", "Content-Length: ", "Content-Length: -1",
+                     "Content-Length: 5x", "content-length: 99999999999999999999999",
+                     "Transfer-Encoding: gzip",
+                     "Transfer-Encoding: ", "transfer-encoding: chunked, gzip",
+                     "Content-Length: 5\r\n 6", "Content-Length: x\r\nConnection: close",
+                     "Content-Length: 5\r\nContent-Length: x"));
+
+// Guards against a check of the framing that is stricter than the HTTP library.
+class UsualFraming : public HttpClient, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P (UsualFraming, IsACompleteResponse)
+{
+  EXPECT_EQ (OutcomeOf (kHead + GetParam ()), HCL_DONE);
+  EXPECT_EQ (OutcomeOf ("HTTP/1.1 100 Continue\r\n\r\n" + kHead + GetParam ()), HCL_DONE);
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Heads, UsualFraming,
+    testing::Values ("Content-Length: 5\r\n\r\nhello", "content-length:5\r\n\r\nhello",
+                     "Content-Length: 5 \r\n\r\nhello", "Content-Length: \t5\r\n\r\nhello",
+                     "Content-Length: 005\n\nhello",
+                     "TRANSFER-ENCODING: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                     "Transfer-Encoding: chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                     "Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nhello",
+                     "Content-Length: 0\r\n\r\n"));
