Configuration: a route's sticky that is no boolean counts as missing; fuzzing of updates and summaries

The JSON library logged a critical message for an array or object. Criticals now end the fuzz tests. Datagrams were mutations of views only; updates and summaries are added.

--- a/tests/test_fuzz.cc
+++ b/tests/test_fuzz.cc
@@ -40,6 +40,9 @@
 class FuzzTest : public testing::Test
 {
 protected:
+  // A critical message of GLib or the JSON library means that its functions were misused.
+  FuzzTest () { g_log_set_always_fatal (static_cast<GLogLevelFlags> (G_LOG_LEVEL_CRITICAL)); }
+
   std::string
   Mutate (std::string text)
   {
@@ -123,15 +126,14 @@
     log_.out = fopen ("/dev/null", "w");
     ups_init (&upstreams_, &connections_);
     poi_init (&poison_, POISON_NODE_CRASHES_MAX);
-    rep_init (
-        &per_.rep, [] (void *, const char *, const Obj *) {}, nullptr);
-    rep_apply (&per_.rep, rep_ensure_kind (&per_.rep, "servers"), "first", 1, false, "{}");
+    InitObjects ();
     g_strlcpy (per_.self.vm, "edge-0", sizeof per_.self.vm);
     g_strlcpy (per_.self.zone, "zone-0", sizeof per_.self.zone);
     per_.self.addr = NetAddr{ 0x0a000001, 7720 };
     per_.self.state = PER_SERVING;
     per_.log = &log_;
-    per_.zone_of = [] (void *, const char *) -> uint32_t { return 0; };
+    per_.zone_of
+        = [] (void *, const char *zone) -> uint32_t { return strcmp (zone, "zone-1") == 0; };
     per_.region_of = [] (void *, uint32_t) -> uint32_t { return 0; };
     per_.upstreams = &upstreams_;
     per_.poison = &poison_;
@@ -159,6 +161,39 @@
     fclose (log_.out);
   }
 
+  void
+  InitObjects ()
+  {
+    rep_init (
+        &per_.rep, [] (void *, const char *, const Obj *) {}, nullptr);
+    rep_apply (&per_.rep, rep_ensure_kind (&per_.rep, "servers"), "first", 1, false, "{}");
+  }
+
+  // Mutations of a message arrive from all peers. The objects are restored from time to time: high
+  // revisions would make later updates old.
+  void
+  RunMessages (const peer_message &message, uint32_t runs)
+  {
+    char data[PER_DATAGRAM_MAX_BYTES];
+    uint64_t now_ms = 4000;
+    XDR xdr;
+    xdrmem_create (&xdr, data, sizeof data, XDR_ENCODE);
+    ASSERT_TRUE (xdr_peer_message (&xdr, const_cast<peer_message *> (&message)));
+    std::string bytes (data, xdr_getpos (&xdr));
+    xdr_destroy (&xdr);
+    Run ({ bytes }, runs, [&] (const std::string &mutated) {
+      exc_receive (&per_, mutated.data (), static_cast<uint32_t> (mutated.size ()),
+                   NetAddr{ 0x0a000002 + Draw (kPeers), 7720 }, now_ms++);
+      datagrams_.clear ();
+      FailFetches ();
+      if (now_ms % 10 == 0)
+        {
+          rep_clear (&per_.rep);
+          InitObjects ();
+        }
+    });
+  }
+
   // No peer replies to a fetch.
   void
   FailFetches ()
@@ -524,6 +559,51 @@
   });
 }
 
+TEST_F (FuzzPeers, Updates)
+{
+  std::string kind = "servers", name = "up-1", value = "{\"address\":\"10.0.0.1:80\"}";
+  peer_object objects[2] = {};
+  for (peer_object &object : objects)
+    object = { name.data (), 5, false, value.data () };
+  objects[1].deleted = true;
+  peer_message message = {};
+  message.kind = PEER_UPDATE;
+  message.peer_message_u.update.kind = kind.data ();
+  message.peer_message_u.update.revision = 6;
+  message.peer_message_u.update.has_objects = true;
+  message.peer_message_u.update.objects = { 2, objects };
+  RunMessages (message, 20000);
+}
+
+TEST_F (FuzzPeers, Summaries)
+{
+  std::string zone = "zone-1", kind = "servers", vm = "edge-99";
+  peer_revision revision = { kind.data (), 7 };
+  peer_reported_member member = {};
+  member.member.vm = vm.data ();
+  member.member.zone = zone.data ();
+  peer_count counts[2] = { { 1, 2 }, { 3, 4 } };
+  peer_crash crash = { 5, 1, 100 };
+  u_int ppm[2] = { 400000, 600000 };
+  peer_service service = { 6, 1000, { 2, ppm } };
+  peer_leaving leaving = { 7, 8 };
+  peer_quota quota = { 9, 1u << 24 };
+  peer_message message = {};
+  message.kind = PEER_SUMMARY;
+  peer_summary &summary = message.peer_message_u.summary;
+  summary.zone = zone.data ();
+  summary.relay = true;
+  summary.revisions = { 1, &revision };
+  summary.members = { 1, &member };
+  summary.loads = { 2, counts };
+  summary.down = { 2, counts };
+  summary.crashes = { 1, &crash };
+  summary.services = { 1, &service };
+  summary.leaving = { 1, &leaving };
+  summary.quotas = { 1, &quota };
+  RunMessages (message, 20000);
+}
+
 // Requests and responses of every form reach a real node, which still answers after each series.
 TEST_F (FuzzTest, RequestsAndResponses)
 {
--- a/tests/test_pdc.cc
+++ b/tests/test_pdc.cc
@@ -79,6 +79,27 @@
     EXPECT_EQ (pdc_parse_table (text.c_str (), &kSecret, &err), nullptr) << text;
 }
 
+// Guards against a critical message of the JSON library, which ends the process where criticals are
+// fatal. Found by fuzzing.
+TEST (Pdc, StickyOfAnotherTypeCountsAsMissing)
+{
+  static int criticals = 0;
+  GLogFunc previous = g_log_set_default_handler (
+      [] (const gchar *, GLogLevelFlags, const gchar *, gpointer) { criticals++; }, nullptr);
+  for (const char *value : { "[]", "{}", "null", "\"true\"" })
+    {
+      Err err = {};
+      std::string route = std::string ("{\"host\":\"h\",\"path-prefix\":\"/a/\",\"sticky\":")
+                          + value + ",\"service\":\"desk\"}";
+      RteTable *table = pdc_parse_table (Table (route).c_str (), &kSecret, &err);
+      ASSERT_NE (table, nullptr) << value;
+      EXPECT_FALSE (rte_match (table, "h", 1, "/a/", 3)->sticky) << value;
+      rte_unref (table);
+    }
+  g_log_set_default_handler (previous, nullptr);
+  EXPECT_EQ (criticals, 0);
+}
+
 TEST (Pdc, UnknownKindIsNotIdempotent)
 {
   Err err = {};
