Entry: rejections by the budget say not-run, as its other responses do

Responses that are sent before a request is complete (408, 413, 431, 503) had no x-cardamom-run, and a Retry-After of half a second, which callers of an entry don't expect. The node's responses are unchanged.

UntrustedEntryTest.RejectionsSayThatNothingRan passes (build-asan).

--- a/src/entry.c
+++ b/src/entry.c
@@ -218,6 +218,7 @@
   mbg_set_calls (&limits, max_fds, ENTRY_CALLS_PER_REQUEST);
   mbg_init (&entry->memory, &limits);
   hsv_set_budget (entry->server, &entry->memory, RDL_CALLERS);
+  hsv_set_rejection_headers (entry->server, "retry-after: 1\r\n", "x-cardamom-run: not-run\r\n");
   entry->has_budget = true;
   timer = g_new0 (uv_timer_t, 1);
   uv_timer_init (entry->loop, timer);
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -264,6 +264,13 @@
   server->reading.traffic = traffic;
 }
 
+void
+hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *own)
+{
+  server->reading.retry_header = retry;
+  server->reading.own_header = own;
+}
+
 void
 hsv_drain_connections (HsvServer *server)
 {
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -46,6 +46,10 @@
  * budget. */
 void hsv_count_traffic (HsvServer *server, TrfCount *traffic);
 
+/** hsv_set_rejection_headers() - lines of the responses with which the budget rejects requests:
+ * @retry for those that may be repeated, @own for all; static texts that end with CRLF. */
+void hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *own);
+
 /** hsv_close_stalled() - reads on from connections for which there is memory again, and closes
  * those without progress that hold memory which others need; to be called periodically. */
 void hsv_close_stalled (HsvServer *server);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -7,12 +7,11 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#define RETRY_LATER                                                                                \
-  "HTTP/1.1 503 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
-#define TIMED_OUT                                                                                  \
-  "HTTP/1.1 408 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
-#define BODY_TOO_LARGE "HTTP/1.1 413 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-#define HEAD_TOO_LARGE "HTTP/1.1 431 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+#define STATUS_TIMED_OUT 408
+#define STATUS_BODY_TOO_LARGE 413
+#define STATUS_HEAD_TOO_LARGE 431
+#define STATUS_UNAVAILABLE 503
+#define RESPONSE_MAX_TEXT 256
 
 /**
  * struct Framing - how a request's body is delimited
@@ -146,13 +145,26 @@
   resume_waiting (mbg, uv_now (rdl->loop));
 }
 
-/* h2o closes a connection whose read fails. The response may be lost if the caller is sending. */
 static void
-close_conn (RdlConn *conn, const char *response)
+send_response (const RdlConn *conn, int status)
 {
-  if (response != NULL)
-    (void) !send (h2o_socket_get_fd (conn->sock), response, strlen (response),
-                  MSG_DONTWAIT | MSG_NOSIGNAL);
+  bool is_retryable = status == STATUS_UNAVAILABLE || status == STATUS_TIMED_OUT;
+  char text[RESPONSE_MAX_TEXT];
+  int size
+      = g_snprintf (text, sizeof text,
+                    "HTTP/1.1 %d Refused\r\nconnection: close\r\n%s%scontent-length: 0\r\n\r\n",
+                    status, is_retryable ? conn->rdl->retry_header : "", conn->rdl->own_header);
+
+  (void) !send (h2o_socket_get_fd (conn->sock), text, (size_t) size, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* h2o closes a connection whose read fails. The response may be lost if the caller is sending; with
+ * @status 0, none is sent. */
+static void
+close_conn (RdlConn *conn, int status)
+{
+  if (status != 0)
+    send_response (conn, status);
   conn->rdl->h2o_read (conn->sock, h2o_socket_error_closed);
 }
 
@@ -279,13 +291,13 @@
   if (is_head_over_limit (conn))
     {
       conn->rdl->mbg->counters.heads_over_limit++;
-      close_conn (conn, HEAD_TOO_LARGE);
+      close_conn (conn, STATUS_HEAD_TOO_LARGE);
       return;
     }
   if (!conn->framing.is_chunked && conn->framing.body_bytes > conn->rdl->body_max_bytes)
     {
       conn->rdl->mbg->counters.bodies_over_limit++;
-      close_conn (conn, BODY_TOO_LARGE);
+      close_conn (conn, STATUS_BODY_TOO_LARGE);
       return;
     }
   mbg_progress (&conn->claim, size, now_ms);
@@ -300,7 +312,7 @@
       pause_conn (conn);
       return;
     case MBG_REJECT:
-      close_conn (conn, RETRY_LATER);
+      close_conn (conn, STATUS_UNAVAILABLE);
       return;
     }
 }
@@ -453,6 +465,8 @@
 rdl_init (Rdl *rdl, uv_loop_t *loop)
 {
   rdl->loop = loop;
+  rdl->retry_header = "retry-after: 0.5\r\n";
+  rdl->own_header = "";
   rdl->conns = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   rdl->answered = g_ptr_array_new ();
   uv_prepare_init (loop, &rdl->restart);
@@ -534,7 +548,7 @@
           return false;
         }
       rdl->mbg->counters.connections_closed++;
-      close_conn (conn, NULL);
+      close_conn (conn, 0);
     }
   return true;
 }
@@ -551,6 +565,6 @@
     {
       RdlConn *conn = (RdlConn *) claim;
       rdl->mbg->counters.stalled++;
-      close_conn (conn, conn->is_paused ? RETRY_LATER : TIMED_OUT);
+      close_conn (conn, conn->is_paused ? STATUS_UNAVAILABLE : STATUS_TIMED_OUT);
     }
 }
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -33,6 +33,8 @@
  * @answered: sockets whose requests have ended in this iteration of the loop
  * @restart: observes these connections again before the next poll
  * @h2o_read: h2o's callback for reading a request
+ * @retry_header: line of the responses to requests that may be repeated
+ * @own_header: line of all responses that are sent before a request is complete
  * @current: connection whose read callback runs, NULL once it is closed
  */
 typedef struct
@@ -48,6 +50,8 @@
   GPtrArray *answered;
   uv_prepare_t restart;
   h2o_socket_cb h2o_read;
+  const char *retry_header;
+  const char *own_header;
   struct RdlConn *current;
 } Rdl;
 
--- a/tests/test_untrusted_entry.cc
+++ b/tests/test_untrusted_entry.cc
@@ -302,6 +302,29 @@
   Check (&crowd);
 }
 
+// Guards against rejections that don't say whether the request ran, as all responses of an entry
+// do. The last bytes are sent alone, so that none are unread when the connection is closed.
+TEST_F (UntrustedEntryTest, RejectionsSayThatNothingRan)
+{
+  Start ("entry");
+  int fd = Connect ();
+  std::string head = "GET /svc/desk/a HTTP/1.1\r\nX-Fill: " + std::string (65000, 'x');
+  timeval limit{ 5, 0 };
+  char bytes[1024] = {};
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  EXPECT_GT (send (fd, head.data (), head.size (), MSG_NOSIGNAL), 0);
+  SleepMs (500);
+  EXPECT_GT (send (fd, head.data (), 1000, MSG_NOSIGNAL), 0);
+  EXPECT_GT (recv (fd, bytes, sizeof bytes - 1, 0), 0);
+  close (fd);
+  std::string response = bytes;
+  EXPECT_EQ (response.rfind ("HTTP/1.1 431 ", 0), 0u) << response;
+  EXPECT_NE (response.find ("x-cardamom-run: not-run\r\n"), std::string::npos) << response;
+  EXPECT_NE (cluster_->Http ("GET", address_, "/metrics")
+                 .body.find ("cardamom_entry_heads_over_limit_total 1"),
+             std::string::npos);
+}
+
 // Guards against a steer whose memory is taken by way of its state dump.
 TEST_F (UntrustedEntryTest, EndlessChunkedBodiesToTheSteer)
 {
