--- a/src/rdl.c
+++ b/src/rdl.c
@@ -7,12 +7,11 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#define RETRY_LATER                                                                                \
-  "HTTP/1.1 503 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
-#define TIMED_OUT                                                                                  \
-  "HTTP/1.1 408 Refused\r\nconnection: close\r\nretry-after: 0.5\r\ncontent-length: 0\r\n\r\n"
-#define BODY_TOO_LARGE "HTTP/1.1 413 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-#define HEAD_TOO_LARGE "HTTP/1.1 431 Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+#define STATUS_TIMED_OUT 408
+#define STATUS_BODY_TOO_LARGE 413
+#define STATUS_HEAD_TOO_LARGE 431
+#define STATUS_UNAVAILABLE 503
+#define RESPONSE_MAX_TEXT 256
 
 /**
  * struct Framing - how a request's body is delimited
@@ -78,22 +77,41 @@
   return uv_stream_get_write_queue_size (conn->stream);
 }
 
-/* Moves the request to a buffer of its final size. The kernel provides memory only for what is
- * received, whereas h2o's doubling would copy the request several times. */
 static void
-resize_input (h2o_socket_t *sock, size_t bytes)
+move_input (h2o_socket_t *sock, size_t bytes)
 {
   h2o_buffer_t *input = sock->input;
-  h2o_buffer_t *resized;
+  h2o_buffer_t *moved;
 
-  if (input->bytes == NULL || input->capacity >= bytes)
-    return;
-  h2o_buffer_init (&resized, input->_prototype);
-  h2o_buffer_reserve (&resized, bytes);
-  memcpy (resized->bytes, input->bytes, input->size);
-  resized->size = input->size;
+  h2o_buffer_init (&moved, input->_prototype);
+  if (bytes > 0)
+    {
+      h2o_buffer_reserve (&moved, bytes);
+      memcpy (moved->bytes, input->bytes, input->size);
+      moved->size = input->size;
+    }
   h2o_buffer_dispose (&sock->input);
-  sock->input = resized;
+  sock->input = moved;
+}
+
+/* Moves the request to a buffer of its final size. The kernel provides memory only for what is
+ * received, whereas h2o's doubling would copy the request several times. */
+static void
+enlarge_input (h2o_socket_t *sock, size_t bytes)
+{
+  if (sock->input->bytes != NULL && sock->input->capacity < bytes)
+    move_input (sock, bytes);
+}
+
+/* h2o keeps the buffer of an answered request for bytes that arrived behind it. */
+static void
+shrink_input (h2o_socket_t *sock)
+{
+  const h2o_buffer_t *input = sock->input;
+
+  if (input->bytes != NULL && input->capacity > MBG_SPARE_BYTES
+      && input->capacity > 2 * input->size)
+    move_input (sock, input->size);
 }
 
 /* ---- Connections ---- */
@@ -127,13 +145,26 @@
   resume_waiting (mbg, uv_now (rdl->loop));
 }
 
-/* h2o closes a connection whose read fails. The response may be lost if the caller is sending. */
 static void
-close_conn (RdlConn *conn, const char *response)
+send_response (const RdlConn *conn, int status)
 {
-  if (response != NULL)
-    (void) !send (h2o_socket_get_fd (conn->sock), response, strlen (response),
-                  MSG_DONTWAIT | MSG_NOSIGNAL);
+  bool is_retryable = status == STATUS_UNAVAILABLE || status == STATUS_TIMED_OUT;
+  char text[RESPONSE_MAX_TEXT];
+  int size
+      = g_snprintf (text, sizeof text,
+                    "HTTP/1.1 %d Refused\r\nconnection: close\r\n%s%scontent-length: 0\r\n\r\n",
+                    status, is_retryable ? conn->rdl->retry_header : "", conn->rdl->own_header);
+
+  (void) !send (h2o_socket_get_fd (conn->sock), text, (size_t) size, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/* h2o closes a connection whose read fails. The response may be lost if the caller is sending; with
+ * @status 0, none is sent. */
+static void
+close_conn (RdlConn *conn, int status)
+{
+  if (status != 0)
+    send_response (conn, status);
   conn->rdl->h2o_read (conn->sock, h2o_socket_error_closed);
 }
 
@@ -182,6 +213,19 @@
   return conn->framing.head_bytes == 0 && conn->sock->input->size > MBG_HEAD_MAX_BYTES;
 }
 
+static uint32_t
+copies (const RdlConn *conn)
+{
+  return conn->rdl->mbg->limits.copies;
+}
+
+/* A request within that size, with its copies, is covered by its connection. */
+static size_t
+free_bytes (const RdlConn *conn)
+{
+  return MBG_FREE_BYTES / copies (conn);
+}
+
 /* Memory that the request takes in the end, as far as it is known. A chunked body takes a small
  * part first, then as much as the largest one. */
 static uint64_t
@@ -189,14 +233,15 @@
 {
   const Framing *framing = &conn->framing;
   size_t size = conn->sock->input->size;
-  uint64_t most_bytes
-      = framing->head_bytes + conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+  uint64_t most_bytes = conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
 
   if (framing->head_bytes == 0)
-    return MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+    return (uint64_t) copies (conn) * (MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES);
   if (framing->is_chunked)
-    return size <= MBG_SMALL_BYTES / 2 ? MBG_SMALL_BYTES : most_bytes;
-  return MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
+    return size <= MBG_SMALL_BYTES / 2 / copies (conn) ? MBG_SMALL_BYTES
+                                                       : copies (conn) * most_bytes;
+  return copies (conn)
+         * MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
 }
 
 static void
@@ -214,7 +259,7 @@
 {
   bool is_large = conn->claim.bytes > MBG_SMALL_BYTES;
 
-  resize_input (conn->sock, conn->claim.bytes);
+  enlarge_input (conn->sock, conn->claim.bytes / copies (conn));
   if (conn->rdl->mbg->limits.bounded && (is_large || conn->is_paused))
     set_buffer (conn->sock, SO_RCVBUF,
                 is_large ? RDL_LARGE_RECEIVE_BUFFER_BYTES : RDL_RECEIVE_BUFFER_BYTES);
@@ -239,20 +284,20 @@
   size_t size = conn->sock->input->size;
   uint64_t now_ms = uv_now (conn->rdl->loop);
 
-  if (size < MBG_FREE_BYTES)
+  if (size < free_bytes (conn))
     return;
   if (conn->framing.head_bytes == 0)
     conn->framing = read_framing (conn->sock->input->bytes, size);
   if (is_head_over_limit (conn))
     {
       conn->rdl->mbg->counters.heads_over_limit++;
-      close_conn (conn, HEAD_TOO_LARGE);
+      close_conn (conn, STATUS_HEAD_TOO_LARGE);
       return;
     }
   if (!conn->framing.is_chunked && conn->framing.body_bytes > conn->rdl->body_max_bytes)
     {
       conn->rdl->mbg->counters.bodies_over_limit++;
-      close_conn (conn, BODY_TOO_LARGE);
+      close_conn (conn, STATUS_BODY_TOO_LARGE);
       return;
     }
   mbg_progress (&conn->claim, size, now_ms);
@@ -267,7 +312,7 @@
       pause_conn (conn);
       return;
     case MBG_REJECT:
-      close_conn (conn, RETRY_LATER);
+      close_conn (conn, STATUS_UNAVAILABLE);
       return;
     }
 }
@@ -279,9 +324,9 @@
   size_t size = conn->sock->input->size;
 
   set_reading (conn, false);
-  if (size <= MBG_FREE_BYTES && conn->claim.bytes == 0)
+  if (size <= free_bytes (conn) && conn->claim.bytes == 0)
     return;
-  mbg_complete (conn->rdl->mbg, &conn->claim, size + MBG_SPARE_BYTES);
+  mbg_complete (conn->rdl->mbg, &conn->claim, copies (conn) * (size + MBG_SPARE_BYTES));
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
 }
 
@@ -354,12 +399,26 @@
       return;
     }
   conn->sock->_cb.read = on_guarded_read;
+  shrink_input (conn->sock);
   conn->framing = (Framing){ 0 };
   conn->claim.is_complete = false;
   set_reading (conn, true);
   check_request (conn);
 }
 
+/* A request that arrived whole behind an answered one is at work in that one's buffer, which can't
+ * move meanwhile. */
+static void
+count_kept_input (RdlConn *conn)
+{
+  const h2o_buffer_t *input = conn->sock->input;
+
+  if (conn->sock->_cb.read != conn->rdl->h2o_read && input->bytes != NULL
+      && input->capacity > MBG_SPARE_BYTES)
+    mbg_complete (conn->rdl->mbg, &conn->claim,
+                  input->capacity + (copies (conn) - 1) * input->size);
+}
+
 /* h2o reads the next request of a connection after it has freed the one before. */
 static void
 on_restart (uv_prepare_t *prepare)
@@ -370,6 +429,7 @@
   while (rdl->answered->len > 0)
     {
       h2o_socket_t *sock = g_ptr_array_remove_index_fast (rdl->answered, rdl->answered->len - 1);
+      count_kept_input (sock->on_close.data);
       guard (sock->on_close.data);
     }
 }
@@ -405,6 +465,8 @@
 rdl_init (Rdl *rdl, uv_loop_t *loop)
 {
   rdl->loop = loop;
+  rdl->retry_header = "retry-after: 0.5\r\n";
+  rdl->own_header = "";
   rdl->conns = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   rdl->answered = g_ptr_array_new ();
   uv_prepare_init (loop, &rdl->restart);
@@ -486,7 +548,7 @@
           return false;
         }
       rdl->mbg->counters.connections_closed++;
-      close_conn (conn, NULL);
+      close_conn (conn, 0);
     }
   return true;
 }
@@ -503,6 +565,6 @@
     {
       RdlConn *conn = (RdlConn *) claim;
       rdl->mbg->counters.stalled++;
-      close_conn (conn, conn->is_paused ? RETRY_LATER : TIMED_OUT);
+      close_conn (conn, conn->is_paused ? STATUS_UNAVAILABLE : STATUS_TIMED_OUT);
     }
 }
