--- a/src/chk.c
+++ b/src/chk.c
@@ -250,14 +250,13 @@
 count_keys (const AccTable *accounts)
 {
   GHashTable *counts = g_hash_table_new (g_direct_hash, g_direct_equal);
-  GHashTableIter iter;
-  gpointer account;
+  AccKeyIter iter = { 0 };
+  const AccKey *key;
 
-  g_hash_table_iter_init (&iter, accounts->by_digest);
-  while (g_hash_table_iter_next (&iter, NULL, &account))
+  while ((key = acc_next_key (accounts, &iter)) != NULL)
     {
-      uint32_t count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, account));
-      g_hash_table_insert (counts, account, GUINT_TO_POINTER (count + 1));
+      uint32_t count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key->account));
+      g_hash_table_insert (counts, key->account, GUINT_TO_POINTER (count + 1));
     }
   return counts;
 }
@@ -602,17 +601,15 @@
 count_missing_keys (const AccTable *accounts, const AccTable *other)
 {
   GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTableIter iter;
-  gpointer digest;
-  gpointer value;
+  AccKeyIter iter = { 0 };
+  const AccKey *key;
 
   if (accounts == NULL)
     return counts;
-  g_hash_table_iter_init (&iter, accounts->by_digest);
-  while (g_hash_table_iter_next (&iter, &digest, &value))
+  while ((key = acc_next_key (accounts, &iter)) != NULL)
     {
-      const AccAccount *account = value;
-      const AccAccount *holder = other != NULL ? acc_find (other, digest) : NULL;
+      const AccAccount *account = key->account;
+      const AccAccount *holder = other != NULL ? acc_find (other, &key->digest) : NULL;
       if (holder != NULL && strcmp (holder->name, account->name) == 0)
         continue;
       uint32_t count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, account->name));
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -1,4 +1,5 @@
 /* Command-line tool for operators: objects, drains, configuration, plan and request traces. */
+#include "cac.h"
 #include "cfg.h"
 #include "hcl.h"
 #include "jsn.h"
@@ -11,6 +12,7 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_MS 3000
+#define ADDRESSES_MAX 1000
 #define PLAN_PATH "system/plan"
 
 /** typedef ExitCode - exit codes of the program, listed by --help */
@@ -34,6 +36,7 @@
   char *output;
   char *file;
   char *team;
+  char *account;
   gint64 if_version;
   char *against;
   gboolean in_force;
@@ -505,6 +508,19 @@
   return EXIT_OK;
 }
 
+/* ---- Accounts ---- */
+
+static ExitCode
+run_accounts (Ctl *ctl, char **args, int count)
+{
+  CacQuery query = { .addresses = args,
+                     .count = count,
+                     .account = ctl->account,
+                     .json = strcmp (ctl->output, "json") == 0 };
+
+  return (ExitCode) cac_run (&ctl->http, &query);
+}
+
 /* ---- Check of a configuration of the node ---- */
 
 static ExitCode
@@ -545,6 +561,8 @@
   { "history", 0, 0, run_history, "history", "latest steering decisions" },
   { "status", 0, 0, run_status, "status", "plan, entries and refused objects" },
   { "dump", 1, 1, run_dump, "dump ADDRESS", "state of one process" },
+  { "accounts", 0, ADDRESSES_MAX, run_accounts, "accounts [ADDRESS...] [--account=NAME]",
+    "quotas and use of accounts on nodes" },
   { "trace", 1, 1, run_trace, "trace ID [--file=LOG]", "a request's log lines and its cause" },
   { "check", 1, 1, run_check, "check FILE [--against=FILE|--in-force]",
     "check a configuration of the node" },
@@ -583,7 +601,7 @@
 {
   if (strcmp (command, "check") == 0)
     return ctl->in_force;
-  return strcmp (command, "trace") != 0;
+  return strcmp (command, "trace") != 0 && strcmp (command, "accounts") != 0;
 }
 
 static bool
@@ -617,6 +635,7 @@
     { "file", 'f', 0, G_OPTION_ARG_STRING, &ctl->file, "JSON object to write, '-' for input",
       "FILE" },
     { "team", 't', 0, G_OPTION_ARG_STRING, &ctl->team, "change this team's subtree only", "TEAM" },
+    { "account", 0, 0, G_OPTION_ARG_STRING, &ctl->account, "this account alone", "NAME" },
     { "if-version", 0, 0, G_OPTION_ARG_INT64, &ctl->if_version, "version that must be in place",
       "N" },
     { "against", 0, 0, G_OPTION_ARG_STRING, &ctl->against, "configuration to compare with",
@@ -649,6 +668,7 @@
   g_free (ctl->output);
   g_free (ctl->file);
   g_free (ctl->team);
+  g_free (ctl->account);
   g_free (ctl->against);
 }
 
--- a/src/jsc.h
+++ b/src/jsc.h
@@ -6,17 +6,59 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** struct JscSpan - part of a text, from @at up to @end */
+/** Large values of a text that an index holds, and how deep in it they may be. */
+#define JSC_INDEX_VALUES 32
+#define JSC_INDEX_DEPTH 5
+
+/**
+ * struct JscIndex - where the large objects and arrays of a text end, so that they are passed over
+ * without scanning them again
+ * @at, @end: what has not been indexed
+ * @depth: number of objects and arrays that are open
+ * @open: where they start
+ * @values: start and end of each large one
+ */
 typedef struct
 {
   const char *at;
   const char *end;
+  uint32_t depth;
+  uint32_t count;
+  const char *open[JSC_INDEX_DEPTH];
+  struct
+  {
+    const char *at;
+    const char *end;
+  } values[JSC_INDEX_VALUES];
+} JscIndex;
+
+/** struct JscSpan - part of a text, from @at up to @end; @index: of the text, or NULL */
+typedef struct
+{
+  const char *at;
+  const char *end;
+  const JscIndex *index;
 } JscSpan;
 
+/** jsc_index_start() - starts to index a text. */
+void jsc_index_start (JscIndex *index, const char *text, size_t size);
+
+/** jsc_index_step() - indexes about @bytes more; false when there is more left. */
+bool jsc_index_step (JscIndex *index, size_t bytes);
+
+/** jsc_take_value() - moves behind a value of any type; false if it is missing or has no end. */
+bool jsc_take_value (JscSpan *text, JscSpan *value);
+
+/** jsc_take_char() - moves behind the character; false if another one follows. */
+bool jsc_take_char (JscSpan *text, char c);
+
 /** jsc_open() - true if @text is an object or an array, also with invalid contents; @contents is
  * then what is to be iterated. */
 bool jsc_open (JscSpan text, JscSpan *contents);
 
+/** jsc_open_value() - the same for a value that jsc_take_value() or another function returned. */
+bool jsc_open_value (JscSpan value, JscSpan *contents);
+
 /**
  * jsc_next_element() - next element of an array
  * @contents: from jsc_open(); moved behind the element
@@ -28,6 +70,17 @@
 /** jsc_is_blank() - true if nothing but white space is left. */
 bool jsc_is_blank (JscSpan text);
 
+/** struct JscMember - a member of an object; @value: empty when there is none of that name */
+typedef struct
+{
+  const char *name;
+  JscSpan value;
+} JscMember;
+
+/** jsc_members() - sets the values of an object's first members of these names, in one pass;
+ * @contents: from jsc_open(). Names with escapes are not decoded. */
+void jsc_members (JscSpan contents, JscMember *members, size_t count);
+
 /** jsc_member() - value of an object's first member of that name; false without one. @contents:
  * from jsc_open(). Names with escapes are not decoded. */
 bool jsc_member (JscSpan contents, const char *name, JscSpan *value);
--- a/src/lim.h
+++ b/src/lim.h
@@ -19,6 +19,16 @@
  * the state dump. */
 #define ACC_NAME_MAX_BYTES 128
 #define ACC_LISTED_MAX 64
+#define ACC_SHARDS 64
+
+/* Configurations are loaded and applied in steps, so that requests are handled in between. Reading
+ * an account costs as much as reading some keys; a step takes about 1 ms. */
+#define LOAD_STEP_KEYS 500
+#define LOAD_ACCOUNT_KEYS 4
+#define LOAD_BYTES_PER_KEY 128
+#define LOAD_STEP_BYTES (256u * 1024u)
+#define LOAD_PERIOD_MS 5
+#define APPLY_STEP_ACCOUNTS 500
 
 /* Replication of objects between processes. */
 #define SYNC_PERIOD_MS 300
@@ -159,6 +169,11 @@
 #define RDL_WAITING_RECEIVE_BUFFER_BYTES (4 * 1024)
 #define RDL_SEND_BUFFER_BYTES (64 * 1024)
 
+/* After a request was rejected before its body, the connection is read for this time and size, so
+ * that the caller gets the response. */
+#define RDL_DISCARD_MAX_MS 1000
+#define RDL_DISCARD_MAX_BYTES (1024u * 1024u)
+
 /* Bytes behind a request at work that are read to notice the end of its connection. */
 #define HSV_PIPELINED_MAX_BYTES (16u * 1024u)
 #define HSV_READ_MIN_BYTES 4096u
--- a/src/nod.c
+++ b/src/nod.c
@@ -193,6 +193,8 @@
       rte_unref (table);
       return false;
     }
+  while (aut_is_applying (node))
+    aut_apply_step (node);
   RteTable *previous = node->table;
   node->table = table;
   aut_apply_configuration (node, previous);
@@ -458,6 +460,7 @@
     hsv_close_stalled (node->relay);
   ucn_resume_waiting (&node->ucn);
   aut_reject_revoked (node);
+  aut_apply_step (node);
   fwd_tick (node);
   check_stop (node, clk_now_ms ());
 }
@@ -592,6 +595,7 @@
   if (node->lookup == NULL)
     return false;
   hsv_set_budget (node->front, &node->memory, RDL_CALLERS);
+  hsv_set_head_check (node->front, fst_reject_head, node);
   hsv_set_budget (node->ready, &node->memory, RDL_PROBES);
   hsv_set_budget (node->lookup, &node->memory, RDL_PROBES);
   hsv_set_hook (node->front, before_request_step, node);
@@ -624,6 +628,8 @@
   g_hash_table_unref (node->services);
   g_hash_table_unref (node->route_stats);
   quo_free (node->quotas);
+  if (node->account_change.previous != NULL)
+    rte_unref (node->account_change.previous);
   if (node->table != NULL)
     rte_unref (node->table);
 }
--- a/src/peer.x
+++ b/src/peer.x
@@ -120,7 +120,7 @@
   string name<256>;
   unsigned hyper revision;
   bool deleted;
-  string value<1048576>;
+  string value<16777216>;
 };
 
 /* The decoder allocates an array before it reads its elements. A datagram and a record of
--- a/src/quo.c
+++ b/src/quo.c
@@ -82,6 +82,9 @@
  * @window_bin: number of the newest element of @window_bins
  * @window_bins: known requests of all nodes within a window and the report delay
  * @refused: requests that this node has refused
+ * @admitted_window: number of the window that @admitted_now is about
+ * @admitted_now: own requests in that window, except refunded ones
+ * @admitted: the same of the window before
  * @returns_ms: when the last caller that was refused is to return
  */
 typedef struct
@@ -107,6 +110,9 @@
   uint64_t window_bin;
   uint32_t window_bins[WINDOW_BINS];
   uint64_t refused;
+  uint64_t admitted_window;
+  uint32_t admitted_now;
+  uint32_t admitted;
   uint64_t returns_ms;
 } Account;
 
@@ -485,11 +491,13 @@
   return usual + SPARE_DEVIATIONS * sqrt (usual) + spare;
 }
 
-/* How far the level of an account with a small burst falls below 0 by chance. */
+/* How far the level of an account with a small burst falls below 0 by chance. Without the predicted
+ * use, an account whose burst is less than this would never count as far from its limit. */
 static double
 fluctuation_of (const Quo *quotas, const Account *account)
 {
-  double missing = FLUCTUATION_TOKENS - burst_of (quotas, account);
+  double missing
+      = FLUCTUATION_TOKENS + predicted_use (quotas, account) - burst_of (quotas, account);
 
   return CLAMP (missing, 0, excess_of (quotas, account) * FLUCTUATION_PART);
 }
@@ -543,10 +551,24 @@
   account->active = true;
 }
 
+static void
+advance_admitted (const Quo *quotas, Account *account, uint64_t now_ms)
+{
+  uint64_t window = now_ms / quotas->bounds.window_ms;
+
+  if (window == account->admitted_window)
+    return;
+  account->admitted = window == account->admitted_window + 1 ? account->admitted_now : 0;
+  account->admitted_now = 0;
+  account->admitted_window = window;
+}
+
 static void
 take_token (Quo *quotas, Account *account, uint64_t now_ms)
 {
   account->level -= 1;
+  advance_admitted (quotas, account, now_ms);
+  account->admitted_now++;
   account->window_bins[account->window_bin % WINDOW_BINS]++;
   if (account->credits > 0 && now_ms - account->credited_ms < quotas->bounds.window_ms)
     {
@@ -559,28 +581,44 @@
   count_use (quotas, account, &account->zone, 1, now_ms);
 }
 
-bool
-quo_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+static bool
+check_token (Quo *quotas, Account *account, uint64_t now_ms, uint32_t *retry_after_ms)
 {
-  Account *account = find_account (quotas, hash);
-
-  *retry_after_ms = 0;
-  if (account == NULL)
-    return true;
   advance (quotas, account, now_ms);
   double unreported = unreported_of (account);
   double allowance = MAX (strict_allowance (quotas, account, unreported),
                           relaxed_allowance (quotas, account, unreported));
+
   if (floor (allowance + rounding_of (quotas, account, now_ms)) > unreported)
-    {
-      take_token (quotas, account, now_ms);
-      return true;
-    }
+    return true;
   account->refused++;
   *retry_after_ms = retry_after_ms_of (quotas, account, unreported, now_ms);
   return false;
 }
 
+bool
+quo_would_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+{
+  Account *account = find_account (quotas, hash);
+
+  *retry_after_ms = 0;
+  return account == NULL || check_token (quotas, account, now_ms, retry_after_ms);
+}
+
+bool
+quo_admit (Quo *quotas, uint32_t hash, uint64_t now_ms, uint32_t *retry_after_ms)
+{
+  Account *account = find_account (quotas, hash);
+
+  *retry_after_ms = 0;
+  if (account == NULL)
+    return true;
+  if (!check_token (quotas, account, now_ms, retry_after_ms))
+    return false;
+  take_token (quotas, account, now_ms);
+  return true;
+}
+
 void
 quo_refund (Quo *quotas, uint32_t hash, uint64_t now_ms)
 {
@@ -590,6 +628,8 @@
     return;
   advance (quotas, account, now_ms);
   account->level += 1;
+  advance_admitted (quotas, account, now_ms);
+  account->admitted_now -= MIN (account->admitted_now, 1);
   if (account->window_bins[account->window_bin % WINDOW_BINS] > 0)
     account->window_bins[account->window_bin % WINDOW_BINS]--;
   account->credits++;
@@ -827,6 +867,23 @@
 
 /* ---- State dump ---- */
 
+bool
+quo_read (Quo *quotas, uint32_t hash, uint64_t now_ms, QuoStatus *status)
+{
+  Account *account = find_account (quotas, hash);
+
+  if (account == NULL)
+    return false;
+  advance (quotas, account, now_ms);
+  advance_admitted (quotas, account, now_ms);
+  *status = (QuoStatus){ .rate_mps = account->rate_mps,
+                         .burst = account->burst,
+                         .level = account->level,
+                         .admitted = account->admitted,
+                         .admitted_now = account->admitted_now };
+  return true;
+}
+
 static gint
 compare_use (gconstpointer a, gconstpointer b)
 {
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -549,6 +549,319 @@
   EXPECT_EQ (node_->WaitExit (9000), 0) << node_->Log ();
 }
 
+// ---- Rejections before the body ----
+
+namespace
+{
+// A request whose body does not arrive, or only a part of it.
+std::string
+HeadOnly (const std::string &id, const std::string &key, const std::string &framing)
+{
+  return "POST /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + id
+         + "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer " + key + "\r\n" + framing + "\r\n";
+}
+
+const char kLargeBody[] = "Content-Length: 1000000\r\n";
+
+// What arrives until the connection ends or, without an end, for a second and a half.
+std::string
+ReadToEnd (int fd, bool *ended)
+{
+  std::string bytes;
+  char buffer[4096];
+  timeval limit = { 1, 500000 };
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  ssize_t n;
+  while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    bytes.append (buffer, static_cast<size_t> (n));
+  *ended = n == 0;
+  return InLowerCase (bytes);
+}
+
+std::string
+Exchange (const std::string &address, const std::string &bytes, bool *ended)
+{
+  int fd = Connect (address);
+  WriteAll (fd, bytes);
+  std::string response = ReadToEnd (fd, ended);
+  close (fd);
+  return response;
+}
+}
+
+// Guards against callers that hold memory with bodies of requests that are rejected anyway.
+TEST_F (AccountsTest, UnknownKeyGets401BeforeTheBody)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  for (const std::string &framing :
+       { std::string (kLargeBody), std::string (kLargeBody) + "Expect: 100-continue\r\n",
+         std::string ("Transfer-Encoding: chunked\r\n") })
+    {
+      bool ended = false;
+      std::string response
+          = Exchange (node_->front (), HeadOnly ("early", "wrong", framing) + "part", &ended);
+      EXPECT_EQ (response.rfind ("http/1.1 401 ", 0), 0u) << framing << response;
+      EXPECT_TRUE (Contains (response, "connection: close\r\n"));
+      EXPECT_TRUE (Contains (response, "www-authenticate: bearer\r\n"));
+      EXPECT_TRUE (Contains (response, "x-request-id: early\r\n"));
+      EXPECT_FALSE (Contains (response, "100 continue"));
+      EXPECT_TRUE (ended);
+    }
+  EXPECT_EQ (Counter ("unauthorized"), 3);
+  EXPECT_EQ (Counter ("requests"), 3);
+  EXPECT_EQ (east_.arrivals (), 0);
+  EXPECT_EQ (Get ("/read/a", "key-one"), 200);
+}
+
+// Guards against a reset that takes the response away from a caller that is still sending.
+TEST_F (AccountsTest, CallerThatSendsItsWholeBodyGets401)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  int fd = Connect (node_->front ());
+  WriteAll (fd, HeadOnly ("sender", "wrong", kLargeBody));
+  std::this_thread::sleep_for (100ms);
+  for (int i = 0; i < 10; i++)
+    {
+      WriteAll (fd, std::string (50000, 'b'));
+      std::this_thread::sleep_for (20ms);
+    }
+  bool ended = false;
+  EXPECT_EQ (ReadToEnd (fd, &ended).rfind ("http/1.1 401 ", 0), 0u);
+  EXPECT_TRUE (ended);
+  close (fd);
+}
+
+// Guards against a check of the first request of a connection alone.
+TEST_F (AccountsTest, LaterRequestOfAConnectionGets401BeforeTheBody)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  for (bool pipelined : { false, true })
+    {
+      int fd = Connect (node_->front ());
+      std::string first = HeadOnly ("first", "key-one", "Content-Length: 2\r\n") + "ab";
+      std::string second = HeadOnly ("second", "wrong", kLargeBody);
+      WriteAll (fd, pipelined ? first + second : first);
+      std::this_thread::sleep_for (300ms);
+      if (!pipelined)
+        WriteAll (fd, second);
+      bool ended = false;
+      std::string responses = ReadToEnd (fd, &ended);
+      EXPECT_EQ (responses.rfind ("http/1.1 200 ", 0), 0u) << responses;
+      size_t at = responses.find ("http/1.1 401 ");
+      EXPECT_TRUE (pipelined || at != std::string::npos) << responses;
+      EXPECT_TRUE (ended);
+      close (fd);
+    }
+}
+
+TEST_F (AccountsTest, RequestOverTheQuotaGets429BeforeTheBody)
+{
+  Start (WithAccounts (
+      7, Account ("one", "\"key-one\"", kAnyRegion, ",\"rate-per-s\":0.001,\"burst\":1")));
+  int status = 200;
+  for (int i = 0; i < 60 && status == 200; i++)
+    status = Get ("/read/a", "key-one");
+  ASSERT_EQ (status, 429);
+  int arrivals = east_.arrivals ();
+  long rejected = Counter ("over_quota");
+  bool ended = false;
+  std::string response
+      = Exchange (node_->front (), HeadOnly ("over", "key-one", kLargeBody), &ended);
+  EXPECT_EQ (response.rfind ("http/1.1 429 ", 0), 0u) << response;
+  EXPECT_TRUE (Contains (response, "connection: close\r\n"));
+  EXPECT_TRUE (Contains (response, "retry-after: "));
+  EXPECT_TRUE (Contains (response, "over_quota"));
+  EXPECT_TRUE (ended);
+  EXPECT_EQ (Counter ("over_quota"), rejected + 1);
+  EXPECT_EQ (east_.arrivals (), arrivals);
+}
+
+// Guards against a token that is taken by a request whose body never arrives.
+TEST_F (AccountsTest, RequestWithoutItsBodyTakesNoToken)
+{
+  const std::string quota = ",\"rate-per-s\":0.001,\"burst\":1";
+  Start (WithAccounts (7, Account ("one", "\"key-one\"", kAnyRegion, quota) + ","
+                              + Account ("two", "\"key-two\"", kAnyRegion, quota)));
+  int usual = 0;
+  while (usual < 60 && Get ("/read/a", "key-two") == 200)
+    usual++;
+  for (int i = 0; i < 60; i++)
+    {
+      int fd = Connect (node_->front ());
+      WriteAll (fd, HeadOnly ("gone", "key-one", kLargeBody));
+      std::this_thread::sleep_for (5ms);
+      close (fd);
+    }
+  int admitted = 0;
+  while (admitted < 60 && Get ("/read/a", "key-one") == 200)
+    admitted++;
+  EXPECT_GT (usual, 0);
+  EXPECT_EQ (admitted, usual);
+}
+
+// ---- Many accounts ----
+
+namespace
+{
+// Accounts named `prefix`0, `prefix`1, ... with keys key-`prefix`0-0, ...
+std::string
+ManyAccounts (const std::string &prefix, int accounts, int keys)
+{
+  std::string text;
+  for (int i = 0; i < accounts; i++)
+    {
+      std::string name = prefix + std::to_string (i);
+      std::string list;
+      for (int k = 0; k < keys; k++)
+        list += (k > 0 ? ",\"key-" : "\"key-") + name + "-" + std::to_string (k) + "\"";
+      text += (i > 0 ? "," : "") + Account (name, list, kAnyRegion, ",\"rate-per-s\":1000");
+    }
+  return text;
+}
+}
+
+// Guards against a node without service while it loads, and one that mixes two versions.
+TEST_F (AccountsTest, ConfigurationInForceServesWhileALargeOneIsLoaded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  store_.Put (
+      "config", "main",
+      WithAccounts (8, Account ("two", "\"key-two\"") + "," + ManyAccounts ("many", 2000, 10)));
+  int served = 0;
+  ASSERT_TRUE (WaitUntil (8000, [&] {
+    int status = Get ("/read/a", "key-one");
+    int last = Get ("/read/a", "key-many1999-9");
+    served += status == 200 && last == 401;
+    EXPECT_TRUE (status == 200 || last != 401 || IsConfigured (8)) << status << " " << last;
+    return IsConfigured (8);
+  }));
+  EXPECT_GT (served, 0);
+  EXPECT_EQ (Get ("/read/a", "key-one"), 401);
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many1999-9"), 200);
+  Configure (9, Account ("two", "\"key-two\""));
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 401);
+}
+
+// Guards against a load that is not ended when a newer version arrives, and would replace it.
+TEST_F (AccountsTest, NewerVersionReplacesTheOneBeingLoaded)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  store_.Put ("config", "main", WithAccounts (8, ManyAccounts ("many", 10000, 10)));
+  ASSERT_TRUE (WaitUntil (
+      5000, [&] { return Contains (node_->Log (), "event=objects_applied kind=config"); }));
+  Configure (9, Account ("two", "\"key-two\""));
+  EXPECT_TRUE (Contains (node_->Log (), "event=configuration_replaced"));
+  std::this_thread::sleep_for (1500ms);
+  EXPECT_FALSE (IsConfigured (8));
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  EXPECT_EQ (Get ("/read/a", "key-many0-0"), 401);
+}
+
+// Guards against a limit on the size of objects between nodes that is below that of the store.
+TEST_F (AccountsTest, NodeThatStartsWithoutTheStoreLearnsManyAccountsFromAPeer)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  std::string prefix (60, 'm');
+  std::string configuration = WithAccounts (8, ManyAccounts (prefix, 2000, 10));
+  ASSERT_GT (configuration.size (), 1500000u);
+  store_.Put ("config", "main", configuration);
+  ASSERT_TRUE (WaitUntil (8000, [&] { return IsConfigured (8); }));
+  FakeStore refusing;
+  refusing.SetMode (FakeStore::Mode::kUnavailable);
+  NodeProcess without_store ("vm-2", "east-b", refusing.address (), 2);
+  store_.Put ("nodes", "vm-2",
+              "{\"address\":\"" + without_store.peer () + "\",\"zone\":\"east-b\"}");
+  ASSERT_TRUE (without_store.WaitReady (8000));
+  EXPECT_TRUE (WaitUntil (2000, [&] {
+    return without_store.Call ("GET", "/read/a", WithKey ("k", "key-" + prefix + "1999-9")).status
+           == 200;
+  }));
+}
+
+// ---- Query of operators ----
+
+namespace
+{
+struct CtlResult
+{
+  int code;
+  std::string output;
+};
+
+CtlResult
+RunCtl (const std::string &arguments)
+{
+  std::string command = std::string (PROGRAMS_DIR) + "/cardamomctl accounts " + arguments + " 2>&1";
+  FILE *pipe = popen (command.c_str (), "r");
+  CtlResult result = { -1, "" };
+  char buffer[4096];
+  size_t size;
+  while ((size = fread (buffer, 1, sizeof buffer, pipe)) > 0)
+    result.output.append (buffer, size);
+  int status = pclose (pipe);
+  result.code = WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+  return result;
+}
+}
+
+TEST_F (AccountsTest, QueryPrintsQuotaAndUseOfEachNode)
+{
+  const std::string quota = ",\"rate-per-s\":0.001,\"burst\":1";
+  Start (WithAccounts (7, Account ("one", "\"key-one\"", kAnyRegion, quota) + ","
+                              + Account ("two", "\"key-two\"")));
+  int admitted = 0;
+  while (admitted < 60 && Get ("/read/a", "key-one") == 200)
+    admitted++;
+  ASSERT_LT (admitted, 60);
+  EXPECT_EQ (Get ("/read/a", "key-two"), 200);
+  std::string one = "account=one node=vm-1 requests=" + std::to_string (admitted + 1)
+                    + " over_quota=1 rate_per_s=0.001 burst=1 window_ms=5000 admitted=";
+  std::string counted = one + std::to_string (admitted) + " level=";
+  ASSERT_TRUE (
+      WaitUntil (6000, [&] { return Contains (RunCtl (node_->metrics ()).output, counted); }))
+      << counted << "\n"
+      << RunCtl (node_->metrics ()).output;
+  CtlResult all = RunCtl (node_->metrics ());
+  EXPECT_EQ (all.code, 0);
+  EXPECT_TRUE (Contains (all.output,
+                         "\naccount=two node=vm-1 requests=1 over_quota=0 rate_per_s=unlimited\n"))
+      << all.output;
+  EXPECT_FALSE (Contains (all.output, "key-"));
+  EXPECT_FALSE (Contains (RunCtl ("--account=one " + node_->metrics ()).output, "two"));
+  CtlResult json = RunCtl ("--output=json --account=one " + node_->metrics ());
+  EXPECT_EQ (json.code, 0);
+  EXPECT_TRUE (Contains (json.output, "{\"account\":\"one\",\"node\":\"vm-1\",\"requests\":"))
+      << json.output;
+  EXPECT_EQ (Count (json.output, "\n"), 1);
+}
+
+TEST_F (AccountsTest, QueryNamesNodesThatDoNotRespond)
+{
+  Start (WithAccounts (7, kTwoAccounts));
+  CtlResult result = RunCtl ("127.0.0.1:1 " + node_->metrics ());
+  EXPECT_EQ (result.code, 1);
+  EXPECT_TRUE (Contains (result.output, "address=127.0.0.1:1 state=no_answer\n")) << result.output;
+  EXPECT_TRUE (Contains (result.output, "account=one node=vm-1 "));
+  CtlResult unknown = RunCtl ("--account=three " + node_->metrics ());
+  EXPECT_EQ (unknown.code, 0);
+  EXPECT_TRUE (Contains (unknown.output, "no node that responded has an account 'three'"));
+}
+
+TEST (AccountsQuery, WrongUsageIsRejected)
+{
+  unsetenv ("CARDAMOM_NODES");
+  EXPECT_EQ (RunCtl ("").code, 2);
+  EXPECT_EQ (RunCtl ("nowhere").code, 2);
+  EXPECT_EQ (RunCtl ("--output=xml 127.0.0.1:1").code, 2);
+  setenv ("CARDAMOM_NODES", "127.0.0.1:1, 127.0.0.1:2", 1);
+  CtlResult result = RunCtl ("");
+  unsetenv ("CARDAMOM_NODES");
+  EXPECT_EQ (result.code, 1);
+  EXPECT_EQ (Count (result.output, "state=no_answer"), 2);
+}
+
 // ---- Errors in accounts ----
 
 TEST_F (AccountsTest, ConfigurationWithInvalidKeysIsRefusedAndTheOneInForceStays)
