--- a/src/rdl.c
+++ b/src/rdl.c
@@ -646,7 +646,7 @@
     return;
   while ((discarding = oldest_discarding (rdl)) != NULL
          && uv_now (rdl->loop) >= discarding->discard_until_ms)
-    close_conn (discarding, NULL);
+    close_conn (discarding, 0);
   resume_waiting (rdl->mbg, uv_now (rdl->loop));
   while ((claim = mbg_victim (rdl->mbg, uv_now (rdl->loop))) != NULL)
     {
