Forwarding: rejection of expired requests in functions of one job

choose_rejected() also extended a wait, counted and logged, and fwd_tick() nested two loops. find_yielding() now only searches, extend_wait() changes the state, and reject_expired() handles one service. The comment of uses_flows() described the flows of a service; the check is on the routes of the configuration. No change of behaviour.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -537,7 +537,8 @@
 
 /* ---- Fair queueing ---- */
 
-/* A service with a single flow is not slowed down by it. */
+/* Without accounts, a configuration with a single route has one flow for each service, whose order
+ * would not change. */
 static bool
 uses_flows (const Node *node, const RteTable *table)
 {
@@ -575,7 +576,7 @@
 }
 
 static FqsWaiting
-fair_view (const Frq *frq, uint64_t now_ms)
+waiting_of (const Frq *frq, uint64_t now_ms)
 {
   return (FqsWaiting){ .flow = frq->flow,
                        .admission = &frq->admission,
@@ -584,11 +585,11 @@
 }
 
 static gint
-compare_fair (gconstpointer a, gconstpointer b, gpointer user)
+compare_by_flows (gconstpointer a, gconstpointer b, gpointer user)
 {
   uint64_t now_ms = *(const uint64_t *) user;
-  FqsWaiting x = fair_view (a, now_ms);
-  FqsWaiting y = fair_view (b, now_ms);
+  FqsWaiting x = waiting_of (a, now_ms);
+  FqsWaiting y = waiting_of (b, now_ms);
 
   return fqs_precedes (&x, &y) ? -1 : 1;
 }
@@ -623,7 +624,7 @@
       Frq *frq = item->data;
       frq->rank = fqs_rank (service->flows, frq->flow);
     }
-  g_queue_sort (&service->waiting, compare_fair, &now_ms);
+  g_queue_sort (&service->waiting, compare_by_flows, &now_ms);
   return true;
 }
 
@@ -642,29 +643,33 @@
              fqs_served_permille (flows, kept->flow));
 }
 
-/* The request to reject when the waiting time of @expired is over: one of a flow that took more
- * slots, whose remaining time @expired gets up to its own waiting time, or @expired itself. */
+/* The last request after @expired in the queue that is to be rejected in its place, or NULL. */
 static Frq *
-choose_rejected (Frq *expired, uint64_t now_ms)
+find_yielding (const Frq *expired, uint64_t now_ms)
 {
   const NodService *service = expired->service;
-  FqsWaiting expired_view = fair_view (expired, now_ms);
+  FqsWaiting y = waiting_of (expired, now_ms);
 
   if (service->flows == NULL || !all_have_flows (service))
-    return expired;
+    return NULL;
   for (GList *item = service->waiting.tail; item->data != expired; item = item->prev)
     {
       Frq *frq = item->data;
-      FqsWaiting waiting = fair_view (frq, now_ms);
-      if (now_ms >= frq->waits_until_ms || !fqs_yields (&waiting, &expired_view))
-        continue;
-      expired->waits_until_ms
-          = MIN (frq->waits_until_ms, now_ms + adm_max_wait_ms (&expired->admission));
-      expired->node->counters.fair_yielded++;
-      log_yielded (frq, expired);
-      return frq;
+      FqsWaiting x = waiting_of (frq, now_ms);
+      if (now_ms < frq->waits_until_ms && fqs_yields (&x, &y))
+        return frq;
     }
-  return expired;
+  return NULL;
+}
+
+/* @expired waits for the remaining time of @yielding, up to its own waiting time. */
+static void
+extend_wait (Frq *expired, const Frq *yielding, uint64_t now_ms)
+{
+  expired->waits_until_ms
+      = MIN (yielding->waits_until_ms, now_ms + adm_max_wait_ms (&expired->admission));
+  expired->node->counters.fair_yielded++;
+  log_yielded (yielding, expired);
 }
 
 /* ---- Waiting ---- */
@@ -758,6 +763,29 @@
   g_hash_table_unref (candidates_by_key);
 }
 
+/* For each request whose waiting time is over, rejects it or one in its place. */
+static void
+reject_expired (Node *node, NodService *service, uint64_t now_ms)
+{
+  GList *item = service->waiting.head;
+
+  while (item != NULL)
+    {
+      Frq *frq = item->data;
+      item = item->next;
+      nod_run_control (node);
+      if (now_ms < frq->waits_until_ms)
+        continue;
+      Frq *yielding = find_yielding (frq, now_ms);
+      if (yielding != NULL)
+        extend_wait (frq, yielding, now_ms);
+      Frq *rejected = yielding != NULL ? yielding : frq;
+      if (item != NULL && item->data == rejected)
+        item = item->next;
+      reject_no_capacity (rejected, rejection_reason (rejected, now_ms));
+    }
+}
+
 void
 fwd_tick (Node *node)
 {
@@ -768,20 +796,7 @@
   g_hash_table_iter_init (&iter, node->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      NodService *service = value;
-      fwd_dispatch_waiting (service);
-      GList *item = service->waiting.head;
-      while (item != NULL)
-        {
-          Frq *frq = item->data;
-          item = item->next;
-          nod_run_control (node);
-          if (now_ms < frq->waits_until_ms)
-            continue;
-          Frq *rejected = choose_rejected (frq, now_ms);
-          if (item != NULL && item->data == rejected)
-            item = item->next;
-          reject_no_capacity (rejected, rejection_reason (rejected, now_ms));
-        }
+      fwd_dispatch_waiting (value);
+      reject_expired (node, value, now_ms);
     }
 }
