Fair queueing: names of the shared flow and of the extended wait

The flow of requests beyond the bounds was called rest in the code and shared in the design page, and WAIT_FACTOR did not say what it multiplies. No change of behaviour.

--- a/src/fqs.c
+++ b/src/fqs.c
@@ -5,20 +5,21 @@
 #define ONE_M 1000u
 /* Below this a flow is idle: 14 s after a single request. */
 #define IDLE_M 250u
-/* A flow is starved while it is served less than 3 / 8 as often as all together: requests are few
- * for each node, and a quarter is to be reached by the sum of the nodes. */
+/* A flow is starved while it is served less than 3 / 8 as often as all flows together. The goal is
+ * a quarter over all nodes; the margin is for the few requests that each node sees. */
 #define STARVED_MUL 3u
 #define STARVED_DIV 8u
 
-/* Requests that waited for twice the time are rejected, as they would mostly be late. */
-#define WAIT_FACTOR 2
+/* A request that has waited for this many times its waiting time is rejected itself, as its
+ * response would mostly be late. */
+#define EXTENDED_WAIT_FACTOR 2
 
 /**
  * struct Fqs - state of a service
  * @flows: FqsFlow, a set by account and route
  * @accounts: number of flows by name of the account
- * @rest: flow of the requests that have none of their own
- * @rest_used: it was used since the last decay step
+ * @shared: flow of the requests that have none of their own
+ * @shared_used: it was used since the last decay step
  * @requested_m: first attempts of all flows; @served_m: those sent to upstreams
  * @pass: number of the current pass over the queue
  * @decayed_at_ms: time of the last decay step
@@ -27,8 +28,8 @@
 {
   GHashTable *flows;
   GHashTable *accounts;
-  FqsFlow rest;
-  bool rest_used;
+  FqsFlow shared;
+  bool shared_used;
   uint64_t requested_m;
   uint64_t served_m;
   uint64_t pass;
@@ -86,12 +87,11 @@
 }
 
 static void
-add_to_account (Fqs *fqs, const char *account, int change)
+adjust_account_flows (Fqs *fqs, const char *account, int change)
 {
-  int count = account != NULL ? GPOINTER_TO_INT (g_hash_table_lookup (fqs->accounts, account)) : 0;
-
   if (account == NULL)
     return;
+  int count = GPOINTER_TO_INT (g_hash_table_lookup (fqs->accounts, account));
   if (count + change == 0)
     g_hash_table_remove (fqs->accounts, account);
   else
@@ -128,7 +128,7 @@
 static void
 remove_flow (Fqs *fqs, const FqsFlow *flow)
 {
-  add_to_account (fqs, flow->account, -1);
+  adjust_account_flows (fqs, flow->account, -1);
   g_hash_table_remove (fqs->flows, flow);
 }
 
@@ -149,7 +149,7 @@
         continue;
       if (flow->requested_m < IDLE_M)
         {
-          add_to_account (fqs, flow->account, -1);
+          adjust_account_flows (fqs, flow->account, -1);
           g_hash_table_iter_remove (&iter);
         }
       else if (smallest == NULL || flow->requested_m < smallest->requested_m)
@@ -158,8 +158,8 @@
   return smallest;
 }
 
-/* While requests share the flow of the rest, the smallest flow is removed in each step, so that the
- * accounts with the most requests come to have flows of their own. */
+/* While requests use the shared flow, the smallest flow is removed in each step, so that the
+ * accounts with the most requests get flows of their own. */
 static void
 advance (Fqs *fqs, uint64_t now_ms)
 {
@@ -168,13 +168,13 @@
   if (steps == 0)
     return;
   fqs->decayed_at_ms += steps * FQS_STEP_MS;
-  decay_flow (&fqs->rest, steps);
+  decay_flow (&fqs->shared, steps);
   fqs->requested_m = decay (fqs->requested_m, FQS_RATIO_DECAY_STEPS, steps);
   fqs->served_m = decay (fqs->served_m, FQS_RATIO_DECAY_STEPS, steps);
   FqsFlow *smallest = decay_flows (fqs, steps);
-  if (fqs->rest_used && smallest != NULL)
+  if (fqs->shared_used && smallest != NULL)
     remove_flow (fqs, smallest);
-  fqs->rest_used = false;
+  fqs->shared_used = false;
 }
 
 /* ---- Counts ---- */
@@ -192,12 +192,12 @@
       flow->account = g_strdup (account);
       flow->route = g_strdup (route);
       g_hash_table_add (fqs->flows, flow);
-      add_to_account (fqs, account, 1);
+      adjust_account_flows (fqs, account, 1);
     }
   if (flow == NULL)
     {
-      flow = &fqs->rest;
-      fqs->rest_used = true;
+      flow = &fqs->shared;
+      fqs->shared_used = true;
     }
   flow->open++;
   return flow;
@@ -315,7 +315,7 @@
 bool
 fqs_yields (const FqsWaiting *waiting, const FqsWaiting *expired)
 {
-  if (expired->waited_ms >= adm_max_wait_ms (expired->admission) * WAIT_FACTOR)
+  if (expired->waited_ms >= adm_max_wait_ms (expired->admission) * EXTENDED_WAIT_FACTOR)
     return false;
   if (waiting->flow == expired->flow || !fqs_precedes (expired, waiting))
     return false;
@@ -345,8 +345,8 @@
   g_hash_table_iter_init (&iter, fqs->flows);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     g_ptr_array_add (flows, key);
-  if (fqs->rest.requested_m >= IDLE_M)
-    g_ptr_array_add (flows, &fqs->rest);
+  if (fqs->shared.requested_m >= IDLE_M)
+    g_ptr_array_add (flows, &fqs->shared);
   g_ptr_array_sort (flows, compare_requested);
   for (guint i = 0; i < MIN (flows->len, FQS_LISTED_MAX); i++)
     {
--- a/src/fqs.h
+++ b/src/fqs.h
@@ -13,7 +13,7 @@
 /**
  * struct FqsFlow - requests of a flow; counts are in thousandths of a request
  * @account: NULL without accounts
- * @route: NULL for the flow of the accounts that have none of their own
+ * @route: NULL for the flow that requests beyond the bounds share
  * @open: requests that have not ended, which keep the flow in existence
  * @taken_m: slots taken, decaying over FQS_SHARE_DECAY_STEPS
  * @requested_m: first attempts, decaying over FQS_RATIO_DECAY_STEPS
