Quotas, upstreams: names and comments that state side effects

check_token() counted a refusal and set a Retry-After time, which neither its name nor a comment said; feedback of departed upstreams is saved and restored. No change of behaviour.

--- a/src/chk.c
+++ b/src/chk.c
@@ -303,7 +303,7 @@
   char *(*format) (const void *entry);
 } Property;
 
-/* With commas between groups of three digits. */
+/* Commas separate groups of three digits. */
 static char *
 format_count (uint64_t number)
 {
--- a/src/quo.c
+++ b/src/quo.c
@@ -516,8 +516,8 @@
   return MAX (share_of (quotas, account) * left, usual_allowance (quotas, account));
 }
 
-/* Refused callers return one after the other, as the own share of the rate lets them in: those that
- * return together before would be refused again. */
+/* Spaces the return of refused callers by the own share of the rate: of callers that returned at
+ * the same time, most would be refused again. */
 static uint32_t
 retry_after_ms_of (const Quo *quotas, Account *account, double unreported, uint64_t now_ms)
 {
@@ -581,8 +581,9 @@
   count_use (quotas, account, &account->zone, 1, now_ms);
 }
 
+/* Counts a refusal, and sets its Retry-After time, when it returns false. */
 static bool
-check_token (Quo *quotas, Account *account, uint64_t now_ms, uint32_t *retry_after_ms)
+admits_next (Quo *quotas, Account *account, uint64_t now_ms, uint32_t *retry_after_ms)
 {
   advance (quotas, account, now_ms);
   double unreported = unreported_of (account);
@@ -602,7 +603,7 @@
   Account *account = find_account (quotas, hash);
 
   *retry_after_ms = 0;
-  return account == NULL || check_token (quotas, account, now_ms, retry_after_ms);
+  return account == NULL || admits_next (quotas, account, now_ms, retry_after_ms);
 }
 
 bool
@@ -613,7 +614,7 @@
   *retry_after_ms = 0;
   if (account == NULL)
     return true;
-  if (!check_token (quotas, account, now_ms, retry_after_ms))
+  if (!admits_next (quotas, account, now_ms, retry_after_ms))
     return false;
   take_token (quotas, account, now_ms);
   return true;
--- a/src/ups.c
+++ b/src/ups.c
@@ -111,10 +111,10 @@
          && is_same_addr (ups->record.addr, incarnation->addr);
 }
 
-/* Keeps what an instance asked for in case its registration lapses and comes back. Without born_ms,
- * another instance can't be told from it. */
+/* Keeps the feedback of an upstream in case its registration lapses and comes back. Without
+ * born_ms, another incarnation at the same address can't be told from it. */
 static void
-remember_feedback (UpsTable *table, const Ups *ups)
+save_feedback (UpsTable *table, const Ups *ups)
 {
   if (ups->record.born_ms == 0 || (!ups->leaving && ups->paused_until_ms == 0))
     return;
@@ -126,7 +126,7 @@
 }
 
 static void
-recall_feedback (const UpsTable *table, Ups *ups)
+restore_feedback (const UpsTable *table, Ups *ups)
 {
   for (uint32_t i = 0; i < UPS_DEPARTED_MAX; i++)
     {
@@ -147,7 +147,7 @@
   ups->hash = ups_hash (record->id);
   ups->slowness_permille = PERMILLE;
   lrn_init (&ups->learned);
-  recall_feedback (table, ups);
+  restore_feedback (table, ups);
   ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
   g_hash_table_insert (table->by_id, ups->record.id, ups);
   g_hash_table_insert (table->by_hash, GUINT_TO_POINTER (ups->hash), ups);
@@ -222,7 +222,7 @@
 {
   if (!ups->gone || ups->in_flight > 0 || ups->relayed > 0)
     return;
-  remember_feedback (table, ups);
+  save_feedback (table, ups);
   remove_from_service (table, ups);
   g_hash_table_remove (table->by_hash, GUINT_TO_POINTER (ups->hash));
   g_hash_table_remove (table->by_id, ups->record.id);
