--- a/tests/test_chk.cc
+++ b/tests/test_chk.cc
@@ -34,23 +34,24 @@
 }
 
 std::string
-Whole (const std::string &routes, const std::string &services, const std::string &accounts,
-       const std::string &version = "r7", const std::string &limits = "\"idle-timeout-s\":15")
+ConfigurationText (const std::string &routes, const std::string &services,
+                   const std::string &accounts, const std::string &version = "r7",
+                   const std::string &limits = "\"idle-timeout-s\":15")
 {
   return "{\"version\":\"" + version + "\",\n\"routes\":{" + routes + "},\n\"services\":{"
          + services + "},\n\"limits\":{" + limits + "},\n\"tenants\":{" + accounts + "}}";
 }
 
 std::string
-Pay (const std::string &fields)
+PayRoute (const std::string &fields)
 {
   return "\"pay\":{" + fields + "}";
 }
 
 std::string
-Usual ()
+ValidText ()
 {
-  return Whole (Pay (kRoute), kServices, kAccount);
+  return ConfigurationText (PayRoute (kRoute), kServices, kAccount);
 }
 
 class ConfigurationCheck : public ::testing::Test
@@ -58,22 +59,22 @@
 protected:
   ConfigurationCheck ()
   {
-    char folder[] = "/tmp/cardamom-chk-XXXXXX";
-    folder_ = mkdtemp (folder);
+    char directory[] = "/tmp/cardamom-chk-XXXXXX";
+    directory_ = mkdtemp (directory);
   }
 
   ~ConfigurationCheck () override
   {
     for (const char *name : { "new", "old" })
-      unlink ((folder_ + "/" + name).c_str ());
-    rmdir (folder_.c_str ());
+      unlink ((directory_ + "/" + name).c_str ());
+    rmdir (directory_.c_str ());
   }
 
   std::string
   File (const std::string &name, const std::string &text)
   {
-    std::ofstream (folder_ + "/" + name) << text;
-    return folder_ + "/" + name;
+    std::ofstream (directory_ + "/" + name) << text;
+    return directory_ + "/" + name;
   }
 
   static Result
@@ -101,15 +102,15 @@
     return Command (File ("new", after) + " --against=" + File ("old", before));
   }
 
-  std::string folder_;
+  std::string directory_;
 };
 
-// `fault` is the beginning of the only line of the output that reports a fault.
+// `finding` is the beginning of the only line of the output that reports one.
 struct Mistake
 {
   const char *name;
   std::string text;
-  std::string fault;
+  std::string finding;
 };
 
 void
@@ -121,13 +122,13 @@
 std::string
 RouteWith (const std::string &from, const std::string &to)
 {
-  return Whole (Pay (Replace (kRoute, from, to)), kServices, kAccount);
+  return ConfigurationText (PayRoute (Replace (kRoute, from, to)), kServices, kAccount);
 }
 
 std::string
 AccountWith (const std::string &from, const std::string &to)
 {
-  return Whole (Pay (kRoute), kServices, Replace (kAccount, from, to));
+  return ConfigurationText (PayRoute (kRoute), kServices, Replace (kAccount, from, to));
 }
 
 std::string
@@ -137,14 +138,14 @@
 }
 
 const Mistake kErrors[] = {
-  { "NotJson", Replace (Usual (), "\"limits\":{", "\"limits\":{{"),
+  { "NotJson", Replace (ValidText (), "\"limits\":{", "\"limits\":{{"),
     "error line 4: not valid JSON" },
   { "NoObject", "[1]", "error: expected an object" },
   { "TooDeep", std::string (100, '[') + std::string (100, ']'), "error: nested deeper" },
-  { "NoRoutes", Replace (Usual (), "\"routes\"", "\"roads\""), "error routes: missing" },
-  { "BadVersion", Replace (Usual (), "r7", "7"), "error version: expected the letter r" },
+  { "NoRoutes", Replace (ValidText (), "\"routes\"", "\"roads\""), "error routes: missing" },
+  { "BadVersion", Replace (ValidText (), "r7", "7"), "error version: expected the letter r" },
   { "NoHost", RouteWith ("\"host\":\"shop.example\",", ""), "error routes.pay.host: missing" },
-  { "RouteIsNoObject", Whole (Pay (kRoute) + ",\"b\":7", kServices, kAccount),
+  { "RouteIsNoObject", ConfigurationText (PayRoute (kRoute) + ",\"b\":7", kServices, kAccount),
     "error routes.b: expected an object" },
   { "TimeoutIsText", RouteWith ("\"timeout-s\":2", "\"timeout-s\":\"2\""),
     "error routes.pay.timeout-s: expected a number" },
@@ -162,16 +163,18 @@
   { "WeightsSumToZero", Split ("{\"service\":\"desk\",\"weight\":0.0}"),
     "error routes.pay.split: the weights sum to zero" },
   { "LongService",
-    Whole (Pay (kRoute) + ",\"b\":{\"host\":\"h\",\"path-prefix\":\"/\",\"service\":\""
-               + std::string (64, 's') + "\"}",
-           kServices, kAccount),
+    ConfigurationText (PayRoute (kRoute)
+                           + ",\"b\":{\"host\":\"h\",\"path-prefix\":\"/\",\"service\":\""
+                           + std::string (64, 's') + "\"}",
+                       kServices, kAccount),
     "error routes.b: a service's name has at most 63 bytes" },
-  { "BodyLimitNegative", Whole (Pay (kRoute), kServices, kAccount, "r7", "\"max-body-bytes\":-5"),
+  { "BodyLimitNegative",
+    ConfigurationText (PayRoute (kRoute), kServices, kAccount, "r7", "\"max-body-bytes\":-5"),
     "error limits.max-body-bytes: expected a number from" },
   { "EmptyKey", AccountWith ("secret-1", ""), "error tenants.one.api-keys: key 0 is empty" },
   { "SharedKey",
-    Whole (Pay (kRoute), kServices,
-           std::string (kAccount) + ",\"two\":{\"api-keys\":[\"secret-1\"]}"),
+    ConfigurationText (PayRoute (kRoute), kServices,
+                       std::string (kAccount) + ",\"two\":{\"api-keys\":[\"secret-1\"]}"),
     "error tenants.two.api-keys: key 0 is also a key of account one" },
   { "AccountName", AccountWith ("\"one\"", "\"o ne\""),
     "error tenants[\"o ne\"]: an account's name has" },
@@ -187,13 +190,14 @@
   { "UnknownKind", RouteWith ("\"idempotent\"", "\"idempotnt\""),
     "warning routes.pay.kind: unknown kind" },
   { "ShadowedRoute",
-    Whole (Pay (kRoute) + ",\"buy\":{" + Replace (kRoute, "shop.example", "SHOP.example") + "}",
-           kServices, kAccount),
+    ConfigurationText (PayRoute (kRoute) + ",\"buy\":{"
+                           + Replace (kRoute, "shop.example", "SHOP.example") + "}",
+                       kServices, kAccount),
     "warning routes." },
   { "ShadowedRouteWithoutSlash",
-    Whole (Pay (Replace (kRoute, "/pay/", "/pay")) + ",\"buy\":{"
-               + Replace (kRoute, "/pay/", "/pay") + "}",
-           kServices, kAccount),
+    ConfigurationText (PayRoute (Replace (kRoute, "/pay/", "/pay")) + ",\"buy\":{"
+                           + Replace (kRoute, "/pay/", "/pay") + "}",
+                       kServices, kAccount),
     "warning routes." },
   { "HostWithPort", RouteWith ("shop.example", "shop.example:80"),
     "warning routes.pay.host: never matches" },
@@ -214,11 +218,12 @@
                "\"service\":\"desk\",\"split\":[{\"service\":\"desk\",\"weight\":1}]"),
     "warning routes.pay: has a service and a split" },
   { "UnknownService",
-    Whole (Pay (kRoute) + ",\"b\":{" + Replace (Replace (kRoute, "/pay/", "/b/"), "desk", "dek")
-               + "}",
-           kServices, kAccount),
+    ConfigurationText (PayRoute (kRoute) + ",\"b\":{"
+                           + Replace (Replace (kRoute, "/pay/", "/b/"), "desk", "dek") + "}",
+                       kServices, kAccount),
     "warning routes.b.service: service dek is not among the services" },
-  { "UnusedService", Whole (Pay (kRoute), std::string (kServices) + ",\"old\":{}", kAccount),
+  { "UnusedService",
+    ConfigurationText (PayRoute (kRoute), std::string (kServices) + ",\"old\":{}", kAccount),
     "warning services.old: no route leads" },
   { "BurstBelowOne", AccountWith ("\"burst\":5", "\"burst\":0.5"),
     "warning tenants.one.burst: less than one request" },
@@ -250,18 +255,19 @@
 {
   Result run = CheckText (GetParam ().text);
   EXPECT_EQ (run.code, 1);
-  EXPECT_EQ (run.out.rfind (GetParam ().fault, 0), 0u) << run.out;
+  EXPECT_EQ (run.out.rfind (GetParam ().finding, 0), 0u) << run.out;
   EXPECT_NE (run.out.find ("\nerrors=1 "), std::string::npos) << run.out;
   EXPECT_EQ (run.out.find ("secret-1"), std::string::npos) << run.out;
 }
 
 INSTANTIATE_TEST_SUITE_P (Files, ErrorCheck, ::testing::ValuesIn (kErrors), NameOf);
 
+// Guards against a part without effect that isn't found, or that makes the check fail.
 TEST_P (WarningCheck, MistakeIsTheOnlyFinding)
 {
   Result run = CheckText (GetParam ().text);
   EXPECT_EQ (run.code, 0);
-  EXPECT_EQ (run.out.rfind (GetParam ().fault, 0), 0u) << run.out;
+  EXPECT_EQ (run.out.rfind (GetParam ().finding, 0), 0u) << run.out;
   EXPECT_NE (run.out.find ("\nerrors=0 warnings=1 changes=0\n"), std::string::npos) << run.out;
 }
 
@@ -270,7 +276,7 @@
 TEST_F (ConfigurationCheck, FileWithoutMistakesHasNoFindings)
 {
   for (const std::string &text :
-       { Usual (), Configuration (7, "", "\"timeout-s\":3,\"goal-s\":0.5"),
+       { ValidText (), Configuration (7, "", "\"timeout-s\":3,\"goal-s\":0.5"),
          Split ("{\"service\":\"desk\",\"weight\":0.5},{\"service\":\"desk\",\"weight\":1}") })
     {
       Result run = CheckText (text);
@@ -287,14 +293,15 @@
 {
   std::string routes
       = "\"/pay\":{" + Replace (kRoute, "\"timeout-s\":2", "\"timeout-s\":1.5") + "}";
-  std::string before = Whole ("\"/pay\":{" + std::string (kRoute) + "},\"gone\":{"
-                                  + Replace (kRoute, "/pay/", "/gone/") + "}",
-                              kServices, kAccount);
-  std::string after = Whole (routes, Replace (kServices, ":6", ":8"),
-                             Replace (Replace (kAccount, "\"rate-per-s\":5", "\"rate-per-s\":7.5"),
-                                      "secret-1", "secret-2\",\"secret-3")
-                                 + ",\"two\":{\"api-keys\":[\"secret-1\"]}",
-                             "r8", "\"idle-timeout-s\":20,\"max-body-bytes\":1000000");
+  std::string before = ConfigurationText ("\"/pay\":{" + std::string (kRoute) + "},\"gone\":{"
+                                              + Replace (kRoute, "/pay/", "/gone/") + "}",
+                                          kServices, kAccount);
+  std::string after
+      = ConfigurationText (routes, Replace (kServices, ":6", ":8"),
+                           Replace (Replace (kAccount, "\"rate-per-s\":5", "\"rate-per-s\":7.5"),
+                                    "secret-1", "secret-2\",\"secret-3")
+                               + ",\"two\":{\"api-keys\":[\"secret-1\"]}",
+                           "r8", "\"idle-timeout-s\":20,\"max-body-bytes\":1000000");
   Result run = Compare (before, after);
   EXPECT_EQ (run.code, 0);
   EXPECT_EQ (run.out, "change: version r7 to r8\n"
@@ -313,17 +320,17 @@
 // Nodes keep what they have unless the version is higher, and the operator would wait for nothing.
 TEST_F (ConfigurationCheck, VersionThatIsNotHigherIsAWarning)
 {
-  std::string newer = Replace (Usual (), "r7", "r9");
-  EXPECT_NE (Compare (newer, Usual ()).out.find ("warning version: r7 is below r9"),
+  std::string newer = Replace (ValidText (), "r7", "r9");
+  EXPECT_NE (Compare (newer, ValidText ()).out.find ("warning version: r7 is below r9"),
              std::string::npos);
-  EXPECT_NE (Compare (Usual (), Usual ()).out.find ("warning version: r7 is the version"),
+  EXPECT_NE (Compare (ValidText (), ValidText ()).out.find ("warning version: r7 is the version"),
              std::string::npos);
 }
 
 TEST_F (ConfigurationCheck, FirstAccountTurnsAuthenticationOn)
 {
-  Result run = Compare (Whole (Pay (kRoute), kServices, ""),
-                        Whole (Pay (kRoute), kServices, kAccount, "r8"));
+  Result run = Compare (ConfigurationText (PayRoute (kRoute), kServices, ""),
+                        ConfigurationText (PayRoute (kRoute), kServices, kAccount, "r8"));
   EXPECT_NE (run.out.find ("change: requests: API keys are required"), std::string::npos)
       << run.out;
 }
@@ -331,10 +338,10 @@
 TEST_F (ConfigurationCheck, InForceComparesWithTheNewestConfigurationOfTheStore)
 {
   FakeStore store;
-  store.Put ("config", "old", Replace (Usual (), "r7", "r5"));
-  store.Put ("config", "main", Replace (Usual (), "\"attempts\":2", "\"attempts\":3"));
+  store.Put ("config", "old", Replace (ValidText (), "r7", "r5"));
+  store.Put ("config", "main", Replace (ValidText (), "\"attempts\":2", "\"attempts\":3"));
   store.Put ("config", "broken", "{\"version\":\"r99\"}");
-  std::string file = File ("new", Replace (Usual (), "r7", "r8"));
+  std::string file = File ("new", Replace (ValidText (), "r7", "r8"));
   Result run = Command (file + " --in-force --store=" + store.address ());
   EXPECT_EQ (run.code, 0);
   EXPECT_EQ (run.out, "change: version r7 to r8\nchange: route pay: attempts 3 to 2\n"
@@ -345,10 +352,10 @@
 
 TEST_F (ConfigurationCheck, WrongUsageAndUnreadableFilesEndWithTwo)
 {
-  std::string file = File ("new", Usual ());
+  std::string file = File ("new", ValidText ());
   std::string broken = File ("old", "{");
   for (const std::string &arguments :
-       { std::string (), folder_ + "/none", file + " --against=" + folder_ + "/none",
+       { std::string (), directory_ + "/none", file + " --against=" + directory_ + "/none",
          file + " --against=" + broken, file + " --in-force",
          file + " --in-force --store=127.0.0.1:1 --against=" + file, file + " --output=xml",
          file + " --unknown" })
