--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -69,6 +69,12 @@
     std::this_thread::sleep_for (500ms);
   }
 
+  static bool
+  Logs (const NodeProcess &node, const std::string &text, int timeout_ms)
+  {
+    return WaitUntil (timeout_ms, [&] { return node.Log ().find (text) != std::string::npos; });
+  }
+
   void
   Send (NodeProcess &node, int requests)
   {
@@ -93,6 +99,14 @@
     second_.SetWork (0);
   }
 
+  static FakeUpstream::Behaviour
+  Serves (const FakeUpstream &upstream)
+  {
+    return [&upstream] (int fd, const Request &request) {
+      WriteAll (fd, upstream.SignedResponse (request, "ok"));
+    };
+  }
+
   static FakeUpstream::Behaviour
   SendsLeavingHeader (const FakeUpstream &upstream)
   {
@@ -245,10 +259,7 @@
   SendUntilReached (*nodes_[1], first_);
   first_.SetBehaviour (SendsLeavingHeader (first_));
   SendUntilReached (*nodes_[0], first_);
-  ASSERT_TRUE (WaitUntil (2000, [&] {
-    return nodes_[1]->Log ().find ("event=upstream_leaves upstream=up-1 told_by=peer")
-           != std::string::npos;
-  }));
+  ASSERT_TRUE (Logs (*nodes_[1], "event=upstream_leaves upstream=up-1 told_by=peer", 2000));
   int before = first_.arrivals ();
   Send (*nodes_[1], 60);
   EXPECT_EQ (first_.arrivals (), before);
@@ -330,9 +341,7 @@
   first_.SetBehaviour (RejectsWithRetryAfter ("0.8"));
   SendUntilReached (*nodes_[0], first_);
   std::this_thread::sleep_for (850ms);
-  first_.SetBehaviour ([this] (int fd, const Request &request) {
-    WriteAll (fd, first_.SignedResponse (request, "ok"));
-  });
+  first_.SetBehaviour (Serves (first_));
   first_.SetWork (300);
   ASSERT_LE (first_.max_concurrent (), 1);
   auto send_together = [this] {
@@ -370,7 +379,8 @@
   const char *name;
   std::string head; // status line and headers
   std::string body;
-  int status; // what the caller gets when no other upstream is asked, 0 for any
+  int status;                // what the caller gets when no other upstream is asked, 0 for any
+  bool is_truncated = false; // the connection ends before the end of the body
 };
 
 void
@@ -382,24 +392,18 @@
 class Notice : public UpstreamFeedback, public ::testing::WithParamInterface<NoticeCase>
 {
 protected:
+  // The response with a further header; its body is written in two parts.
   static FakeUpstream::Behaviour
-  Responds (const NoticeCase &notice, const std::string &header, int pause_ms = 0)
+  Responds (const NoticeCase &notice, const std::string &header)
   {
-    return [notice, header, pause_ms] (int fd, const Request &request) {
+    return [notice, header] (int fd, const Request &request) {
       WriteAll (fd, notice.head + header + "X-Request-Id: " + request.headers.at ("x-request-id")
                         + "\r\n\r\n" + notice.body.substr (0, 1));
-      std::this_thread::sleep_for (std::chrono::milliseconds (pause_ms));
       WriteAll (fd, notice.body.substr (std::min<size_t> (1, notice.body.size ())));
-      if (std::string (notice.name) == "Truncated")
+      if (notice.is_truncated)
         shutdown (fd, SHUT_RDWR);
     };
   }
-
-  bool
-  Logs (const std::string &text)
-  {
-    return WaitUntil (1000, [&] { return nodes_[0]->Log ().find (text) != std::string::npos; });
-  }
 };
 
 const NoticeCase kNotices[] = {
@@ -412,8 +416,8 @@
   { "Rejected", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "", 0 },
   { "Unavailable", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n", "", 0 },
   { "Unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "ok", 0 },
-  { "Truncated", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 9\r\n", "ok",
-    0 },
+  { "Truncated", "HTTP/1.1 200 OK\r\nX-Response-Signature: 1.2.3\r\nContent-Length: 9\r\n", "ok", 0,
+    true },
 };
 }
 
@@ -432,7 +436,7 @@
   EXPECT_EQ (reply.headers.count ("server-leaving"), 0u);
   int expected = GetParam ().status != 0 ? GetParam ().status : reply.status;
   EXPECT_EQ (reply.status, expected);
-  EXPECT_TRUE (Logs ("event=upstream_leaves upstream=up-1 told_by=answer"));
+  EXPECT_TRUE (Logs (*nodes_[0], "event=upstream_leaves upstream=up-1 told_by=answer", 1000));
   before = first_.arrivals ();
   SendToBoth (*nodes_[0]);
   EXPECT_EQ (first_.arrivals (), before);
@@ -458,9 +462,7 @@
   for (int i = 0; i < 8; i++)
     callers.emplace_back (
         [&, i] { complete += Get (*nodes_[0], "slow" + std::to_string (i)).status == 200; });
-  EXPECT_TRUE (WaitUntil (800, [&] {
-    return nodes_[0]->Log ().find ("event=upstream_leaves upstream=up-1") != std::string::npos;
-  }));
+  EXPECT_TRUE (Logs (*nodes_[0], "event=upstream_leaves upstream=up-1", 800));
   int at_notice = first_.arrivals ();
   EXPECT_GT (at_notice, before);
   Send (*nodes_[0], 20);
@@ -480,9 +482,7 @@
   first_.SetBehaviour (SendsLeavingHeader (first_));
   SendUntilReached (*nodes_[0], first_);
   store_.Delete ("servers", first_.id ());
-  ASSERT_TRUE (WaitUntil (3000, [&] {
-    return nodes_[0]->Log ().find ("event=upstream_gone upstream=up-1") != std::string::npos;
-  }));
+  ASSERT_TRUE (Logs (*nodes_[0], "event=upstream_gone upstream=up-1", 3000));
   store_.Put ("servers", first_.id (), record);
   std::this_thread::sleep_for (700ms);
   int before = first_.arrivals ();
@@ -498,10 +498,7 @@
   SendUntilReached (*nodes_[0], first_);
   nodes_.push_back (std::make_unique<NodeProcess> ("vm-2", "east-a", store_.address (), 2));
   ASSERT_TRUE (nodes_[1]->WaitReady (5000));
-  ASSERT_TRUE (WaitUntil (3000, [&] {
-    return nodes_[1]->Log ().find ("event=upstream_leaves upstream=up-1 told_by=peer")
-           != std::string::npos;
-  }));
+  ASSERT_TRUE (Logs (*nodes_[1], "event=upstream_leaves upstream=up-1 told_by=peer", 3000));
   int before = first_.arrivals ();
   SendToBoth (*nodes_[1]);
   EXPECT_EQ (first_.arrivals (), before);
@@ -517,7 +514,7 @@
 const NoticeCase kPauses[] = {
   { "Rejected", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n", "", 0 },
   { "MayHaveRun", "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n", "no", 0 },
-  { "Truncated", "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n", "no", 0 },
+  { "Truncated", "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n", "no", 0, true },
 };
 }
 
@@ -529,7 +526,7 @@
   first_.SetBehaviour ([pause] (int fd, const Request &request) {
     WriteAll (fd, pause.head + "Retry-After: 3.5\r\nX-Request-Id: "
                       + request.headers.at ("x-request-id") + "\r\n\r\n" + pause.body);
-    if (pause.body.size () == 2 && std::string (pause.name) == "Truncated")
+    if (pause.is_truncated)
       shutdown (fd, SHUT_RDWR);
   });
   SendUntilReached (*nodes_[0], first_);
@@ -588,9 +585,7 @@
                        { { "X-Request-Id", "late" }, { "X-Deadline-Ms", "2000" } });
     });
     EXPECT_TRUE (WaitUntil (2000, [&] { return first_.arrivals () > before; }));
-    first_.SetBehaviour ([this] (int fd, const Request &request) {
-      WriteAll (fd, first_.SignedResponse (request, "ok"));
-    });
+    first_.SetBehaviour (Serves (first_));
     store_.Put ("servers", first_.id (), record);
     caller.join ();
   }
