--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -193,35 +193,50 @@
   return until_ms;
 }
 
+// Adds requests with the key that `change` removed that reached an upstream before `end_ms`.
+void
+AddAcceptedWithRemovedKey (const Records &records, const KeyChange &change, int end_ms,
+                           std::vector<std::string> *violations)
+{
+  for (const Arrival &arrival : records.arrivals)
+    {
+      auto call = records.calls.find (arrival.id);
+      if (call == records.calls.end () || !call->second.uses_rotated_key)
+        continue;
+      int late_ms = arrival.at_ms - InForceMs (records, change, call->second.node);
+      if (late_ms >= 0 && arrival.at_ms < end_ms)
+        violations->push_back (arrival.id + " reached upstream " + std::to_string (arrival.upstream)
+                               + " with a removed key, " + std::to_string (late_ms)
+                               + " ms late, by node " + std::to_string (call->second.node));
+    }
+}
+
+// Adds requests with the key that `change` added that got 401 before `end_ms`.
+void
+AddRejectedWithAddedKey (const Records &records, const KeyChange &change, int end_ms,
+                         std::vector<std::string> *violations)
+{
+  for (const auto &[id, call] : records.calls)
+    if (call.uses_rotated_key && call.status == 401
+        && call.sent_ms >= InForceMs (records, change, call.node) && call.replied_ms < end_ms)
+      violations->push_back (id + " got 401 with a valid key from node "
+                             + std::to_string (call.node));
+}
+
 // Requests with a removed key that reached an upstream, and those with a valid one that got 401.
 std::vector<std::string>
 KeyViolations (const Records &records)
 {
   std::vector<std::string> violations;
-  auto end_ms = [&] (size_t i) {
-    return i + 1 < records.key_changes.size () ? records.key_changes[i + 1].put_ms : INT32_MAX;
-  };
   for (size_t i = 0; i < records.key_changes.size (); i++)
     {
       const KeyChange &change = records.key_changes[i];
-      for (const Arrival &arrival : records.arrivals)
-        {
-          auto call = records.calls.find (arrival.id);
-          if (!change.removed || call == records.calls.end () || !call->second.uses_rotated_key)
-            continue;
-          int late_ms = arrival.at_ms - InForceMs (records, change, call->second.node);
-          if (late_ms >= 0 && arrival.at_ms < end_ms (i))
-            violations.push_back (arrival.id + " reached upstream "
-                                  + std::to_string (arrival.upstream) + " with a removed key, "
-                                  + std::to_string (late_ms) + " ms late, by node "
-                                  + std::to_string (call->second.node));
-        }
-      for (const auto &[id, call] : records.calls)
-        if (!change.removed && call.uses_rotated_key && call.status == 401
-            && call.sent_ms >= InForceMs (records, change, call.node)
-            && call.replied_ms < end_ms (i))
-          violations.push_back (id + " got 401 with a valid key from node "
-                                + std::to_string (call.node));
+      int end_ms
+          = i + 1 < records.key_changes.size () ? records.key_changes[i + 1].put_ms : INT32_MAX;
+      if (change.removed)
+        AddAcceptedWithRemovedKey (records, change, end_ms, &violations);
+      else
+        AddRejectedWithAddedKey (records, change, end_ms, &violations);
     }
   for (const auto &[id, call] : records.calls)
     if (!call.uses_rotated_key && call.status == 401)
@@ -229,6 +244,18 @@
   return violations;
 }
 
+// When each node first passed a response with the notice on to a caller; INT32_MAX for never.
+std::array<int, kNodes>
+PassedOnMs (const Records &records, int notice)
+{
+  std::array<int, kNodes> times_ms;
+  times_ms.fill (INT32_MAX);
+  for (const auto &[id, call] : records.calls)
+    if (call.notice == notice)
+      times_ms[call.node] = std::min (times_ms[call.node], call.replied_ms);
+  return times_ms;
+}
+
 // Requests to an upstream that were sent too long after their node had passed its notice on.
 std::vector<std::string>
 NoticeViolations (const Records &records)
@@ -237,11 +264,7 @@
   for (size_t i = 0; i < records.notices.size (); i++)
     {
       const Notice &notice = records.notices[i];
-      int passed_on_ms[kNodes];
-      std::fill (passed_on_ms, passed_on_ms + kNodes, INT32_MAX);
-      for (const auto &[id, call] : records.calls)
-        if (call.notice == static_cast<int> (i))
-          passed_on_ms[call.node] = std::min (passed_on_ms[call.node], call.replied_ms);
+      std::array<int, kNodes> passed_on_ms = PassedOnMs (records, static_cast<int> (i));
       for (const Arrival &arrival : records.arrivals)
         {
           auto found = records.calls.find (arrival.id);
@@ -423,7 +446,7 @@
       AddUpstream ();
     upstream_proxy_ = std::make_unique<FaultProxy> (upstreams_[0]->address ());
     Register (0, "ready");
-    for (int i = 0; i < 3; i++)
+    for (int i = 0; i < kNodes; i++)
       {
         nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (i), ZoneOfNode (i),
                                                          store_proxy_->address (), i + 1));
@@ -431,7 +454,7 @@
       }
   }
 
-  // Each kind of event is absent from one day of five; the days of CI's seed 1 have all kinds.
+  // Each kind of event is absent from one seed of five; seed 1, which CI uses, has all kinds.
   void
   ChooseEvents ()
   {
@@ -524,8 +547,8 @@
         WriteAll (fd, PauseResponse (index, id));
         return;
       }
-    unsigned fate = request_count_++ % 31;
-    if (fate == 7)
+    unsigned response_case = request_count_++ % 31;
+    if (response_case == 7)
       {
         WriteAll (fd, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         return;
@@ -535,9 +558,9 @@
       std::lock_guard<std::mutex> lock (records_.mutex);
       records_.first_run_ms.emplace (id, NowMs ());
     }
-    if (fate == 13)
+    if (response_case == 13)
       shutdown (fd, SHUT_RDWR);
-    else if (fate == 19)
+    else if (response_case == 19)
       WriteAll (fd, FinalResponse (upstream, index, request, id)
                         + upstream->SignedResponse (request, "extra"));
     else
@@ -605,7 +628,7 @@
 
   // Sleeps, and returns early at the end of the test.
   void
-  Pass (int duration_ms)
+  SleepUnlessEnding (int duration_ms)
   {
     WaitUntil (duration_ms, [this] { return ending_.load (); });
   }
@@ -619,7 +642,7 @@
     }
     for (bool removed = true; !ending_; removed = !removed)
       {
-        Pass (4500 + static_cast<int> (random () % 1500));
+        SleepUnlessEnding (4500 + static_cast<int> (random () % 1500));
         if (ending_)
           return;
         int put_ms = NowMs ();
@@ -641,7 +664,7 @@
   {
     while (!ending_)
       {
-        Pass (1000 + static_cast<int> (random () % 1500));
+        SleepUnlessEnding (1000 + static_cast<int> (random () % 1500));
         int index = RandomUpstream (&random);
         int number;
         {
@@ -650,7 +673,7 @@
           records_.notices.push_back ({ index, NowMs () });
         }
         notice_[index] = number;
-        Pass (kInForceMs + 3000);
+        SleepUnlessEnding (kInForceMs + 3000);
         notice_[index] = -1;
         incarnations_[index]++;
         {
@@ -666,7 +689,7 @@
   {
     while (!ending_)
       {
-        Pass (500 + static_cast<int> (random () % 1500));
+        SleepUnlessEnding (500 + static_cast<int> (random () % 1500));
         int index = RandomUpstream (&random);
         pause_ms_[index] = 900 + static_cast<int> (random () % 1600);
         says_not_run_[index] = random () % 2 == 0;
@@ -674,7 +697,7 @@
       }
   }
 
-  // Starts the callers and changes of the events that this day has.
+  // Starts the threads of the kinds of events that this seed has.
   std::vector<std::thread>
   StartEvents ()
   {
