Node's queue: equal requests keep their order

The comparison of waiting requests never returned 0, so that each sort reversed those of equal rank: the queue was reordered without a reason, and fair queueing counted it as its own. Seen in a trial of g_queue_sort with such a function.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -591,7 +591,9 @@
   FqsWaiting x = waiting_of (a, now_ms);
   FqsWaiting y = waiting_of (b, now_ms);
 
-  return fqs_precedes (&x, &y) ? -1 : 1;
+  if (fqs_precedes (&x, &y))
+    return -1;
+  return fqs_precedes (&y, &x) ? 1 : 0;
 }
 
 /* Requests that arrived before fair queueing came into force have no flow. */
@@ -680,11 +682,12 @@
   const Frq *x = a;
   const Frq *y = b;
   uint64_t now_ms = *(const uint64_t *) user;
+  uint32_t x_waited_ms = (uint32_t) (now_ms - x->waiting_since_ms);
+  uint32_t y_waited_ms = (uint32_t) (now_ms - y->waiting_since_ms);
 
-  return adm_precedes (&x->admission, (uint32_t) (now_ms - x->waiting_since_ms), &y->admission,
-                       (uint32_t) (now_ms - y->waiting_since_ms))
-             ? -1
-             : 1;
+  if (adm_precedes (&x->admission, x_waited_ms, &y->admission, y_waited_ms))
+    return -1;
+  return adm_precedes (&y->admission, y_waited_ms, &x->admission, x_waited_ms) ? 1 : 0;
 }
 
 /** struct CacheKey - what a set of candidates depends on; @regions: those of the account, NULL
