--- a/src/jsc.c
+++ b/src/jsc.c
@@ -13,7 +13,7 @@
     text->at++;
 }
 
-/* Whether an odd number of backslashes ends before the quote. */
+/* Whether an odd number of backslashes precedes the quote. */
 static bool
 is_escaped (const char *start, const char *quote)
 {
@@ -83,7 +83,7 @@
   return false;
 }
 
-/* Moves behind an object or array that the text's index has. */
+/* Moves behind an object or array whose end is in the text's index; false without one. */
 static bool
 skip_indexed (JscSpan *text)
 {
@@ -115,7 +115,7 @@
 }
 
 static void
-open_value (JscIndex *index)
+index_start_of_value (JscIndex *index)
 {
   if (index->depth < JSC_INDEX_DEPTH)
     index->open[index->depth] = index->at;
@@ -123,7 +123,7 @@
 }
 
 static void
-close_value (JscIndex *index)
+index_end_of_value (JscIndex *index)
 {
   if (index->depth == 0)
     return;
@@ -154,9 +154,9 @@
           continue;
         }
       if (is_opening (c))
-        open_value (index);
+        index_start_of_value (index);
       else if (is_closing (c))
-        close_value (index);
+        index_end_of_value (index);
       index->at++;
     }
   return index->at >= index->end;
@@ -200,11 +200,7 @@
 {
   JscSpan value;
 
-  skip_space (&text);
-  if (text.at >= text.end || !is_opening (*text.at) || !jsc_take_value (&text, &value))
-    return false;
-  *contents = (JscSpan){ .at = value.at + 1, .end = value.end - 1, .index = value.index };
-  return true;
+  return jsc_take_value (&text, &value) && jsc_open_value (value, contents);
 }
 
 bool
--- a/src/jsc.h
+++ b/src/jsc.h
@@ -6,16 +6,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Large values of a text that an index holds, and how deep in it they may be. */
+/** Largest number of values in an index, and of objects and arrays that contain one of them. */
 #define JSC_INDEX_VALUES 32
 #define JSC_INDEX_DEPTH 5
 
 /**
- * struct JscIndex - where the large objects and arrays of a text end, so that they are passed over
- * without scanning them again
+ * struct JscIndex - start and end of the large objects and arrays of a text, so that they are
+ * skipped without another scan
  * @at, @end: what has not been indexed
  * @depth: number of objects and arrays that are open
- * @open: where they start
+ * @count: number of @values
+ * @open: where the open ones start
  * @values: start and end of each large one
  */
 typedef struct
@@ -43,7 +44,7 @@
 /** jsc_index_start() - starts to index a text. */
 void jsc_index_start (JscIndex *index, const char *text, size_t size);
 
-/** jsc_index_step() - indexes about @bytes more; false when there is more left. */
+/** jsc_index_step() - indexes about @bytes more; true when the whole text is indexed. */
 bool jsc_index_step (JscIndex *index, size_t bytes);
 
 /** jsc_take_value() - moves behind a value of any type; false if it is missing or has no end. */
@@ -56,7 +57,8 @@
  * then what is to be iterated. */
 bool jsc_open (JscSpan text, JscSpan *contents);
 
-/** jsc_open_value() - the same for a value that jsc_take_value() or another function returned. */
+/** jsc_open_value() - as jsc_open(), without a scan for the end: @value is a span that
+ * jsc_take_value(), jsc_next_element() or jsc_members() set. */
 bool jsc_open_value (JscSpan value, JscSpan *contents);
 
 /**
