Accounts: names that say what is done, comments on units

carry_over() also logged errors, the checks of a head had the names of those of a whole request, and an unresponsive node was 'silent'. Behaviour is unchanged.

--- a/src/acc.c
+++ b/src/acc.c
@@ -27,8 +27,8 @@
   g_free (account);
 }
 
-/* Digests are uniformly distributed, so that their first bytes are a hash: the lowest of them
- * select the shard, the others the slot. */
+/* Digests are uniformly distributed, so that their first bytes are a hash: its lowest bits select
+ * the shard, the others the slot. */
 static uint64_t
 digest_hash (const AccDigest *digest)
 {
@@ -38,7 +38,7 @@
   return hash;
 }
 
-/* The slot of the digest, or the free one where it belongs; the shard has a free slot. */
+/* The slot of the digest, or the free one in which to add it; the shard has a free slot. */
 static AccKey *
 find_slot (const AccShard *shard, const AccDigest *digest)
 {
--- a/src/acc.h
+++ b/src/acc.h
@@ -33,7 +33,7 @@
  * @regions: names of the regions that may serve its requests, NULL-terminated; NULL or empty for
  * all
  * @invalid_field: name of a field whose invalid value is ignored, or NULL
- * @is_applied: the node has set its quota, and has carried its counters over
+ * @is_applied: the node has set its quota and added the counters of the version before
  * @requests: its requests on this node, carried over to the next version
  * @over_quota: those of @requests that were rejected because of the quota
  */
@@ -71,10 +71,9 @@
 /**
  * struct AccTable - all accounts of one version of the configuration
  * @accounts: AccAccount in order of addition, owned by the table
- * @names: memory of their names
+ * @names: storage of their names
  * @by_name: the same by name
- * @shards: the same by the digest of each of their keys; a shard grows by itself, so that no
- *   addition of a key moves all of them
+ * @shards: keys by digest; each shard grows separately, so that no addition moves all keys
  */
 typedef struct
 {
--- a/src/aut.c
+++ b/src/aut.c
@@ -135,7 +135,7 @@
 }
 
 static void
-drop_quota (Node *node, const AccAccount *account)
+drop_quota_if_removed (Node *node, const AccAccount *account)
 {
   const AccTable *accounts = node->table->accounts;
 
@@ -144,25 +144,26 @@
 }
 
 static void
-carry_over (Node *node, AccAccount *account)
+carry_over_counters (const Node *node, AccAccount *account)
 {
-  const AccTable *previous = previous_accounts (node);
-  const AccAccount *before = previous != NULL ? acc_find_name (previous, account->name) : NULL;
+  const AccTable *accounts = previous_accounts (node);
+  const AccAccount *previous = accounts != NULL ? acc_find_name (accounts, account->name) : NULL;
 
-  account->is_applied = true;
-  if (before != NULL)
-    {
-      account->requests += before->requests;
-      account->over_quota += before->over_quota;
-    }
-  log_errors (node, account);
+  if (previous == NULL)
+    return;
+  account->requests += previous->requests;
+  account->over_quota += previous->over_quota;
 }
 
 static void
 apply_account (Node *node, AccAccount *account)
 {
   if (!account->is_applied)
-    carry_over (node, account);
+    {
+      account->is_applied = true;
+      carry_over_counters (node, account);
+      log_errors (node, account);
+    }
   quo_set_limit (node->quotas, account->hash, account->rate_mps, account->burst);
 }
 
@@ -253,11 +254,11 @@
   return false;
 }
 
-/* ---- Heads of requests ---- */
+/* ---- Rejections before the body ---- */
 
 static bool
-reject_unknown_key (Node *node, const char *id, const RteRoute *route, const char *reason,
-                    HsvReply *reply)
+reject_head_unauthorized (Node *node, const char *id, const RteRoute *route, const char *reason,
+                          HsvReply *reply)
 {
   if (route->is_public)
     return false;
@@ -269,8 +270,8 @@
 }
 
 static bool
-reject_over_quota (Node *node, const char *id, const RteRoute *route, AccAccount *account,
-                   uint32_t limit_ms, HsvReply *reply)
+reject_head_over_quota (Node *node, const char *id, const RteRoute *route, AccAccount *account,
+                        uint32_t limit_ms, HsvReply *reply)
 {
   AdmRequest admission = { .remaining_ms = limit_ms };
   uint32_t retry_after_ms;
@@ -299,8 +300,9 @@
   const char *reason;
   AccDigest digest;
   AccAccount *account = find_account (node, value, &digest, &reason);
-  bool is_rejected = account != NULL ? reject_over_quota (node, id, route, account, limit_ms, reply)
-                                     : reject_unknown_key (node, id, route, reason, reply);
+  bool is_rejected = account != NULL
+                         ? reject_head_over_quota (node, id, route, account, limit_ms, reply)
+                         : reject_head_unauthorized (node, id, route, reason, reply);
 
   if (is_rejected && id != NULL)
     hsv_add_reply_header (reply, node->headers.request_id, id);
@@ -365,17 +367,18 @@
   g_clear_pointer (&node->account_change.previous, rte_unref);
 }
 
-/* Quotas of removed accounts are dropped first, as another account may have the same hash; one that
- * is applied before, on its first request, is applied again. */
+/* Applies up to @count accounts. Quotas of removed accounts are dropped first, as another account
+ * may have the same hash; for the same reason, accounts already applied on their first request are
+ * applied again. */
 static void
 apply_accounts (Node *node, guint count)
 {
   NodAccountChange *change = &node->account_change;
-  const AccTable *before = previous_accounts (node);
+  const AccTable *previous = previous_accounts (node);
   const AccTable *accounts = node->table->accounts;
 
-  for (; before != NULL && change->dropped < before->accounts->len && count > 0; count--)
-    drop_quota (node, g_ptr_array_index (before->accounts, change->dropped++));
+  for (; previous != NULL && change->dropped < previous->accounts->len && count > 0; count--)
+    drop_quota_if_removed (node, g_ptr_array_index (previous->accounts, change->dropped++));
   for (; accounts != NULL && change->applied < accounts->accounts->len && count > 0; count--)
     apply_account (node, g_ptr_array_index (accounts->accounts, change->applied++));
   if (count > 0)
--- a/src/aut.h
+++ b/src/aut.h
@@ -65,7 +65,7 @@
  */
 void aut_apply_configuration (Node *node, RteTable *previous);
 
-/** aut_apply_step() - applies the next accounts; to be called regularly. */
+/** aut_apply_step() - applies the next APPLY_STEP_ACCOUNTS accounts; to be called regularly. */
 void aut_apply_step (Node *node);
 
 /** aut_is_applying() - whether accounts are left to apply; the next configuration has to wait, or
--- a/src/cac.c
+++ b/src/cac.c
@@ -1,4 +1,4 @@
-/* Accounts on nodes: asks nodes for their state dumps, and prints quotas and use of accounts. */
+/* Accounts on nodes: reads the nodes' state dumps, and prints quotas and use of accounts. */
 #include "cac.h"
 
 #include "jsn.h"
@@ -28,11 +28,11 @@
   double level;
 } Row;
 
-/** struct Report - responses of all nodes; @silent: addresses without one */
+/** struct Report - responses of all nodes; @unresponsive: addresses without one */
 typedef struct
 {
   GPtrArray *rows;
-  GPtrArray *silent;
+  GPtrArray *unresponsive;
 } Report;
 
 /* ---- State dumps ---- */
@@ -47,7 +47,7 @@
   g_free (row);
 }
 
-/* Value of a pair in a line of pairs, as a new string, or NULL. */
+/* Value of a name in a line of name=value pairs, as a new string, or NULL. */
 static char *
 find_value (const char *line, const char *name)
 {
@@ -119,7 +119,7 @@
 }
 
 static void
-ask_node (HclCtx *http, const CacQuery *query, const char *address, Report *report)
+query_node (HclCtx *http, const CacQuery *query, const char *address, Report *report)
 {
   char *name = query->account != NULL ? g_uri_escape_string (query->account, NULL, FALSE) : NULL;
   char *path = name != NULL ? g_strdup_printf ("/state?account=%s", name) : g_strdup ("/state");
@@ -131,7 +131,7 @@
   HclOutcome outcome
       = hcl_fetch_wait (http, addr, "GET", path, NULL, CALL_TIMEOUT_MS, &status, &response);
   if (outcome != HCL_DONE || status != STATUS_OK || !read_dump (report, response))
-    g_ptr_array_add (report->silent, g_strdup (address));
+    g_ptr_array_add (report->unresponsive, g_strdup (address));
   g_free (response);
   g_free (path);
   g_free (name);
@@ -192,10 +192,10 @@
       print_json_row (g_ptr_array_index (report->rows, i));
     else
       print_row (g_ptr_array_index (report->rows, i));
-  for (guint i = 0; i < report->silent->len; i++)
+  for (guint i = 0; i < report->unresponsive->len; i++)
     printf (query->json ? "{\"address\":\"%s\",\"state\":\"no_answer\"}\n"
                         : "address=%s state=no_answer\n",
-            (const char *) g_ptr_array_index (report->silent, i));
+            (const char *) g_ptr_array_index (report->unresponsive, i));
   if (query->account != NULL && report->rows->len == 0)
     fprintf (stderr, "no node that responded has an account '%s'\n", query->account);
 }
@@ -240,20 +240,20 @@
 cac_run (HclCtx *http, const CacQuery *query)
 {
   Report report = { .rows = g_ptr_array_new_with_free_func (row_free),
-                    .silent = g_ptr_array_new_with_free_func (g_free) };
+                    .unresponsive = g_ptr_array_new_with_free_func (g_free) };
   char **addresses = list_addresses (query);
   int code = 2;
 
   if (check_addresses (addresses))
     {
       for (char **address = addresses; *address != NULL; address++)
-        ask_node (http, query, *address, &report);
+        query_node (http, query, *address, &report);
       g_ptr_array_sort (report.rows, compare_rows);
       print_report (&report, query);
-      code = report.silent->len > 0 ? 1 : 0;
+      code = report.unresponsive->len > 0 ? 1 : 0;
     }
   g_strfreev (addresses);
   g_ptr_array_unref (report.rows);
-  g_ptr_array_unref (report.silent);
+  g_ptr_array_unref (report.unresponsive);
   return code;
 }
--- a/src/cac.h
+++ b/src/cac.h
@@ -1,13 +1,18 @@
-/* Accounts on nodes: asks nodes for their state dumps, and prints quotas and use of accounts. */
+/* Accounts on nodes: reads the nodes' state dumps, and prints quotas and use of accounts. */
 #pragma once
 
 #include "hcl.h"
 
-/** Environment variable with the nodes' addresses, separated by blanks, used when none is given. */
+/** Environment variable with the addresses of the nodes' metrics, separated by white space or
+ * commas; used when none is given. */
 #define CAC_NODES_VARIABLE "CARDAMOM_NODES"
 
-/** struct CacQuery - what is asked; @account: NULL for the accounts with the most requests of each
- * node */
+/**
+ * struct CacQuery - options of the command
+ * @addresses: of the nodes' metrics
+ * @account: name of one account; NULL for those with the most requests on each node
+ * @json: prints each line as a JSON object
+ */
 typedef struct
 {
   char **addresses;
@@ -17,7 +22,8 @@
 } CacQuery;
 
 /**
- * cac_run() - asks each address, one after the other, and prints a line for each account and node
+ * cac_run() - queries each address, one after the other, and prints a line for each account and
+ * node
  *
  * Return: 0; 1 if a node did not respond; 2 if there is no address or one is invalid.
  */
