Memory budget and early rejections: names that say what is meant, shorter functions

The header lines of rejections were 'own', a buffer of another size 'moved', the memory in use 'parts', and check_request() rejected and claimed. Comments on buffers of pipelined requests are plain. Behaviour is unchanged.

--- a/src/hcl.h
+++ b/src/hcl.h
@@ -32,8 +32,9 @@
 
 /**
  * struct HclCtx - state that all calls on one event loop share
- * @connected: calls whose connections have just been made; their heads are checked from
- *   @guard_heads on, which runs before the next poll
+ * @connected: calls whose connections were made in this iteration of the loop
+ * @guard_heads: runs before the next poll, and has the response heads of @connected checked from
+ *   then on
  */
 typedef struct
 {
--- a/src/hsv.c
+++ b/src/hsv.c
@@ -267,10 +267,10 @@
 }
 
 void
-hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *own)
+hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *common)
 {
   server->reading.retry_header = retry;
-  server->reading.own_header = own;
+  server->reading.common_header = common;
 }
 
 void
@@ -289,7 +289,7 @@
                           reply->status, strlen (reply->body), reply->headers->str, reply->body);
 }
 
-/* Requests with heads that are not usual are left to h2o. */
+/* Requests with unusual heads are left to h2o. */
 static RdlVerdict
 on_head (void *user, const char *bytes, size_t size, char **response)
 {
@@ -299,7 +299,7 @@
   switch (hed_read (bytes, size, &head))
     {
     case HED_INCOMPLETE:
-      return RDL_READ_ON;
+      return RDL_UNDECIDED;
     case HED_UNUSUAL:
       return RDL_ACCEPT;
     case HED_READ:
@@ -551,7 +551,7 @@
 }
 
 static void
-release_text (void *user, GByteArray *bytes)
+release_unread_text (void *user, GByteArray *bytes)
 {
   mbg_add_unread (user, -(int64_t) bytes->len);
   g_byte_array_unref (bytes);
@@ -563,11 +563,15 @@
   Mbg *mbg = server_of_conn (req->conn)->reading.mbg;
   size_t size = strlen (text);
 
-  if (mbg == NULL || !mbg_has_response_room (mbg, size))
+  if (mbg == NULL)
     {
-      bool has_room = mbg == NULL;
-      hsv_respond (req, has_room ? 200 : 503, has_room ? media_type : "text/plain",
-                   has_room ? text : "no memory\n");
+      hsv_respond (req, 200, media_type, text);
+      g_free (text);
+      return;
+    }
+  if (!mbg_has_response_room (mbg, size))
+    {
+      hsv_respond (req, 503, "text/plain", "no memory\n");
       g_free (text);
       return;
     }
@@ -576,7 +580,7 @@
   mbg_add_unread (mbg, (int64_t) size);
   hsv_send_body (req, 200,
                  (HsvBody){ .bytes = g_byte_array_new_take ((guint8 *) text, size),
-                            .release = release_text,
+                            .release = release_unread_text,
                             .user = mbg });
 }
 
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -47,9 +47,10 @@
  * budget. */
 void hsv_count_traffic (HsvServer *server, TrfCount *traffic);
 
-/** hsv_set_rejection_headers() - lines of the responses with which the budget rejects requests:
- * @retry for those that may be repeated, @own for all; static texts that end with CRLF. */
-void hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *own);
+/** hsv_set_rejection_headers() - header lines of the responses with which the budget rejects
+ * requests: @retry if the request may be repeated, @common for all; static texts that end with
+ * CRLF. */
+void hsv_set_rejection_headers (HsvServer *server, const char *retry, const char *common);
 
 /** hsv_close_stalled() - reads on from connections for which there is memory again, and closes
  * those without progress that hold memory which others need; to be called periodically. */
@@ -61,7 +62,7 @@
 
 /**
  * struct HsvReply - a response that is sent before the request's body is received
- * @headers: header lines, each with its end
+ * @headers: header lines, each with its CRLF
  */
 typedef struct
 {
@@ -70,8 +71,8 @@
   GString *headers;
 } HsvReply;
 
-/** typedef HsvHeadFn - whether a request is rejected with @reply, by its head alone; called when
- * its body is not received, at most once for each request that is accepted */
+/** typedef HsvHeadFn - whether a request is rejected with @reply, by its head alone; called at most
+ * once for a request, and only if its body is not complete */
 typedef bool (*HsvHeadFn) (void *user, const Hed *head, HsvReply *reply);
 
 /**
@@ -139,7 +140,7 @@
 void hsv_close_if_pipelined (h2o_req_t *req);
 
 /**
- * struct HsvWrite - a response of which something is being written
+ * struct HsvWrite - a response that is being written
  * @link: in the server's list
  * @unsent_bytes: what the kernel had not taken at @progress_at_ms
  * @progress_at_ms: when the kernel last took bytes
@@ -153,8 +154,8 @@
   uint64_t progress_at_ms;
 } HsvWrite;
 
-/** hsv_begin_write() - hsv_close_stalled() closes the connection if its caller doesn't read, until
- * hsv_end_write(). */
+/** hsv_begin_write() - until hsv_end_write(), hsv_close_stalled() closes the connection if its
+ * caller doesn't read. */
 void hsv_begin_write (h2o_req_t *req, HsvWrite *write);
 
 /** hsv_end_write() - ends what hsv_begin_write() began; no effect if it did not. */
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -19,7 +19,7 @@
  * @responses_max_bytes: the same, including what is lent to them
  * @waiting: connections that may wait at the same time
  * @callers: connections of callers
- * @copies: how many times the process holds a request that it has received
+ * @copies: number of times that the process holds each received request in memory
  * @bounded: the limits come from a stated memory size; if not, only @large_bytes and
  *   @responses_bytes are limited
  */
@@ -143,8 +143,8 @@
  */
 MbgLimits mbg_limits (uint32_t memory_mb, uint32_t max_fds);
 
-/** mbg_set_copies() - the process copies requests, so that it holds each @copies times; no effect
- * if its memory is unknown. */
+/** mbg_set_copies() - sets how many times the process holds each request in memory; no effect if
+ * its memory is not limited. */
 void mbg_set_copies (MbgLimits *limits, uint32_t copies);
 
 /** mbg_set_calls() - limits the callers so that each can have @calls outgoing connections; no
--- a/src/mbs.c
+++ b/src/mbs.c
@@ -5,7 +5,7 @@
 
 #define NAME_BYTES 80
 
-/** struct Value - a value of the memory budget */
+/** struct Value - a value of the memory budget; @offset: in MbgCounters or Mbg */
 typedef struct
 {
   const char *name;
@@ -23,7 +23,7 @@
   { "connections_refused", offsetof (MbgCounters, connections_refused) },
 };
 
-static const Value parts[] = {
+static const Value gauges[] = {
   { "memory_small_requests_bytes", offsetof (Mbg, used_bytes[MBG_SMALL]) },
   { "memory_large_requests_bytes", offsetof (Mbg, used_bytes[MBG_LARGE]) },
   { "memory_relayed_requests_bytes", offsetof (Mbg, relayed_bytes) },
@@ -51,8 +51,8 @@
 {
   for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
     write_value (out, prefix, counters[i].name, "_total", value_at (&mbg->counters, &counters[i]));
-  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
-    write_value (out, prefix, parts[i].name, "", value_at (mbg, &parts[i]));
+  for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
+    write_value (out, prefix, gauges[i].name, "", value_at (mbg, &gauges[i]));
   write_value (out, prefix, "caller_connections", "", mbg->connections);
 }
 
--- a/src/mbs.h
+++ b/src/mbs.h
@@ -4,11 +4,12 @@
 #include "log.h"
 #include "mbg.h"
 
-/** mbs_write_metrics() - appends what is used and who was turned away; names begin with @prefix. */
+/** mbs_write_metrics() - appends the memory in use and the counters of rejected requests and closed
+ * connections; names begin with @prefix. */
 void mbs_write_metrics (const Mbg *mbg, const char *prefix, GString *out);
 
-/** mbs_write_counters() - appends " name=value" for each counter of who was turned away. */
+/** mbs_write_counters() - appends " name=value" for each of these counters. */
 void mbs_write_counters (const Mbg *mbg, GString *out);
 
-/** mbs_log() - logs who was turned away, if any was since *@logged was set. */
+/** mbs_log() - logs these counters if mbg_turned_away() is no longer *@logged, and updates that. */
 void mbs_log (const Mbg *mbg, const Log *log, uint64_t *logged);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -11,7 +11,7 @@
 #define STATUS_BODY_TOO_LARGE 413
 #define STATUS_HEAD_TOO_LARGE 431
 #define STATUS_UNAVAILABLE 503
-#define RESPONSE_MAX_TEXT 256
+#define REJECTION_MAX_BYTES 256
 
 /**
  * struct Framing - how a request's body is delimited
@@ -29,10 +29,10 @@
  * @reading_link: in &Rdl.reading
  * @is_reading: a request is expected or being received
  * @is_paused: it waits for the budget
- * @is_head_checked: the request being received is not checked again by &Rdl.head_fn
+ * @is_head_checked: &Rdl.head_fn has decided on the request being received
  * @discarding_link: in &Rdl.discarding, with the connection as data while it is there
  * @discarded_bytes: bytes received since the request was rejected
- * @discard_until_ms: when the connection is closed then
+ * @discard_until_ms: when the connection is closed after the rejection
  * @counted_bytes: written bytes that are counted as traffic
  * @h2o_write: h2o's callback for the end of a write, while on_guarded_write() stands in for it
  */
@@ -85,21 +85,22 @@
   return uv_stream_get_write_queue_size (conn->stream);
 }
 
+/* Replaces the input buffer by one of @capacity bytes, or by none if that is 0. */
 static void
-move_input (h2o_socket_t *sock, size_t bytes)
+replace_input (h2o_socket_t *sock, size_t capacity)
 {
   h2o_buffer_t *input = sock->input;
-  h2o_buffer_t *moved;
+  h2o_buffer_t *replacement;
 
-  h2o_buffer_init (&moved, input->_prototype);
-  if (bytes > 0)
+  h2o_buffer_init (&replacement, input->_prototype);
+  if (capacity > 0)
     {
-      h2o_buffer_reserve (&moved, bytes);
-      memcpy (moved->bytes, input->bytes, input->size);
-      moved->size = input->size;
+      h2o_buffer_reserve (&replacement, capacity);
+      memcpy (replacement->bytes, input->bytes, input->size);
+      replacement->size = input->size;
     }
   h2o_buffer_dispose (&sock->input);
-  sock->input = moved;
+  sock->input = replacement;
 }
 
 /* Moves the request to a buffer of its final size. The kernel provides memory only for what is
@@ -108,10 +109,10 @@
 enlarge_input (h2o_socket_t *sock, size_t bytes)
 {
   if (sock->input->bytes != NULL && sock->input->capacity < bytes)
-    move_input (sock, bytes);
+    replace_input (sock, bytes);
 }
 
-/* h2o keeps the buffer of an answered request for bytes that arrived behind it. */
+/* h2o keeps the buffer of an answered request while it holds bytes of the next one. */
 static void
 shrink_input (h2o_socket_t *sock)
 {
@@ -119,7 +120,7 @@
 
   if (input->bytes != NULL && input->capacity > MBG_SPARE_BYTES
       && input->capacity > 2 * input->size)
-    move_input (sock, input->size);
+    replace_input (sock, input->size);
 }
 
 /* ---- Connections ---- */
@@ -156,14 +157,14 @@
 }
 
 static void
-send_response (const RdlConn *conn, int status)
+send_rejection (const RdlConn *conn, int status)
 {
   bool is_retryable = status == STATUS_UNAVAILABLE || status == STATUS_TIMED_OUT;
-  char text[RESPONSE_MAX_TEXT];
+  char text[REJECTION_MAX_BYTES];
   int size
       = g_snprintf (text, sizeof text,
                     "HTTP/1.1 %d Refused\r\nconnection: close\r\n%s%scontent-length: 0\r\n\r\n",
-                    status, is_retryable ? conn->rdl->retry_header : "", conn->rdl->own_header);
+                    status, is_retryable ? conn->rdl->retry_header : "", conn->rdl->common_header);
 
   (void) !send (h2o_socket_get_fd (conn->sock), text, (size_t) size, MSG_DONTWAIT | MSG_NOSIGNAL);
 }
@@ -174,7 +175,7 @@
 close_conn (RdlConn *conn, int status)
 {
   if (status != 0)
-    send_response (conn, status);
+    send_rejection (conn, status);
   conn->rdl->h2o_read (conn->sock, h2o_socket_error_closed);
 }
 
@@ -234,8 +235,8 @@
     h2o_socket_read_stop (sock);
 }
 
-/* Sends the response, and reads what the caller still sends for a while: the kernel would reset a
- * connection closed with unread data, and the caller might lose the response. */
+/* Sends the response, then reads and discards data up to a limit of time and size: the kernel
+ * resets a connection closed with unread data, and the caller might lose the response. */
 static void
 reject_unread (RdlConn *conn, const char *response)
 {
@@ -264,7 +265,7 @@
   if (rdl->head_fn == NULL || conn->is_head_checked || input->size == 0)
     return true;
   RdlVerdict verdict = rdl->head_fn (rdl->head_user, input->bytes, input->size, &response);
-  conn->is_head_checked = verdict != RDL_READ_ON;
+  conn->is_head_checked = verdict != RDL_UNDECIDED;
   if (verdict == RDL_REJECT)
     reject_unread (conn, response);
   g_free (response);
@@ -292,9 +293,10 @@
   return conn->rdl->mbg->limits.copies;
 }
 
-/* A request within that size, with its copies, is covered by its connection. */
+/* A request of at most this size, with its copies, is part of what each connection is counted with.
+ */
 static size_t
-free_bytes (const RdlConn *conn)
+unclaimed_bytes (const RdlConn *conn)
 {
   return MBG_FREE_BYTES / copies (conn);
 }
@@ -306,15 +308,15 @@
 {
   const Framing *framing = &conn->framing;
   size_t size = conn->sock->input->size;
-  uint64_t most_bytes = conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
+  uint64_t max_bytes = conn->rdl->body_max_bytes + MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES;
 
   if (framing->head_bytes == 0)
     return (uint64_t) copies (conn) * (MBG_HEAD_MAX_BYTES + MBG_SPARE_BYTES);
   if (framing->is_chunked)
     return size <= MBG_SMALL_BYTES / 2 / copies (conn) ? MBG_SMALL_BYTES
-                                                       : copies (conn) * most_bytes;
+                                                       : copies (conn) * max_bytes;
   return copies (conn)
-         * MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, most_bytes);
+         * MIN (framing->head_bytes + framing->body_bytes + MBG_SPARE_BYTES, max_bytes);
 }
 
 static void
@@ -350,29 +352,38 @@
     use_grant ((RdlConn *) claim);
 }
 
-/* Asks the budget for what the request being received needs. */
+/* Return: whether the request was rejected because its head or its announced body is too large. */
+static bool
+reject_over_limit (RdlConn *conn)
+{
+  MbgCounters *counters = &conn->rdl->mbg->counters;
+
+  if (is_head_over_limit (conn))
+    {
+      counters->heads_over_limit++;
+      close_conn (conn, STATUS_HEAD_TOO_LARGE);
+      return true;
+    }
+  if (conn->framing.is_chunked || conn->framing.body_bytes <= conn->rdl->body_max_bytes)
+    return false;
+  counters->bodies_over_limit++;
+  close_conn (conn, STATUS_BODY_TOO_LARGE);
+  return true;
+}
+
+/* Claims the memory that the request being received needs. */
 static void
 check_request (RdlConn *conn)
 {
   size_t size = conn->sock->input->size;
   uint64_t now_ms = uv_now (conn->rdl->loop);
 
-  if (size < free_bytes (conn))
+  if (size < unclaimed_bytes (conn))
     return;
   if (conn->framing.head_bytes == 0)
     conn->framing = read_framing (conn->sock->input->bytes, size);
-  if (is_head_over_limit (conn))
-    {
-      conn->rdl->mbg->counters.heads_over_limit++;
-      close_conn (conn, STATUS_HEAD_TOO_LARGE);
-      return;
-    }
-  if (!conn->framing.is_chunked && conn->framing.body_bytes > conn->rdl->body_max_bytes)
-    {
-      conn->rdl->mbg->counters.bodies_over_limit++;
-      close_conn (conn, STATUS_BODY_TOO_LARGE);
-      return;
-    }
+  if (reject_over_limit (conn))
+    return;
   mbg_progress (&conn->claim, size, now_ms);
   uint64_t granted_bytes = conn->claim.bytes;
   switch (mbg_take (conn->rdl->mbg, &conn->claim, needed_bytes (conn), now_ms))
@@ -397,7 +408,7 @@
   size_t size = conn->sock->input->size;
 
   set_reading (conn, false);
-  if (size <= free_bytes (conn) && conn->claim.bytes == 0)
+  if (size <= unclaimed_bytes (conn) && conn->claim.bytes == 0)
     return;
   mbg_complete (conn->rdl->mbg, &conn->claim, copies (conn) * (size + MBG_SPARE_BYTES));
   resume_waiting (conn->rdl->mbg, uv_now (conn->rdl->loop));
@@ -481,10 +492,10 @@
     check_request (conn);
 }
 
-/* A request that arrived whole behind an answered one is at work in that one's buffer, which can't
- * move meanwhile. */
+/* h2o already handles a pipelined request that arrived whole, in the buffer of the answered one.
+ * That buffer can't be replaced until the response, so its capacity is counted. */
 static void
-count_kept_input (RdlConn *conn)
+claim_kept_input (RdlConn *conn)
 {
   const h2o_buffer_t *input = conn->sock->input;
 
@@ -504,7 +515,7 @@
   while (rdl->answered->len > 0)
     {
       h2o_socket_t *sock = g_ptr_array_remove_index_fast (rdl->answered, rdl->answered->len - 1);
-      count_kept_input (sock->on_close.data);
+      claim_kept_input (sock->on_close.data);
       guard (sock->on_close.data);
     }
 }
@@ -541,7 +552,7 @@
 {
   rdl->loop = loop;
   rdl->retry_header = "retry-after: 0.5\r\n";
-  rdl->own_header = "";
+  rdl->common_header = "";
   rdl->conns = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   rdl->answered = g_ptr_array_new ();
   uv_prepare_init (loop, &rdl->restart);
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -24,13 +24,13 @@
 
 /**
  * typedef RdlVerdict - what is done with a request whose body is not received
- * @RDL_READ_ON: it is not decided yet, as its head is incomplete
+ * @RDL_UNDECIDED: its head is incomplete; it is checked again when more has arrived
  * @RDL_ACCEPT: it is received
  * @RDL_REJECT: it gets a response at once, and the connection is closed
  */
 typedef enum
 {
-  RDL_READ_ON,
+  RDL_UNDECIDED,
   RDL_ACCEPT,
   RDL_REJECT,
 } RdlVerdict;
@@ -48,12 +48,13 @@
  * @conns: RdlConn by socket
  * @reading: RdlConn that read or wait, those without data for longest first
  * @head_fn: checks requests before their bodies are received, or NULL
- * @discarding: RdlConn whose request was rejected before its body was received, the oldest first
+ * @discarding: RdlConn whose request was rejected before its body was received and whose data is
+ *   discarded, the oldest first
  * @answered: sockets whose requests have ended in this iteration of the loop
  * @restart: observes these connections again before the next poll
  * @h2o_read: h2o's callback for reading a request
- * @retry_header: line of the responses to requests that may be repeated
- * @own_header: line of all responses that are sent before a request is complete
+ * @retry_header: header line of rejections whose request may be repeated
+ * @common_header: header line of all rejections by the budget
  * @current: connection whose read callback runs, NULL once it is closed
  */
 typedef struct
@@ -73,7 +74,7 @@
   uv_prepare_t restart;
   h2o_socket_cb h2o_read;
   const char *retry_header;
-  const char *own_header;
+  const char *common_header;
   struct RdlConn *current;
 } Rdl;
 
--- a/src/rhd.c
+++ b/src/rhd.c
@@ -15,7 +15,7 @@
   return c == ' ' || c == '\t';
 }
 
-/* Moves the value to the end of the line, as h2o passes over spaces only before it. */
+/* Moves the value to the end of the line, as h2o skips only the spaces before it. */
 static char *
 trim_value (char *value, char **end)
 {
@@ -76,6 +76,8 @@
   return status != NULL && end - status >= 3 && status[0] == '1' && strncmp (status, "101", 3) != 0;
 }
 
+/* @is_framing: whether the line before is a framing header, which must not be folded; set for the
+ * next line. */
 static bool
 check_header (char *line, char *end, bool *is_framing)
 {
@@ -95,7 +97,7 @@
 {
   size_t head_at = 0;
   bool is_status_line = true;
-  bool informational = false;
+  bool is_followed_by_head = false;
   bool is_framing = false;
 
   for (size_t at = 0; at < size;)
@@ -108,8 +110,8 @@
       if (end > line && end[-1] == '\r')
         end--;
       if (is_status_line)
-        informational = is_informational (line, end);
-      else if (line == end && !informational)
+        is_followed_by_head = is_informational (line, end);
+      else if (line == end && !is_followed_by_head)
         return at - head_at <= RESPONSE_HEAD_MAX_BYTES;
       else if (line == end)
         head_at = at;
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -19,9 +19,9 @@
   req->counted_bytes = bytes;
 }
 
-/* A response of which nothing is held goes on in any case: its caller reads. */
+/* A response with nothing buffered continues even without room, as its caller reads it. */
 static bool
-may_buffer (const Req *req)
+may_buffer_more (const Req *req)
 {
   if (req->pending_body->len >= STREAM_BUFFER_MAX_BYTES)
     return false;
@@ -47,7 +47,7 @@
   g_byte_array_append (req->pending_body, (const guint8 *) data, (guint) size);
   rsp_flush (req);
   count_buffered (req);
-  if (!may_buffer (req))
+  if (!may_buffer_more (req))
     hcl_pause (call);
 }
 
@@ -94,7 +94,7 @@
   req->sending = false;
   hsv_end_write (&req->write);
   free_sent (req);
-  if (req->call != NULL && may_buffer (req))
+  if (req->call != NULL && may_buffer_more (req))
     hcl_resume (req->call);
   rsp_flush (req);
 }
--- a/src/rsp.h
+++ b/src/rsp.h
@@ -6,8 +6,8 @@
 /** rsp_start() - starts the response to the caller with an upstream's status and headers. */
 void rsp_start (Req *req, const HclHead *head);
 
-/** rsp_add() - adds a piece of the body and sends what can be sent; pauses @call while too much is
- * buffered. */
+/** rsp_add() - adds a piece of the body and sends what can be sent; pauses @call, the upstream's
+ * response, when too much is buffered. */
 void rsp_add (Req *req, HclCall *call, const char *data, size_t size);
 
 /**
