--- a/bench/accounts.c
+++ b/bench/accounts.c
@@ -25,9 +25,9 @@
   double longest_us;
 } Timer;
 
-/* Time of the processor: other processes of the machine must not lengthen a step. */
+/* CPU time, so that other processes of the machine do not lengthen a step. */
 static double
-processor_us (void)
+cpu_us (void)
 {
   struct timespec now;
 
@@ -38,13 +38,13 @@
 static void
 start_step (Timer *timer)
 {
-  timer->started_us = processor_us ();
+  timer->started_us = cpu_us ();
 }
 
 static void
 end_step (Timer *timer)
 {
-  double us = processor_us () - timer->started_us;
+  double us = cpu_us () - timer->started_us;
 
   timer->sum_us += us;
   timer->longest_us = MAX (timer->longest_us, us);
@@ -111,9 +111,8 @@
   char *body = g_strdup_printf ("{\"events\":[{\"object\":{\"metadata\":{\"name\":\"main\","
                                 "\"revision\":7},\"spec\":%s}}],\"as-of\":7}",
                                 text);
-  PobResponse response;
-
   size_t size = strlen (body);
+  PobResponse response;
   JscIndex index;
   bool is_indexed;
 
@@ -132,9 +131,9 @@
   g_free (body);
 }
 
-/* Puts the table in force, and another one after it, which drops and frees the first. */
+/* Applies a table, then another one, which replaces and frees the first. */
 static void
-apply (RteTable *first, RteTable *second, Timer *timer)
+apply_twice (RteTable *first, RteTable *second, Timer *timer)
 {
   const QuoBounds bounds = { .window_ms = 5000, .excess_permille = 100, .slack = 20 };
   Node *node = g_new0 (Node, 1);
@@ -170,7 +169,7 @@
 {
   char key[32];
   uint32_t found = 0;
-  double start_us = processor_us ();
+  double start_us = cpu_us ();
 
   for (uint32_t i = 0; i < LOOKUPS; i++)
     {
@@ -180,7 +179,44 @@
     }
   if (found == 0)
     printf ("no key was found\n");
-  return (processor_us () - start_us) / LOOKUPS;
+  return (cpu_us () - start_us) / LOOKUPS;
+}
+
+static size_t
+allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+print_memory (const RteTable *table, uint32_t keys, size_t bytes, size_t text_bytes)
+{
+  printf ("%-34s %10u   %12.2f MB, text %.2f MB, keys alone %.2f MB\n", "accounts: memory by keys",
+          keys, (double) bytes / 1e6, (double) text_bytes / 1e6,
+          (double) acc_key_bytes (table->accounts) / 1e6);
+}
+
+static void
+bench_run (const char *text, uint32_t keys)
+{
+  Timer response = { .task = "accounts: store's response by keys" };
+  Timer loading = { .task = "accounts: loading by keys" };
+  Timer applying = { .task = "accounts: applying twice by keys" };
+  Timer unused = { 0 };
+  size_t before = allocated_bytes ();
+
+  read_response (text, &response);
+  RteTable *table = load (text, &loading);
+  size_t bytes = allocated_bytes () - before;
+  print_timer (&response, keys);
+  print_timer (&loading, keys);
+  print_memory (table, keys, bytes, strlen (text));
+  printf ("%-34s %10u   %12.2f us\n", "accounts: look-up by keys", keys,
+          lookup_us (table->accounts, keys));
+  apply_twice (table, load (text, &unused), &applying);
+  print_timer (&applying, keys);
 }
 
 static void
@@ -189,25 +225,7 @@
   char *text = make_configuration (keys);
 
   for (uint32_t run = 0; run < RUNS; run++)
-    {
-      Timer response = { .task = "accounts: store's response by keys" };
-      Timer loading = { .task = "accounts: loading by keys" };
-      Timer applying = { .task = "accounts: applying twice by keys" };
-      size_t before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
-      read_response (text, &response);
-      RteTable *table = load (text, &loading);
-      size_t bytes = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
-      print_timer (&response, keys);
-      print_timer (&loading, keys);
-      printf ("%-34s %10u   %12.2f MB, text %.2f MB, keys alone %.2f MB\n",
-              "accounts: memory by keys", keys, (double) bytes / 1e6, (double) strlen (text) / 1e6,
-              (double) acc_key_bytes (table->accounts) / 1e6);
-      printf ("%-34s %10u   %12.2f us\n", "accounts: look-up by keys", keys,
-              lookup_us (table->accounts, keys));
-      Timer unused = { 0 };
-      apply (table, load (text, &unused), &applying);
-      print_timer (&applying, keys);
-    }
+    bench_run (text, keys);
   printf ("\n");
   g_free (text);
 }
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -293,8 +293,7 @@
   return conn->rdl->mbg->limits.copies;
 }
 
-/* A request of at most this size, with its copies, is part of what each connection is counted with.
- */
+/* Requests up to this size, with their copies, are covered by the memory of their connection. */
 static size_t
 unclaimed_bytes (const RdlConn *conn)
 {
