--- a/tests/crowd.cc
+++ b/tests/crowd.cc
@@ -1,4 +1,4 @@
-// Hostile callers, and what they make a process hold; for tests of limits.
+// Load of many callers at once, and the memory and descriptors of the process under test.
 #include "crowd.h"
 
 #include <arpa/inet.h>
@@ -27,23 +27,6 @@
              std::chrono::steady_clock::now ().time_since_epoch ())
       .count ();
 }
-
-int
-ConnectTo (const std::string &address, int receive_buffer_bytes)
-{
-  size_t colon = address.find (':');
-  sockaddr_in addr = {};
-  addr.sin_family = AF_INET;
-  addr.sin_port = htons (static_cast<uint16_t> (std::stoi (address.substr (colon + 1))));
-  inet_pton (AF_INET, address.substr (0, colon).c_str (), &addr.sin_addr);
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (receive_buffer_bytes > 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
-  if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
-    return fd;
-  close (fd);
-  return -1;
-}
 }
 
 MemoryWatch::MemoryWatch (pid_t pid, int port)
@@ -78,7 +61,8 @@
   return 0;
 }
 
-// Also bytes that the process has sent and its callers have not read.
+// Bytes in the buffers of the process's connections: received and not read, or sent and not
+// acknowledged.
 long
 MemoryWatch::UnreadKb () const
 {
@@ -144,6 +128,23 @@
   return n == 0 || (n < 0 && errno != EAGAIN);
 }
 
+int
+ConnectTo (const std::string &address, int receive_buffer_bytes)
+{
+  size_t colon = address.find (':');
+  sockaddr_in addr = {};
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons (static_cast<uint16_t> (std::stoi (address.substr (colon + 1))));
+  inet_pton (AF_INET, address.substr (0, colon).c_str (), &addr.sin_addr);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer_bytes > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+  if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 Crowd::Crowd (const std::string &address, int size, const std::function<Load (int)> &load,
               int receive_buffer_bytes)
     : until_ms_ (SteadyMs () + kLoadMaxMs)
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -1,4 +1,4 @@
-// Hostile callers, and what they make a process hold; for tests of limits.
+// Load of many callers at once, and the memory and descriptors of the process under test.
 #pragma once
 
 #include <atomic>
@@ -9,8 +9,8 @@
 #include <thread>
 #include <vector>
 
-// Peak of the process's resident memory and of the bytes that its sockets have received but it has
-// not read, which the platform counts as the process's memory.
+// Samples a process's memory and descriptors. The memory is the resident memory and the bytes in
+// its sockets' buffers, which the platform counts as the process's.
 class MemoryWatch
 {
 public:
@@ -66,6 +66,8 @@
 std::string Repeat (const std::string &text, int times);
 // True if the peer has closed the connection.
 bool IsClosed (int fd);
+// Return: the socket, or -1.
+int ConnectTo (const std::string &address, int receive_buffer_bytes = 0);
 
 // Callers on threads of their own that send their loads at the same time and then keep their
 // connections open, until Close().
--- a/tests/test_accounts.cc
+++ b/tests/test_accounts.cc
@@ -17,7 +17,7 @@
 // Requests may wait for 2 s, an eighth of the objective, for an upstream that has paused.
 const char kWaitingFields[] = "\"timeout-s\":15,\"goal-s\":16";
 constexpr int kWaitMs = 2000;
-// Until then a new upstream gets few requests.
+// Time during which a new upstream gets few requests.
 constexpr auto kColdStart = 3500ms;
 
 Headers
@@ -674,6 +674,8 @@
     }
 }
 
+// Guards against callers over their quota that hold memory with bodies, and against requests that
+// are rejected early without being counted.
 TEST_F (AccountsTest, RequestOverTheQuotaGets429BeforeTheBody)
 {
   Start (WithAccounts (
@@ -764,7 +766,8 @@
   EXPECT_EQ (Get ("/read/a", "key-many0-0"), 401);
 }
 
-// Guards against a load that is not ended when a newer version arrives, and would replace it.
+// Guards against a version whose loading continues after a newer one has arrived, and which then
+// replaces the newer one.
 TEST_F (AccountsTest, NewerVersionReplacesTheOneBeingLoaded)
 {
   Start (WithAccounts (7, kTwoAccounts));
@@ -826,6 +829,7 @@
 }
 }
 
+// Guards against a query that omits accounts without a quota, or that prints keys.
 TEST_F (AccountsTest, QueryPrintsQuotaAndUseOfEachNode)
 {
   const std::string quota = ",\"rate-per-s\":0.001,\"burst\":1";
@@ -857,6 +861,7 @@
   EXPECT_EQ (Count (json.output, "\n"), 1);
 }
 
+// Guards against a query that reports success although a node's use is missing.
 TEST_F (AccountsTest, QueryNamesNodesThatDoNotRespond)
 {
   Start (WithAccounts (7, kTwoAccounts));
@@ -869,6 +874,7 @@
   EXPECT_TRUE (Contains (unknown.output, "no node that responded has an account 'three'"));
 }
 
+// Guards against an exit status of 0 without any address queried.
 TEST (AccountsQuery, WrongUsageIsRejected)
 {
   unsetenv ("CARDAMOM_NODES");
@@ -1111,8 +1117,8 @@
 
 // ---- Fair queueing ----
 
-// Guards against the order of waiting requests being that without accounts, in which the newest of
-// an account with many requests precede the older one of another.
+// Guards against an order of waiting requests that ignores accounts: the newest requests of an
+// account with many would precede the older one of another.
 TEST_F (AccountsTest, WaitingRequestOfAnotherAccountPrecedesThoseOfAnExcess)
 {
   Start (WithAccounts (7, kTwoAccounts, kWaitingFields));
@@ -1130,7 +1136,7 @@
     SendLater ("late-" + std::to_string (i), "key-one");
   std::map<std::string, Reply> replies = JoinCallers ();
   EXPECT_EQ (replies["other"].status, 200);
-  // Some that are sent at the same time as the other one may arrive before it.
+  // Requests sent at the same time as the other account's may arrive before it.
   int before = 0;
   for (const Request &request : east_.requests ())
     {
@@ -1145,8 +1151,9 @@
   EXPECT_TRUE (Contains (state, "flow service=desk route=read account=one requested=")) << state;
 }
 
-// Slots become free after the other account's request may wait no longer, and before that time of
-// the later ones of an account that has taken them all. Guards against rejecting the former.
+// Slots become free after the maximum wait of the other account's request, but before that of the
+// later requests of the account that holds all slots. Guards against rejecting the former instead
+// of one of the latter.
 TEST_F (AccountsTest, RequestWhoseTimeIsOverIsKeptInPlaceOfOneOfAnExcess)
 {
   Start (WithAccounts (7, kTwoAccounts, kWaitingFields));
--- a/tests/test_fuzz.cc
+++ b/tests/test_fuzz.cc
@@ -169,8 +169,8 @@
     rep_apply (&per_.rep, rep_ensure_kind (&per_.rep, "servers"), "first", 1, false, "{}");
   }
 
-  // Mutations of a message arrive from all peers. The objects are restored from time to time: high
-  // revisions would make later updates old.
+  // Mutations of a message arrive from all peers. The objects are restored regularly: after a high
+  // revision, later updates would be ignored as older.
   void
   RunMessages (const peer_message &message, uint32_t runs)
   {
@@ -214,8 +214,8 @@
   Per per_ = {};
 };
 
-// The default loop, which is never closed: servers have no end of their own. Sockets stand in for
-// the peers; they are reset when closed, as the ports of ended connections would run out.
+// Runs servers and clients on the default loop, which is never closed, as servers can't be freed.
+// The peers are plain sockets, which are reset when closed: ports in TIME_WAIT would run out.
 class FuzzLoop : public FuzzTest
 {
 protected:
@@ -333,7 +333,7 @@
     Steps (2);
   }
 
-  // A server with a budget, whose handler uses each part of a request.
+  // A server with a budget whose handler reads all parts of a request.
   uint16_t
   StartServer ()
   {
@@ -383,7 +383,7 @@
     Steps (2);
   }
 
-  // Decodes what steers receive, and applies members.
+  // Decodes the messages that steers receive, and applies their members.
   OncServer *
   StartRpcServer ()
   {
@@ -409,7 +409,7 @@
     return onc_serve (loop_, NetAddr{ INADDR_LOOPBACK, 0 }, procs, nullptr, &err);
   }
 
-  // The record that a client sends for a call.
+  // Return: the record that a client sends for a call.
   std::string
   Record (uint32_t proc, xdrproc_t xdr_args, void *args)
   {
--- a/tests/test_hed.cc
+++ b/tests/test_hed.cc
@@ -49,6 +49,7 @@
 }
 }
 
+// Guards against values that differ from the server's, and against a decision on a part of a head.
 TEST (Hed, ReadsARequestsHead)
 {
   std::string bytes = "PUT /a/b?c=d HTTP/1.1\r\nhOST:  h.example:80 \r\nContent-Length: 12\r\n"
@@ -86,6 +87,7 @@
     EXPECT_EQ (Read (bytes), HED_UNUSUAL) << bytes;
 }
 
+// Guards against checks of requests that have arrived whole, which are checked once more later.
 TEST (Hed, KnowsWhetherTheBodyIsMissing)
 {
   EXPECT_FALSE (LacksBody ("", ""));
--- a/tests/test_jsc.cc
+++ b/tests/test_jsc.cc
@@ -89,7 +89,7 @@
   EXPECT_EQ (jsc_depth (Span ("1")), 0u);
 }
 
-// Guards against an index that changes what is found: a text is read with one and without.
+// Guards against an index that changes the values found: the text is read with and without it.
 TEST (Jsc, IndexedTextHasTheSameMembers)
 {
   std::string large (5000, 'x');
--- a/tests/test_untrusted_entry.cc
+++ b/tests/test_untrusted_entry.cc
@@ -1,5 +1,5 @@
 // End-to-end tests of an entry and a steer whose callers try to exhaust their memory or their
-// descriptors. None of them checks times or how many requests are served.
+// descriptors. None of them checks response times or how many requests are served.
 #include "cluster.h"
 #include "crowd.h"
 
@@ -14,12 +14,12 @@
 
 namespace
 {
-// Limits that the settings of both processes state. The bound of all loads is the stated memory.
+// Settings of both processes. The memory must not exceed kMemoryMb under any load.
 constexpr long kMemoryMb = 64;
 constexpr int kMaxFds = 400;
 constexpr size_t kBodyMaxBytes = 4 << 20;
 constexpr int kCallers = 30;
-// Not a bound on the process: a test that needs so long has failed.
+// Time limit of the test, not a bound on the process.
 constexpr int kAnswerMaxMs = 60000;
 
 std::string
@@ -68,7 +68,7 @@
     return cluster_->Http ("GET", address_, path_, {}, 5000).status == 200;
   }
 
-  // One ordinary request is answered while the crowd's connections are still open.
+  // Fails unless an ordinary request is answered while the crowd's connections are still open.
   void
   Check (Crowd *crowd)
   {
@@ -113,7 +113,7 @@
   {
     std::vector<int> idle;
     for (int i = 0; i < 2 * kMaxFds; i++)
-      if (int fd = Connect (); fd >= 0)
+      if (int fd = ConnectTo (address_); fd >= 0)
         idle.push_back (fd);
     watch_->Sample ();
     EXPECT_TRUE (WaitUntil ([&] { return IsAnswering (); }));
@@ -128,21 +128,6 @@
       close (fd);
   }
 
-  int
-  Connect () const
-  {
-    sockaddr_in addr = {};
-    addr.sin_family = AF_INET;
-    addr.sin_port
-        = htons (static_cast<uint16_t> (std::stoi (address_.substr (address_.find (':') + 1))));
-    addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (connect (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) == 0)
-      return fd;
-    close (fd);
-    return -1;
-  }
-
   std::unique_ptr<Cluster> cluster_;
   std::string process_, address_, path_;
   std::unique_ptr<MemoryWatch> watch_;
@@ -307,7 +292,7 @@
 TEST_F (UntrustedEntryTest, RejectionsSayThatNothingRan)
 {
   Start ("entry");
-  int fd = Connect ();
+  int fd = ConnectTo (address_);
   std::string head = "GET /svc/desk/a HTTP/1.1\r\nX-Fill: " + std::string (65000, 'x');
   timeval limit{ 5, 0 };
   char bytes[1024] = {};
