--- a/src/chk.c
+++ b/src/chk.c
@@ -318,7 +318,7 @@
 static char *
 format_fraction (double number)
 {
-  return g_strdup_printf ("%g", number);
+  return g_strdup_printf ("%.12g", number);
 }
 
 static char *
