--- a/tests/test_chk.cc
+++ b/tests/test_chk.cc
@@ -289,6 +289,19 @@
     }
 }
 
+// Guards against changes that six digits don't show.
+TEST_F (ConfigurationCheck, SmallChangeOfALargeRateIsReported)
+{
+  auto with_rate = [] (const char *rate) {
+    return ConfigurationText (
+        "\"/pay\":{" + std::string (kRoute) + "}", kServices,
+        Replace (kAccount, "\"rate-per-s\":5", std::string ("\"rate-per-s\":") + rate));
+  };
+  Result run = Compare (with_rate ("1234570"), with_rate ("1234567.25"));
+  EXPECT_NE (run.out.find ("account one: rate 1234570 to 1234567.25 requests/s"), std::string::npos)
+      << run.out;
+}
+
 TEST_F (ConfigurationCheck, DifferencesAreInAnOperatorsTerms)
 {
   std::string routes
