Request heads with control characters are left to the HTTP server

A request's id with a line feed alone added a header to the early 401: the id is repeated there, and only CR LF counted as the end of a line, whereas the server takes LF too. Such heads, and those with other control characters but a tab, are now read by the server alone, which responds as before. The new test fails on the code before and passes.

--- a/src/hed.c
+++ b/src/hed.c
@@ -119,6 +119,22 @@
   return head->host.at != NULL;
 }
 
+/* The server takes a line feed alone for the end of a line, and a value with one that is repeated
+ * in a response would add a header to it. */
+static bool
+has_stray_control (const char *bytes, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      bool is_control = (unsigned char) bytes[i] < ' ' || bytes[i] == 0x7f;
+      bool is_line_end = (bytes[i] == '\r' && i + 1 < size && bytes[i + 1] == '\n')
+                         || (bytes[i] == '\n' && i > 0 && bytes[i - 1] == '\r');
+      if (is_control && bytes[i] != '\t' && !is_line_end)
+        return true;
+    }
+  return false;
+}
+
 HedState
 hed_read (const char *bytes, size_t size, Hed *head)
 {
@@ -129,6 +145,8 @@
     return HED_INCOMPLETE;
   head->size = (size_t) (end - bytes) + strlen (head_end);
   HedText rest = { .at = bytes, .size = head->size - strlen ("\r\n") };
+  if (has_stray_control (bytes, head->size))
+    return HED_UNUSUAL;
   if (!read_request_line (&rest, head))
     return HED_UNUSUAL;
   head->lines = rest;
--- a/tests/test_hed.cc
+++ b/tests/test_hed.cc
@@ -87,6 +87,18 @@
     EXPECT_EQ (Read (bytes), HED_UNUSUAL) << bytes;
 }
 
+// Guards against a caller that adds a header to its response: the response to a rejected head
+// repeats the request's id, and one with a line feed began a further line.
+TEST (Hed, ControlCharactersAreUnusual)
+{
+  for (const std::string lines :
+       { "X-Request-Id: a\nSet-Cookie: x=1\r\n", "X: a\rb\r\n", "Authorization: Bearer k\nX: 1\r\n",
+         "X: a\x01\r\n", "X: a\x7f\r\n", "X: 1\n\r\n" })
+    EXPECT_EQ (Read (Head (lines)), HED_UNUSUAL) << lines;
+  EXPECT_NE (Read (Head (std::string ("X: a\0b\r\n", 9))), HED_READ);
+  EXPECT_EQ (Read (Head ("X:\ta\tb\r\n")), HED_READ);
+}
+
 // Guards against checks of requests that have arrived whole, which are checked once more later.
 TEST (Hed, KnowsWhetherTheBodyIsMissing)
 {
