--- a/tests/test_exc.cc
+++ b/tests/test_exc.cc
@@ -7,6 +7,7 @@
 namespace
 {
 constexpr uint64_t kUpdateMaxMs = 1000;
+constexpr uint64_t kNoticeMaxMs = 3000;
 constexpr uint64_t kStartMs = 6000;
 constexpr uint32_t kLossPermille = 10;
 
@@ -387,6 +388,33 @@
     EXPECT_EQ (per_removal_defer_ms (&fleet_->node (i).per, fleet_->now_ms ()), 0u) << "node " << i;
 }
 
+// Guards against nodes that go on sending to an upstream which has announced its shutdown to one of
+// them: all must know of it within the 3 s in which it gets its last requests. Prints the times.
+TEST_P (Exchange, ShutdownNoticeReachesAllNodesInTime)
+{
+  UpsRecord record = {};
+  g_strlcpy (record.id, "up", sizeof record.id);
+  g_strlcpy (record.service, "desk", sizeof record.service);
+  record.born_ms = 7;
+  record.slots = 4;
+  for (uint32_t i = 0; i < fleet_->size (); i++)
+    ups_apply (&fleet_->node (i).upstreams, &record, 0, fleet_->now_ms ());
+  ASSERT_TRUE (ups_mark_leaving (ups_get (&fleet_->node (3).upstreams, "up"), record.born_ms));
+  std::vector<uint64_t> times_ms (fleet_->size (), UINT64_MAX);
+  for (uint64_t passed_ms = 0; passed_ms <= kNoticeMaxMs; passed_ms += 10)
+    {
+      for (uint32_t i = 0; i < fleet_->size (); i++)
+        if (ups_get (&fleet_->node (i).upstreams, "up")->leaving)
+          times_ms[i] = std::min (times_ms[i], passed_ms);
+      fleet_->Run (10);
+    }
+  std::sort (times_ms.begin (), times_ms.end ());
+  printf ("notice known after: median %llu ms, last %llu ms\n",
+          (unsigned long long) times_ms[times_ms.size () / 2],
+          (unsigned long long) times_ms.back ());
+  EXPECT_LE (times_ms.back (), kNoticeMaxMs);
+}
+
 // The messages that a node sends per second don't rise with the number of nodes, and no node sends
 // many more than the others.
 TEST_P (Exchange, MessagesPerNodeStayBelowTheLimit)
