Forwarding: why no upstream is available is found once for each rejection

wait_for_slot() searched the service's upstreams for a reason, and again for the text of the rejection; that work fell on nodes that reject many requests.

--- a/src/fwd.c
+++ b/src/fwd.c
@@ -492,9 +492,11 @@
 static void
 wait_for_slot (Frq *frq, uint64_t now_ms)
 {
-  if (now_ms >= frq->waits_until_ms || reason_unavailable (frq, now_ms) != NULL)
+  const char *reason = reason_unavailable (frq, now_ms);
+
+  if (now_ms >= frq->waits_until_ms || reason != NULL)
     {
-      reject_no_capacity (frq, rejection_reason (frq, now_ms));
+      reject_no_capacity (frq, reason != NULL ? reason : "no_room");
       return;
     }
   if (frq->waiting)
