--- a/review/lib-2/stage.cc
+++ b/review/lib-2/stage.cc
@@ -760,12 +760,12 @@
   record ("node %s starts at %s", settings.name.c_str (), ip.c_str ());
 }
 
-static bool
-is_ready (const std::string &address)
+bool
+Nodes::is_ready (size_t node) const
 {
   Connection connection;
   Message response;
-  return connection.open (address, 0.5)
+  return connection.open (nodes[node].ready, 0.5)
          && connection.write ("GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n")
          && connection.read (response, now_s () + 1, true) == Read::DONE
          && response.start.find (" 200") != std::string::npos;
@@ -775,8 +775,8 @@
 Nodes::wait_ready (double timeout_s)
 {
   double until_s = now_s () + timeout_s;
-  for (const Node &node : nodes)
-    while (!is_ready (node.ready))
+  for (size_t node = 0; node < nodes.size (); node++)
+    while (!is_ready (node))
       {
         if (now_s () > until_s || !all_run ())
           return false;
--- a/review/lib-2/stage.h
+++ b/review/lib-2/stage.h
@@ -216,6 +216,7 @@
   void start (const NodeSettings &settings, const std::string &store);
   // Waits until all say that they are ready.
   bool wait_ready (double timeout_s);
+  bool is_ready (size_t node) const;
   std::string front (size_t node) const { return nodes[node].front; }
   size_t count () const { return nodes.size (); }
   // False when a process has ended.
