Review: each reset connection of a client with a request at work is leaked, until the node takes none

Cause: after a read error the response that is to end the request is never written, so that its connection, descriptor and memory stay for good.

--- a/review/lib-2/stage.cc
+++ b/review/lib-2/stage.cc
@@ -724,7 +724,7 @@
       << "\",\"region\":\"luzon\",\"in-tolerance\":false,\"bootstrap\":true,\"data-dir\":null,"
          "\"limits\":{\"cpu-share\":0.2,\"cores\":1,\"memory-mb\":"
       << settings.memory_mb
-      << ",\"max-fds\":4100,\"link-mbps\":1000.0,\"disk-mb\":0}},\"network\":{\"listen\":{"
+      << ",\"max-fds\":" << settings.max_fds << ",\"link-mbps\":1000.0,\"disk-mb\":0}},\"network\":{\"listen\":{"
       << "\"front\":\"" << ip << ":8161\",\"ready\":\"" << ip << ":8167\",\"control\":\"" << ip
       << ":8166\",\"directory\":\"" << ip << ":8164\"},\"internal-ports\":[7720,7735],\"seeds\":[],"
       << "\"zones\":{\"luzon-a\":\"luzon\",\"luzon-b\":\"luzon\"}},\"provider\":{\"discovery\":"
--- a/review/lib-2/stage.h
+++ b/review/lib-2/stage.h
@@ -205,6 +205,7 @@
   std::string name;
   std::string zone;
   uint32_t memory_mb = 260;
+  uint32_t max_fds = 4100;
   std::string bounds; // replaces the bounds of kwpc-glb
 };
 
