--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -43,6 +43,7 @@
   Connection connection;
   Message answer;
 
+  record ("sent id=%s to=%s GET /pule252/2f", id.c_str (), front.c_str ());
   if (!connection.open (front, 1, 65536)
       || !connection.write ("GET /pule252/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: " + id
                             + "\r\nCookie: X-Affinity-Key=" + std::to_string (object)
--- a/review/lib-2/stage.cc
+++ b/review/lib-2/stage.cc
@@ -43,7 +43,7 @@
 void
 record (const char *format, ...)
 {
-  static FILE *file = fopen (getenv ("RECORD") != nullptr ? getenv ("RECORD") : "record.txt", "w");
+  static FILE *file = fopen (getenv ("RECORD") != nullptr ? getenv ("RECORD") : "record.txt", "a");
   std::lock_guard<std::mutex> lock (record_mutex);
   va_list args;
   if (file == nullptr)
@@ -835,6 +835,7 @@
                      + std::to_string ((int) (budget_s * 1000)) + "\r\n";
   if (method == "POST")
     text += "Content-Length: " + std::to_string (body.size ()) + "\r\n";
+  record ("sent id=%s to=%s %s %s", id.c_str (), front.c_str (), method.c_str (), path.c_str ());
   if (!connection.write (text + "\r\n" + body))
     return answer;
   answer.end = connection.read (answer.message, until_s, true);
