--- a/src/hsv.c
+++ b/src/hsv.c
@@ -418,14 +418,20 @@
 }
 
 static void
-send_response (h2o_req_t *req, int status, h2o_iovec_t body, size_t content_length)
+start_response (h2o_req_t *req, int status, size_t content_length, h2o_generator_t *generator)
 {
-  static h2o_generator_t generator;
-
   req->res.status = status;
   req->res.reason = status < 300 ? "OK" : "Refused";
   req->res.content_length = content_length;
-  h2o_start_response (req, &generator);
+  h2o_start_response (req, generator);
+}
+
+static void
+send_response (h2o_req_t *req, int status, h2o_iovec_t body, size_t content_length)
+{
+  static h2o_generator_t generator;
+
+  start_response (req, status, content_length, &generator);
   h2o_send (req, &body, 1, H2O_SEND_STATE_FINAL);
 }
 
@@ -454,15 +460,19 @@
   write->server = NULL;
 }
 
-/** struct HeldBody - body of a response that is being written */
+/**
+ * struct HeldBody - body of a response that is being written
+ * @generator: of a response that ends with its connection
+ */
 typedef struct
 {
+  h2o_generator_t generator;
   HsvBody body;
   HsvWrite write;
 } HeldBody;
 
-/* When enabled, the kernel resets the connection if the process ends: without a length, an orderly
- * end would make a response look complete. */
+/* When enabled, the connection is reset when it is closed, also if the process ends: without a
+ * length, an orderly end would make a response look complete. */
 static void
 set_reset_on_close (h2o_socket_t *sock, bool enabled)
 {
@@ -471,7 +481,6 @@
   setsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
-/* h2o disposes of a request before it closes the connection. */
 static void
 on_body_disposed (void *data)
 {
@@ -479,12 +488,31 @@
 
   held->write.server->unwritten_bodies--;
   hsv_end_write (&held->write);
-  if (held->body.close_delimited)
-    set_reset_on_close (held->write.sock, false);
   held->body.release (held->body.user, held->body.bytes);
 }
 
+/* The kernel has the whole body: from now on the end of the connection is that of the response. */
+static void
+on_close_delimited_written (h2o_generator_t *generator, h2o_req_t *req)
+{
+  HeldBody *held = (HeldBody *) generator;
+
+  set_reset_on_close (held->write.sock, false);
+  h2o_send (req, NULL, 0, H2O_SEND_STATE_FINAL);
+}
+
 /* h2o sends an HTTP/1.0 response without chunked encoding and closes the connection after it. */
+static void
+send_close_delimited (h2o_req_t *req, int status, HeldBody *held, h2o_iovec_t body)
+{
+  set_reset_on_close (held->write.sock, true);
+  req->version = 0x100;
+  req->http1_is_persistent = 0;
+  held->generator = (h2o_generator_t){ .proceed = on_close_delimited_written };
+  start_response (req, status, SIZE_MAX, &held->generator);
+  h2o_send (req, &body, 1, H2O_SEND_STATE_IN_PROGRESS);
+}
+
 void
 hsv_send_body (h2o_req_t *req, int status, HsvBody body)
 {
@@ -495,12 +523,9 @@
   hsv_begin_write (req, &held->write);
   held->write.server->unwritten_bodies++;
   if (body.close_delimited)
-    {
-      set_reset_on_close (held->write.sock, true);
-      req->version = 0x100;
-      req->http1_is_persistent = 0;
-    }
-  send_response (req, status, buf, body.close_delimited ? SIZE_MAX : body.bytes->len);
+    send_close_delimited (req, status, held, buf);
+  else
+    send_response (req, status, buf, body.bytes->len);
 }
 
 static bool
@@ -516,7 +541,19 @@
   return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms);
 }
 
-/* h2o frees the response when its write fails. */
+/* h2o frees the response and closes the connection, as if the kernel had failed the write. A
+ * shutdown of the socket would end the connection in order. */
+static void
+abort_write (HsvWrite *write)
+{
+  h2o_socket_t *sock = write->sock;
+  h2o_socket_cb on_written = sock->_cb.write;
+
+  sock->_cb.write = NULL;
+  if (on_written != NULL)
+    on_written (sock, h2o_socket_error_io);
+}
+
 static void
 close_unread (HsvServer *server, uint64_t now_ms)
 {
@@ -529,7 +566,7 @@
       if (!is_stalled (write, now_ms))
         continue;
       server->reading.mbg->counters.unread_closed++;
-      shutdown (h2o_socket_get_fd (write->sock), SHUT_RDWR);
+      abort_write (write);
     }
 }
 
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -12,6 +12,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+using namespace std::chrono_literals;
+
 namespace
 {
 std::string
@@ -807,6 +809,44 @@
   return -1;
 }
 
+Download
+ReadDownload (int fd, size_t piece_bytes, int pause_ms, const std::atomic<bool> *paused)
+{
+  const std::string end = "\r\n\r\n";
+  Download download;
+  std::string head;
+  std::vector<char> piece (piece_bytes);
+  ssize_t size;
+  while ((size = recv (fd, piece.data (), piece.size (), 0)) > 0)
+    {
+      bool was_in_head = download.status == 0;
+      if (was_in_head)
+        head.append (piece.data (), (size_t) size);
+      else
+        download.body_bytes += (size_t) size;
+      size_t body = head.find (end);
+      if (was_in_head && body != std::string::npos)
+        {
+          download.status = std::stoi (head.substr (strlen ("HTTP/1.1 "), 3));
+          download.body_bytes = head.size () - body - end.size ();
+          while (paused != nullptr && *paused)
+            std::this_thread::sleep_for (1ms);
+        }
+      std::this_thread::sleep_for (std::chrono::milliseconds (pause_ms));
+    }
+  download.ended_in_order = size == 0;
+  return download;
+}
+
+void
+WriteUnframedResponse (int fd, const Request &request, size_t body_bytes)
+{
+  WriteAll (fd, "HTTP/1.1 200 OK\r\nX-Response-Signature: 1\r\nX-Request-Id: "
+                    + request.headers.at ("x-request-id") + "\r\nConnection: close\r\n\r\n"
+                    + std::string (body_bytes, 'f'));
+  shutdown (fd, SHUT_RDWR);
+}
+
 Reply
 Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
        const Headers &headers, const std::string &body, int timeout_ms)
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -254,6 +254,22 @@
 // Connects to "IP:port". A small receive buffer makes the peer wait for the reads.
 int Connect (const std::string &address, int receive_buffer_bytes = 0);
 
+// How a response that ends with its connection arrived: in order, or by a reset or timeout.
+struct Download
+{
+  int status = 0;
+  size_t body_bytes = 0;
+  bool ended_in_order = false;
+};
+
+// Reads such a response, up to a piece at a time with a pause after each. With `paused`, waits
+// until it is false once the head has arrived.
+Download ReadDownload (int fd, size_t piece_bytes, int pause_ms,
+                       const std::atomic<bool> *paused = nullptr);
+
+// Response without a length to a request, signed like that of FakeUpstream.
+void WriteUnframedResponse (int fd, const Request &request, size_t body_bytes);
+
 // Sends one request on a new connection.
 Reply Fetch (const std::string &ip, int port, const std::string &method, const std::string &path,
              const Headers &headers, const std::string &body, int timeout_ms);
--- a/tests/test_nod.cc
+++ b/tests/test_nod.cc
@@ -280,15 +280,11 @@
 // it is being written.
 TEST (SlowReader, ResponseWithoutLengthIsResetWhenTheProcessIsKilled)
 {
-  const size_t kBodyBytes = 16 << 20;
+  static constexpr size_t kBodyBytes = 16 << 20;
   FakeStore store;
   FakeUpstream upstream ("up-1");
-  upstream.SetBehaviour ([&] (int fd, const Request &request) {
-    WriteAll (fd, "HTTP/1.1 200 OK\r\nX-Response-Signature: 1\r\nX-Request-Id: "
-                      + request.headers.at ("x-request-id") + "\r\nConnection: close\r\n\r\n"
-                      + std::string (kBodyBytes, 'f'));
-    shutdown (fd, SHUT_RDWR);
-  });
+  upstream.SetBehaviour (
+      [] (int fd, const Request &request) { WriteUnframedResponse (fd, request, kBodyBytes); });
   store.Put ("config", "main", Configuration (7, "", "\"timeout-s\":5,\"goal-s\":0.5"));
   store.Put ("servers", upstream.id (), upstream.Record ("desk", "east-a"));
   NodeProcess node ("vm-1", "east-a", store.address ());
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -278,15 +278,16 @@
 TEST_F (NodeTest, ResponseWithoutALengthIsForwardedWithoutOne)
 {
   Start (1);
-  SetBehaviours ([] (int fd, const Request &request) {
-    WriteAll (fd, "HTTP/1.1 200 OK\r\nX-Response-Signature: 1\r\nX-Request-Id: "
-                      + request.headers.at ("x-request-id") + "\r\nConnection: close\r\n\r\npart");
-    shutdown (fd, SHUT_RDWR);
-  });
-  Reply reply = node_->Call ("GET", "/read/a", WithId ("open-end"));
-  EXPECT_EQ (reply.status, 200);
-  EXPECT_FALSE (reply.framed);
-  EXPECT_EQ (reply.body, "part");
+  for (size_t body_bytes : { 0, 4 })
+    {
+      SetBehaviours ([body_bytes] (int fd, const Request &request) {
+        WriteUnframedResponse (fd, request, body_bytes);
+      });
+      Reply reply = node_->Call ("GET", "/read/a", WithId ("open-end"));
+      EXPECT_EQ (reply.status, 200);
+      EXPECT_FALSE (reply.framed);
+      EXPECT_EQ (reply.body, std::string (body_bytes, 'f'));
+    }
 }
 
 TEST_F (NodeTest, TruncatedResponseIsReturnedAsAnError)
--- /dev/null
+++ b/tests/test_slow_readers.cc
@@ -0,0 +1,126 @@
+// Callers that read large responses without a length slowly, or not for some seconds. The end of
+// the connection ends such a response, so a response that the node cuts must not end in order.
+#include "fakes.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr size_t kMb = 1 << 20;
+constexpr int kReceiveBufferBytes = 64 << 10;
+constexpr size_t kPieceBytes = 30 << 10;
+constexpr char kLimits[] = "{\"memory-mb\":64,\"max-fds\":400}"; // at most 36 MB of responses
+constexpr char kRouteFields[] = "\"timeout-s\":15,\"goal-s\":0.5";
+
+// Longer than a node waits for a caller that reads nothing.
+constexpr auto kPause = 6s;
+
+class SlowReaders : public ::testing::Test
+{
+protected:
+  void
+  Start (size_t body_bytes)
+  {
+    body_bytes_ = body_bytes;
+    store_.Put ("config", "main", Configuration (7, "", kRouteFields));
+    for (int i = 0; i < 4; i++)
+      {
+        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
+        upstreams_[i]->SetBehaviour ([body_bytes] (int fd, const Request &request) {
+          WriteUnframedResponse (fd, request, body_bytes);
+        });
+        store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
+      }
+    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address (), 1, kLimits);
+    ASSERT_TRUE (node_->WaitReady (5000));
+    std::this_thread::sleep_for (500ms);
+  }
+
+  // Starts callers that wait for the end of `paused_` after the head of their response.
+  void
+  StartDownloads (int count, int pause_ms)
+  {
+    downloads_.resize (count);
+    for (int i = 0; i < count; i++)
+      callers_.emplace_back ([this, i, pause_ms] {
+        int fd = Connect (node_->front (), kReceiveBufferBytes);
+        WriteAll (fd, "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow-"
+                          + std::to_string (i) + "\r\nX-Deadline-Ms: 15000\r\n\r\n");
+        downloads_[i] = ReadDownload (fd, kPieceBytes, pause_ms, &paused_);
+        close (fd);
+      });
+  }
+
+  void
+  FinishDownloads ()
+  {
+    paused_ = false;
+    for (std::thread &caller : callers_)
+      caller.join ();
+  }
+
+  int
+  CountWhole () const
+  {
+    int count = 0;
+    for (const Download &download : downloads_)
+      count += download.ended_in_order && download.body_bytes == body_bytes_;
+    return count;
+  }
+
+  int
+  CountShortButInOrder () const
+  {
+    int count = 0;
+    for (const Download &download : downloads_)
+      count
+          += download.status == 200 && download.ended_in_order && download.body_bytes < body_bytes_;
+    return count;
+  }
+
+  int
+  CountWithout200 () const
+  {
+    int count = 0;
+    for (const Download &download : downloads_)
+      count += download.status != 200;
+    return count;
+  }
+
+  // Callers that the node has cut so far because they did not read.
+  int
+  CountCut ()
+  {
+    const std::string name = "cardamom_node_memory_unread_closed_total ";
+    std::string metrics = node_->Status ("/metrics").body;
+    size_t at = metrics.find ("\n" + name);
+    return at == std::string::npos ? -1 : std::stoi (metrics.substr (at + 1 + name.size ()));
+  }
+
+  size_t body_bytes_ = 0;
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::unique_ptr<NodeProcess> node_;
+  std::atomic<bool> paused_{ true };
+  std::vector<Download> downloads_;
+  std::vector<std::thread> callers_;
+};
+}
+
+// Guards against a short response that looks complete: it has no length, and the node closes its
+// connection because the caller has read nothing for some time and memory is short.
+TEST_F (SlowReaders, ResponseWithoutLengthThatIsCutEndsWithAReset)
+{
+  const int kCallers = 14;
+  Start (2 * kMb);
+  StartDownloads (kCallers, 0);
+  std::this_thread::sleep_for (kPause);
+  FinishDownloads ();
+  EXPECT_EQ (CountShortButInOrder (), 0);
+  EXPECT_GT (CountCut (), 0);
+  EXPECT_EQ (CountWhole () + CountCut () + CountWithout200 (), kCallers);
+}
