LOST: a slow reader's answer is cut only while its memory is needed

Cause: callers that had read nothing for 4 s were cut as soon as unread answers took half of the answers' own part of the memory, 8 MB on a VM of 260 MB, while answers may borrow what requests leave, up to 64 MB. Evidence: 32 answers of 540,000 bytes are 17 MB; cut in each round until 8 MB were left.

Now they are cut while requests wait for what is lent to answers, while an answer has found no room within the last second, or while unread answers take over half of what answers may take at the time; that half stays free for answers without a length, which can't wait. The write fails at once, so no more are cut than make the room.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -538,7 +538,7 @@
       write->unsent_bytes = unsent;
       write->progress_at_ms = now_ms;
     }
-  return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms);
+  return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms, now_ms);
 }
 
 /* h2o frees the response and closes the connection, as if the kernel had failed the write. A
@@ -574,7 +574,7 @@
 hsv_close_stalled (HsvServer *server)
 {
   rdl_tick (&server->reading);
-  if (server->reading.mbg != NULL && mbg_is_full_of_unread (server->reading.mbg))
+  if (server->reading.mbg != NULL && mbg_watches_unread (server->reading.mbg))
     close_unread (server, uv_now (server->reading.loop));
 }
 
@@ -597,7 +597,8 @@
 void
 hsv_send_text (h2o_req_t *req, const char *media_type, char *text)
 {
-  Mbg *mbg = server_of_conn (req->conn)->reading.mbg;
+  const Rdl *reading = &server_of_conn (req->conn)->reading;
+  Mbg *mbg = reading->mbg;
   size_t size = strlen (text);
 
   if (mbg == NULL)
@@ -606,7 +607,7 @@
       g_free (text);
       return;
     }
-  if (!mbg_has_response_room (mbg, size))
+  if (!mbg_want_response_room (mbg, size, uv_now (reading->loop)))
     {
       hsv_respond (req, 503, "text/plain", "no memory\n");
       g_free (text);
--- a/src/mbg.c
+++ b/src/mbg.c
@@ -330,28 +330,64 @@
   mbg->unread_bytes += (uint64_t) bytes;
 }
 
+/* Most that responses may take while requests take what they do now. */
+static uint64_t
+responses_limit (const Mbg *mbg)
+{
+  const MbgLimits *limits = &mbg->limits;
+  uint64_t requests_bytes
+      = used_of_large (mbg, mbg->used_bytes[MBG_SMALL], mbg->used_bytes[MBG_LARGE], 0);
+  uint64_t lent_bytes = may_lend (mbg) ? excess (limits->large_bytes, requests_bytes) : 0;
+  uint64_t with_lent_bytes
+      = MIN (limits->responses_bytes + lent_bytes, limits->responses_max_bytes);
+
+  return MAX (limits->responses_bytes, with_lent_bytes);
+}
+
 bool
-mbg_is_full_of_unread (const Mbg *mbg)
+mbg_has_response_room (const Mbg *mbg, uint64_t bytes)
 {
-  return mbg->limits.bounded && mbg->unread_bytes > mbg->limits.responses_bytes / 2;
+  return response_bytes (mbg) + bytes <= responses_limit (mbg);
 }
 
 bool
-mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms)
+mbg_want_response_room (Mbg *mbg, uint64_t bytes, uint64_t now_ms)
+{
+  if (mbg_has_response_room (mbg, bytes))
+    return true;
+  if (now_ms - mbg->wanted_at_ms > MBG_WANTED_MS)
+    mbg->wanted_bytes = 0;
+  mbg->wanted_bytes = MAX (mbg->wanted_bytes, MAX (bytes, 1));
+  mbg->wanted_at_ms = now_ms;
+  return false;
+}
+
+/* Whether requests wait for what is lent to responses. */
+static bool
+block_requests (const Mbg *mbg)
+{
+  return response_bytes (mbg) > mbg->limits.responses_bytes
+         && (is_blocked (mbg, MBG_SMALL) || is_blocked (mbg, MBG_LARGE));
+}
+
+static bool
+is_response_wanted (const Mbg *mbg, uint64_t now_ms)
 {
-  return mbg_is_full_of_unread (mbg) && idle_ms >= MBG_UNREAD_STALL_MS;
+  return mbg->wanted_bytes > 0 && now_ms - mbg->wanted_at_ms <= MBG_WANTED_MS
+         && !mbg_has_response_room (mbg, mbg->wanted_bytes);
 }
 
 bool
-mbg_has_response_room (const Mbg *mbg, uint64_t bytes)
+mbg_watches_unread (const Mbg *mbg)
 {
-  const MbgLimits *limits = &mbg->limits;
-  uint64_t total_bytes = response_bytes (mbg) + bytes;
+  return mbg->limits.bounded && mbg->unread_bytes > mbg->limits.responses_bytes / 2;
+}
 
-  if (total_bytes <= limits->responses_bytes)
-    return true;
-  if (total_bytes > limits->responses_max_bytes || !may_lend (mbg))
+bool
+mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms, uint64_t now_ms)
+{
+  if (!mbg_watches_unread (mbg) || idle_ms < MBG_UNREAD_STALL_MS)
     return false;
-  return used_of_large (mbg, mbg->used_bytes[MBG_SMALL], mbg->used_bytes[MBG_LARGE], total_bytes)
-         <= limits->large_bytes;
+  return mbg->unread_bytes > responses_limit (mbg) / 2 || block_requests (mbg)
+         || is_response_wanted (mbg, now_ms);
 }
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -118,6 +118,9 @@
  * @relayed_bytes: the part of @used_bytes that other nodes sent
  * @receiving_bytes: responses that are being received
  * @unread_bytes: responses that callers have not read
+ * @wanted_bytes: largest response that has found no room since MBG_WANTED_MS before
+ *   @wanted_at_ms, 0 without one
+ * @wanted_at_ms: when a response last found no room
  * @connections: open connections of callers
  * @active: claims with granted bytes
  * @waiting: claims that wait, by the pool of what they want
@@ -130,6 +133,8 @@
   uint64_t relayed_bytes;
   uint64_t receiving_bytes;
   uint64_t unread_bytes;
+  uint64_t wanted_bytes;
+  uint64_t wanted_at_ms;
   uint32_t connections;
   GQueue active;
   GQueue waiting[MBG_POOL_COUNT];
@@ -196,13 +201,23 @@
  * read; for processes that don't call mbg_set_responses(). */
 void mbg_add_unread (Mbg *mbg, int64_t bytes);
 
-/** mbg_is_full_of_unread() - whether responses that callers have not read take so much that
+/** mbg_watches_unread() - whether responses that callers have not read take so much that
  * mbg_must_close_unread() can be true. */
-bool mbg_is_full_of_unread (const Mbg *mbg);
+bool mbg_watches_unread (const Mbg *mbg);
 
-/** mbg_must_close_unread() - whether a caller that has read nothing for @idle_ms must lose its
- * connection. */
-bool mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms);
+/**
+ * mbg_must_close_unread() - whether a caller that has read nothing for @idle_ms must lose its
+ * connection
+ *
+ * Only while its memory is needed: unread responses take over half of what responses may take,
+ * requests wait for memory that is lent to responses, or a response has found no room within
+ * MBG_WANTED_MS.
+ */
+bool mbg_must_close_unread (const Mbg *mbg, uint64_t idle_ms, uint64_t now_ms);
 
 /** mbg_has_response_room() - whether a response of @bytes can be received at once. */
 bool mbg_has_response_room (const Mbg *mbg, uint64_t bytes);
+
+/** mbg_want_response_room() - the same for a response that is there: without room, callers that
+ * don't read make it. */
+bool mbg_want_response_room (Mbg *mbg, uint64_t bytes, uint64_t now_ms);
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -21,12 +21,12 @@
 
 /* A response with nothing buffered continues even without room, as its caller reads it. */
 static bool
-may_buffer_more (const Req *req)
+may_buffer_more (Req *req)
 {
   if (req->pending_body->len >= STREAM_BUFFER_MAX_BYTES)
     return false;
   return !req->entry->has_budget || req->counted_bytes == 0
-         || mbg_has_response_room (&req->entry->memory, 0);
+         || mbg_want_response_room (&req->entry->memory, 0, uv_now (req->entry->loop));
 }
 
 static void
--- a/src/ucn.c
+++ b/src/ucn.c
@@ -788,7 +788,7 @@
 ucn_has_room (const UcnCtx *ctx, uint64_t size)
 {
   if (ctx->mbg != NULL)
-    return mbg_has_response_room (ctx->mbg, size);
+    return mbg_want_response_room (ctx->mbg, size, uv_now (ctx->loop));
   return ctx->buffered_bytes + size <= RESPONSES_TOTAL_MAX_BYTES;
 }
 
--- a/tests/test_slow_readers.cc
+++ b/tests/test_slow_readers.cc
@@ -121,3 +121,14 @@
   EXPECT_GT (CountCut (), 0);
   EXPECT_EQ (CountWhole () + CountCut () + CountWithout200 (), kCallers);
 }
+
+// Guards against answers that are cut for slow readers although nobody needs their memory.
+TEST_F (SlowReaders, ResponsesAreWholeWhileThereIsRoom)
+{
+  const int kCallers = 12;
+  Start (kMb);
+  StartDownloads (kCallers, 0);
+  std::this_thread::sleep_for (kPause);
+  FinishDownloads ();
+  EXPECT_EQ (CountWhole (), kCallers);
+}
