LOST: a frozen node doesn't take its own pause for its callers'

Cause: a caller counts as stalled when libuv's queue hasn't become shorter for 4 s. On waking, the timer runs before the loop writes, so the queue is what it was before the freeze for everyone.

Now a caller makes progress if the bytes that it has not received, in the process and in the kernel (SIOCOUTQ), become fewer, or if the kernel has none left: then the process is late. Where the kernel doesn't say, only the process's queue counts, as before.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -528,14 +528,24 @@
     send_response (req, status, buf, body.bytes->len);
 }
 
+/* Whether the peer has received bytes since the last look, or has received all that the kernel had:
+ * then this process is late, for instance because it was stopped. */
+static bool
+has_progress (const HsvWrite *write, const RdlUnsent *unsent)
+{
+  size_t bytes = unsent->process_bytes + unsent->kernel_bytes;
+
+  return bytes < write->unsent_bytes || (unsent->is_kernel_known && unsent->kernel_bytes == 0);
+}
+
 static bool
 is_stalled (HsvWrite *write, uint64_t now_ms)
 {
-  size_t unsent = rdl_unsent_bytes (write->sock);
+  RdlUnsent unsent = rdl_unsent (write->sock);
 
-  if (unsent < write->unsent_bytes)
+  if (has_progress (write, &unsent))
     {
-      write->unsent_bytes = unsent;
+      write->unsent_bytes = unsent.process_bytes + unsent.kernel_bytes;
       write->progress_at_ms = now_ms;
     }
   return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms, now_ms);
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -142,8 +142,8 @@
 /**
  * struct HsvWrite - a response that is being written
  * @link: in the server's list
- * @unsent_bytes: what the kernel had not taken at @progress_at_ms
- * @progress_at_ms: when the kernel last took bytes
+ * @unsent_bytes: what the peer had not received at @progress_at_ms
+ * @progress_at_ms: when it was last seen to have received bytes
  */
 typedef struct
 {
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -3,6 +3,7 @@
 
 #include "lim.h"
 
+#include <linux/sockios.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -77,12 +78,17 @@
   return used + HSV_READ_MIN_BYTES <= input->capacity;
 }
 
-size_t
-rdl_unsent_bytes (const h2o_socket_t *sock)
+RdlUnsent
+rdl_unsent (const h2o_socket_t *sock)
 {
   const RdlConn *conn = sock->on_close.data;
+  int fd = h2o_socket_get_fd ((h2o_socket_t *) sock);
+  int kernel_bytes = 0;
+  bool is_known = ioctl (fd, SIOCOUTQ, &kernel_bytes) == 0;
 
-  return uv_stream_get_write_queue_size (conn->stream);
+  return (RdlUnsent){ .process_bytes = uv_stream_get_write_queue_size (conn->stream),
+                      .kernel_bytes = (size_t) kernel_bytes,
+                      .is_kernel_known = is_known };
 }
 
 /* Replaces the input buffer by one of @capacity bytes, or by none if that is 0. */
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -103,8 +103,19 @@
  * without progress while others wait. */
 void rdl_tick (Rdl *rdl);
 
-/** rdl_unsent_bytes() - bytes for the connection that the kernel has not taken. */
-size_t rdl_unsent_bytes (const h2o_socket_t *sock);
+/**
+ * struct RdlUnsent - bytes for a connection that its peer has not received
+ * @process_bytes: not yet passed to the kernel
+ * @kernel_bytes: in the kernel, if @is_kernel_known
+ */
+typedef struct
+{
+  size_t process_bytes;
+  size_t kernel_bytes;
+  bool is_kernel_known;
+} RdlUnsent;
+
+RdlUnsent rdl_unsent (const h2o_socket_t *sock);
 
 /** rdl_has_room() - whether the next read leaves the request's memory where it is. */
 bool rdl_has_room (const h2o_socket_t *sock);
--- a/tests/test_slow_readers.cc
+++ b/tests/test_slow_readers.cc
@@ -98,6 +98,12 @@
     return (int) node_->Metric ("cardamom_node_memory_unread_closed_total");
   }
 
+  size_t
+  UnreadBytes ()
+  {
+    return (size_t) node_->Metric ("cardamom_node_memory_unread_answers_bytes");
+  }
+
   size_t body_bytes_ = 0;
   FakeStore store_;
   std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
@@ -132,3 +138,19 @@
   FinishDownloads ();
   EXPECT_EQ (CountWhole (), kCallers);
 }
+
+// Guards against callers that are cut for a pause of the node's own: it is frozen while they read.
+TEST_F (SlowReaders, ResponsesAreWholeAfterTheNodeWasFrozen)
+{
+  const int kCallers = 16;
+  Start (2 * kMb);
+  paused_ = false;
+  StartDownloads (kCallers, 40);
+  ASSERT_TRUE (WaitUntil (5000, [&] { return UnreadBytes () > kCallers * body_bytes_ * 3 / 4; }));
+  node_->Signal (SIGSTOP);
+  std::this_thread::sleep_for (kPause);
+  node_->Signal (SIGCONT);
+  FinishDownloads ();
+  EXPECT_EQ (CountWhole (), kCallers) << node_->Log ();
+  EXPECT_EQ (CountCut (), 0);
+}
