MIXED: a short answer without a length is reset for a caller of HTTP/1.0

Cause: h2o sends no chunks to HTTP/1.0, so the end of the connection is the answer's end, and H2O_SEND_STATE_ERROR closes it in order. Evidence: the same request over HTTP/1.1 lacks its last chunk, and TruncatedResponseIsNotReportedAsComplete holds.

Now such a connection is reset when it is closed, until the kernel has the whole answer; the end is sent alone after that, as on the node (hsv_set_reset_on_close()).

Tests, before: RequestPath.TruncatedResponseWithoutLengthIsResetForACallerOfHttp10 and ResponseWithoutLengthIsResetWhenTheEntryIsKilled saw an orderly end. After: passed, as did the tests of interrupted and truncated downloads. The stand-in of an upstream can now send chunks.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -12,6 +12,11 @@
 #define PROBE_REQUEST_MAX_BYTES 4096
 #define STATUS_BAD_REQUEST 400
 
+/* Values of h2o_req_t.version. */
+#define HTTP_1_0 0x100
+#define HTTP_1_1 0x101
+#define HTTP_2_0 0x200
+
 struct _HsvServer
 {
   h2o_globalconf_t config;
@@ -413,7 +418,7 @@
 void
 hsv_close_if_pipelined (h2o_req_t *req)
 {
-  if (req->version < 0x200 && has_pipelined_data (req))
+  if (req->version < HTTP_2_0 && has_pipelined_data (req))
     req->http1_is_persistent = 0;
 }
 
@@ -471,11 +476,16 @@
   HsvWrite write;
 } HeldBody;
 
-/* When enabled, the connection is reset when it is closed, also if the process ends: without a
- * length, an orderly end would make a response look complete. */
-static void
-set_reset_on_close (h2o_socket_t *sock, bool enabled)
+bool
+hsv_is_close_delimited (const h2o_req_t *req)
+{
+  return req->version < HTTP_1_1;
+}
+
+void
+hsv_set_reset_on_close (h2o_req_t *req, bool enabled)
 {
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
   struct linger linger = { .l_onoff = enabled, .l_linger = 0 };
 
   setsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
@@ -495,9 +505,9 @@
 static void
 on_close_delimited_written (h2o_generator_t *generator, h2o_req_t *req)
 {
-  HeldBody *held = (HeldBody *) generator;
+  (void) generator;
 
-  set_reset_on_close (held->write.sock, false);
+  hsv_set_reset_on_close (req, false);
   h2o_send (req, NULL, 0, H2O_SEND_STATE_FINAL);
 }
 
@@ -505,8 +515,8 @@
 static void
 send_close_delimited (h2o_req_t *req, int status, HeldBody *held, h2o_iovec_t body)
 {
-  set_reset_on_close (held->write.sock, true);
-  req->version = 0x100;
+  hsv_set_reset_on_close (req, true);
+  req->version = HTTP_1_0;
   req->http1_is_persistent = 0;
   held->generator = (h2o_generator_t){ .proceed = on_close_delimited_written };
   start_response (req, status, SIZE_MAX, &held->generator);
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -130,6 +130,14 @@
 /** hsv_send_body() - sends a response with a body that the server then owns. */
 void hsv_send_body (h2o_req_t *req, int status, HsvBody body);
 
+/** hsv_is_close_delimited() - whether the end of the connection ends a response without a length to
+ * this request, as its caller speaks HTTP/1.0. */
+bool hsv_is_close_delimited (const h2o_req_t *req);
+
+/** hsv_set_reset_on_close() - while enabled, the connection is reset when it is closed, also if the
+ * process ends: without a length, an orderly end would make a response look complete. */
+void hsv_set_reset_on_close (h2o_req_t *req, bool enabled);
+
 /**
  * hsv_close_if_pipelined() - closes the connection after the response if a pipelined request
  * follows
--- a/src/rqs.h
+++ b/src/rqs.h
@@ -67,6 +67,7 @@
  * @suspect: the attempt counts in the upstream's suspects, as the request has crashed upstreams
  * @fingerprint: hash of method, target and body that identifies a poison request
  * @status: status of the upstream's response; so are @content_type, @etag and @content_length
+ * @close_delimited: the end of the caller's connection ends the response
  * @received: bytes of the response body received from upstreams
  * @response_started: the head of the response was received from an upstream
  * @response_ended: the response to the caller is final
@@ -121,6 +122,7 @@
   char *etag;
   uint64_t content_length;
   bool has_length;
+  bool close_delimited;
   uint64_t received;
   bool response_started;
   bool response_ended;
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -51,6 +51,27 @@
     hcl_pause (call);
 }
 
+/* The end of a close-delimited response is sent alone, once the kernel has the rest of it. */
+static h2o_send_state_t
+next_state (const Req *req)
+{
+  if (req->response_failed)
+    return H2O_SEND_STATE_ERROR;
+  if (!req->upstream_response_complete || (req->close_delimited && req->sending_body->len > 0))
+    return H2O_SEND_STATE_IN_PROGRESS;
+  return H2O_SEND_STATE_FINAL;
+}
+
+static void
+take_pending (Req *req)
+{
+  GByteArray *sent = req->sending_body;
+
+  req->sending_body = req->pending_body;
+  req->pending_body = sent;
+  g_byte_array_set_size (req->pending_body, 0);
+}
+
 void
 rsp_flush (Req *req)
 {
@@ -60,20 +81,17 @@
     return;
   if (req->pending_body->len == 0 && !req->upstream_response_complete && !req->response_failed)
     return;
-  GByteArray *sent = req->sending_body;
-  req->sending_body = req->pending_body;
-  req->pending_body = sent;
-  g_byte_array_set_size (req->pending_body, 0);
+  take_pending (req);
   data = h2o_iovec_init (req->sending_body->data, req->sending_body->len);
   req->sending = true;
   if (req->entry->has_budget)
     hsv_begin_write (req->h2o, &req->write);
-  if (req->response_failed || req->upstream_response_complete)
+  h2o_send_state_t state = next_state (req);
+  if (state != H2O_SEND_STATE_IN_PROGRESS)
     rqs_end_response (req);
-  h2o_send (req->h2o, &data, data.len > 0 ? 1 : 0,
-            req->response_failed              ? H2O_SEND_STATE_ERROR
-            : req->upstream_response_complete ? H2O_SEND_STATE_FINAL
-                                              : H2O_SEND_STATE_IN_PROGRESS);
+  if (state == H2O_SEND_STATE_FINAL && req->close_delimited)
+    hsv_set_reset_on_close (req->h2o, false);
+  h2o_send (req->h2o, &data, data.len > 0 ? 1 : 0, state);
 }
 
 void
@@ -145,6 +163,9 @@
         g_free (value);
       }
   hsv_add_header (req->h2o, "x-cardamom-run", "ran");
+  req->close_delimited = !head->has_length && hsv_is_close_delimited (req->h2o);
+  if (req->close_delimited)
+    hsv_set_reset_on_close (req->h2o, true);
   req->generator = (h2o_generator_t){ on_proceed, on_stop };
   h2o_start_response (req->h2o, &req->generator);
 }
--- a/tests/test_request_path.cc
+++ b/tests/test_request_path.cc
@@ -1,9 +1,12 @@
 // Request path under faults, with the real programs.
 #include "cluster.h"
+#include "crowd.h"
 
 #include <csignal>
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace
 {
@@ -21,6 +24,42 @@
   EXPECT_GT (report["ok"], 0);
 }
 
+// Bytes of a response and how its connection ended.
+struct RawResponse
+{
+  std::string bytes;
+  bool ended_in_order = false;
+
+  size_t
+  BodyBytes () const
+  {
+    size_t body = bytes.find ("\r\n\r\n");
+    return body == std::string::npos ? 0 : bytes.size () - body - 4;
+  }
+};
+
+// Reads until the connection ends, and closes it.
+RawResponse
+ReadResponse (int fd)
+{
+  RawResponse response;
+  std::vector<char> piece (64 << 10);
+  ssize_t size;
+  while ((size = recv (fd, piece.data (), piece.size (), 0)) > 0)
+    response.bytes.append (piece.data (), (size_t) size);
+  response.ended_in_order = size == 0;
+  close (fd);
+  return response;
+}
+
+RawResponse
+Exchange (const std::string &address, const std::string &request)
+{
+  int fd = ConnectTo (address);
+  EXPECT_EQ (send (fd, request.data (), request.size (), 0), (ssize_t) request.size ());
+  return ReadResponse (fd);
+}
+
 long
 SumOverEntries (Cluster &cluster, const std::string &counter)
 {
@@ -218,6 +257,47 @@
     }
 }
 
+// Guards against a short response that looks complete: it has no length, and HTTP/1.0 has no chunks
+// either, so the end of the connection ends it.
+TEST (RequestPath, TruncatedResponseWithoutLengthIsResetForACallerOfHttp10)
+{
+  const size_t kBodyBytes = 200000;
+  const std::string kLastChunk = "\r\n0\r\n\r\n";
+  Cluster cluster ({});
+  ASSERT_TRUE (cluster.WaitServing ());
+  std::string path = "/svc/desk/download?chunked=1&size=" + std::to_string (kBodyBytes);
+  for (bool truncated : { false, true })
+    {
+      for (const std::string &id : cluster.Upstreams ())
+        cluster.ControlUpstream (id, truncated ? "cut_after=100000" : "");
+      RawResponse response
+          = Exchange (cluster.EntryAddr ("e0"), "GET " + path + " HTTP/1.0\r\n\r\n");
+      EXPECT_EQ (response.ended_in_order, !truncated) << response.bytes.substr (0, 300);
+      EXPECT_EQ (response.BodyBytes () == kBodyBytes, !truncated);
+      response = Exchange (cluster.EntryAddr ("e0"), "GET " + path
+                                                         + " HTTP/1.1\r\nHost: host.example\r\n"
+                                                           "Connection: close\r\n\r\n");
+      EXPECT_EQ (response.bytes.find (kLastChunk) != std::string::npos, !truncated);
+    }
+}
+
+// The same for an entry that is killed while it sends the response.
+TEST (RequestPath, ResponseWithoutLengthIsResetWhenTheEntryIsKilled)
+{
+  const size_t kBodyBytes = 16 << 20;
+  Cluster cluster ({});
+  ASSERT_TRUE (cluster.WaitServing ());
+  int fd = ConnectTo (cluster.EntryAddr ("e0"), 64 << 10);
+  std::string request = "GET /svc/desk/download?chunked=1&size=" + std::to_string (kBodyBytes)
+                        + " HTTP/1.0\r\nHost: host.example\r\n\r\n";
+  ASSERT_EQ (send (fd, request.data (), request.size (), 0), (ssize_t) request.size ());
+  SleepMs (500);
+  cluster.Signal ("entry-e0", SIGKILL);
+  RawResponse response = ReadResponse (fd);
+  EXPECT_FALSE (response.ended_in_order);
+  EXPECT_LT (response.BodyBytes (), kBodyBytes);
+}
+
 TEST (RequestPath, SilentConnectionsAreReplaced)
 {
   Options options;
--- a/tools/upstream.c
+++ b/tools/upstream.c
@@ -151,7 +151,8 @@
       g_snprintf (text, sizeof text, "bytes %lu-%lu/%lu", job->position, size - 1, size);
       hsv_add_header (req, "content-range", text);
     }
-  req->res.content_length = size - job->position;
+  if (hsv_query_uint (req, "chunked", 0) == 0)
+    req->res.content_length = size - job->position;
   job->generator = (h2o_generator_t){ send_chunk, on_download_stopped };
   h2o_start_response (req, &job->generator);
   send_chunk (&job->generator, req);
