The connection of an answer that is cut is closed, also when it is persistent

They might also get freed memory, as the write is still in libuv's queue.

Cause: after a failed write, h2o closes the connection only if the response is the last one of it; else it reads the next request. Answers without a length are always the last. Now fail_write() marks the response as the last one first.

Test, before: SlowReaders.ConnectionOfAResponseThatIsCutIsClosed, 14 open + 5 cut of 14. After: passed, as did the other tests of test_slow_readers.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -334,6 +334,23 @@
   g_string_append_printf (reply->headers, "%s: %s\r\n", name, value);
 }
 
+/* ---- Failed writes ---- */
+
+/* h2o frees the response being written and closes the connection, as if the kernel had failed the
+ * write. A shutdown of the socket would end the connection in order. */
+static void
+fail_write (h2o_req_t *req)
+{
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+  h2o_socket_cb on_written = sock->_cb.write;
+
+  if (on_written == NULL)
+    return;
+  req->http1_is_persistent = 0; /* else h2o waits for a next request, also after an error */
+  sock->_cb.write = NULL;
+  on_written (sock, h2o_socket_error_io);
+}
+
 /* ---- Disconnection of callers ---- */
 
 static HsvServer *
@@ -450,6 +467,7 @@
 hsv_begin_write (h2o_req_t *req, HsvWrite *write)
 {
   *write = (HsvWrite){ .server = server_of_conn (req->conn),
+                       .req = req,
                        .sock = req->conn->callbacks->get_socket (req->conn),
                        .link = { .data = write },
                        .unsent_bytes = SIZE_MAX };
@@ -561,19 +579,6 @@
   return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms, now_ms);
 }
 
-/* h2o frees the response and closes the connection, as if the kernel had failed the write. A
- * shutdown of the socket would end the connection in order. */
-static void
-abort_write (HsvWrite *write)
-{
-  h2o_socket_t *sock = write->sock;
-  h2o_socket_cb on_written = sock->_cb.write;
-
-  sock->_cb.write = NULL;
-  if (on_written != NULL)
-    on_written (sock, h2o_socket_error_io);
-}
-
 static void
 close_unread (HsvServer *server, uint64_t now_ms)
 {
@@ -586,7 +591,7 @@
       if (!is_stalled (write, now_ms))
         continue;
       server->reading.mbg->counters.unread_closed++;
-      abort_write (write);
+      fail_write (write->req);
     }
 }
 
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -156,6 +156,7 @@
 typedef struct
 {
   HsvServer *server;
+  h2o_req_t *req;
   h2o_socket_t *sock;
   GList link;
   size_t unsent_bytes;
--- a/tests/test_slow_readers.cc
+++ b/tests/test_slow_readers.cc
@@ -23,16 +23,21 @@
 {
 protected:
   void
-  Start (size_t body_bytes)
+  Start (size_t body_bytes, bool framed = false)
   {
     body_bytes_ = body_bytes;
     store_.Put ("config", "main", Configuration (7, "", kRouteFields));
     for (int i = 0; i < 4; i++)
       {
         upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
-        upstreams_[i]->SetBehaviour ([body_bytes] (int fd, const Request &request) {
-          WriteUnframedResponse (fd, request, body_bytes);
-        });
+        const FakeUpstream *upstream = upstreams_[i].get ();
+        upstreams_[i]->SetBehaviour (
+            [upstream, body_bytes, framed] (int fd, const Request &request) {
+              if (framed)
+                WriteAll (fd, upstream->SignedResponse (request, std::string (body_bytes, 'f')));
+              else
+                WriteUnframedResponse (fd, request, body_bytes);
+            });
         store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
       }
     node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address (), 1, kLimits);
@@ -40,6 +45,13 @@
     std::this_thread::sleep_for (500ms);
   }
 
+  static std::string
+  RequestFor (int caller)
+  {
+    return "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow-"
+           + std::to_string (caller) + "\r\nX-Deadline-Ms: 15000\r\n\r\n";
+  }
+
   // Starts callers that wait for the end of `paused_` after the head of their response.
   void
   StartDownloads (int count, int pause_ms)
@@ -48,8 +60,7 @@
     for (int i = 0; i < count; i++)
       callers_.emplace_back ([this, i, pause_ms] {
         int fd = Connect (node_->front (), kReceiveBufferBytes);
-        WriteAll (fd, "GET /load/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: slow-"
-                          + std::to_string (i) + "\r\nX-Deadline-Ms: 15000\r\n\r\n");
+        WriteAll (fd, RequestFor (i));
         downloads_[i] = ReadDownload (fd, kPieceBytes, pause_ms, &paused_);
         close (fd);
       });
@@ -128,6 +139,25 @@
   EXPECT_EQ (CountWhole () + CountCut () + CountWithout200 (), kCallers);
 }
 
+// Guards against connections that stay open after a response with a length was cut on them, with a
+// write whose bytes have been freed.
+TEST_F (SlowReaders, ConnectionOfAResponseThatIsCutIsClosed)
+{
+  const int kCallers = 14;
+  Start (2 * kMb, true);
+  std::vector<int> fds;
+  for (int i = 0; i < kCallers; i++)
+    {
+      fds.push_back (Connect (node_->front (), kReceiveBufferBytes));
+      WriteAll (fds[i], RequestFor (i));
+    }
+  std::this_thread::sleep_for (kPause);
+  EXPECT_GT (CountCut (), 0);
+  EXPECT_EQ (node_->Metric ("cardamom_node_caller_connections") + CountCut (), kCallers);
+  for (int fd : fds)
+    close (fd);
+}
+
 // Guards against answers that are cut for slow readers although nobody needs their memory.
 TEST_F (SlowReaders, ResponsesAreWholeWhileThereIsRoom)
 {
