RECOVER: a connection that is reset while its request is at work is closed

Cause: the reset is noticed by a read, after which libuv refuses writes (uv_write() fails at once, without a callback). h2o doesn't look at the result and waits for the end of the write of the 503 or 504 that is to end the request. After an orderly end libuv goes on writing, so that nothing leaks.

Now the write is failed in libuv's place. Connections of other nodes share this; src/ucn.c and src/onc.c look at uv_write()'s result already.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -40,6 +40,7 @@
 /**
  * struct Watch - callback for the disconnection of a caller; stored in HsvServer.watch_table by
  * socket
+ * @req: valid until its response is sent
  * @request_bytes: size of the input when the watch began
  * @must_not_move: the input must stay where it is in memory
  */
@@ -47,6 +48,7 @@
 {
   HsvDisconnectFn fn;
   void *user;
+  h2o_req_t *req;
   size_t request_bytes;
   bool must_not_move;
 } Watch;
@@ -391,6 +393,8 @@
   Watch disconnected = *watch;
   g_hash_table_remove (watch_table, sock);
   disconnected.fn (disconnected.user);
+  if (!rdl_accepts_writes (sock))
+    fail_write (disconnected.req);
 }
 
 void *
@@ -401,6 +405,7 @@
 
   *watch = (Watch){ .fn = fn,
                     .user = user,
+                    .req = req,
                     .request_bytes = sock->input->size,
                     .must_not_move = req->entity.len > HSV_COPIED_BODY_MAX_BYTES };
   g_hash_table_insert (server->watch_table, sock, watch);
--- a/src/rdl.c
+++ b/src/rdl.c
@@ -91,6 +91,14 @@
                       .is_kernel_known = is_known };
 }
 
+bool
+rdl_accepts_writes (const h2o_socket_t *sock)
+{
+  const RdlConn *conn = sock->on_close.data;
+
+  return conn == NULL || uv_is_writable (conn->stream);
+}
+
 /* Replaces the input buffer by one of @capacity bytes, or by none if that is 0. */
 static void
 replace_input (h2o_socket_t *sock, size_t capacity)
--- a/src/rdl.h
+++ b/src/rdl.h
@@ -117,5 +117,9 @@
 
 RdlUnsent rdl_unsent (const h2o_socket_t *sock);
 
+/** rdl_accepts_writes() - false after a read has failed: libuv then refuses writes, and h2o, which
+ * doesn't notice, waits for their end. */
+bool rdl_accepts_writes (const h2o_socket_t *sock);
+
 /** rdl_has_room() - whether the next read leaves the request's memory where it is. */
 bool rdl_has_room (const h2o_socket_t *sock);
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <poll.h>
 #include <sstream>
@@ -715,6 +716,19 @@
   return ip_ + ":" + std::to_string (front_);
 }
 
+std::string
+NodeProcess::relay () const
+{
+  return ip_ + ":" + std::to_string (peer_ + 1);
+}
+
+int
+NodeProcess::OpenDescriptors () const
+{
+  std::filesystem::directory_iterator files ("/proc/" + std::to_string (pid_) + "/fd");
+  return (int) std::distance (begin (files), end (files));
+}
+
 std::string
 NodeProcess::metrics () const
 {
@@ -809,6 +823,14 @@
   return -1;
 }
 
+void
+CloseWithReset (int fd)
+{
+  linger reset = { 1, 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+}
+
 Download
 ReadDownload (int fd, size_t piece_bytes, int pause_ms, const std::atomic<bool> *paused)
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -236,6 +236,9 @@
   std::string lookup () const;
   // Address for messages from other nodes.
   std::string peer () const;
+  // Address for requests of other nodes.
+  std::string relay () const;
+  int OpenDescriptors () const;
   // Address of Status().
   std::string metrics () const;
 
@@ -256,6 +259,9 @@
 // Connects to "IP:port". A small receive buffer makes the peer wait for the reads.
 int Connect (const std::string &address, int receive_buffer_bytes = 0);
 
+// Closes the connection with a reset.
+void CloseWithReset (int fd);
+
 // How a response that ends with its connection arrived: in order, or by a reset or timeout.
 struct Download
 {
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -96,6 +96,18 @@
       upstream->SetBehaviour (behaviour);
   }
 
+  int
+  CallerConnections ()
+  {
+    return (int) node_->Metric ("cardamom_node_caller_connections");
+  }
+
+  int
+  OpenRequests ()
+  {
+    return (int) node_->Metric ("cardamom_node_open_requests");
+  }
+
   FakeStore store_;
   std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
   std::unique_ptr<NodeProcess> node_;
@@ -437,6 +449,32 @@
   EXPECT_LT (NowMs () - start_ms, 700);
 }
 
+// Guards against connections that stay open, with their descriptors and the memory of their bodies,
+// when callers reset them while their requests are at work.
+TEST_F (NodeTest, ConnectionsThatAreResetWhileTheirRequestsAreAtWorkAreClosed)
+{
+  const int kCallers = 20;
+  const std::string kBody (1 << 20, 'b');
+  Start (1);
+  upstreams_[0]->SetWork (900);
+  std::vector<int> fds;
+  for (int i = 0; i < kCallers; i++)
+    {
+      fds.push_back (Connect (node_->front ()));
+      std::string head = " /post/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: reset-"
+                         + std::to_string (i) + "\r\nX-Deadline-Ms: 4000\r\n";
+      WriteAll (fds[i], i % 2 == 0 ? "GET" + head + "\r\n"
+                                   : "POST" + head + "Content-Length: "
+                                         + std::to_string (kBody.size ()) + "\r\n\r\n" + kBody);
+    }
+  EXPECT_TRUE (WaitUntil (3000, [&] { return OpenRequests () == kCallers; }));
+  for (int fd : fds)
+    CloseWithReset (fd);
+  EXPECT_TRUE (WaitUntil (3000, [&] { return OpenRequests () == 0; }));
+  EXPECT_TRUE (WaitUntil (3000, [&] { return CallerConnections () == 0; })) << CallerConnections ();
+  EXPECT_EQ (node_->Metric ("cardamom_node_memory_large_requests_bytes"), 0);
+}
+
 TEST_F (NodeTest, RequestOverTheRouteTimeoutGets504)
 {
   Start (2, "\"timeout-s\":0.6,\"goal-s\":0.5");
--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -262,6 +262,30 @@
 }
 
 // The relay receives the registration as draining and rejects further requests to the upstream.
+// Guards against connections of other nodes that stay open when they are reset while their requests
+// are at work.
+TEST_F (Relay, ConnectionsThatAreResetWhileTheirRequestsAreAtWorkAreClosed)
+{
+  const int kRequests = 20;
+  upstream_.SetWork (900);
+  std::vector<int> fds;
+  int arrivals = upstream_.arrivals ();
+  for (int i = 0; i < kRequests; i++)
+    {
+      fds.push_back (Connect (west_->relay ()));
+      WriteAll (fds[i], "GET /read/a HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: reset-"
+                            + std::to_string (i) + "\r\nX-Deadline-Ms: 4000\r\nX-Target-Instance: "
+                            + upstream_.id () + "\r\n\r\n");
+    }
+  EXPECT_TRUE (WaitUntil (800, [&] { return upstream_.arrivals () - arrivals == kRequests; }));
+  int open = west_->OpenDescriptors ();
+  for (int fd : fds)
+    CloseWithReset (fd);
+  // Each request had a connection of its caller and one to the upstream.
+  EXPECT_TRUE (WaitUntil (3000, [&] { return west_->OpenDescriptors () <= open - 2 * kRequests; }))
+      << west_->OpenDescriptors () << " of " << open;
+}
+
 TEST_F (Relay, DrainingUpstreamGetsNoRequestThroughTheRelay)
 {
   store_.Put ("servers", upstream_.id (), upstream_.Record ("desk", "west-a", "draining"));
