HTTP server: responses that are being written are a module of their own

wrt holds what hsv.c knew of writes in progress: progress, cutting callers that don't read, failing a write, and the reset on close. hsv.c keeps connections, requests and how responses begin. No change in behaviour but that an entry's and a node's responses are looked up through h2o's request in place of a copy of its socket.

--- a/src/hsv.c
+++ b/src/hsv.c
@@ -14,7 +14,6 @@
 
 /* Values of h2o_req_t.version. */
 #define HTTP_1_0 0x100
-#define HTTP_1_1 0x101
 #define HTTP_2_0 0x200
 
 struct _HsvServer
@@ -33,8 +32,8 @@
   void *hook_user;
   GHashTable *watch_table;
   uint32_t unwritten_bodies;
-  GQueue writes;
   Rdl reading;
+  Wrt writing;
 };
 
 /**
@@ -336,23 +335,6 @@
   g_string_append_printf (reply->headers, "%s: %s\r\n", name, value);
 }
 
-/* ---- Failed writes ---- */
-
-/* h2o frees the response being written and closes the connection, as if the kernel had failed the
- * write. A shutdown of the socket would end the connection in order. */
-static void
-fail_write (h2o_req_t *req)
-{
-  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
-  h2o_socket_cb on_written = sock->_cb.write;
-
-  if (on_written == NULL)
-    return;
-  req->http1_is_persistent = 0; /* else h2o waits for a next request, also after an error */
-  sock->_cb.write = NULL;
-  on_written (sock, h2o_socket_error_io);
-}
-
 /* ---- Disconnection of callers ---- */
 
 static HsvServer *
@@ -394,7 +376,7 @@
   g_hash_table_remove (watch_table, sock);
   disconnected.fn (disconnected.user);
   if (!rdl_accepts_writes (sock))
-    fail_write (disconnected.req);
+    wrt_fail (disconnected.req);
 }
 
 void *
@@ -469,58 +451,31 @@
 }
 
 void
-hsv_begin_write (h2o_req_t *req, HsvWrite *write)
-{
-  *write = (HsvWrite){ .server = server_of_conn (req->conn),
-                       .req = req,
-                       .sock = req->conn->callbacks->get_socket (req->conn),
-                       .link = { .data = write },
-                       .unsent_bytes = SIZE_MAX };
-  g_queue_push_tail_link (&write->server->writes, &write->link);
-}
-
-void
-hsv_end_write (HsvWrite *write)
+hsv_begin_write (h2o_req_t *req, WrtResponse *response)
 {
-  if (write->server == NULL)
-    return;
-  g_queue_unlink (&write->server->writes, &write->link);
-  write->server = NULL;
+  wrt_begin (&server_of_conn (req->conn)->writing, req, response);
 }
 
 /**
  * struct HeldBody - body of a response that is being written
+ * @server: counts the body in &HsvServer.unwritten_bodies
  * @generator: of a response that ends with its connection
  */
 typedef struct
 {
   h2o_generator_t generator;
+  HsvServer *server;
   HsvBody body;
-  HsvWrite write;
+  WrtResponse response;
 } HeldBody;
 
-bool
-hsv_is_close_delimited (const h2o_req_t *req)
-{
-  return req->version < HTTP_1_1;
-}
-
-void
-hsv_set_reset_on_close (h2o_req_t *req, bool enabled)
-{
-  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
-  struct linger linger = { .l_onoff = enabled, .l_linger = 0 };
-
-  setsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 static void
 on_body_disposed (void *data)
 {
   HeldBody *held = data;
 
-  held->write.server->unwritten_bodies--;
-  hsv_end_write (&held->write);
+  held->server->unwritten_bodies--;
+  wrt_end (&held->response);
   held->body.release (held->body.user, held->body.bytes);
 }
 
@@ -530,7 +485,7 @@
 {
   (void) generator;
 
-  hsv_set_reset_on_close (req, false);
+  wrt_set_reset_on_close (req, false);
   h2o_send (req, NULL, 0, H2O_SEND_STATE_FINAL);
 }
 
@@ -538,7 +493,7 @@
 static void
 send_close_delimited (h2o_req_t *req, int status, HeldBody *held, h2o_iovec_t body)
 {
-  hsv_set_reset_on_close (req, true);
+  wrt_set_reset_on_close (req, true);
   req->version = HTTP_1_0;
   req->http1_is_persistent = 0;
   held->generator = (h2o_generator_t){ .proceed = on_close_delimited_written };
@@ -552,60 +507,22 @@
   HeldBody *held = h2o_mem_alloc_shared (&req->pool, sizeof *held, on_body_disposed);
   h2o_iovec_t buf = h2o_iovec_init (body.bytes->data, body.bytes->len);
 
+  held->server = server_of_conn (req->conn);
   held->body = body;
-  hsv_begin_write (req, &held->write);
-  held->write.server->unwritten_bodies++;
+  held->server->unwritten_bodies++;
+  hsv_begin_write (req, &held->response);
   if (body.close_delimited)
     send_close_delimited (req, status, held, buf);
   else
     send_response (req, status, buf, body.bytes->len);
 }
 
-/* Whether the peer has received bytes since the last look, or has received all that the kernel had:
- * then this process is late, for instance because it was stopped. */
-static bool
-has_progress (const HsvWrite *write, const RdlUnsent *unsent)
-{
-  size_t bytes = unsent->process_bytes + unsent->kernel_bytes;
-
-  return bytes < write->unsent_bytes || (unsent->is_kernel_known && unsent->kernel_bytes == 0);
-}
-
-static bool
-is_stalled (HsvWrite *write, uint64_t now_ms)
-{
-  RdlUnsent unsent = rdl_unsent (write->sock);
-
-  if (has_progress (write, &unsent))
-    {
-      write->unsent_bytes = unsent.process_bytes + unsent.kernel_bytes;
-      write->progress_at_ms = now_ms;
-    }
-  return mbg_must_close_unread (write->server->reading.mbg, now_ms - write->progress_at_ms, now_ms);
-}
-
-static void
-close_unread (HsvServer *server, uint64_t now_ms)
-{
-  GList *next;
-
-  for (GList *item = server->writes.head; item != NULL; item = next)
-    {
-      HsvWrite *write = item->data;
-      next = item->next;
-      if (!is_stalled (write, now_ms))
-        continue;
-      server->reading.mbg->counters.unread_closed++;
-      fail_write (write->req);
-    }
-}
-
 void
 hsv_close_stalled (HsvServer *server)
 {
   rdl_tick (&server->reading);
   if (server->reading.mbg != NULL && mbg_watches_unread (server->reading.mbg))
-    close_unread (server, uv_now (server->reading.loop));
+    wrt_close_unread (&server->writing, server->reading.mbg, uv_now (server->reading.loop));
 }
 
 void
--- a/src/hsv.h
+++ b/src/hsv.h
@@ -6,6 +6,7 @@
 #include "mbg.h"
 #include "net.h"
 #include "rdl.h"
+#include "wrt.h"
 
 #include <glib.h>
 #include <h2o.h>
@@ -130,14 +131,6 @@
 /** hsv_send_body() - sends a response with a body that the server then owns. */
 void hsv_send_body (h2o_req_t *req, int status, HsvBody body);
 
-/** hsv_is_close_delimited() - whether the end of the connection ends a response without a length to
- * this request, as its caller speaks HTTP/1.0. */
-bool hsv_is_close_delimited (const h2o_req_t *req);
-
-/** hsv_set_reset_on_close() - while enabled, the connection is reset when it is closed, also if the
- * process ends: without a length, an orderly end would make a response look complete. */
-void hsv_set_reset_on_close (h2o_req_t *req, bool enabled);
-
 /**
  * hsv_close_if_pipelined() - closes the connection after the response if a pipelined request
  * follows
@@ -147,28 +140,9 @@
  */
 void hsv_close_if_pipelined (h2o_req_t *req);
 
-/**
- * struct HsvWrite - a response that is being written
- * @link: in the server's list
- * @unsent_bytes: what the peer had not received at @progress_at_ms
- * @progress_at_ms: when it was last seen to have received bytes
- */
-typedef struct
-{
-  HsvServer *server;
-  h2o_req_t *req;
-  h2o_socket_t *sock;
-  GList link;
-  size_t unsent_bytes;
-  uint64_t progress_at_ms;
-} HsvWrite;
-
-/** hsv_begin_write() - until hsv_end_write(), hsv_close_stalled() closes the connection if its
- * caller doesn't read. */
-void hsv_begin_write (h2o_req_t *req, HsvWrite *write);
-
-/** hsv_end_write() - ends what hsv_begin_write() began; no effect if it did not. */
-void hsv_end_write (HsvWrite *write);
+/** hsv_begin_write() - until wrt_end(), hsv_close_stalled() closes the connection if its caller
+ * doesn't read and its memory is needed. */
+void hsv_begin_write (h2o_req_t *req, WrtResponse *response);
 
 /** hsv_send_text() - sends a text, which it frees, with status 200; a server with a budget counts
  * it until it is written, or responds with 503 if there is no room. */
--- a/src/req.c
+++ b/src/req.c
@@ -23,7 +23,7 @@
   Req *req = ref->req;
 
   req->h2o = NULL;
-  hsv_end_write (&req->write);
+  wrt_end (&req->write);
   if (!req->response_ended)
     {
       req->entry->counters.callers_gone++;
--- a/src/rqs.h
+++ b/src/rqs.h
@@ -132,7 +132,7 @@
   GByteArray *pending_body;
   GByteArray *sending_body;
   GByteArray *claim_body;
-  HsvWrite write;
+  WrtResponse write;
   uint32_t counted_bytes;
   MbgClaim memory;
 } Req;
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -90,7 +90,7 @@
   if (state != H2O_SEND_STATE_IN_PROGRESS)
     rqs_end_response (req);
   if (state == H2O_SEND_STATE_FINAL && req->close_delimited)
-    hsv_set_reset_on_close (req->h2o, false);
+    wrt_set_reset_on_close (req->h2o, false);
   h2o_send (req->h2o, &data, data.len > 0 ? 1 : 0, state);
 }
 
@@ -110,7 +110,7 @@
   (void) h2o;
 
   req->sending = false;
-  hsv_end_write (&req->write);
+  wrt_end (&req->write);
   free_sent (req);
   if (req->call != NULL && may_buffer_more (req))
     hcl_resume (req->call);
@@ -163,9 +163,9 @@
         g_free (value);
       }
   hsv_add_header (req->h2o, "x-cardamom-run", "ran");
-  req->close_delimited = !head->has_length && hsv_is_close_delimited (req->h2o);
+  req->close_delimited = !head->has_length && wrt_is_close_delimited (req->h2o);
   if (req->close_delimited)
-    hsv_set_reset_on_close (req->h2o, true);
+    wrt_set_reset_on_close (req->h2o, true);
   req->generator = (h2o_generator_t){ on_proceed, on_stop };
   h2o_start_response (req->h2o, &req->generator);
 }
