--- a/src/mbg.c
+++ b/src/mbg.c
@@ -362,9 +362,9 @@
   return false;
 }
 
-/* Whether requests wait for what is lent to responses. */
+/* Whether responses take lent memory that requests wait for. */
 static bool
-block_requests (const Mbg *mbg)
+blocks_requests (const Mbg *mbg)
 {
   return response_bytes (mbg) > mbg->limits.responses_bytes
          && (is_blocked (mbg, MBG_SMALL) || is_blocked (mbg, MBG_LARGE));
@@ -388,6 +388,6 @@
 {
   if (!mbg_watches_unread (mbg) || idle_ms < MBG_UNREAD_STALL_MS)
     return false;
-  return mbg->unread_bytes > responses_limit (mbg) / 2 || block_requests (mbg)
+  return mbg->unread_bytes > responses_limit (mbg) / 2 || blocks_requests (mbg)
          || is_response_wanted (mbg, now_ms);
 }
--- a/src/mbg.h
+++ b/src/mbg.h
@@ -218,6 +218,6 @@
 /** mbg_has_response_room() - whether a response of @bytes can be received at once. */
 bool mbg_has_response_room (const Mbg *mbg, uint64_t bytes);
 
-/** mbg_want_response_room() - the same for a response that is there: without room, callers that
- * don't read make it. */
+/** mbg_want_response_room() - the same, for a response that has arrived or is about to: without
+ * room, it counts in mbg_must_close_unread(). */
 bool mbg_want_response_room (Mbg *mbg, uint64_t bytes, uint64_t now_ms);
--- a/src/ucn.h
+++ b/src/ucn.h
@@ -176,7 +176,7 @@
 void ucn_resume_waiting (UcnCtx *ctx);
 
 /** ucn_has_room() - whether a response of @size bytes can be received at once; if not, callers that
- * don't read make room. */
+ * don't read may lose their connections. */
 bool ucn_has_room (const UcnCtx *ctx, uint64_t size);
 
 /** ucn_header() - first value of a response header, or NULL; names are case-insensitive. */
