--- a/tests/test_slow_readers.cc
+++ b/tests/test_slow_readers.cc
@@ -13,7 +13,7 @@
 constexpr size_t kMb = 1 << 20;
 constexpr int kReceiveBufferBytes = 64 << 10;
 constexpr size_t kPieceBytes = 30 << 10;
-constexpr char kLimits[] = "{\"memory-mb\":64,\"max-fds\":400}"; // at most 36 MB of responses
+constexpr long kMemoryMb = 64; // at most 36 MB of responses
 constexpr char kRouteFields[] = "\"timeout-s\":15,\"goal-s\":0.5";
 
 // Longer than a node waits for a caller that reads nothing.
@@ -23,7 +23,7 @@
 {
 protected:
   void
-  Start (size_t body_bytes, bool framed = false)
+  Start (size_t body_bytes, bool framed = false, long memory_mb = kMemoryMb)
   {
     body_bytes_ = body_bytes;
     store_.Put ("config", "main", Configuration (7, "", kRouteFields));
@@ -40,7 +40,9 @@
             });
         store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
       }
-    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address (), 1, kLimits);
+    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address (), 1,
+                                           "{\"memory-mb\":" + std::to_string (memory_mb)
+                                               + ",\"max-fds\":2870}");
     ASSERT_TRUE (node_->WaitReady (5000));
     std::this_thread::sleep_for (500ms);
   }
@@ -184,3 +186,36 @@
   EXPECT_EQ (CountWhole (), kCallers) << node_->Log ();
   EXPECT_EQ (CountCut (), 0);
 }
+
+// Guards against a node that runs out of memory, or ends responses in order before their last byte,
+// when a crowd of callers pauses. What has no room isn't answered with a success.
+TEST_F (SlowReaders, CrowdThatPausesStaysWithinTheMemory)
+{
+  const int kCallers = 150;
+  const long kSmallestMemoryMb = 112;
+  Start (540000, false, kSmallestMemoryMb);
+  StartDownloads (kCallers, 0);
+  std::this_thread::sleep_for (kPause);
+  FinishDownloads ();
+  EXPECT_EQ (CountShortButInOrder (), 0);
+  EXPECT_GT (CountWhole (), 0);
+  printf ("whole: %d, cut: %d, without 200: %d, peak: %ld MB\n", CountWhole (), CountCut (),
+          CountWithout200 (), node_->PeakMemoryKb () / 1024);
+#ifndef __SANITIZE_ADDRESS__
+  EXPECT_LE (node_->PeakMemoryKb (), kSmallestMemoryMb * 1024);
+#endif
+}
+
+// Guards against a short response that looks complete when a planned stop ends before it is
+// written.
+TEST_F (SlowReaders, ResponseWithoutLengthThatAStopCutsEndsWithAReset)
+{
+  Start (4 * kMb);
+  StartDownloads (2, 0);
+  ASSERT_TRUE (WaitUntil (5000, [&] { return UnreadBytes () == 2 * body_bytes_; }));
+  node_->Signal (SIGTERM);
+  EXPECT_EQ (node_->WaitExit (8000), 0);
+  FinishDownloads ();
+  EXPECT_EQ (CountWhole (), 0);
+  EXPECT_EQ (CountShortButInOrder (), 0);
+}
