Tests of resets and relays: wait for what they need instead of for a time

The requests of the tests of reset connections now last longer than the test waits for all of them, and the relay's test freezes its node when the upstream has the requests, so that a busy machine doesn't change what is tested.

--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -455,8 +455,8 @@
 {
   const int kCallers = 20;
   const std::string kBody (1 << 20, 'b');
-  Start (1);
-  upstreams_[0]->SetWork (900);
+  Start (1, "\"timeout-s\":4,\"goal-s\":0.5");
+  upstreams_[0]->SetWork (3000);
   std::vector<int> fds;
   for (int i = 0; i < kCallers; i++)
     {
@@ -467,7 +467,7 @@
                                    : "POST" + head + "Content-Length: "
                                          + std::to_string (kBody.size ()) + "\r\n\r\n" + kBody);
     }
-  EXPECT_TRUE (WaitUntil (3000, [&] { return OpenRequests () == kCallers; }));
+  EXPECT_TRUE (WaitUntil (2500, [&] { return OpenRequests () == kCallers; }));
   for (int fd : fds)
     CloseWithReset (fd);
   EXPECT_TRUE (WaitUntil (3000, [&] { return OpenRequests () == 0; }));
--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -267,7 +267,7 @@
 TEST_F (Relay, ConnectionsThatAreResetWhileTheirRequestsAreAtWorkAreClosed)
 {
   const int kRequests = 20;
-  upstream_.SetWork (900);
+  upstream_.SetWork (2500);
   std::vector<int> fds;
   int arrivals = upstream_.arrivals ();
   for (int i = 0; i < kRequests; i++)
@@ -277,7 +277,7 @@
                             + std::to_string (i) + "\r\nX-Deadline-Ms: 4000\r\nX-Target-Instance: "
                             + upstream_.id () + "\r\n\r\n");
     }
-  EXPECT_TRUE (WaitUntil (800, [&] { return upstream_.arrivals () - arrivals == kRequests; }));
+  EXPECT_TRUE (WaitUntil (2000, [&] { return upstream_.arrivals () - arrivals == kRequests; }));
   int open = west_->OpenDescriptors ();
   for (int fd : fds)
     CloseWithReset (fd);
@@ -302,10 +302,13 @@
 {
   static constexpr size_t kBodyBytes = 6 << 20;
   const size_t kCallers = 5;
+  const int kSlots = 4; // of the upstream
   std::vector<Download> downloads (kCallers);
   std::vector<std::thread> callers;
-  upstream_.SetBehaviour ([] (int fd, const Request &request) {
-    std::this_thread::sleep_for (300ms);
+  auto frozen = std::make_shared<std::atomic<bool>> (false);
+  int arrivals = upstream_.arrivals ();
+  upstream_.SetBehaviour ([frozen] (int fd, const Request &request) {
+    WaitUntil (10000, [&] { return frozen->load (); });
     WriteUnframedResponse (fd, request, kBodyBytes);
   });
   for (size_t i = 0; i < kCallers; i++)
@@ -316,8 +319,9 @@
       downloads[i] = ReadDownload (fd, 64 << 10, 0);
       close (fd);
     });
-  std::this_thread::sleep_for (200ms);
+  EXPECT_TRUE (WaitUntil (5000, [&] { return upstream_.arrivals () - arrivals >= kSlots; }));
   east_->Signal (SIGSTOP);
+  *frozen = true;
   std::this_thread::sleep_for (6s); // longer than a relay waits for a node that reads nothing
   east_->Signal (SIGCONT);
   for (std::thread &caller : callers)
