--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -83,16 +83,6 @@
          + std::to_string (body.size ()) + "\r\n\r\n" + body;
 }
 
-std::string
-QueryValue (const std::string &target, const std::string &name)
-{
-  size_t at = target.find (name + "=");
-  if (at == std::string::npos)
-    return "";
-  at += name.size () + 1;
-  return target.substr (at, target.find ('&', at) - at);
-}
-
 sockaddr_in
 Address (const std::string &ip, int port)
 {
@@ -310,18 +300,59 @@
   PutAll (kind, { { name, spec } });
 }
 
+namespace
+{
+std::string
+EscapeJson (const std::string &text)
+{
+  std::string out;
+  for (char c : text)
+    {
+      char escaped[8];
+      snprintf (escaped, sizeof escaped, "\\u%04x", static_cast<unsigned char> (c));
+      bool is_plain = static_cast<unsigned char> (c) >= ' ' && c != '"' && c != '\\';
+      out += is_plain ? std::string (1, c) : escaped;
+    }
+  return out;
+}
+
+std::string
+ObjectText (const std::string &name, const std::string &spec, long revision)
+{
+  return "{\"metadata\":{\"name\":\"" + EscapeJson (name) + "\",\"revision\":"
+         + std::to_string (revision) + "},\"spec\":" + spec + ",\"status\":null}";
+}
+}
+
 void
 FakeStore::PutAll (const std::string &kind, const std::map<std::string, std::string> &specs)
 {
   std::lock_guard<std::mutex> lock (mutex_);
   for (const auto &[name, spec] : specs)
     {
-      objects_[kind][name] = { spec, ++revision_ };
-      events_.push_back ({ kind, name, spec, revision_, false });
+      ++revision_;
+      objects_[kind][name] = { ObjectText (name, spec, revision_), revision_ };
+      events_.push_back ({ kind, objects_[kind][name].text, false });
     }
   changed_.notify_all ();
 }
 
+void
+FakeStore::PutText (const std::string &kind, const std::string &name, const std::string &text)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  objects_[kind][name] = { text, ++revision_ };
+  events_.push_back ({ kind, text, false });
+  changed_.notify_all ();
+}
+
+void
+FakeStore::SetPageSize (size_t objects)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  page_size_ = objects;
+}
+
 void
 FakeStore::Delete (const std::string &kind, const std::string &name)
 {
@@ -329,7 +360,7 @@
   Object last = objects_[kind][name];
   objects_[kind].erase (name);
   ++revision_;
-  events_.push_back ({ kind, name, last.spec, last.revision, true });
+  events_.push_back ({ kind, last.text, true });
   changed_.notify_all ();
 }
 
@@ -380,27 +411,20 @@
     }
 }
 
-namespace
-{
-std::string
-ObjectText (const std::string &name, const std::string &spec, long revision)
-{
-  return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string (revision)
-         + "},\"spec\":" + spec + ",\"status\":null}";
-}
-}
-
 std::string
-FakeStore::List (const std::string &kind, bool may_be_stale)
+FakeStore::List (const std::string &kind, bool may_be_stale, const std::string *after)
 {
   lists_++;
   std::lock_guard<std::mutex> lock (mutex_);
   bool is_stale = may_be_stale && serves_stale_ && stale_revision_ > 0;
+  const auto &objects = is_stale ? stale_objects_[kind] : objects_[kind];
+  auto next = after == nullptr ? objects.begin () : objects.upper_bound (*after);
   std::string items;
-  for (const auto &[name, object] : is_stale ? stale_objects_[kind] : objects_[kind])
-    items += (items.empty () ? "" : ",") + ObjectText (name, object.spec, object.revision);
-  return Json (200, "{\"items\":[" + items + "],\"more\":false,\"as-of\":"
-                        + std::to_string (is_stale ? stale_revision_ : revision_) + "}");
+  for (size_t count = 0; next != objects.end () && count < page_size_; ++next, ++count)
+    items += (items.empty () ? "" : ",") + next->second.text;
+  return Json (200,
+               "{\"items\":[" + items + "],\"more\":" + (next != objects.end () ? "true" : "false")
+                   + ",\"as-of\":" + std::to_string (is_stale ? stale_revision_ : revision_) + "}");
 }
 
 std::string
@@ -416,9 +440,8 @@
         at++;
         if (at <= from || event.kind != kind)
           continue;
-        found += std::string (found.empty () ? "" : ",")
-                 + "{\"deleted\":" + (event.deleted ? "true" : "false")
-                 + ",\"object\":" + ObjectText (event.name, event.spec, event.revision) + "}";
+        found += std::string (found.empty () ? "" : ",") + "{\"deleted\":"
+                 + (event.deleted ? "true" : "false") + ",\"object\":" + event.text + "}";
       }
     return !found.empty () || from < history_start_ || ending_ || mode_ != Mode::kUp;
   };
@@ -451,21 +474,67 @@
   return Json (200, "{}");
 }
 
+namespace
+{
+// Decodes a percent-encoded text; false where a character should have been encoded.
+bool
+PercentDecode (const std::string &text, std::string *out)
+{
+  static const std::string plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                                   "0123456789-._~/";
+  static const std::string hex = "0123456789ABCDEFabcdef";
+  for (size_t i = 0; i < text.size (); i++)
+    {
+      bool is_encoded
+          = text[i] == '%' && i + 2 < text.size () && text.find_first_not_of (hex, i + 1) > i + 2;
+      if (is_encoded)
+        out->push_back (static_cast<char> (std::stoi (text.substr (i + 1, 2), nullptr, 16)));
+      else if (plain.find (text[i]) != std::string::npos)
+        out->push_back (text[i]);
+      else
+        return false;
+      i += is_encoded ? 2 : 0;
+    }
+  return true;
+}
+
+// Reads "name=value&name=value"; false if it is malformed.
+bool
+ParseQuery (const std::string &query, std::map<std::string, std::string> *values)
+{
+  std::istringstream parts (query);
+  std::string part;
+  while (std::getline (parts, part, '&'))
+    {
+      size_t equals = part.find ('=');
+      std::string value;
+      if (equals == std::string::npos || !PercentDecode (part.substr (equals + 1), &value))
+        return false;
+      (*values)[part.substr (0, equals)] = value;
+    }
+  return true;
+}
+}
+
 std::string
 FakeStore::Answer (const Request &request)
 {
-  std::string path = request.target.substr (0, request.target.find ('?'));
+  size_t mark = request.target.find ('?');
+  std::map<std::string, std::string> query;
+  std::string path;
+  if (!PercentDecode (request.target.substr (0, mark), &path)
+      || (mark != std::string::npos && !ParseQuery (request.target.substr (mark + 1), &query)))
+    return Json (400, "{}");
   std::string rest = path.substr (std::min (path.size (), strlen ("/objects/")));
   size_t slash = rest.find ('/');
   std::string kind = rest.substr (0, slash);
   std::string name = slash == std::string::npos ? "" : rest.substr (slash + 1);
   if (request.method != "GET")
     return Write (request, kind, name);
-  std::string watch = QueryValue (request.target, "watch");
-  if (watch.empty ())
-    return List (kind, QueryValue (request.target, "allow-stale") == "1");
-  return Watch (kind, atol (watch.c_str ()),
-                atoi (QueryValue (request.target, "wait-ms").c_str ()));
+  if (query.count ("watch") == 0)
+    return List (kind, query["allow-stale"] == "1",
+                 query.count ("after") > 0 ? &query["after"] : nullptr);
+  return Watch (kind, atol (query["watch"].c_str ()), atoi (query["wait-ms"].c_str ()));
 }
 
 // ---- Upstream ----
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -76,7 +76,8 @@
 bool ReadRequest (int fd, Request *request);
 void WriteAll (int fd, const std::string &bytes);
 
-// The platform's metadata store: objects by kind, with lists and watches.
+// The platform's metadata store: objects by kind, with lists and watches. It reads queries and
+// paths strictly: one with a character that has to be percent-encoded gets status 400.
 class FakeStore
 {
 public:
@@ -94,6 +95,10 @@
   // Stores several objects of a kind in one atomic step.
   void PutAll (const std::string &kind, const std::map<std::string, std::string> &specs);
   void Delete (const std::string &kind, const std::string &name);
+  // Stores an object that lists and watches show as `text` instead of as JSON with its name.
+  void PutText (const std::string &kind, const std::string &name, const std::string &text);
+  // Largest number of objects in a page of a list.
+  void SetPageSize (size_t objects);
   void SetMode (Mode mode);
   // Drops the event history: watches from an earlier revision get status 410.
   void ForgetHistory ();
@@ -118,22 +123,21 @@
   int writes () const;
 
 private:
+  // `text`: of the whole object as the store sends it.
   struct Object
   {
-    std::string spec;
+    std::string text;
     long revision;
   };
   struct Event
   {
     std::string kind;
-    std::string name;
-    std::string spec;
-    long revision;
+    std::string text;
     bool deleted;
   };
   void Serve (int fd, bool on_second);
   std::string Answer (const Request &request);
-  std::string List (const std::string &kind, bool may_be_stale);
+  std::string List (const std::string &kind, bool may_be_stale, const std::string *after);
   std::string Watch (const std::string &kind, long from, int wait_ms);
   std::string Write (const Request &request, const std::string &kind, const std::string &name);
 
@@ -145,6 +149,7 @@
   std::map<std::string, std::map<std::string, Object>> stale_objects_;
   long stale_revision_ = 0;
   bool serves_stale_ = true;
+  size_t page_size_ = SIZE_MAX;
   std::vector<Event> events_;
   std::map<std::string, int> immediate_watches_;
   std::atomic<Mode> mode_{ Mode::kUp };
--- a/tests/test_chk.cc
+++ b/tests/test_chk.cc
@@ -363,6 +363,21 @@
   EXPECT_EQ (Command (file + " --in-force --store=" + store.address ()).code, 5);
 }
 
+// Guards against a list that never ends because an object's name isn't percent-encoded in the
+// request for the next page.
+TEST_F (ConfigurationCheck, InForceReadsPastAnObjectWithAnOddName)
+{
+  FakeStore store;
+  store.SetPageSize (1);
+  store.Put ("config", "a&b #+%", "{\"service\":7}");
+  store.Put ("config", "main", ValidText ());
+  std::string file = File ("new", Replace (ValidText (), "r7", "r8"));
+  Result run = Command (file + " --in-force --store=" + store.address ());
+  EXPECT_EQ (run.code, 0);
+  EXPECT_EQ (run.out, "change: version r7 to r8\nerrors=0 warnings=0 changes=1\n");
+  EXPECT_LE (store.lists (), 2);
+}
+
 TEST_F (ConfigurationCheck, WrongUsageAndUnreadableFilesEndWithTwo)
 {
   std::string file = File ("new", ValidText ());
--- /dev/null
+++ b/tests/test_pfd.cc
@@ -0,0 +1,106 @@
+// Platform feed: nodes that start while entries of another writer stand in the store's lists.
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr int kUpstreams = 9;
+constexpr const char *kKinds[] = { "config", "servers", "evacuations", "nodes" };
+
+// Upstreams whose registrations are listed in pages of one object, and a node that starts then.
+class PlatformFeed : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    store_.SetPageSize (1);
+    store_.Put ("config", "main", Configuration (7));
+    for (int i = 0; i < kUpstreams; i++)
+      {
+        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
+        store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
+      }
+  }
+
+  void
+  StartNode ()
+  {
+    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address ());
+  }
+
+  bool
+  IsServing ()
+  {
+    return node_->Call ("GET", "/read/a", { { "X-Request-Id", "a" } }).status == 200;
+  }
+
+  int
+  KnownUpstreams ()
+  {
+    std::string state = node_->Status ("/state").body;
+    int count = 0;
+    for (const auto &upstream : upstreams_)
+      count += state.find ("upstream=" + upstream->id () + " ") != std::string::npos;
+    return count;
+  }
+
+  bool
+  KnowsAllUpstreams ()
+  {
+    return WaitUntil (4000, [&] { return KnownUpstreams () == kUpstreams; });
+  }
+
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::unique_ptr<NodeProcess> node_;
+};
+
+// Name of an entry that names no upstream; `label`: of the test.
+struct Name
+{
+  const char *label;
+  std::string text;
+};
+
+void
+PrintTo (const Name &name, std::ostream *out)
+{
+  *out << name.label;
+}
+
+class OddName : public PlatformFeed, public testing::WithParamInterface<Name>
+{
+};
+}
+
+// Guards against a list that never ends, or is refused, because a name in it isn't percent-encoded
+// in the request for the next page.
+TEST_P (OddName, OtherEntriesAreUsed)
+{
+  for (const char *kind : kKinds)
+    store_.Put (kind, GetParam ().text, "{\"service\":7}");
+  StartNode ();
+  ASSERT_TRUE (node_->WaitReady (5000));
+  EXPECT_TRUE (KnowsAllUpstreams ()) << node_->Log ();
+  EXPECT_TRUE (WaitUntil (1000, [&] { return IsServing (); })) << node_->Log ();
+  int objects = kUpstreams + 1 + 4 + 1; // those put above, and the node's own
+  EXPECT_LE (store_.lists (), objects + 4);
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Names, OddName,
+    testing::Values (Name{ "ampersand", "a&b" }, Name{ "plus", "a+b" }, Name{ "hash", "a#b" },
+                     Name{ "blank", "a b" }, Name{ "percent", "a%b" }, Name{ "encoded", "%41" },
+                     Name{ "ampersand_alone", "&" }, Name{ "equals", "a=b" },
+                     Name{ "question_mark", "a?b" }, Name{ "slash", "a/b" },
+                     Name{ "quote", "a\"b" }, Name{ "backslash", "a\\b" }, Name{ "tab", "a\tb" },
+                     Name{ "line_end", "a\r\nX-More: 1" }, Name{ "control", "\x01" },
+                     Name{ "delete", "\x7f" }, Name{ "not_ascii", "\xc3\xa9" }, Name{ "empty", "" },
+                     Name{ "last_of_all", "zz&z" }, Name{ "among_others", "up-4+" },
+                     Name{ "long", std::string (230, 'n') },
+                     Name{ "longer", std::string (4000, '&') }),
+    [] (const auto &info) { return std::string (info.param.label); });
