RECOVER: a name that isn't text no longer stops the store's list

What callers saw: none of their requests was served after a restart of all processes while an entry stood in the list of upstreams whose name isn't text, or beside whose name something can't be read, alone on its page.

Cause: a name was read by parsing the whole metadata as JSON. The parser refuses it for any byte or escape that isn't text, in a finalizer too, and cuts a name at "\u0000". The page then gave nothing to continue after, or a name before its own.

An object whose name isn't text is still counted as unreadable and used for nothing.

--- a/tests/test_pfd.cc
+++ b/tests/test_pfd.cc
@@ -101,6 +101,28 @@
                      Name{ "line_end", "a\r\nX-More: 1" }, Name{ "control", "\x01" },
                      Name{ "delete", "\x7f" }, Name{ "not_ascii", "\xc3\xa9" }, Name{ "empty", "" },
                      Name{ "last_of_all", "zz&z" }, Name{ "among_others", "up-4+" },
-                     Name{ "long", std::string (230, 'n') },
+                     Name{ "nul", std::string ("a\0b", 3) }, Name{ "not_utf8", "\xff\xfe" },
+                     Name{ "partly_not_utf8", "a\xff" }, Name{ "long", std::string (230, 'n') },
                      Name{ "longer", std::string (4000, '&') }),
     [] (const auto &info) { return std::string (info.param.label); });
+
+// An object whose name is a string, with metadata that a JSON parser rejects.
+class OddMetadata : public PlatformFeed, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P (OddMetadata, OtherEntriesAreUsed)
+{
+  for (const char *kind : kKinds)
+    store_.PutText (kind, "odd",
+                    std::string ("{\"metadata\":{\"name\":\"odd\",\"revision\":1,") + GetParam ()
+                        + "},\"spec\":{\"service\":7}}");
+  StartNode ();
+  ASSERT_TRUE (node_->WaitReady (5000));
+  EXPECT_TRUE (KnowsAllUpstreams ()) << node_->Log ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Texts, OddMetadata,
+                          testing::Values (R"("finalizers":["\ud800"])",
+                                           "\"finalizers\":[\"\xff\xfe\"]", R"("finalizers":1e999)",
+                                           R"("deleting":maybe)"));
--- a/tests/test_pob.cc
+++ b/tests/test_pob.cc
@@ -71,6 +71,30 @@
   EXPECT_EQ (response_.unreadable, 2u);
 }
 
+// Guards against a list that can't be continued after a name that is no text, or one beside which
+// something can't be read.
+TEST_F (Pob, LastNameIsReadWhateverStandsBesideIt)
+{
+  ASSERT_TRUE (ParseList ("{\"items\":[" + Object ("a", 3, "{}") + "," + Object ("\xff", 4, "{}")
+                          + ",5],\"more\":true,\"as-of\":9}"));
+  ASSERT_NE (response_.last_name, nullptr);
+  EXPECT_STREQ (response_.last_name->str, "\xff");
+  pob_clear (&response_);
+  ASSERT_TRUE (
+      ParseList (R"({"items":[{"metadata":{"name":"a\u0000b","revision":4},"spec":{}}]})"));
+  EXPECT_EQ (response_.objects->len, 0u);
+  EXPECT_EQ (response_.last_name->len, 3u);
+  pob_clear (&response_);
+  ASSERT_TRUE (ParseList ("{\"items\":[{\"metadata\":{\"name\":\"b\",\"revision\":5,\"finalizers\":"
+                          "[\"\xff\"]},\"spec\":{\"y\":2}}]}"));
+  ASSERT_EQ (response_.objects->len, 1u);
+  EXPECT_STREQ (At (0)->name, "b");
+  EXPECT_EQ (At (0)->revision, 5u);
+  pob_clear (&response_);
+  ASSERT_TRUE (ParseList ("{\"items\":[5]}"));
+  EXPECT_EQ (response_.last_name, nullptr);
+}
+
 TEST_F (Pob, OnlyTheLastEventOfAnObjectCounts)
 {
   ASSERT_TRUE (ParseEvents ("{\"events\":[{\"object\":" + Object ("a", 3, "{}")
