--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -347,10 +347,17 @@
 }
 
 void
-FakeStore::SetPageSize (size_t objects)
+FakeStore::SetPageSize (size_t objects, Paging paging)
 {
   std::lock_guard<std::mutex> lock (mutex_);
   page_size_ = objects;
+  paging_ = paging;
+}
+
+void
+FakeStore::SetTargetLimit (size_t bytes)
+{
+  target_limit_ = bytes;
 }
 
 void
@@ -418,13 +425,15 @@
   std::lock_guard<std::mutex> lock (mutex_);
   bool is_stale = may_be_stale && serves_stale_ && stale_revision_ > 0;
   const auto &objects = is_stale ? stale_objects_[kind] : objects_[kind];
-  auto next = after == nullptr ? objects.begin () : objects.upper_bound (*after);
+  bool from_start = after == nullptr || paging_ == Paging::kIgnoresCursor;
+  auto next = from_start ? objects.begin () : objects.upper_bound (*after);
   std::string items;
   for (size_t count = 0; next != objects.end () && count < page_size_; ++next, ++count)
     items += (items.empty () ? "" : ",") + next->second.text;
-  return Json (200,
-               "{\"items\":[" + items + "],\"more\":" + (next != objects.end () ? "true" : "false")
-                   + ",\"as-of\":" + std::to_string (is_stale ? stale_revision_ : revision_) + "}");
+  bool more = next != objects.end () || paging_ == Paging::kWithoutEnd;
+  return Json (200, "{\"items\":[" + items + "],\"more\":" + (more ? "true" : "false")
+                        + ",\"as-of\":" + std::to_string (is_stale ? stale_revision_ : revision_)
+                        + "}");
 }
 
 std::string
@@ -519,6 +528,8 @@
 std::string
 FakeStore::Answer (const Request &request)
 {
+  if (request.target.size () > target_limit_)
+    return Json (414, "{}");
   size_t mark = request.target.find ('?');
   std::map<std::string, std::string> query;
   std::string path;
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -97,8 +97,18 @@
   void Delete (const std::string &kind, const std::string &name);
   // Stores an object that lists and watches show as `text` instead of as JSON with its name.
   void PutText (const std::string &kind, const std::string &name, const std::string &text);
+  // How a list continues: as documented, with `more` on the last page too, or from its start
+  // always.
+  enum class Paging
+  {
+    kCorrect,
+    kWithoutEnd,
+    kIgnoresCursor,
+  };
   // Largest number of objects in a page of a list.
-  void SetPageSize (size_t objects);
+  void SetPageSize (size_t objects, Paging paging = Paging::kCorrect);
+  // Requests with a longer target get status 414.
+  void SetTargetLimit (size_t bytes);
   void SetMode (Mode mode);
   // Drops the event history: watches from an earlier revision get status 410.
   void ForgetHistory ();
@@ -150,6 +160,8 @@
   long stale_revision_ = 0;
   bool serves_stale_ = true;
   size_t page_size_ = SIZE_MAX;
+  Paging paging_ = Paging::kCorrect;
+  std::atomic<size_t> target_limit_{ SIZE_MAX };
   std::vector<Event> events_;
   std::map<std::string, int> immediate_watches_;
   std::atomic<Mode> mode_{ Mode::kUp };
--- a/tests/test_chk.cc
+++ b/tests/test_chk.cc
@@ -378,6 +378,19 @@
   EXPECT_LE (store.lists (), 2);
 }
 
+TEST_F (ConfigurationCheck, InForceEndsWhenTheStoreRepeatsAPage)
+{
+  FakeStore store;
+  store.SetPageSize (1, FakeStore::Paging::kIgnoresCursor);
+  store.Put ("config", "main", ValidText ());
+  store.Put ("config", "other", "{}");
+  std::string file = File ("new", Replace (ValidText (), "r7", "r8"));
+  Result run = Command (file + " --in-force --store=" + store.address ());
+  EXPECT_EQ (run.code, 0);
+  EXPECT_NE (run.out.find ("change: version r7 to r8\n"), std::string::npos) << run.out;
+  EXPECT_NE (run.out.find ("warning: "), std::string::npos) << run.out;
+}
+
 TEST_F (ConfigurationCheck, WrongUsageAndUnreadableFilesEndWithTwo)
 {
   std::string file = File ("new", ValidText ());
--- a/tests/test_pfd.cc
+++ b/tests/test_pfd.cc
@@ -126,3 +126,65 @@
                           testing::Values (R"("finalizers":["\ud800"])",
                                            "\"finalizers\":[\"\xff\xfe\"]", R"("finalizers":1e999)",
                                            R"("deleting":maybe)"));
+
+// Guards against a list that is asked for without end, and of which nothing is used, because a page
+// leads nowhere.
+class EndlessList : public PlatformFeed
+{
+protected:
+  // Expects that the node serves requests and lists each kind at most once more in some seconds.
+  void
+  ExpectServing (int upstreams)
+  {
+    ASSERT_TRUE (node_->WaitReady (5000));
+    EXPECT_TRUE (WaitUntil (4000, [&] { return KnownUpstreams () >= upstreams; }))
+        << KnownUpstreams () << "\n"
+        << node_->Log ();
+    EXPECT_TRUE (WaitUntil (1000, [&] { return IsServing (); })) << node_->Log ();
+    int lists = store_.lists ();
+    std::this_thread::sleep_for (3000ms);
+    EXPECT_LE (store_.lists () - lists, kUpstreams + 8) << node_->Log ();
+  }
+};
+
+TEST_F (EndlessList, PageWithoutANameEndsIt)
+{
+  store_.PutText ("servers", "up-4+", "5");
+  StartNode ();
+  ExpectServing (5);
+  store_.Delete ("servers", "up-4+");
+  EXPECT_TRUE (WaitUntil (10000, [&] { return KnownUpstreams () == kUpstreams; })) << node_->Log ();
+}
+
+TEST_F (EndlessList, PagesWithoutEndAreUsed)
+{
+  store_.SetPageSize (4, FakeStore::Paging::kWithoutEnd);
+  StartNode ();
+  ExpectServing (kUpstreams);
+}
+
+TEST_F (EndlessList, RepeatedPageIsUsed)
+{
+  store_.SetPageSize (4, FakeStore::Paging::kIgnoresCursor);
+  StartNode ();
+  ExpectServing (4);
+}
+
+TEST_F (EndlessList, RefusedPageEndsIt)
+{
+  store_.Put ("servers", "up-4" + std::string (3000, '&'), "{}");
+  store_.SetTargetLimit (8000);
+  StartNode ();
+  ExpectServing (5);
+}
+
+// What a list that was cut off lacks is not removed.
+TEST_F (EndlessList, KeepsWhatItLacks)
+{
+  StartNode ();
+  ExpectServing (kUpstreams);
+  store_.SetPageSize (4, FakeStore::Paging::kIgnoresCursor);
+  store_.ForgetHistory ();
+  std::this_thread::sleep_for (1000ms);
+  EXPECT_EQ (KnownUpstreams (), kUpstreams) << node_->Log ();
+}
