--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -346,6 +346,16 @@
   changed_.notify_all ();
 }
 
+std::string
+FakeStore::Text (const std::string &kind, const std::string &name) const
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  auto objects = objects_.find (kind);
+  if (objects == objects_.end () || objects->second.count (name) == 0)
+    return "";
+  return objects->second.at (name).text;
+}
+
 void
 FakeStore::SetPageSize (size_t objects, Paging paging)
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -105,6 +105,8 @@
     kWithoutEnd,
     kIgnoresCursor,
   };
+  // The object as lists show it; empty without one.
+  std::string Text (const std::string &kind, const std::string &name) const;
   // Largest number of objects in a page of a list.
   void SetPageSize (size_t objects, Paging paging = Paging::kCorrect);
   // Requests with a longer target get status 414.
--- a/tests/test_pfd.cc
+++ b/tests/test_pfd.cc
@@ -188,3 +188,14 @@
   std::this_thread::sleep_for (1000ms);
   EXPECT_EQ (KnownUpstreams (), kUpstreams) << node_->Log ();
 }
+
+// Guards against a node that never registers because its name isn't percent-encoded in the request.
+TEST_F (PlatformFeed, NodeWithAnOddNameRegisters)
+{
+  const std::string vm = "vm 1&a+#%/";
+  store_.Put ("nodes", vm, "{\"address\":\"127.0.0.9:9\",\"zone\":\"east-a\"}");
+  node_ = std::make_unique<NodeProcess> (vm, "east-a", store_.address ());
+  EXPECT_TRUE (WaitUntil (4000, [&] {
+    return store_.Text ("nodes", vm).find (node_->peer ()) != std::string::npos;
+  })) << store_.Text ("nodes", vm);
+}
--- a/tests/test_pob.cc
+++ b/tests/test_pob.cc
@@ -137,3 +137,10 @@
   EXPECT_EQ (At (0)->value, spec);
   EXPECT_STREQ (At (1)->value, "{\"x\":1}");
 }
+
+TEST (PobFormat, NamesAreEscaped)
+{
+  char *text = pob_format ("a\"b\\c", "{\"x\":1}");
+  EXPECT_STREQ (text, R"({"metadata":{"name":"a\"b\\c"},"spec":{"x":1}})");
+  g_free (text);
+}
--- a/tests/test_pur.cc
+++ b/tests/test_pur.cc
@@ -47,6 +47,13 @@
              std::string ("/objects/servers?after=").size () + 3 * 5000);
 }
 
+TEST (Pur, Objects)
+{
+  EXPECT_EQ (Take (pur_kind ("nodes")), "/objects/nodes");
+  EXPECT_EQ (Take (pur_object ("nodes", "vm-1")), "/objects/nodes/vm-1");
+  EXPECT_EQ (Take (pur_object ("nodes", "vm 1/?")), "/objects/nodes/vm%201%2F%3F");
+}
+
 TEST (Pur, Watch)
 {
   EXPECT_EQ (Take (pur_watch ("servers", 18446744073709551615u, 600)),
