--- a/tests/test_pdc.cc
+++ b/tests/test_pdc.cc
@@ -378,3 +378,18 @@
          "\"ready\"}" })
     EXPECT_FALSE (Upstream (text, &record)) << text;
 }
+
+// An ID is sent in a header: a line end in it would add a header of its own to each request.
+TEST (Pdc, RejectsRegistrationWhoseIdIsNoHeaderValue)
+{
+  const char text[] = "{\"service\":\"s\",\"address\":\"1.1.1.1:1\",\"zone\":\"z\",\"slots\":6,"
+                      "\"state\":\"ready\"}";
+  UpsRecord record;
+  Err err = {};
+  for (const char *id : { "i-1", "a&b c", "\xc3\xa9" })
+    EXPECT_TRUE (pdc_parse_upstream (id, text, &record, &err)) << id;
+  for (const std::string &id :
+       { std::string (), std::string (" a"), std::string ("a "), std::string ("a\r\nb"),
+         std::string ("a\tb"), std::string ("a\x7f"), std::string (64, 'n') })
+    EXPECT_FALSE (pdc_parse_upstream (id.c_str (), text, &record, &err)) << id;
+}
--- a/tests/test_pfd.cc
+++ b/tests/test_pfd.cc
@@ -199,3 +199,28 @@
     return store_.Text ("nodes", vm).find (node_->peer ()) != std::string::npos;
   })) << store_.Text ("nodes", vm);
 }
+
+// An entry that would be used but for its name, which can't be sent in a header.
+class UnsendableName : public PlatformFeed, public testing::WithParamInterface<Name>
+{
+};
+
+TEST_P (UnsendableName, NamesNoUpstream)
+{
+  FakeUpstream other ("other");
+  store_.Put ("servers", GetParam ().text, other.Record ("desk", "east-a"));
+  StartNode ();
+  ASSERT_TRUE (node_->WaitReady (5000));
+  EXPECT_TRUE (KnowsAllUpstreams ()) << node_->Log ();
+  for (int i = 0; i < 60; i++)
+    EXPECT_TRUE (IsServing ());
+  EXPECT_EQ (other.arrivals (), 0) << other.requests ()[0].head;
+}
+
+INSTANTIATE_TEST_SUITE_P (Names, UnsendableName,
+                          testing::Values (Name{ "line_end", "a\r\nX-More: 1" },
+                                           Name{ "line_feed", "a\nX-More: 1" },
+                                           Name{ "control", "a\x01" }, Name{ "tab", "a\tb" },
+                                           Name{ "delete", "a\x7f" }, Name{ "empty", "" },
+                                           Name{ "blank_first", " a" }, Name{ "blank_last", "a " }),
+                          [] (const auto &info) { return std::string (info.param.label); });
