Log: control bytes in a value become blanks

What operators saw: a name from the store with an escape sequence reaches the terminal of whoever reads the log of a node. Cause: only line ends were replaced. Test: Log.ControlBytesInValuesBecomeBlanks (failed before).

--- a/src/log.c
+++ b/src/log.c
@@ -95,7 +95,7 @@
   va_end (args);
   n = MIN (n, (int) sizeof line - 2);
   for (char *p = line; *p != '\0'; p++)
-    if (*p == '\n' || *p == '\r')
+    if (g_ascii_iscntrl (*p))
       *p = ' ';
   line[n] = '\n';
   write_line (log, line, (size_t) n + 1);
--- a/tests/test_log.cc
+++ b/tests/test_log.cc
@@ -42,3 +42,18 @@
   EXPECT_EQ (line.size () - 1, line.find ('\n'));
   EXPECT_EQ (std::string::npos, line.find ('\r'));
 }
+
+// Guards against a name that writes to the terminal of whoever reads the log, or ends the line.
+TEST (Log, ControlBytesInValuesBecomeBlanks)
+{
+  std::FILE *out = std::tmpfile ();
+  Log log = { out, LOG_INFO, "node", "vm-1", nullptr };
+
+  log_event (&log, LOG_INFO, "started", "name=%s", "a\x1b[2J\x7f\t\x01z");
+
+  std::rewind (out);
+  std::string line (512, '\0');
+  line.resize (std::fread (line.data (), 1, line.size (), out));
+  std::fclose (out);
+  EXPECT_NE (line.find ("name=a [2J   z\n"), std::string::npos) << line;
+}
