--- a/tests/test_pfd.cc
+++ b/tests/test_pfd.cc
@@ -1,6 +1,7 @@
 // Platform feed: nodes that start while entries of another writer stand in the store's lists.
 #include "fakes.h"
 
+#include <csignal>
 #include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
@@ -106,6 +107,45 @@
                      Name{ "longer", std::string (4000, '&') }),
     [] (const auto &info) { return std::string (info.param.label); });
 
+// Entries with such names come and go while two nodes run, one of which learns of them from the
+// other; then both are restarted while the entries stand.
+TEST_F (PlatformFeed, OddNamesOnAWatchAndFromPeersAffectNoOthers)
+{
+  const std::vector<std::string> names
+      = { "a&b #+%", "a\r\nX-More: 1",      "\x01", "\xff\xfe", std::string ("a\0b", 3),
+          "",        std::string (300, 'n') };
+  StartNode ();
+  NodeProcess other ("vm-2", "east-b", store_.address (), 2);
+  ASSERT_TRUE (node_->WaitReady (5000));
+  ASSERT_TRUE (other.WaitReady (5000));
+  std::this_thread::sleep_for (2000ms); // one of the nodes watches then
+  for (const char *kind : kKinds)
+    for (const std::string &name : names)
+      store_.Put (kind, name, "{\"service\":7}");
+  FakeUpstream added ("added");
+  store_.Put ("servers", added.id (), added.Record ("desk", "east-a"));
+  auto knows = [&] (NodeProcess &node) {
+    return node.Status ("/state").body.find ("upstream=added ") != std::string::npos;
+  };
+  EXPECT_TRUE (WaitUntil (4000, [&] { return knows (*node_) && knows (other); }));
+  for (NodeProcess *node : { node_.get (), &other })
+    {
+      node->Signal (SIGKILL);
+      node->WaitExit (2000);
+    }
+  node_->Start ();
+  other.Start ();
+  EXPECT_TRUE (node_->WaitReady (5000));
+  EXPECT_TRUE (other.WaitReady (5000));
+  EXPECT_TRUE (WaitUntil (4000, [&] { return knows (*node_) && knows (other); }))
+      << node_->Log () << other.Log ();
+  EXPECT_TRUE (KnowsAllUpstreams ());
+  for (const std::string &name : names)
+    store_.Delete ("servers", name);
+  store_.Delete ("servers", added.id ());
+  EXPECT_TRUE (WaitUntil (6000, [&] { return !knows (*node_) && !knows (other); }));
+}
+
 // An object whose name is a string, with metadata that a JSON parser rejects.
 class OddMetadata : public PlatformFeed, public testing::WithParamInterface<const char *>
 {
