Tests: processes that run at the same time take ports that lie apart

NodeTest.EarlyResponseThatIsResetIsNotPassedOnAsWhole and the test beside it failed in five of five sanitizer runs with ctest -j6 ("cannot listen on 127.0.0.1:24084: address already in use"), and not alone. Each process looks for free ports from a place given by its id, 37 ports from the next one's; the test takes 47. The fixture prints the node's log when it isn't ready.

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -117,10 +117,13 @@
 
 // Uses ports below the ephemeral range, so that outgoing connections don't take them. The first
 // port depends on the process ID, so that parallel test processes rarely try the same ports.
+// Processes that run at the same time look from places that are so far apart that none takes a port
+// which another has found and not bound yet.
 int
 FreePort ()
 {
-  static std::atomic<int> next{ getpid () * 37 % 20000 };
+  constexpr int kPortsPerProcess = 101;
+  static std::atomic<int> next{ getpid () * kPortsPerProcess % 20000 };
   while (true)
     {
       int port = 10000 + next++ % 20000;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -45,7 +45,7 @@
         store_.Put ("servers", upstreams_[i]->id (), upstreams_[i]->Record ("desk", "east-a"));
       }
     node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address ());
-    ASSERT_TRUE (node_->WaitReady (5000));
+    ASSERT_TRUE (node_->WaitReady (5000)) << node_->Log ();
     ASSERT_TRUE (WaitUntil (3000, [&] { return IsServing () || upstreams == 0; }));
     ASSERT_TRUE (WaitUntil (4000, [&] { return store_.watches () == 4; }));
   }
