--- a/src/rhd.c
+++ b/src/rhd.c
@@ -68,19 +68,13 @@
   return (size_t) (end - line) >= size && g_ascii_strncasecmp (line, name, size) == 0;
 }
 
-/* @is_framing: whether the line before is a framing header, which must not be folded; set for the
- * next line. */
 static bool
-check_header (char *line, char *end, bool *is_framing)
+check_header (char *line, char *end)
 {
-  if (*is_framing && is_blank (line[0]))
-    return false;
-  *is_framing = true;
   if (has_name (line, end, "content-length:"))
     return check_length (trim_value (line + strlen ("content-length:"), &end), end);
   if (has_name (line, end, "transfer-encoding:"))
     return check_encoding (trim_value (line + strlen ("transfer-encoding:"), &end), end);
-  *is_framing = false;
   return true;
 }
 
@@ -90,7 +84,6 @@
   size_t head_at = 0;
   bool is_status_line = true;
   bool is_followed_by_head = false;
-  bool is_framing = false;
   Hsc heads;
 
   hsc_start (&heads);
@@ -111,7 +104,7 @@
         return at - head_at <= RESPONSE_HEAD_MAX_BYTES;
       else if (line == end)
         head_at = at;
-      else if (!check_header (line, end, &is_framing))
+      else if (!check_header (line, end))
         return false;
       is_status_line = line == end && head_at == at;
     }
