Logs tell of a store that returned from an older copy, and of watches without a response

What the log couldn't tell apart: a store whose revisions went back, and a watch on a connection that returns nothing further. store_restored has both eras and the kind and revision of the call that showed it, watch_timeout the kind and revision; each has a counter. No decision changes yet.

--- a/src/nod.h
+++ b/src/nod.h
@@ -260,6 +260,8 @@
  * @pauses_invalid: 503 responses whose Retry-After was not valid and ignored
  * @fair_reordered: tries of waiting requests out of the order without fair queueing
  * @fair_yielded: waiting requests rejected in place of one of another flow
+ * @store_restores: times that the platform's store returned from an older copy
+ * @watch_timeouts: watches of the platform's store that got no response in time
  */
 typedef struct
 {
@@ -295,6 +297,8 @@
   uint64_t pauses_invalid;
   uint64_t fair_reordered;
   uint64_t fair_yielded;
+  uint64_t store_restores;
+  uint64_t watch_timeouts;
 } NodCounters;
 
 /**
--- a/src/nst.c
+++ b/src/nst.c
@@ -32,7 +32,8 @@
   COUNTER (relays_lost),     COUNTER (unauthorized),   COUNTER (revoked),
   COUNTER (over_quota),      COUNTER (load_reports),   COUNTER (load_reports_invalid),
   COUNTER (leaving_notices), COUNTER (pauses),         COUNTER (pauses_invalid),
-  COUNTER (fair_reordered),  COUNTER (fair_yielded),
+  COUNTER (fair_reordered),  COUNTER (fair_yielded),   COUNTER (store_restores),
+  COUNTER (watch_timeouts),
 };
 
 static void
--- /dev/null
+++ b/src/pos.c
@@ -0,0 +1,47 @@
+/* Positions in the history of the platform's store. Pure. */
+#include "pos.h"
+
+#include <glib.h>
+
+#define ERA_SHIFT (POS_REVISION_BITS + POS_KEPT_BITS)
+
+Pos
+pos_make (uint64_t era, uint64_t revision)
+{
+  if (era == 0)
+    return MIN (revision, (UINT64_C (1) << ERA_SHIFT) - 1);
+  return MIN (era, POS_ERA_MAX) << ERA_SHIFT | MIN (revision, POS_REVISION_MAX) << POS_KEPT_BITS;
+}
+
+uint64_t
+pos_era (Pos position)
+{
+  return position >> ERA_SHIFT;
+}
+
+uint64_t
+pos_revision (Pos position)
+{
+  return pos_era (position) == 0 ? position : position >> POS_KEPT_BITS & POS_REVISION_MAX;
+}
+
+static uint64_t
+distance (Pos position)
+{
+  return pos_era (position) == 0 ? 0 : position & POS_KEPT_MAX;
+}
+
+bool
+pos_is_kept (Pos position)
+{
+  return distance (position) > 0;
+}
+
+Pos
+pos_keep (Pos copy, Pos known)
+{
+  uint64_t newest = pos_revision (known) + distance (known);
+  uint64_t ahead = newest > pos_revision (copy) ? newest - pos_revision (copy) : 1;
+
+  return (copy & ~(Pos) POS_KEPT_MAX) | MIN (ahead, POS_KEPT_MAX);
+}
