Known red: changes after the store's return from an older copy, and beside a silent watch

The stand-in of the store learns to return from a copy (revisions go back and are given out again, 410, the era in a header), and to leave the watches of one kind without a response.

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -17,6 +17,9 @@
 
 namespace
 {
+// Stands for the response of a connection that returns nothing further.
+const std::string kSilence = "silence";
+
 std::string
 Lower (std::string text)
 {
@@ -414,6 +417,48 @@
   changed_.notify_all ();
 }
 
+void
+FakeStore::TakeCopy ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  copied_objects_ = objects_;
+  copied_revision_ = revision_;
+}
+
+void
+FakeStore::Restore ()
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  objects_ = copied_objects_;
+  revision_ = copied_revision_;
+  events_.resize (static_cast<size_t> (revision_ - 1));
+  if (!era_.empty ())
+    era_ = std::to_string (std::stol (era_) + 1);
+  changed_.notify_all ();
+}
+
+void
+FakeStore::SetEra (const std::string &era)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  era_ = era;
+}
+
+void
+FakeStore::SilenceWatches (const std::string &kind)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  silences_[kind]++;
+  changed_.notify_all ();
+}
+
+long
+FakeStore::revision () const
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  return revision_;
+}
+
 void
 FakeStore::Serve (int fd, bool on_second)
 {
@@ -423,12 +468,25 @@
       calls_++;
       std::string answer = mode_ == Mode::kUp ? Answer (request) : "";
       if (mode_ == Mode::kUnavailable)
-        WriteAll (fd, Json (503, "{}"));
+        WriteAll (fd, AddEra (Json (503, "{}")));
       else if (mode_ == Mode::kClose)
         return;
+      else if (mode_ == Mode::kUp && answer == kSilence)
+        break;
       else if (mode_ == Mode::kUp && !answer.empty () && !(on_second && second_silent_))
-        WriteAll (fd, answer);
+        WriteAll (fd, AddEra (answer));
     }
+  while (ReadRequest (fd, &request))
+    continue;
+}
+
+std::string
+FakeStore::AddEra (std::string answer) const
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  if (!era_.empty ())
+    answer.insert (answer.find ("\r\n") + 2, "Store-Era: " + era_ + "\r\n");
+  return answer;
 }
 
 std::string
@@ -454,6 +512,7 @@
 {
   std::unique_lock<std::mutex> lock (mutex_);
   std::string found;
+  int silences = silences_[kind];
   auto scan = [&] {
     found.clear ();
     long at = 1;
@@ -465,14 +524,17 @@
         found += std::string (found.empty () ? "" : ",") + "{\"deleted\":"
                  + (event.deleted ? "true" : "false") + ",\"object\":" + event.text + "}";
       }
-    return !found.empty () || from < history_start_ || ending_ || mode_ != Mode::kUp;
+    return !found.empty () || from < history_start_ || from > revision_ || ending_
+           || silences_[kind] != silences || mode_ != Mode::kUp;
   };
   if (wait_ms == 0)
     immediate_watches_[kind]++;
   watches_++;
   changed_.wait_for (lock, std::chrono::milliseconds (wait_ms), scan);
   watches_--;
-  if (from < history_start_)
+  if (silences_[kind] != silences)
+    return kSilence;
+  if (from < history_start_ || from > revision_)
     return Json (410, "{}");
   return Json (200, "{\"events\":[" + found + "],\"as-of\":" + std::to_string (revision_) + "}");
 }
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -114,6 +114,18 @@
   void SetMode (Mode mode);
   // Drops the event history: watches from an earlier revision get status 410.
   void ForgetHistory ();
+  // Takes the copy of all objects that Restore() returns to.
+  void TakeCopy ();
+  // Returns to the copy: revisions go back and are given out again, watches from one that the copy
+  // doesn't have get status 410, and the era in the header of all responses rises by one.
+  void Restore ();
+  // Value of that header from now on; none if empty.
+  void SetEra (const std::string &era);
+  // Watches of the kind that are waiting now never get a response, and nor does any later request
+  // on their connections.
+  void SilenceWatches (const std::string &kind);
+  // Revision of the last change.
+  long revision () const;
   // Takes a snapshot of the objects, which is the response to all later lists that allow stale
   // data.
   void FreezeStaleLists ();
@@ -147,8 +159,10 @@
     std::string text;
     bool deleted;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
   void Serve (int fd, bool on_second);
   std::string Answer (const Request &request);
+  std::string AddEra (std::string answer) const;
   std::string List (const std::string &kind, bool may_be_stale, const std::string *after);
   std::string Watch (const std::string &kind, long from, int wait_ms);
   std::string Write (const Request &request, const std::string &kind, const std::string &name);
@@ -157,15 +171,19 @@
   std::condition_variable changed_;
   long revision_ = 1;
   long history_start_ = 0;
-  std::map<std::string, std::map<std::string, Object>> objects_;
-  std::map<std::string, std::map<std::string, Object>> stale_objects_;
+  Objects objects_;
+  Objects stale_objects_;
+  Objects copied_objects_;
   long stale_revision_ = 0;
+  long copied_revision_ = 0;
+  std::string era_ = "1";
   bool serves_stale_ = true;
   size_t page_size_ = SIZE_MAX;
   Paging paging_ = Paging::kCorrect;
   std::atomic<size_t> target_limit_{ SIZE_MAX };
   std::vector<Event> events_;
   std::map<std::string, int> immediate_watches_;
+  std::map<std::string, int> silences_; // calls of SilenceWatches by kind
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
--- /dev/null
+++ b/tests/test_silent_watch.cc
@@ -0,0 +1,86 @@
+// Nodes whose watch of one kind of objects gets no response any more, while new connections to the
+// platform's store work.
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr int kUpstreams = 4;
+constexpr int kApplyMs = 2500; // a change is in force after this
+
+// A node that is alone, so that it watches all kinds.
+class SilentWatch : public testing::TestWithParam<const char *>
+{
+protected:
+  void
+  SetUp () override
+  {
+    store_.Put ("config", "main", Configuration (7));
+    for (int i = 0; i < kUpstreams; i++)
+      {
+        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
+        Register (i, "ready");
+      }
+    node_ = std::make_unique<NodeProcess> ("vm-1", "east-a", store_.address ());
+    ASSERT_TRUE (node_->WaitReady (5000)) << node_->Log ();
+    ASSERT_TRUE (WaitUntil (4000, [&] { return store_.watches () == 4; }));
+  }
+
+  void
+  Register (int upstream, const std::string &state)
+  {
+    store_.Put ("servers", upstreams_[upstream]->id (),
+                upstreams_[upstream]->Record ("desk", "east-a", state));
+  }
+
+  int
+  Status (const std::string &path)
+  {
+    std::string id = "id-" + std::to_string (++requests_);
+    return node_->Call ("GET", path, { { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } })
+        .status;
+  }
+
+  FakeStore store_;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::unique_ptr<NodeProcess> node_;
+  int requests_ = 0;
+};
+}
+
+// Guards against a watch that is waited for until its timeout, although the store has newer
+// revisions than any watch has reported. The parameter is the kind, or two of them.
+TEST_P (SilentWatch, ChangesAreInForceInTime)
+{
+  std::string kinds = GetParam ();
+  for (const char *kind : { "config", "servers", "nodes", "evacuations" })
+    if (kinds.find (kind) != std::string::npos)
+      store_.SilenceWatches (kind);
+  Register (0, "draining");
+  store_.Delete ("servers", upstreams_[1]->id ());
+  store_.Put ("config", "main",
+              Configuration (8, R"(,"eight":{"host":"host.example",)"
+                                R"("path-prefix":"/eight/","kind":"idempotent",)"
+                                R"("timeout-s":2,"goal-s":0.5,"priority":2,)"
+                                R"("service":"desk","attempts":2})"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  int before = upstreams_[0]->arrivals () + upstreams_[1]->arrivals ();
+  for (int i = 0; i < 40; i++)
+    Status ("/read/" + std::to_string (i));
+  EXPECT_EQ (upstreams_[0]->arrivals () + upstreams_[1]->arrivals () - before, 0) << node_->Log ();
+  EXPECT_EQ (Status ("/eight/a"), 200) << node_->Log ();
+}
+
+INSTANTIATE_TEST_SUITE_P (Kinds, SilentWatch,
+                          testing::Values ("config", "servers", "nodes", "evacuations",
+                                           "config evacuations", "servers evacuations",
+                                           "config servers nodes evacuations"),
+                          [] (const auto &info) {
+                            std::string name = info.param;
+                            for (char &c : name)
+                              c = c == ' ' ? '_' : c;
+                            return name;
+                          });
