CONFIG, DRAIN: what is newer is decided by the store's era and revision together

What callers saw: after the store had returned from an older copy, the next configuration was not in force, and requests went to upstreams that had reported draining since, at all nodes.

Cause: the replica, the lists, the watches and the exchange between nodes took a change for known when its revision was not above the newest one. Revisions go back when the store returns from a copy and are given out again, so each change was ignored until the store had counted past the old revision. Class: a number from outside taken as monotonic beyond the life of what counts it.

--- a/src/lim.h
+++ b/src/lim.h
@@ -333,6 +333,7 @@
 #define UPD_FETCH_DELAY_MS 80
 #define UPD_WATCHER_FETCH_DELAY_MS 300
 #define UPD_FETCH_RETRY_MS 300
+#define UPD_STORE_READ_MS 2000
 
 /* Stalls of the event loop. */
 #define LAG_STALL_MS 250u
--- a/src/obj.h
+++ b/src/obj.h
@@ -5,7 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** struct Obj - an object of the store, or the tombstone of a deleted one */
+/**
+ * struct Obj - an object of the store, or the tombstone of a deleted one
+ * @revision: of its last change; in the replica of a node, its Pos
+ */
 typedef struct
 {
   char *path;
--- a/src/peer.x
+++ b/src/peer.x
@@ -2,7 +2,8 @@
 
 typedef string peer_name<64>;
 
-/* Newest revision that a node knows of one kind of the platform's objects. */
+/* Newest position (pos.h) that a node knows of one kind of the platform's objects. Revisions in all
+ * messages are positions: nodes of an earlier version send plain revisions, which count as less. */
 struct peer_revision {
   peer_name kind;
   unsigned hyper revision;
--- a/src/per.c
+++ b/src/per.c
@@ -444,11 +444,21 @@
   for (guint i = 0; i < per->rep.kinds->len && count < capacity; i++)
     {
       RepKind *kind = g_ptr_array_index (per->rep.kinds, i);
-      revisions[count++] = (peer_revision){ .kind = kind->name, .revision = kind->newest_revision };
+      revisions[count++] = (peer_revision){ .kind = kind->name, .revision = kind->newest };
     }
   return count;
 }
 
+uint64_t
+per_newest_era (const peer_revision *revisions, u_int count)
+{
+  uint64_t era = 0;
+
+  for (u_int i = 0; i < count; i++)
+    era = MAX (era, pos_era (revisions[i].revision));
+  return era;
+}
+
 void
 per_compensate_pause (Per *per, uint64_t now_ms)
 {
--- a/src/per.h
+++ b/src/per.h
@@ -36,6 +36,7 @@
  * @relay: address for requests that it relays to upstreams of its zone; port 0 when it relays none
  * @incarnation: larger after each restart of the node
  * @capacity: processors in thousandths of a core
+ * @era: newest era of the store that it, or the summary that reports it, knew
  * @known_since_ms: when it became known
  * @last_seen_ms: time of its last message to this node or, as other nodes report it, to one of
  *   them; 0 for never
@@ -60,6 +61,7 @@
   uint32_t capacity;
   PerState state;
   PerWatch watch;
+  uint64_t era;
   uint64_t known_since_ms;
   uint64_t last_seen_ms;
   uint64_t last_view_ms;
@@ -261,10 +263,13 @@
 /** per_purpose() - what a message's bytes are counted as. */
 TrfPurpose per_purpose (const peer_message *message);
 
-/** per_list_revisions() - newest revisions of the known kinds, @capacity at most. Return: entries
+/** per_list_revisions() - newest positions of the known kinds, @capacity at most. Return: entries
  * written. */
 u_int per_list_revisions (const Per *per, peer_revision *revisions, u_int capacity);
 
+/** per_newest_era() - newest era of the store in revisions that a node reports; 0 for none. */
+uint64_t per_newest_era (const peer_revision *revisions, u_int count);
+
 /** per_list_crashes() - requests suspected of crashing upstreams, then those that got a response
  * since, @capacity at most. Return: entries written. */
 u_int per_list_crashes (const Per *per, peer_crash *crashes, u_int capacity, uint64_t now_ms);
--- a/src/pos.c
+++ b/src/pos.c
@@ -37,10 +37,23 @@
   return distance (position) > 0;
 }
 
+/* The revision at which a value was written, as far as a kept one's distance tells. */
+static uint64_t
+written_at (Pos position)
+{
+  return pos_revision (position) + distance (position);
+}
+
+bool
+pos_may_be_copied (Pos position, Pos known)
+{
+  return pos_revision (position) <= written_at (known) || distance (known) == POS_KEPT_MAX;
+}
+
 Pos
 pos_keep (Pos copy, Pos known)
 {
-  uint64_t newest = pos_revision (known) + distance (known);
+  uint64_t newest = written_at (known);
   uint64_t ahead = newest > pos_revision (copy) ? newest - pos_revision (copy) : 1;
 
   return (copy & ~(Pos) POS_KEPT_MAX) | MIN (ahead, POS_KEPT_MAX);
--- a/src/pos.h
+++ b/src/pos.h
@@ -37,6 +37,15 @@
 /** pos_is_kept() - whether it is the position of a kept value. */
 bool pos_is_kept (Pos position);
 
+/**
+ * pos_may_be_copied() - whether a value at @position may be one that the older copy had
+ * @known: position of the same object in an earlier era
+ *
+ * If it lies beyond @known's revision, it was written after the return: the copy ends before the
+ * changes that were lost.
+ */
+bool pos_may_be_copied (Pos position, Pos known);
+
 /**
  * pos_keep() - the position of a value that is kept
  * @copy: position of the older value in the copy, or of the list that lacks the object
--- a/src/rep.c
+++ b/src/rep.c
@@ -58,37 +58,97 @@
   return g_hash_table_lookup (kind->table.by_path, name);
 }
 
+uint64_t
+rep_era (const Rep *rep)
+{
+  uint64_t era = 0;
+
+  for (guint i = 0; i < rep->kinds->len; i++)
+    era = MAX (era, pos_era (((const RepKind *) g_ptr_array_index (rep->kinds, i))->newest));
+  return era;
+}
+
+static bool
+is_of_later_era (const Obj *known, Pos position)
+{
+  return known != NULL && pos_era (position) > pos_era (known->revision);
+}
+
+/* Moves a kept value behind the position of the older one, without a change of the value. */
+static void
+keep_object (RepKind *kind, const Obj *known, Pos copy)
+{
+  Pos position = pos_keep (copy, known->revision);
+
+  obj_take (&kind->table, known->path, position, known->deleted, g_strdup (known->value));
+  kind->newest = MAX (kind->newest, position);
+}
+
+static bool
+is_same_value (const Obj *known, bool deleted, const char *value)
+{
+  return known->deleted == deleted && (deleted || g_strcmp0 (known->value, value) == 0);
+}
+
 void
-rep_take (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted, char *value)
+rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value)
 {
-  if (!obj_take (&kind->table, name, revision, deleted, value))
+  const Obj *known = find_object (kind, name);
+  bool is_later_era = is_of_later_era (known, position);
+
+  if (is_later_era && !deleted && kind->keeps != NULL
+      && pos_may_be_copied (position, known->revision) && kind->keeps (known, value))
+    {
+      g_free (value);
+      keep_object (kind, known, position);
+      return;
+    }
+  bool is_unchanged = is_later_era && is_same_value (known, deleted, value);
+  if (!obj_take (&kind->table, name, position, deleted, value))
     return;
-  kind->newest_revision = MAX (kind->newest_revision, revision);
-  rep->on_changed (rep->user, kind->name, find_object (kind, name));
+  kind->newest = MAX (kind->newest, position);
+  if (!is_unchanged)
+    rep->on_changed (rep->user, kind->name, find_object (kind, name));
 }
 
 void
-rep_apply (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
-           const char *value)
+rep_apply (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, const char *value)
 {
-  rep_take (rep, kind, name, revision, deleted, g_strdup (value));
+  rep_take (rep, kind, name, position, deleted, g_strdup (value));
 }
 
-void
-rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, uint64_t revision)
+static GPtrArray *
+find_unlisted (const RepKind *kind, GHashTable *listed)
 {
-  GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *unlisted = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, kind->table.by_path);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Obj *obj = value;
+      Obj *obj = value;
       if (!obj->deleted && !g_hash_table_contains (listed, obj->path))
-        g_ptr_array_add (missing, g_strdup (obj->path));
+        g_ptr_array_add (unlisted, obj);
+    }
+  return unlisted;
+}
+
+void
+rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, Pos position)
+{
+  GPtrArray *unlisted = find_unlisted (kind, listed);
+
+  for (guint i = 0; i < unlisted->len; i++)
+    {
+      const Obj *obj = g_ptr_array_index (unlisted, i);
+      bool is_later_era = is_of_later_era (obj, position);
+      bool is_kept = (is_later_era || pos_is_kept (obj->revision)) && kind->keeps != NULL
+                     && kind->keeps (obj, NULL);
+      if (!is_kept)
+        rep_apply (rep, kind, obj->path, position, true, NULL);
+      else if (is_later_era)
+        keep_object (kind, obj, position);
     }
-  for (guint i = 0; i < missing->len; i++)
-    rep_apply (rep, kind, g_ptr_array_index (missing, i), revision, true, NULL);
-  g_ptr_array_unref (missing);
+  g_ptr_array_unref (unlisted);
 }
--- a/src/rep.h
+++ b/src/rep.h
@@ -3,28 +3,41 @@
 
 #include "lim.h"
 #include "obj.h"
+#include "pos.h"
 
 /** typedef RepChangedFn - called after an object of a kind has changed; @object is marked as
  * deleted when it no longer exists */
 typedef void (*RepChangedFn) (void *user, const char *kind, const Obj *object);
 
+/**
+ * typedef RepKeepsFn - whether an object's known value stays in force in a later era of the store
+ * @known: the object, or its tombstone
+ * @value: value that the older copy may have had; NULL when the copy lacks the object
+ */
+typedef bool (*RepKeepsFn) (const Obj *known, const char *value);
+
 /**
  * struct RepKind - objects of one kind
- * @newest_revision: revision of the newest change known
- * @pushed_revision: revision up to which changes were pushed to other nodes; 0 before the first
- * push
- * @behind_since_ms: when a peer first reported a newer revision; 0 when up to date
+ * @keeps: NULL if the value in a later era always counts
+ * @newest: position of the newest change known
+ * @pushed: position up to which changes were pushed to other nodes; 0 before the first push
+ * @behind_since_ms: when a peer first reported a newer position; 0 when up to date
  * @fetch_started_at_ms: when the fetch in progress started; 0 when there is none
- * @unlimited_fetch: the next fetch has no size limit, because the store cannot be asked
+ * @asked_at_ms: when the store was last asked for a large object; 0 for never
+ * @asked_after: newest position then
+ * @unlimited_fetch: the next fetch has no size limit, because the store does not help
  */
 typedef struct
 {
   char name[NAME_MAX_BYTES];
   ObjTable table;
-  uint64_t newest_revision;
-  uint64_t pushed_revision;
+  RepKeepsFn keeps;
+  Pos newest;
+  Pos pushed;
   uint64_t behind_since_ms;
   uint64_t fetch_started_at_ms;
+  uint64_t asked_at_ms;
+  Pos asked_after;
   bool unlimited_fetch;
 } RepKind;
 
@@ -46,17 +59,25 @@
 /** rep_find_kind() - the objects of a kind; NULL when there is none of that name. */
 RepKind *rep_find_kind (const Rep *rep, const char *name);
 
-/** rep_apply() - applies a change unless the same or a newer revision of that object is known. */
-void rep_apply (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
+/** rep_era() - the newest era of the store of which a change is known; 0 for none. */
+uint64_t rep_era (const Rep *rep);
+
+/**
+ * rep_apply() - applies a change unless the same or a newer position of that object is known
+ *
+ * A value of a later era may be one that the older copy had. If @keeps of the kind says so, the
+ * known value or tombstone stays instead, at the position of a kept value.
+ */
+void rep_apply (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted,
                 const char *value);
 
 /** rep_take() - the same with a value that the replica then owns. */
-void rep_take (Rep *rep, RepKind *kind, const char *name, uint64_t revision, bool deleted,
-               char *value);
+void rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value);
 
 /**
- * rep_reconcile() - deletes the objects that a complete list does not contain
+ * rep_reconcile() - deletes the objects that a complete list does not contain, but for those that
+ * are kept
  * @listed: set of the listed objects' names
- * @revision: revision of the list; objects changed later are kept
+ * @position: position of the list; objects changed later are kept
  */
-void rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, uint64_t revision);
+void rep_reconcile (Rep *rep, RepKind *kind, GHashTable *listed, Pos position);
--- a/src/sum.c
+++ b/src/sum.c
@@ -49,10 +49,16 @@
 static void
 apply_members (Per *per, const peer_summary *summary, uint64_t now_ms)
 {
+  uint64_t era
+      = per_newest_era (summary->revisions.revisions_val, summary->revisions.revisions_len);
+
   for (u_int i = 0; i < summary->members.members_len; i++)
     {
       const peer_reported_member *reported = &summary->members.members_val[i];
-      per_apply_member (per, &reported->member, now_ms - MIN (reported->age_ms, now_ms), now_ms);
+      PerPeer *peer = per_apply_member (per, &reported->member,
+                                        now_ms - MIN (reported->age_ms, now_ms), now_ms);
+      if (peer != NULL)
+        peer->era = MAX (peer->era, era);
     }
 }
 
--- a/src/upd.c
+++ b/src/upd.c
@@ -22,18 +22,20 @@
 }
 
 void
-upd_log_applied (const Per *per, const RepKind *kind, const char *source, uint64_t after)
+upd_log_applied (const Per *per, const RepKind *kind, const char *source, Pos after)
 {
-  if (kind->newest_revision > after)
-    log_event (per->log, LOG_INFO, "objects_applied", "kind=%s source=%s after=%llu revision=%llu",
-               kind->name, source, (unsigned long long) after,
-               (unsigned long long) kind->newest_revision);
+  if (kind->newest > after)
+    log_event (per->log, LOG_INFO, "objects_applied",
+               "kind=%s source=%s after=%llu revision=%llu era=%llu", kind->name, source,
+               (unsigned long long) pos_revision (after),
+               (unsigned long long) pos_revision (kind->newest),
+               (unsigned long long) pos_era (kind->newest));
 }
 
 static void
 apply_objects (Per *per, RepKind *kind, const char *source, const peer_object *objects, u_int count)
 {
-  uint64_t after = kind->newest_revision;
+  Pos after = kind->newest;
 
   for (u_int i = 0; i < count; i++)
     rep_apply (&per->rep, kind, objects[i].name, objects[i].revision, objects[i].deleted,
@@ -50,10 +52,20 @@
 } Fetch;
 
 /* Large objects are read from the store, whose link has the higher bandwidth. They are fetched from
- * a peer, without a size limit, only when the store cannot be asked. */
+ * a peer, without a size limit, when the store cannot be asked, or has nothing newer, as with a
+ * value that peers keep. */
 static void
 request_large_objects (Per *per, RepKind *kind)
 {
+  bool was_asked = kind->asked_at_ms != 0 && kind->asked_after == kind->newest;
+
+  if (was_asked)
+    {
+      kind->unlimited_fetch = per->last_tick_ms - kind->asked_at_ms >= UPD_STORE_READ_MS;
+      return;
+    }
+  kind->asked_after = kind->newest;
+  kind->asked_at_ms = per->last_tick_ms;
   kind->unlimited_fetch = per->read_store == NULL || !per->read_store (per->store_user, kind->name);
 }
 
@@ -82,7 +94,7 @@
   uint32_t timeout_ms = kind->unlimited_fetch ? FETCH_LARGE_TIMEOUT_MS : FETCH_TIMEOUT_MS;
   peer_fetch_args args
       = { .kind = kind->name,
-          .since = kind->newest_revision,
+          .since = kind->newest,
           .max_bytes = kind->unlimited_fetch ? UINT32_MAX : FETCH_REPLY_MAX_BYTES };
   Fetch *fetch = g_new (Fetch, 1);
 
@@ -112,8 +124,7 @@
   for (u_int i = 0; i < count; i++)
     {
       RepKind *kind = rep_find_kind (&per->rep, revisions[i].kind);
-      if (kind == NULL || revisions[i].revision <= kind->newest_revision
-          || is_fetching (kind, now_ms))
+      if (kind == NULL || revisions[i].revision <= kind->newest || is_fetching (kind, now_ms))
         continue;
       if (kind->behind_since_ms == 0)
         kind->behind_since_ms = now_ms;
@@ -133,8 +144,7 @@
   if (kind != NULL)
     reply->revision
         = obj_batch_since (&kind->table, args->since, args->max_bytes, append_object, objects);
-  reply->too_large
-      = kind != NULL && kind->newest_revision > args->since && reply->revision == args->since;
+  reply->too_large = kind != NULL && kind->newest > args->since && reply->revision == args->since;
   reply->objects.objects_len = objects->len;
   reply->objects.objects_val = malloc (MAX (objects->len, 1) * sizeof (peer_object));
   memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
@@ -193,15 +203,15 @@
 }
 
 static bool
-send_update (Per *per, const RepKind *kind, uint64_t revision, const GArray *objects,
+send_update (Per *per, const RepKind *kind, Pos position, const GArray *objects,
              PerPeer *const *targets, uint32_t count)
 {
   peer_message message = { .kind = PEER_UPDATE };
   peer_update *update = &message.peer_message_u.update;
 
   update->kind = (char *) kind->name;
-  update->since = kind->pushed_revision;
-  update->revision = revision;
+  update->since = kind->pushed;
+  update->revision = position;
   update->removal_defer_ms = per_advertised_defer_ms (per, per->last_tick_ms);
   update->has_objects = objects != NULL;
   update->objects.objects_val = objects != NULL ? (peer_object *) (void *) objects->data : NULL;
@@ -216,13 +226,12 @@
 push_datagram (Per *per, RepKind *kind, PerPeer *const *targets, uint32_t count)
 {
   GArray *objects = g_array_new (FALSE, FALSE, sizeof (peer_object));
-  uint64_t revision = obj_batch_since (&kind->table, kind->pushed_revision, UPD_DATAGRAM_MAX_BYTES,
-                                       append_object, objects);
-  bool sent = revision > kind->pushed_revision
-              && send_update (per, kind, revision, objects, targets, count);
+  Pos position = obj_batch_since (&kind->table, kind->pushed, UPD_DATAGRAM_MAX_BYTES, append_object,
+                                  objects);
+  bool sent = position > kind->pushed && send_update (per, kind, position, objects, targets, count);
 
   if (sent)
-    kind->pushed_revision = revision;
+    kind->pushed = position;
   free_objects (objects);
   return sent;
 }
@@ -235,17 +244,16 @@
 {
   bool sent = true;
 
-  if (kind->pushed_revision == 0 || count == 0)
+  if (kind->pushed == 0 || count == 0)
     {
-      kind->pushed_revision = kind->newest_revision;
+      kind->pushed = kind->newest;
       return;
     }
-  for (uint32_t i = 0;
-       sent && i < UPD_DATAGRAMS_MAX && kind->pushed_revision < kind->newest_revision; i++)
+  for (uint32_t i = 0; sent && i < UPD_DATAGRAMS_MAX && kind->pushed < kind->newest; i++)
     sent = push_datagram (per, kind, targets, count);
-  if (kind->pushed_revision < kind->newest_revision)
-    send_update (per, kind, kind->newest_revision, NULL, targets, count);
-  kind->pushed_revision = kind->newest_revision;
+  if (kind->pushed < kind->newest)
+    send_update (per, kind, kind->newest, NULL, targets, count);
+  kind->pushed = kind->newest;
 }
 
 void
@@ -264,9 +272,9 @@
   RepKind *kind = rep_find_kind (&per->rep, update->kind);
 
   per_defer_removal (per, update->removal_defer_ms, now_ms);
-  if (kind == NULL || update->revision <= kind->newest_revision)
+  if (kind == NULL || update->revision <= kind->newest)
     return;
-  if (update->has_objects && update->since <= kind->newest_revision)
+  if (update->has_objects && update->since <= kind->newest)
     {
       kind->behind_since_ms = 0;
       apply_objects (per, kind, "news", update->objects.objects_val, update->objects.objects_len);
--- a/src/upd.h
+++ b/src/upd.h
@@ -19,9 +19,9 @@
 /**
  * upd_log_applied() - logs which changes of a kind were applied, if there are any
  * @source: where they came from: store, fetch or news
- * @after: the kind's newest revision before
+ * @after: the kind's newest position before
  */
-void upd_log_applied (const Per *per, const RepKind *kind, const char *source, uint64_t after);
+void upd_log_applied (const Per *per, const RepKind *kind, const char *source, Pos after);
 
 /** upd_apply() - applies an update from the node at @from and forwards it; fetches from that node
  * when changes are missing. */
--- a/src/vws.c
+++ b/src/vws.c
@@ -130,6 +130,8 @@
   xdr_free ((xdrproc_t) xdr_peer_view, &peer->view);
   peer->view = *view;
   memset (view, 0, sizeof *view);
+  peer->era
+      = per_newest_era (peer->view.revisions.revisions_val, peer->view.revisions.revisions_len);
   if (reports_directly (peer))
     {
       count_reports (per, peer, true);
--- a/src/wch.c
+++ b/src/wch.c
@@ -12,10 +12,12 @@
          && per->region_of (per->user, peer->zone) == region && ovl_precedes (&other, &own);
 }
 
+/* A peer of an earlier era has not noticed that the store returned from an older copy. */
 static bool
 is_watching (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  return peer->watch == PER_WATCH_HEALTHY && per_is_recent (per, peer, now_ms);
+  return peer->watch == PER_WATCH_HEALTHY && peer->era >= rep_era (&per->rep)
+         && per_is_recent (per, peer, now_ms);
 }
 
 static bool
@@ -52,7 +54,8 @@
 static bool
 has_watch (const Per *per, const PerPeer *peer, uint64_t now_ms)
 {
-  return peer->watch != PER_WATCH_NONE && per_is_recent (per, peer, now_ms);
+  return peer->watch != PER_WATCH_NONE && peer->era >= rep_era (&per->rep)
+         && per_is_recent (per, peer, now_ms);
 }
 
 bool
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -151,7 +151,7 @@
                                            : PER_WATCH_HEALTHY;
   if (per->self.watch != PER_WATCH_HEALTHY)
     return;
-  uint64_t known = node->kind->newest_revision;
+  uint64_t known = node->kind->newest;
   for (const StoreChange &change : store_changes_)
     if (change.revision > known)
       rep_apply (&per->rep, node->kind, change.name.c_str (), change.revision, false, "{}");
@@ -171,7 +171,7 @@
   std::vector<uint32_t> behind;
   for (const auto &node : nodes_)
     if (node->alive && now_ms_ >= node->paused_until_ms && !node->drops_incoming
-        && node->kind->newest_revision < revision)
+        && node->kind->newest < revision)
       behind.push_back (node->index);
   return behind;
 }
--- a/tests/test_pos.cc
+++ b/tests/test_pos.cc
@@ -54,3 +54,14 @@
   EXPECT_GT (pos_keep (pos_make (3, 40), newer), pos_keep (pos_make (3, 40), older));
   EXPECT_GT (pos_keep (pos_make (3, 30), newer), pos_keep (pos_make (3, 30), older));
 }
+
+// The copy ends before the changes that were lost, so what lies beyond one of them is newer.
+TEST (Pos, ValueBeyondALostChangeIsNotACopiedOne)
+{
+  EXPECT_TRUE (pos_may_be_copied (pos_make (2, 40), pos_make (1, 60)));
+  EXPECT_TRUE (pos_may_be_copied (pos_make (2, 60), pos_make (1, 60)));
+  EXPECT_FALSE (pos_may_be_copied (pos_make (2, 61), pos_make (1, 60)));
+  Pos kept = pos_keep (pos_make (2, 40), pos_make (1, 60));
+  EXPECT_TRUE (pos_may_be_copied (pos_make (3, 55), kept));
+  EXPECT_FALSE (pos_may_be_copied (pos_make (3, 61), kept));
+}
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -46,7 +46,7 @@
   rep_apply (&rep_, kind_, "a", 4, true, nullptr);
   rep_apply (&rep_, kind_, "a", 5, false, "{}");
   EXPECT_EQ (changes, "servers/a+ ");
-  EXPECT_EQ (kind_->newest_revision, 5u);
+  EXPECT_EQ (kind_->newest, 5u);
 }
 
 // A peer fetches what is newer than the newest revision it knows, so a deletion must raise that
@@ -56,7 +56,7 @@
   rep_apply (&rep_, kind_, "a", 5, false, "{}");
   rep_apply (&rep_, kind_, "b", 9, false, "{}");
   rep_apply (&rep_, kind_, "a", 10, true, nullptr);
-  EXPECT_EQ (kind_->newest_revision, 10u);
+  EXPECT_EQ (kind_->newest, 10u);
 }
 
 TEST_F (RepTest, ReconcileDeletesUnlistedObjectsThatAreNotNewerThanTheList)
@@ -71,3 +71,86 @@
   EXPECT_EQ (changes, "servers/b- ");
   g_hash_table_unref (listed);
 }
+
+// Keeps what is known, but for a value "new" in its place.
+static bool
+KeepsUnlessNew (const Obj *, const char *value)
+{
+  return value == nullptr || std::string (value) != "new";
+}
+
+TEST_F (RepTest, LaterEraIsNewerWhateverTheRevision)
+{
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "first");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 40), false, "second");
+  rep_apply (&rep_, kind_, "a", pos_make (1, 90), false, "third");
+  EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "second");
+  EXPECT_EQ (kind_->newest, pos_make (2, 40));
+  EXPECT_EQ (rep_era (&rep_), 2u);
+}
+
+TEST_F (RepTest, SameValueInALaterEraIsNoChange)
+{
+  rep_apply (&rep_, kind_, "a", pos_make (1, 30), false, "{}");
+  changes.clear ();
+  rep_apply (&rep_, kind_, "a", pos_make (2, 30), false, "{}");
+  EXPECT_EQ (changes, "");
+  EXPECT_EQ (kind_->newest, pos_make (2, 30));
+}
+
+TEST_F (RepTest, KeptValueYieldsToAnyLaterChangeOnly)
+{
+  kind_->keeps = KeepsUnlessNew;
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "known");
+  changes.clear ();
+  rep_apply (&rep_, kind_, "a", pos_make (2, 40), false, "copied");
+  EXPECT_EQ (changes, "");
+  EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "known");
+  EXPECT_GT (kind_->newest, pos_make (2, 40)); // so that peers take it over
+  rep_apply (&rep_, kind_, "a", pos_make (2, 41), false, "copied");
+  EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "copied");
+}
+
+TEST_F (RepTest, KeptTombstoneStays)
+{
+  kind_->keeps = KeepsUnlessNew;
+  rep_apply (&rep_, kind_, "a", pos_make (1, 30), false, "known");
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), true, nullptr);
+  rep_apply (&rep_, kind_, "a", pos_make (2, 30), false, "known");
+  EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
+  rep_apply (&rep_, kind_, "a", pos_make (2, 61), false, "known");
+  EXPECT_NE (obj_get (&kind_->table, "a"), nullptr);
+}
+
+TEST_F (RepTest, NewValueInALaterEraReplacesTheKnownOne)
+{
+  kind_->keeps = KeepsUnlessNew;
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "known");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 45), false, "new");
+  EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "new");
+}
+
+// A deletion in the later era isn't the copy's.
+TEST_F (RepTest, DeletionInALaterEraCounts)
+{
+  kind_->keeps = KeepsUnlessNew;
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "known");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 45), true, nullptr);
+  EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
+}
+
+TEST_F (RepTest, ObjectThatALaterErasListLacksIsDeletedUnlessKept)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  for (RepKeepsFn keeps : { (RepKeepsFn) nullptr, (RepKeepsFn) KeepsUnlessNew })
+    {
+      RepKind *kind = rep_ensure_kind (&rep_, keeps != nullptr ? "kept" : "deleted");
+      kind->keeps = keeps;
+      rep_apply (&rep_, kind, "a", pos_make (1, 60), false, "known");
+      rep_reconcile (&rep_, kind, listed, pos_make (2, 40));
+      rep_reconcile (&rep_, kind, listed, pos_make (2, 80)); // another list of that era
+      EXPECT_EQ (obj_get (&kind->table, "a") != nullptr, keeps != nullptr);
+      EXPECT_EQ (pos_era (kind->newest), 2u);
+    }
+  g_hash_table_unref (listed);
+}
--- a/tests/test_tpt.cc
+++ b/tests/test_tpt.cc
@@ -169,8 +169,7 @@
         cts_run (&node->control_, clk_now_ms ());
         BusyWait (kRequestMs);
       }
-    if (node->kind_->newest_revision >= node->expected_revision_
-        || clk_now_ms () >= node->deadline_ms_)
+    if (node->kind_->newest >= node->expected_revision_ || clk_now_ms () >= node->deadline_ms_)
       uv_stop (idle->loop);
   }
 
@@ -183,7 +182,7 @@
     uv_idle_start (&request_work_, SimulateRequests);
     uv_run (&loop_, UV_RUN_DEFAULT);
     uv_idle_stop (&request_work_);
-    EXPECT_GE (kind_->newest_revision, revision);
+    EXPECT_GE (kind_->newest, revision);
     return clk_now_ms () - started_ms;
   }
 
