--- a/src/nod.h
+++ b/src/nod.h
@@ -262,6 +262,7 @@
  * @fair_yielded: waiting requests rejected in place of one of another flow
  * @store_restores: times that the platform's store returned from an older copy
  * @watch_timeouts: watches of the platform's store that got no response in time
+ * @watches_silent: watches of the platform's store that did not report a change that it had
  */
 typedef struct
 {
@@ -299,6 +300,7 @@
   uint64_t fair_yielded;
   uint64_t store_restores;
   uint64_t watch_timeouts;
+  uint64_t watches_silent;
 } NodCounters;
 
 /**
--- a/src/nst.c
+++ b/src/nst.c
@@ -33,7 +33,7 @@
   COUNTER (over_quota),      COUNTER (load_reports),   COUNTER (load_reports_invalid),
   COUNTER (leaving_notices), COUNTER (pauses),         COUNTER (pauses_invalid),
   COUNTER (fair_reordered),  COUNTER (fair_yielded),   COUNTER (store_restores),
-  COUNTER (watch_timeouts),
+  COUNTER (watch_timeouts),  COUNTER (watches_silent),
 };
 
 static void
