--- a/tests/test_silent_watch.cc
+++ b/tests/test_silent_watch.cc
@@ -12,7 +12,7 @@
 constexpr int kApplyMs = 2500; // a change is in force after this
 
 // A node that is alone, so that it watches all kinds.
-class SilentWatch : public testing::TestWithParam<const char *>
+class Watching : public testing::Test
 {
 protected:
   void
@@ -49,6 +49,10 @@
   std::unique_ptr<NodeProcess> node_;
   int requests_ = 0;
 };
+
+class SilentWatch : public Watching, public testing::WithParamInterface<const char *>
+{
+};
 }
 
 // Guards against a watch that is waited for until its timeout, although the store has newer
@@ -84,3 +88,24 @@
                               c = c == ' ' ? '_' : c;
                             return name;
                           });
+
+// What finds a silent watch costs nothing while the store doesn't change, and at most a call a
+// second and kind while other kinds change.
+TEST_F (Watching, ChecksOfWatchesAreFew)
+{
+  constexpr int kSeconds = 4;
+  auto checks = [&] { return store_.immediate_watches ("config"); };
+  std::this_thread::sleep_for (3000ms); // the node has caught up
+  int before = checks ();
+  std::this_thread::sleep_for (std::chrono::seconds (kSeconds));
+  EXPECT_EQ (checks () - before, 0);
+  before = checks ();
+  for (int i = 0; i < kSeconds * 10; i++)
+    {
+      store_.Put ("servers", "other", "{\"change\":" + std::to_string (i) + "}");
+      std::this_thread::sleep_for (100ms);
+    }
+  EXPECT_LE (checks () - before, kSeconds + 1);
+  EXPECT_GT (checks () - before, 0);
+  EXPECT_EQ (node_->Metric ("cardamom_node_watches_silent_total"), 0);
+}
