RECOVER: an upstream that one copy lacked is used after the next return

What callers saw: none of the upstreams that had not registered again before the store returned a second time got requests, at any node, although the store had their registrations. It lasts until their next change; heartbeats are none.

Cause: a list in a later era that lacks an object leaves a tombstone at the list's revision. After the next return it counted as a departure, so that a registration at a revision up to that one was taken for an older copy's, and the tombstone was kept in its place.

Fix: such a tombstone has the largest distance, which kept values no longer take (254 at most). It is behind all that is kept at that revision and before any later change, as the tombstone was, and a value of a later era replaces it. Known limit: a departure in an era that a node knows only by its absence in a list counts as a lapse too, so the copy of one more return decides.

--- a/src/pos.c
+++ b/src/pos.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 
 #define ERA_SHIFT (POS_REVISION_BITS + POS_KEPT_BITS)
+#define KEPT_MASK ((UINT64_C (1) << POS_KEPT_BITS) - 1)
+#define LAPSED KEPT_MASK
 
 Pos
 pos_make (uint64_t era, uint64_t revision)
@@ -28,13 +30,19 @@
 static uint64_t
 distance (Pos position)
 {
-  return pos_era (position) == 0 ? 0 : position & POS_KEPT_MAX;
+  return pos_era (position) == 0 ? 0 : position & KEPT_MASK;
 }
 
 bool
 pos_is_kept (Pos position)
 {
-  return distance (position) > 0;
+  return distance (position) > 0 && distance (position) != LAPSED;
+}
+
+Pos
+pos_lapse (Pos list)
+{
+  return pos_era (list) == 0 ? list : list | LAPSED;
 }
 
 /* The revision at which a value was written, as far as a kept one's distance tells. */
@@ -47,6 +55,8 @@
 bool
 pos_may_be_copied (Pos position, Pos known)
 {
+  if (distance (known) == LAPSED)
+    return false;
   return pos_revision (position) <= written_at (known) || distance (known) == POS_KEPT_MAX;
 }
 
@@ -56,5 +66,5 @@
   uint64_t newest = written_at (known);
   uint64_t ahead = newest > pos_revision (copy) ? newest - pos_revision (copy) : 1;
 
-  return (copy & ~(Pos) POS_KEPT_MAX) | MIN (ahead, POS_KEPT_MAX);
+  return (copy & ~(Pos) KEPT_MASK) | MIN (ahead, POS_KEPT_MAX);
 }
--- a/src/pos.h
+++ b/src/pos.h
@@ -23,7 +23,7 @@
 #define POS_KEPT_BITS 8
 #define POS_ERA_MAX ((UINT64_C (1) << POS_ERA_BITS) - 1)
 #define POS_REVISION_MAX ((UINT64_C (1) << POS_REVISION_BITS) - 1)
-#define POS_KEPT_MAX ((UINT64_C (1) << POS_KEPT_BITS) - 1)
+#define POS_KEPT_MAX ((UINT64_C (1) << POS_KEPT_BITS) - 2)
 
 /** pos_make() - the position of a revision; @era: 0 for none. */
 Pos pos_make (uint64_t era, uint64_t revision);
@@ -37,12 +37,20 @@
 /** pos_is_kept() - whether it is the position of a kept value. */
 bool pos_is_kept (Pos position);
 
+/**
+ * pos_lapse() - the position of the tombstone of an object that an older copy lacks
+ * @list: position of the list without the object
+ *
+ * The object did not leave: it may be written again. It lies behind that of a kept value.
+ */
+Pos pos_lapse (Pos list);
+
 /**
  * pos_may_be_copied() - whether a value at @position may be one that the older copy had
  * @known: position of the same object in an earlier era
  *
  * If it lies beyond @known's revision, it was written after the return: the copy ends before the
- * changes that were lost.
+ * changes that were lost. Nor is it an older one if @known says that an earlier copy lacked it.
  */
 bool pos_may_be_copied (Pos position, Pos known);
 
--- a/src/rep.c
+++ b/src/rep.c
@@ -146,7 +146,8 @@
       bool is_kept = (is_later_era || pos_is_kept (obj->revision)) && kind->keeps != NULL
                      && kind->keeps (obj, NULL);
       if (!is_kept)
-        rep_apply (rep, kind, obj->path, position, true, NULL);
+        rep_apply (rep, kind, obj->path, is_later_era ? pos_lapse (position) : position, true,
+                   NULL);
       else if (is_later_era)
         keep_object (kind, obj, position);
     }
--- a/tests/test_pos.cc
+++ b/tests/test_pos.cc
@@ -65,3 +65,14 @@
   EXPECT_TRUE (pos_may_be_copied (pos_make (3, 55), kept));
   EXPECT_FALSE (pos_may_be_copied (pos_make (3, 61), kept));
 }
+
+// An upstream that one copy lacked registers after the next return, at whatever revision.
+TEST (Pos, TombstoneOfALapsedObjectIsNoReasonToKeepIt)
+{
+  Pos lapsed = pos_lapse (pos_make (2, 40));
+  EXPECT_GT (lapsed, pos_keep (pos_make (2, 40), pos_make (1, 400000)));
+  EXPECT_LT (lapsed, pos_make (2, 41));
+  EXPECT_FALSE (pos_is_kept (lapsed));
+  EXPECT_FALSE (pos_may_be_copied (pos_make (3, 12), lapsed));
+  EXPECT_EQ (pos_lapse (pos_make (0, 40)), 40u);
+}
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -357,6 +357,25 @@
   EXPECT_EQ (Arrivals (0, 1), 0) << Logs ();
 }
 
+// An upstream that the first copy lacks and that registers after the second return lives.
+TEST_F (Restore, UpstreamThatACopyLackedIsUsedAfterTheNextReturn)
+{
+  FakeUpstream late ("late");
+  auto put = [&] { store_.Put ("servers", late.id (), late.Record ("desk", "east-a")); };
+  auto is_known = [&] (const std::unique_ptr<NodeProcess> &node) {
+    return node->Status ("/state").body.find ("upstream=late ") != std::string::npos;
+  };
+  store_.TakeCopy ();
+  put ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  ASSERT_TRUE (is_known (nodes_[0]) && is_known (nodes_[1])) << Logs ();
+  ReturnFromCopy ([&] { MakeChanges (kLostChanges); });
+  std::this_thread::sleep_for (1000ms);
+  ReturnFromCopy (put);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
+  EXPECT_TRUE (is_known (nodes_[0]) && is_known (nodes_[1])) << Logs ();
+}
+
 // Without a header that can be read, nodes work as they do with a store that never returns.
 class StoreEra : public Restore, public testing::WithParamInterface<const char *>
 {
