EVAC: an evacuation that ended isn't brought back by a node that learns late

A node that was away while an evacuation was lost, written again and removed lists the store late. The list lacks the evacuation, so the node keeps it, at the list's position, which is after the removal: all nodes took it over, and the zone stayed evacuated until it was written and removed once more.

Cause: a value that a list lacks is kept at the position of that list, however late it is, and its position alone said that it is newer than what others know.

Fix: a node that knows the removal in the same era doesn't take the kept value over. It moves its tombstone behind it, so that the late node takes that, and neither fetches again.

Evidence: RepTest.RemovalInALaterEraIsNotUndoneByANodeThatListsLate failed before.

--- a/src/pos.h
+++ b/src/pos.h
@@ -39,9 +39,10 @@
 
 /**
  * pos_lapse() - the position of the tombstone of an object that an older copy lacks
- * @list: position of the list without the object
+ * @list: position of the list without the object, or of a value kept after that list
  *
- * The object did not leave: it may be written again. It lies behind that of a kept value.
+ * The object did not leave: it may be written again. The position lies behind that of a kept value,
+ * whose removal can therefore be repeated there too.
  */
 Pos pos_lapse (Pos list);
 
--- a/src/rep.c
+++ b/src/rep.c
@@ -90,12 +90,37 @@
   return known->deleted == deleted && (deleted || g_strcmp0 (known->value, value) == 0);
 }
 
+/* Whether a value was kept by a node that did not see it written again and removed in this era. */
+static bool
+is_kept_since_removal (const Obj *known, Pos position, bool deleted)
+{
+  return known != NULL && known->deleted && !deleted && pos_is_kept (position)
+         && pos_era (position) == pos_era (known->revision) && !pos_is_kept (known->revision)
+         && pos_revision (position) >= pos_revision (known->revision);
+}
+
+/* Moves the tombstone behind that value, so that its node takes it over. */
+static void
+repeat_removal (RepKind *kind, const Obj *known, Pos kept)
+{
+  Pos position = pos_lapse (kept);
+
+  obj_take (&kind->table, known->path, position, true, NULL);
+  kind->newest = MAX (kind->newest, position);
+}
+
 void
 rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value)
 {
   const Obj *known = find_object (kind, name);
   bool is_later_era = is_of_later_era (known, position);
 
+  if (is_kept_since_removal (known, position, deleted))
+    {
+      g_free (value);
+      repeat_removal (kind, known, position);
+      return;
+    }
   if (is_later_era && !deleted && kind->keeps != NULL
       && pos_may_be_copied (position, known->revision) && kind->keeps (known, value))
     {
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -154,3 +154,31 @@
     }
   g_hash_table_unref (listed);
 }
+
+// A node that lists late, after a value it knew was lost, written again and removed, doesn't bring
+// it back to those that know of the removal.
+TEST_F (RepTest, RemovalInALaterEraIsNotUndoneByANodeThatListsLate)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  RepKind *late = rep_ensure_kind (&rep_, "late");
+  for (RepKind *kind : { kind_, late })
+    {
+      kind->keeps = KeepsUnlessNew;
+      rep_apply (&rep_, kind, "a", pos_make (1, 60), false, "known");
+    }
+  rep_reconcile (&rep_, kind_, listed, pos_make (2, 40));
+  rep_apply (&rep_, kind_, "a", pos_make (2, 41), false, "known");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 45), true, nullptr);
+  rep_reconcile (&rep_, late, listed, pos_make (2, 50));
+  const Obj *told = obj_get (&late->table, "a");
+  if (told != nullptr)
+    rep_apply (&rep_, kind_, "a", told->revision, false, told->value);
+  EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
+  const Obj *removed = static_cast<Obj *> (g_hash_table_lookup (kind_->table.by_path, "a"));
+  rep_apply (&rep_, late, "a", removed->revision, true, nullptr);
+  EXPECT_EQ (obj_get (&late->table, "a"), nullptr);
+  EXPECT_EQ (late->newest, kind_->newest); // no node fetches from the other again
+  rep_apply (&rep_, kind_, "a", pos_make (2, 51), false, "known");
+  EXPECT_NE (obj_get (&kind_->table, "a"), nullptr);
+  g_hash_table_unref (listed);
+}
