DRAIN, CONFIG: a node that starts after the store's return takes over what its peers keep, and hides nothing

What callers saw: (1) a node that started after the return sent 40 of 120 requests to two upstreams that had left. (2) After a node had started with a stale list of before the return whose header had the new era, 120 of 120 requests at all nodes reached upstreams that left later.

Causes: (1) a kept value has a position right behind that of the copy's older value. A node that starts has listed the store and fetches what lies behind the newest position that it knows, which another object of the kind mostly exceeds. (2) A stale list's revisions counted as of the era in its header, were beyond those that the store had yet to give out, and went to all nodes.

Why the fixes work: (1) kept values move up to the revision of each later change of their kind; nodes that keep them know all changes up to there. (2) Positions of lists that may be stale stand before all others of their era.

--- a/src/pos.c
+++ b/src/pos.c
@@ -3,18 +3,32 @@
 
 #include <glib.h>
 
-#define ERA_SHIFT (POS_REVISION_BITS + POS_KEPT_BITS)
+#define CURRENT_SHIFT (POS_REVISION_BITS + POS_KEPT_BITS)
+#define CURRENT (UINT64_C (1) << CURRENT_SHIFT)
+#define ERA_SHIFT (CURRENT_SHIFT + 1)
 #define KEPT_MASK ((UINT64_C (1) << POS_KEPT_BITS) - 1)
 #define LAPSED KEPT_MASK
 
 Pos
-pos_make (uint64_t era, uint64_t revision)
+pos_make_stale (uint64_t era, uint64_t revision)
 {
   if (era == 0)
-    return MIN (revision, (UINT64_C (1) << ERA_SHIFT) - 1);
+    return MIN (revision, POS_REVISION_MAX);
   return MIN (era, POS_ERA_MAX) << ERA_SHIFT | MIN (revision, POS_REVISION_MAX) << POS_KEPT_BITS;
 }
 
+Pos
+pos_make (uint64_t era, uint64_t revision)
+{
+  return pos_make_stale (era, revision) | (era != 0 ? CURRENT : 0);
+}
+
+bool
+pos_is_stale (Pos position)
+{
+  return pos_era (position) != 0 && (position & CURRENT) == 0;
+}
+
 uint64_t
 pos_era (Pos position)
 {
@@ -68,3 +82,10 @@
 
   return (copy & ~(Pos) KEPT_MASK) | MIN (ahead, POS_KEPT_MAX);
 }
+
+Pos
+pos_raise (Pos kept, Pos later)
+{
+  return pos_make (pos_era (kept), MAX (pos_revision (kept), pos_revision (later)))
+         | distance (kept);
+}
--- a/src/pos.h
+++ b/src/pos.h
@@ -5,11 +5,13 @@
 #include <stdint.h>
 
 /**
- * typedef Pos - a position: an era of the store, a revision within it, and how far a kept value
- * lies behind that revision
+ * typedef Pos - a position: an era of the store, whether it is of a stale list, a revision within
+ * it, and how far a kept value lies behind that revision
  *
  * An era begins whenever the store returns from an older copy and gives revisions out again.
- * Positions compare as integers: by era, then by revision, then by distance. Without an era, as a
+ * Positions compare as integers: by era, stale ones first, then by revision, then by distance. A
+ * list that may be stale may show an earlier era than its response names, so that all that is known
+ * otherwise of that era counts as newer. Without an era, as a
  * store that counts none and nodes of an earlier version report it, a position is the revision
  * itself, and less than any with an era.
  *
@@ -18,7 +20,7 @@
  */
 typedef uint64_t Pos;
 
-#define POS_ERA_BITS 16
+#define POS_ERA_BITS 15
 #define POS_REVISION_BITS 40
 #define POS_KEPT_BITS 8
 #define POS_ERA_MAX ((UINT64_C (1) << POS_ERA_BITS) - 1)
@@ -28,6 +30,12 @@
 /** pos_make() - the position of a revision; @era: 0 for none. */
 Pos pos_make (uint64_t era, uint64_t revision);
 
+/** pos_make_stale() - the same for a revision in a list that may be stale. */
+Pos pos_make_stale (uint64_t era, uint64_t revision);
+
+/** pos_is_stale() - whether it is the position of an object in a list that may be stale. */
+bool pos_is_stale (Pos position);
+
 /** pos_era() - the era of a position; 0 for none. */
 uint64_t pos_era (Pos position);
 
@@ -55,6 +63,9 @@
  */
 bool pos_may_be_copied (Pos position, Pos known);
 
+/** pos_raise() - the position of a kept value, moved up to the revision of a later one. */
+Pos pos_raise (Pos kept, Pos later);
+
 /**
  * pos_keep() - the position of a value that is kept
  * @copy: position of the older value in the copy, or of the list that lacks the object
--- a/src/rep.c
+++ b/src/rep.c
@@ -82,12 +82,18 @@
 
   obj_take (&kind->table, known->path, position, known->deleted, g_strdup (known->value));
   kind->newest = MAX (kind->newest, position);
+  kind->kept++;
 }
 
+/* Whether it is the same write that was known from an earlier era or a list that may be stale. */
 static bool
-is_same_value (const Obj *known, bool deleted, const char *value)
+is_known_write (const Obj *known, Pos position, bool deleted, const char *value)
 {
-  return known->deleted == deleted && (deleted || g_strcmp0 (known->value, value) == 0);
+  if (known == NULL || known->deleted != deleted || g_strcmp0 (known->value, value) != 0)
+    return false;
+  return is_of_later_era (known, position)
+         || (pos_is_stale (known->revision)
+             && pos_revision (known->revision) == pos_revision (position));
 }
 
 /* Whether a value was kept by a node that did not see it written again and removed in this era. */
@@ -128,10 +134,12 @@
       keep_object (kind, known, position);
       return;
     }
-  bool is_unchanged = is_later_era && is_same_value (known, deleted, value);
+  bool is_unchanged = is_known_write (known, position, deleted, value);
   if (!obj_take (&kind->table, name, position, deleted, value))
     return;
   kind->newest = MAX (kind->newest, position);
+  if (pos_is_kept (position))
+    kind->kept++;
   if (!is_unchanged)
     rep->on_changed (rep->user, kind->name, find_object (kind, name));
 }
@@ -142,6 +150,27 @@
   rep_take (rep, kind, name, position, deleted, g_strdup (value));
 }
 
+void
+rep_raise_kept (RepKind *kind)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (kind->kept == 0)
+    return;
+  kind->kept = 0;
+  g_hash_table_iter_init (&iter, kind->table.by_path);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Obj *obj = value;
+      if (!pos_is_kept (obj->revision) || pos_era (obj->revision) != pos_era (kind->newest))
+        continue;
+      kind->kept++;
+      obj->revision = pos_raise (obj->revision, kind->newest);
+      kind->newest = MAX (kind->newest, obj->revision);
+    }
+}
+
 static GPtrArray *
 find_unlisted (const RepKind *kind, GHashTable *listed)
 {
--- a/src/rep.h
+++ b/src/rep.h
@@ -20,6 +20,7 @@
  * struct RepKind - objects of one kind
  * @keeps: NULL if the value in a later era always counts
  * @newest: position of the newest change known
+ * @kept: number of objects that may have the position of a kept value; 0 for none
  * @pushed: position up to which changes were pushed to other nodes; 0 before the first push
  * @behind_since_ms: when a peer first reported a newer position; 0 when up to date
  * @fetch_started_at_ms: when the fetch in progress started; 0 when there is none
@@ -33,6 +34,7 @@
   ObjTable table;
   RepKeepsFn keeps;
   Pos newest;
+  uint32_t kept;
   Pos pushed;
   uint64_t behind_since_ms;
   uint64_t fetch_started_at_ms;
@@ -74,6 +76,14 @@
 /** rep_take() - the same with a value that the replica then owns. */
 void rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value);
 
+/**
+ * rep_raise_kept() - moves kept values up to the revision of the newest change
+ *
+ * Nodes fetch what lies behind the newest position that they know. One that listed the store itself
+ * knows the newest revision, but not the values that others keep at earlier ones.
+ */
+void rep_raise_kept (RepKind *kind);
+
 /**
  * rep_reconcile() - deletes the objects that a complete list does not contain, but for those that
  * are kept
--- a/src/upd.c
+++ b/src/upd.c
@@ -236,15 +236,17 @@
   return sent;
 }
 
-/* The objects known when the node starts are not pushed. Changes that do not fit into
+/* The objects known when the node starts are not pushed, nor what it then fetches from others in
+ * place of lists that may be stale. Changes that do not fit into
  * UPD_DATAGRAMS_MAX datagrams are announced by their revision alone, and the receivers fetch them.
  */
 static void
-push_kind (Per *per, RepKind *kind, PerPeer *const *targets, uint32_t count)
+push_kind (Per *per, RepKind *kind, bool from_store, PerPeer *const *targets, uint32_t count)
 {
   bool sent = true;
 
-  if (kind->pushed == 0 || count == 0)
+  rep_raise_kept (kind);
+  if (kind->pushed == 0 || count == 0 || (pos_is_stale (kind->pushed) && !from_store))
     {
       kind->pushed = kind->newest;
       return;
@@ -263,7 +265,7 @@
   uint32_t count = find_targets (per, from_store, targets);
 
   for (guint i = 0; i < per->rep.kinds->len; i++)
-    push_kind (per, g_ptr_array_index (per->rep.kinds, i), targets, count);
+    push_kind (per, g_ptr_array_index (per->rep.kinds, i), from_store, targets, count);
 }
 
 void
--- a/tests/test_pos.cc
+++ b/tests/test_pos.cc
@@ -76,3 +76,16 @@
   EXPECT_FALSE (pos_may_be_copied (pos_make (3, 12), lapsed));
   EXPECT_EQ (pos_lapse (pos_make (0, 40)), 40u);
 }
+
+// A list that may be stale is of an earlier era at worst, whatever its response says.
+TEST (Pos, StaleListIsOlderThanAllElseOfItsEra)
+{
+  EXPECT_LT (pos_make_stale (2, 90), pos_make (2, 1));
+  EXPECT_LT (pos_make_stale (2, 40), pos_make_stale (2, 41));
+  EXPECT_GT (pos_make_stale (2, 0), pos_keep (pos_make (1, 90), pos_make (0, 99)));
+  EXPECT_TRUE (pos_is_stale (pos_make_stale (2, 40)));
+  EXPECT_FALSE (pos_is_stale (pos_make (2, 40)));
+  EXPECT_EQ (pos_era (pos_make_stale (2, 40)), 2u);
+  EXPECT_EQ (pos_revision (pos_make_stale (2, 40)), 40u);
+  EXPECT_EQ (pos_make_stale (0, 40), pos_make (0, 40));
+}
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -182,3 +182,22 @@
   EXPECT_NE (obj_get (&kind_->table, "a"), nullptr);
   g_hash_table_unref (listed);
 }
+
+// A node that listed the store itself knows its newest revision, but not what others keep at
+// earlier ones. It fetches what lies behind the newest position that it knows.
+TEST_F (RepTest, KeptValueMovesUpWithLaterChanges)
+{
+  kind_->keeps = KeepsUnlessNew;
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "known");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 40), false, "copied");
+  rep_apply (&rep_, kind_, "b", pos_make (2, 50), false, "{}");
+  Pos before = obj_get (&kind_->table, "a")->revision;
+  rep_raise_kept (kind_);
+  EXPECT_LT (before, pos_make (2, 50));
+  EXPECT_GT (obj_get (&kind_->table, "a")->revision, pos_make (2, 50));
+  EXPECT_LT (obj_get (&kind_->table, "a")->revision, pos_make (2, 51));
+  EXPECT_EQ (kind_->newest, obj_get (&kind_->table, "a")->revision);
+  Pos raised = kind_->newest;
+  rep_raise_kept (kind_);
+  EXPECT_EQ (kind_->newest, raised);
+}
