--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -427,6 +427,24 @@
   EXPECT_TRUE (is_known (nodes_[0]) && is_known (nodes_[1])) << Logs ();
 }
 
+// Guards against watches that are replaced every second, as they never reach a revision that only
+// the store before its return had.
+TEST_F (Restore, WatchesWithoutAnEraAreNotReplacedForGood)
+{
+  store_.SetEra ("");
+  store_.TakeCopy ();
+  MakeChanges (kLostChanges);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  ReturnFromCopy ();
+  std::this_thread::sleep_for (std::chrono::milliseconds (3 * kCatchUpMs));
+  for (const char *kind : { "config", "servers", "nodes" })
+    {
+      int before = store_.immediate_watches (kind);
+      std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
+      EXPECT_EQ (store_.immediate_watches (kind), before) << kind;
+    }
+}
+
 // Without a header that can be read, nodes work as they do with a store that never returns.
 class StoreEra : public Restore, public testing::WithParamInterface<const char *>
 {
