Tests: silent watches of some nodes alone, lost pages, two returns while a large configuration is read

The stand-in of the store can leave the watches of one address of its own without a response, and asks a handler what happens to each request for objects: lost, made late, or held on its way. Three nodes in two regions, each with its own address.

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -237,7 +237,7 @@
 // ---- Store ----
 
 FakeStore::FakeStore ()
-    : listener_ (std::make_unique<Listener> ([this] (int fd) { Serve (fd, false); }))
+    : listener_ (std::make_unique<Listener> ([this] (int fd) { Serve (fd, ""); }))
 {
 }
 
@@ -245,7 +245,7 @@
 {
   ending_ = true;
   changed_.notify_all ();
-  second_listener_.reset ();
+  added_listeners_.clear ();
   listener_.reset ();
 }
 
@@ -258,14 +258,17 @@
 std::string
 FakeStore::AddAddress ()
 {
-  second_listener_ = std::make_unique<Listener> ([this] (int fd) { Serve (fd, true); });
-  return second_listener_->address ();
+  auto address = std::make_shared<std::string> ();
+  added_listeners_.push_back (
+      std::make_unique<Listener> ([this, address] (int fd) { Serve (fd, *address); }));
+  *address = added_listeners_.back ()->address ();
+  return *address;
 }
 
 void
 FakeStore::SilenceAddedAddress (bool silent)
 {
-  second_silent_ = silent;
+  added_silent_ = silent;
 }
 
 int
@@ -445,13 +448,29 @@
 }
 
 void
-FakeStore::SilenceWatches (const std::string &kind)
+FakeStore::SilenceWatches (const std::string &kind, const std::string &address)
 {
   std::lock_guard<std::mutex> lock (mutex_);
-  silences_[kind]++;
+  silences_[{ kind, address }]++;
   changed_.notify_all ();
 }
 
+int
+FakeStore::Silences (const std::string &kind, const std::string &address) const
+{
+  auto all = silences_.find ({ kind, "" });
+  auto some = silences_.find ({ kind, address });
+  int count = all != silences_.end () ? all->second : 0;
+  return count + (!address.empty () && some != silences_.end () ? some->second : 0);
+}
+
+void
+FakeStore::SetHandler (std::function<Handling (const Read &)> handler)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  handler_ = std::move (handler);
+}
+
 long
 FakeStore::revision () const
 {
@@ -459,22 +478,41 @@
   return revision_;
 }
 
+FakeStore::Handling
+FakeStore::Handle (const Request &request, const std::string &address)
+{
+  std::lock_guard<std::mutex> lock (mutex_);
+  const std::string &target = request.target;
+  size_t start = strlen ("/objects/");
+  if (!handler_ || request.method != "GET" || target.size () < start)
+    return {};
+  std::string kind = target.substr (start, target.find_first_of ("?/", start) - start);
+  return handler_ ({ kind, address, target.find ("watch=") != std::string::npos,
+                     target.find ("after=") != std::string::npos });
+}
+
 void
-FakeStore::Serve (int fd, bool on_second)
+FakeStore::Serve (int fd, const std::string &address)
 {
   Request request;
   while (ReadRequest (fd, &request))
     {
       calls_++;
-      std::string answer = mode_ == Mode::kUp ? Answer (request) : "";
+      Handling handling = Handle (request, address);
+      std::this_thread::sleep_for (std::chrono::milliseconds (handling.wait_ms));
+      std::string answer = mode_ == Mode::kUp && !handling.lost ? Answer (request, address) : "";
       if (mode_ == Mode::kUnavailable)
         WriteAll (fd, AddEra (Json (503, "{}")));
       else if (mode_ == Mode::kClose)
         return;
-      else if (mode_ == Mode::kUp && answer == kSilence)
+      else if (mode_ == Mode::kUp && (answer == kSilence || handling.lost))
         break;
-      else if (mode_ == Mode::kUp && !answer.empty () && !(on_second && second_silent_))
-        WriteAll (fd, AddEra (answer));
+      else if (mode_ == Mode::kUp && !answer.empty () && (address.empty () || !added_silent_))
+        {
+          answer = AddEra (answer);
+          std::this_thread::sleep_for (std::chrono::milliseconds (handling.hold_ms));
+          WriteAll (fd, answer);
+        }
     }
   while (ReadRequest (fd, &request))
     continue;
@@ -508,11 +546,11 @@
 }
 
 std::string
-FakeStore::Watch (const std::string &kind, long from, int wait_ms)
+FakeStore::Watch (const std::string &kind, long from, int wait_ms, const std::string &address)
 {
   std::unique_lock<std::mutex> lock (mutex_);
   std::string found;
-  int silences = silences_[kind];
+  int silences = Silences (kind, address);
   auto scan = [&] {
     found.clear ();
     long at = 1;
@@ -525,14 +563,14 @@
                  + (event.deleted ? "true" : "false") + ",\"object\":" + event.text + "}";
       }
     return !found.empty () || from < history_start_ || from > revision_ || ending_
-           || silences_[kind] != silences || mode_ != Mode::kUp;
+           || Silences (kind, address) != silences || mode_ != Mode::kUp;
   };
   if (wait_ms == 0)
     immediate_watches_[kind]++;
   watches_++;
   changed_.wait_for (lock, std::chrono::milliseconds (wait_ms), scan);
   watches_--;
-  if (silences_[kind] != silences)
+  if (Silences (kind, address) != silences)
     return kSilence;
   if (from < history_start_ || from > revision_)
     return Json (410, "{}");
@@ -601,7 +639,7 @@
 }
 
 std::string
-FakeStore::Answer (const Request &request)
+FakeStore::Answer (const Request &request, const std::string &address)
 {
   if (request.target.size () > target_limit_)
     return Json (414, "{}");
@@ -620,7 +658,7 @@
   if (query.count ("watch") == 0)
     return List (kind, query["allow-stale"] == "1",
                  query.count ("after") > 0 ? &query["after"] : nullptr);
-  return Watch (kind, atol (query["watch"].c_str ()), atoi (query["wait-ms"].c_str ()));
+  return Watch (kind, atol (query["watch"].c_str ()), atoi (query["wait-ms"].c_str ()), address);
 }
 
 // ---- Upstream ----
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -122,8 +122,26 @@
   // Value of that header from now on; none if empty.
   void SetEra (const std::string &era);
   // Watches of the kind that are waiting now never get a response, and nor does any later request
-  // on their connections.
-  void SilenceWatches (const std::string &kind);
+  // on their connections. With an address, of connections to it alone.
+  void SilenceWatches (const std::string &kind, const std::string &address = "");
+  // A request for objects: page of a list, or watch.
+  struct Read
+  {
+    std::string kind;
+    std::string address; // that it came to
+    bool is_watch;
+    bool continues_list;
+  };
+  // What happens to the response: `wait_ms` before it is made, `hold_ms` between that and its way
+  // to the node, or it is lost, as is all that follows on its connection.
+  struct Handling
+  {
+    int wait_ms = 0;
+    int hold_ms = 0;
+    bool lost = false;
+  };
+  // Asked about each request for objects from now on.
+  void SetHandler (std::function<Handling (const Read &)> handler);
   // Revision of the last change.
   long revision () const;
   // Takes a snapshot of the objects, which is the response to all later lists that allow stale
@@ -132,8 +150,8 @@
   // Whether lists that allow stale data get that snapshot, or the current objects.
   void ServeStaleLists (bool enabled);
   std::string address () const;
-  // Opens a second address of the store and returns it. SilenceAddedAddress makes it drop its
-  // responses.
+  // Opens a further address of the store and returns it. SilenceAddedAddress makes all of these
+  // drop their responses.
   std::string AddAddress ();
   void SilenceAddedAddress (bool silent);
   int calls () const;
@@ -160,11 +178,13 @@
     bool deleted;
   };
   using Objects = std::map<std::string, std::map<std::string, Object>>;
-  void Serve (int fd, bool on_second);
-  std::string Answer (const Request &request);
+  void Serve (int fd, const std::string &address);
+  Handling Handle (const Request &request, const std::string &address);
+  std::string Answer (const Request &request, const std::string &address);
   std::string AddEra (std::string answer) const;
   std::string List (const std::string &kind, bool may_be_stale, const std::string *after);
-  std::string Watch (const std::string &kind, long from, int wait_ms);
+  std::string Watch (const std::string &kind, long from, int wait_ms, const std::string &address);
+  int Silences (const std::string &kind, const std::string &address) const;
   std::string Write (const Request &request, const std::string &kind, const std::string &name);
 
   mutable std::mutex mutex_;
@@ -183,16 +203,18 @@
   std::atomic<size_t> target_limit_{ SIZE_MAX };
   std::vector<Event> events_;
   std::map<std::string, int> immediate_watches_;
-  std::map<std::string, int> silences_; // calls of SilenceWatches by kind
+  // Calls of SilenceWatches by kind and address.
+  std::map<std::pair<std::string, std::string>, int> silences_;
+  std::function<Handling (const Read &)> handler_;
   std::atomic<Mode> mode_{ Mode::kUp };
   std::atomic<int> calls_{ 0 };
   std::atomic<int> watches_{ 0 };
   std::atomic<int> lists_{ 0 };
   std::atomic<int> writes_{ 0 };
   std::atomic<bool> ending_{ false };
-  std::atomic<bool> second_silent_{ false };
+  std::atomic<bool> added_silent_{ false };
   std::unique_ptr<Listener> listener_;
-  std::unique_ptr<Listener> second_listener_;
+  std::vector<std::unique_ptr<Listener>> added_listeners_;
 };
 
 // HTTP server in place of an upstream. A Behaviour writes the bytes of the response; the default
--- /dev/null
+++ b/tests/test_late_changes.cc
@@ -0,0 +1,214 @@
+// Nodes in two regions while single calls to the platform's store lose their responses, or get them
+// late or from different moments.
+#include "fakes.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr int kUpstreams = 2;
+constexpr int kApplyMs = 2500; // a change is in force after this
+constexpr int kRequests = 4;   // to each node
+
+std::string
+Route (const std::string &name)
+{
+  return ",\"" + name + "\":{\"host\":\"host.example\",\"path-prefix\":\"/" + name
+         + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
+           "\"service\":\"desk\",\"attempts\":2}";
+}
+
+// Three nodes, each with its own address of the store: two in region east, one in region west.
+class LateChanges : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    Configure (7);
+    for (int i = 0; i < kUpstreams; i++)
+      {
+        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
+        Register (i);
+      }
+    for (const char *zone : { "east-a", "east-b", "west-a" })
+      StartNode (zone);
+    for (const auto &node : nodes_)
+      ASSERT_TRUE (node->WaitReady (5000)) << node->Log ();
+    // One of each region watches; a watch that ended on the way there may still wait.
+    ASSERT_TRUE (WaitUntil (6000, [&] { return store_.watches () >= 8; }));
+  }
+
+  NodeProcess &
+  StartNode (const std::string &zone)
+  {
+    int number = (int) nodes_.size () + 1;
+    addresses_.push_back (store_.AddAddress ());
+    nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (number), zone,
+                                                     addresses_.back (), number));
+    return *nodes_.back ();
+  }
+
+  void
+  Configure (int version, const std::string &more_routes = "")
+  {
+    store_.Put ("config", "main", Configuration (version, more_routes));
+  }
+
+  void
+  Register (int upstream, const std::string &state = "ready", int sequence = 1, int born = 1000)
+  {
+    std::string record = upstreams_[upstream]->Record ("desk", "east-a", state,
+                                                       ",\"born\":" + std::to_string (born));
+    size_t at = record.find ("\"seq\":");
+    store_.Put ("servers", upstreams_[upstream]->id (),
+                record.substr (0, at) + "\"seq\":" + std::to_string (sequence) + "}");
+  }
+
+  int
+  Status (NodeProcess &node, const std::string &path)
+  {
+    std::string id = "id-" + std::to_string (++requests_);
+    return node.Call ("GET", path, { { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } }).status;
+  }
+
+  // Requests that upstreams `first` to `last` get of some that are sent to each node.
+  int
+  Arrivals (int first, int last)
+  {
+    int before = 0;
+    int after = 0;
+    for (int i = first; i <= last; i++)
+      before += upstreams_[i]->arrivals ();
+    for (const auto &node : nodes_)
+      for (int i = 0; i < kRequests; i++)
+        Status (*node, "/read/" + std::to_string (i));
+    for (int i = first; i <= last; i++)
+      after += upstreams_[i]->arrivals ();
+    return after - before;
+  }
+
+  // A change that concerns nobody.
+  void
+  MakeChange ()
+  {
+    store_.Put ("servers", "filler", "{\"service\":\"other\"}");
+  }
+
+  // Makes a change of each kind, and expects all to be in force at all nodes in time.
+  void
+  ExpectChangesInTime (const std::string &what)
+  {
+    store_.Delete ("servers", upstreams_[1]->id ());
+    Register (0, "draining", 2);
+    Configure (8, Route ("eight"));
+    std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+    for (const auto &node : nodes_)
+      EXPECT_NE (Status (*node, "/eight/a"), 404) << what << "\n" << node->Log ();
+    EXPECT_EQ (Arrivals (0, 1), 0) << what << "\n" << Logs ();
+  }
+
+  std::string
+  Logs () const
+  {
+    std::string text;
+    for (const auto &node : nodes_)
+      text += node->Log () + "\n";
+    return text;
+  }
+
+  FakeStore store_;
+  std::vector<std::string> addresses_;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::vector<std::unique_ptr<NodeProcess>> nodes_;
+  int requests_ = 0;
+};
+
+struct Silence
+{
+  const char *name;
+  std::set<std::string> kinds;
+  std::set<int> nodes;
+  bool lasts; // later watches of these nodes are silent too
+};
+
+class SilentNode : public LateChanges, public testing::WithParamInterface<Silence>
+{
+};
+}
+
+// Guards against a node whose watches are silent and that hears nothing of the changes from the
+// watching node of another region, and against a follower of such a node.
+TEST_P (SilentNode, ChangesAreInForceInTime)
+{
+  Silence silence = GetParam ();
+  std::set<std::string> addresses;
+  for (int node : silence.nodes)
+    addresses.insert (addresses_[node]);
+  store_.SetHandler ([=] (const FakeStore::Read &read) {
+    FakeStore::Handling handling;
+    handling.lost = silence.lasts && read.is_watch && silence.kinds.count (read.kind) > 0
+                    && addresses.count (read.address) > 0;
+    return handling;
+  });
+  for (const std::string &kind : silence.kinds)
+    for (const std::string &address : addresses)
+      store_.SilenceWatches (kind, address);
+  ExpectChangesInTime ("");
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Regions, SilentNode,
+    testing::Values (
+        Silence{ "east_registrations", { "servers" }, { 0, 1 }, true },
+        Silence{ "west_all", { "config", "servers", "nodes", "evacuations" }, { 2 }, true }),
+    [] (const auto &info) { return info.param.name; });
+
+// Guards against a list of several pages, after the store has dropped its history, that waits for a
+// page without a response for too long.
+TEST_F (LateChanges, LostPageDoesNotDelayChanges)
+{
+  auto pages = std::make_shared<std::map<std::string, int>> ();
+  auto lost = std::make_shared<std::atomic<int>> (0);
+  store_.SetPageSize (1);
+  store_.SetHandler ([=] (const FakeStore::Read &read) {
+    FakeStore::Handling handling;
+    handling.lost = !read.is_watch && ++(*pages)[read.kind + read.address] == 2;
+    *lost += handling.lost;
+    return handling;
+  });
+  store_.Put ("other", "name", "{}");
+  store_.ForgetHistory ();
+  std::this_thread::sleep_for (100ms);
+  ExpectChangesInTime ("");
+  EXPECT_GT (*lost, 0);
+}
+
+// Guards against a configuration of an era that is over, which is put in force when it has been
+// read in steps.
+TEST_F (LateChanges, TwoReturnsWhileALargeConfigurationIsRead)
+{
+  std::string routes;
+  for (int i = 0; i < 2500; i++)
+    routes += Route ("filler" + std::to_string (i));
+  store_.TakeCopy ();
+  for (int version = 8; version < 10; version++)
+    {
+      Configure (version, routes + Route ("eight"));
+      std::this_thread::sleep_for (60ms);
+      store_.Restore ();
+    }
+  Configure (10, routes + Route ("ten"));
+  Register (0, "draining", 2);
+  Register (1, "draining", 2);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  for (const auto &node : nodes_)
+    {
+      EXPECT_NE (Status (*node, "/ten/a"), 404) << node->Log ();
+      EXPECT_EQ (Status (*node, "/eight/a"), 404) << node->Log ();
+    }
+  EXPECT_EQ (Arrivals (0, 1), 0) << Logs ();
+}
