DRAIN: pages of a list that are of different moments hide no change

What callers saw: a node that started while the store's lists were stale by some seconds sent requests to upstreams that had reported draining before, until their next change. No test had shown it.

Cause: each page of the first list may be stale by itself, and the watch continued from the revision of the first page. If a later page was older, the changes between the two were in neither, and no peer is asked as the node believes that it knows them.

--- a/tests/test_late_changes.cc
+++ b/tests/test_late_changes.cc
@@ -10,8 +10,9 @@
 namespace
 {
 constexpr int kUpstreams = 2;
-constexpr int kApplyMs = 2500; // a change is in force after this
-constexpr int kRequests = 4;   // to each node
+constexpr int kApplyMs = 2500;   // a change is in force after this
+constexpr int kCatchUpMs = 4000; // a node that started is right after this
+constexpr int kRequests = 4;     // to each node
 
 std::string
 Route (const std::string &name)
@@ -212,3 +213,32 @@
     }
   EXPECT_EQ (Arrivals (0, 1), 0) << Logs ();
 }
+
+// Guards against pages that may be stale and are of different moments: the changes between them
+// must not be taken for known.
+TEST_F (LateChanges, LaterPageThatIsOlderHidesNoChange)
+{
+  nodes_.clear ();
+  addresses_.clear ();
+  store_.SetPageSize (1);
+  store_.FreezeStaleLists ();
+  store_.ServeStaleLists (false);
+  Register (0, "draining", 2);
+  Register (1, "draining", 2);
+  auto continued = std::make_shared<std::atomic<bool>> (false);
+  store_.SetHandler ([=] (const FakeStore::Read &read) {
+    FakeStore::Handling handling;
+    if (read.kind == "servers" && read.continues_list)
+      {
+        *continued = true;
+        handling.wait_ms = 200;
+      }
+    return handling;
+  });
+  StartNode ("east-a");
+  ASSERT_TRUE (WaitUntil (4000, [&] { return continued->load (); }));
+  store_.ServeStaleLists (true);
+  ASSERT_TRUE (nodes_[0]->WaitReady (5000));
+  std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
+  EXPECT_EQ (Arrivals (0, 1), 0) << Logs ();
+}
