A fleet whose store returns from an older copy is simulated

The simulation of the exchange learns what platform/pfd does: lists in pages of 500, watches from their revision, eras that nodes see in a response or hear of from peers, their own look within 2 s. test_era runs returns at 9, 30, 99 and 300 nodes (the largest with one test, for time), 10 permille of messages lost: paused nodes, watchers and others; nodes without the store or without peers; two returns in series; nodes of an earlier version; calls and bytes.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -7,7 +7,11 @@
 {
 constexpr uint32_t kFirstIp = 0x0a000001;
 constexpr uint16_t kPort = 7720;
-constexpr uint64_t kWatchMs = 50;
+constexpr uint64_t kCallMs = 50; // time that a call to the store takes
+constexpr uint64_t kWatchStartDelayMs = 1500;
+constexpr uint64_t kWatchBatchDelayMs = 150;
+constexpr uint64_t kEraListSpreadMs = 2000;
+constexpr size_t kPageObjects = 500;
 
 uint32_t
 ZoneOf (void *, const char *zone)
@@ -42,9 +46,12 @@
 }
 }
 
-Fleet::Fleet (uint32_t nodes, uint32_t seed, uint32_t loss_permille)
-    : loss_permille_ (loss_permille), random_ (seed), null_log_ (fopen ("/dev/null", "w"))
+Fleet::Fleet (uint32_t nodes, uint32_t seed, uint32_t loss_permille, std::vector<FleetKind> kinds,
+              std::function<void (FleetStore &)> fill)
+    : loss_permille_ (loss_permille), kinds_ (std::move (kinds)), random_ (seed),
+      null_log_ (fopen ("/dev/null", "w"))
 {
+  fill (store_);
   for (uint32_t i = 0; i < nodes; i++)
     {
       auto node = std::make_unique<FleetNode> ();
@@ -66,8 +73,20 @@
       ups_init (&node->upstreams, &node->connections);
       poi_init (&node->poison, POISON_NODE_CRASHES_MAX);
       rep_init (&node->per.rep, OnChanged, nullptr);
-      node->kind = rep_ensure_kind (&node->per.rep, "servers");
-      rep_apply (&node->per.rep, node->kind, "first", 1, false, "{}");
+      for (const FleetKind &kind : kinds_)
+        {
+          FleetSync sync;
+          sync.spec = &kind;
+          sync.kind = rep_ensure_kind (&node->per.rep, kind.name);
+          sync.kind->keeps = kind.keeps;
+          sync.listed = sync.watching = true;
+          sync.revision = store_.revision ();
+          for (const auto &[name, object] : store_.objects (kind.name))
+            Apply (node.get (), &sync, name, object);
+          node->syncs.push_back (sync);
+        }
+      node->era = store_.era ();
+      node->kind = rep_find_kind (&node->per.rep, "servers");
       node->per.log = &node->log;
       node->per.zone_of = ZoneOf;
       node->per.region_of = RegionOf;
@@ -86,7 +105,7 @@
                  other->per.self.capacity, now_ms_);
       FleetNode *node_ptr = node.get ();
       Schedule (now_ms_ + random_ () % PER_TICK_MS, [this, node_ptr] { Tick (node_ptr); });
-      Schedule (now_ms_ + random_ () % kWatchMs, [this, node_ptr] { Watch (node_ptr); });
+      Schedule (now_ms_ + random_ () % kCallMs, [this, node_ptr] { Follow (node_ptr); });
     }
 }
 
@@ -139,48 +158,184 @@
 }
 
 void
-Fleet::Watch (FleetNode *node)
+Fleet::Apply (FleetNode *node, FleetSync *sync, const std::string &name,
+              const FleetStore::Object &object)
 {
-  Schedule (now_ms_ + kWatchMs, [this, node] { Watch (node); });
+  Pos position = pos_make (node->knows_eras ? store_.era () : 0, object.revision);
+  rep_take (&node->per.rep, sync->kind, name.c_str (), position, object.deleted,
+            g_strdup (object.value.c_str ()));
+}
+
+// As start_era() and restart_in_new_era() of platform/pfd.c.
+void
+Fleet::StartEra (FleetNode *node, uint64_t era, bool should_watch)
+{
+  node->era = era;
+  for (FleetSync &sync : node->syncs)
+    {
+      sync.cursor.clear ();
+      sync.pages.clear ();
+      sync.watching = false;
+      sync.watch_is_open = false;
+      sync.relist_at_ms = 0;
+      sync.next_call_ms = now_ms_ + kCallMs;
+      sync.paused = !should_watch && sync.listed;
+      if (sync.paused && sync.spec->lists_again)
+        sync.relist_at_ms = now_ms_ + 1 + random_ () % kEraListSpreadMs;
+    }
+}
+
+// As apply_pages() and end_list() of platform/pfd.c.
+void
+Fleet::EndList (FleetNode *node, FleetSync *sync)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  for (auto &[name, object] : sync->pages)
+    {
+      if (object.revision <= sync->revision)
+        Apply (node, sync, name, object);
+      g_hash_table_add (listed, (gpointer) name.c_str ());
+    }
+  rep_reconcile (&node->per.rep, sync->kind, listed,
+                 pos_make (node->knows_eras ? store_.era () : 0, sync->revision));
+  g_hash_table_unref (listed);
+  sync->pages.clear ();
+  sync->cursor.clear ();
+  sync->listed = sync->watching = true;
+}
+
+// The response to a call that was started kCallMs ago; the next page is asked for at once.
+void
+Fleet::ListPage (FleetNode *node, FleetSync *sync)
+{
+  calls_.push_back (now_ms_);
+  if (sync->pages.empty ())
+    sync->revision = store_.revision ();
+  const FleetStore::Objects &objects = store_.objects (sync->spec->name);
+  auto next = sync->cursor.empty () ? objects.begin () : objects.upper_bound (sync->cursor);
+  for (size_t count = 0; next != objects.end () && count < kPageObjects; ++next)
+    if (!next->second.deleted)
+      {
+        sync->pages.push_back (*next);
+        sync->cursor = next->first;
+        count++;
+      }
+  if (next == objects.end ())
+    EndList (node, sync);
+}
+
+void
+Fleet::Watch (FleetNode *node, FleetSync *sync)
+{
+  if (!sync->watch_is_open)
+    {
+      calls_.push_back (now_ms_);
+      sync->watch_is_open = true;
+      sync->watch_opened_ms = now_ms_;
+    }
+  bool has_events = false;
+  for (const auto &[name, object] : store_.objects (sync->spec->name))
+    if (object.revision > sync->revision)
+      {
+        Apply (node, sync, name, object);
+        has_events = true;
+      }
+  if (!has_events && now_ms_ - sync->watch_opened_ms < sync->spec->watch_wait_ms)
+    return;
+  sync->revision = store_.revision ();
+  sync->watch_is_open = false;
+  sync->next_call_ms = now_ms_ + kWatchBatchDelayMs;
+}
+
+void
+Fleet::Step (FleetNode *node, FleetSync *sync, bool should_watch)
+{
+  if (now_ms_ < sync->next_call_ms)
+    return;
+  if (sync->relist_at_ms > 0 && now_ms_ >= sync->relist_at_ms)
+    {
+      sync->relist_at_ms = 0;
+      sync->paused = sync->watching = sync->watch_is_open = false;
+    }
+  if (should_watch)
+    sync->paused = false;
+  bool calls = should_watch || (!sync->watching && !sync->paused);
+  if (!calls || node->cut_from_store)
+    return;
+  if (node->knows_eras && node->era != store_.era ())
+    {
+      calls_.push_back (now_ms_);
+      StartEra (node, store_.era (), should_watch);
+    }
+  else if (sync->watching)
+    Watch (node, sync);
+  else
+    ListPage (node, sync);
+}
+
+void
+Fleet::Follow (FleetNode *node)
+{
+  Schedule (now_ms_ + kCallMs, [this, node] { Follow (node); });
   if (!node->alive || now_ms_ < node->paused_until_ms)
     return;
   Per *per = &node->per;
-  bool should = wch_should_watch (per, now_ms_);
-  per->self.watch = !should                ? PER_WATCH_NONE
-                    : node->cut_from_store ? PER_WATCH_FAILING
-                                           : PER_WATCH_HEALTHY;
-  if (per->self.watch != PER_WATCH_HEALTHY)
-    return;
-  uint64_t known = node->kind->newest;
-  for (const StoreChange &change : store_changes_)
-    if (change.revision > known)
-      rep_apply (&per->rep, node->kind, change.name.c_str (), change.revision, false, "{}");
-  upd_push (per, true);
+  bool should = (node->started_ms == 0 || now_ms_ - node->started_ms >= kWatchStartDelayMs)
+                && wch_should_watch (per, now_ms_);
+  if (node->knows_eras && rep_era (&per->rep) > node->era)
+    StartEra (node, rep_era (&per->rep), should);
+  bool watching = should;
+  for (FleetSync &sync : node->syncs)
+    {
+      if (!should)
+        sync.watch_is_open = false;
+      Step (node, &sync, should);
+      watching = watching && sync.watching;
+    }
+  per->self.watch = should && node->cut_from_store ? PER_WATCH_FAILING
+                    : watching                     ? PER_WATCH_HEALTHY
+                                                   : PER_WATCH_NONE;
+  upd_push (per, should);
 }
 
-uint64_t
+Pos
 Fleet::ChangeObject (const std::string &name)
 {
-  store_changes_.push_back (StoreChange{ name, ++revision_ });
-  return revision_;
+  return pos_make (store_.era (), store_.Write ("servers", name, "{}"));
+}
+
+void
+Fleet::StartNode (uint32_t index)
+{
+  FleetNode &node = *nodes_[index];
+  node.alive = true;
+  node.started_ms = now_ms_;
+  node.era = 0;
+  for (FleetSync &sync : node.syncs)
+    {
+      obj_clear (&sync.kind->table);
+      obj_init (&sync.kind->table);
+      sync.kind->newest = sync.kind->pushed = 0;
+      sync.listed = sync.watching = false;
+    }
 }
 
 std::vector<uint32_t>
-Fleet::Outdated (uint64_t revision) const
+Fleet::Outdated (Pos position) const
 {
   std::vector<uint32_t> behind;
   for (const auto &node : nodes_)
     if (node->alive && now_ms_ >= node->paused_until_ms && !node->drops_incoming
-        && node->kind->newest < revision)
+        && node->kind->newest < position)
       behind.push_back (node->index);
   return behind;
 }
 
 uint64_t
-Fleet::TimeUntilAllUpdated (uint64_t revision)
+Fleet::TimeUntilAllUpdated (Pos position)
 {
   uint64_t since_ms = now_ms_;
-  while (now_ms_ - since_ms < 60000 && !Outdated (revision).empty ())
+  while (now_ms_ - since_ms < 60000 && !Outdated (position).empty ())
     Run (10);
   return now_ms_ - since_ms;
 }
@@ -214,6 +369,7 @@
 {
   FleetNode *sender = nodes_[from].get ();
   FleetNode *target = Find (to);
+  sent_bytes_ += size;
   if (target == nullptr || sender->drops_outgoing || random_ () % 1000 < loss_permille_)
     return true;
   std::string bytes (data, size);
@@ -250,7 +406,11 @@
     arrived_args.since = since;
     arrived_args.max_bytes = max_bytes;
     if (reached)
-      upd_fill_reply (&target->per, &arrived_args, reply);
+      {
+        upd_fill_reply (&target->per, &arrived_args, reply);
+        sent_bytes_ += xdr_sizeof ((xdrproc_t) xdr_peer_fetch_args, &arrived_args)
+                       + xdr_sizeof ((xdrproc_t) xdr_peer_fetch_reply, reply);
+      }
     Schedule (now_ms_ + (reached ? one_way_ms : timeout_ms), [=] {
       pending_fetches_.erase (user);
       if (caller->alive)
