--- a/src/per.c
+++ b/src/per.c
@@ -459,6 +459,19 @@
   return era;
 }
 
+bool
+per_peers_know_era (const Per *per, uint64_t era)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, per->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const PerPeer *) value)->era >= era)
+      return true;
+  return false;
+}
+
 void
 per_compensate_pause (Per *per, uint64_t now_ms)
 {
--- a/src/per.h
+++ b/src/per.h
@@ -270,6 +270,9 @@
 /** per_newest_era() - newest era of the store in revisions that a node reports; 0 for none. */
 uint64_t per_newest_era (const peer_revision *revisions, u_int count);
 
+/** per_peers_know_era() - whether a peer has reported this era of the store or a newer one. */
+bool per_peers_know_era (const Per *per, uint64_t era);
+
 /** per_list_crashes() - requests suspected of crashing upstreams, then those that got a response
  * since, @capacity at most. Return: entries written. */
 u_int per_list_crashes (const Per *per, peer_crash *crashes, u_int capacity, uint64_t now_ms);
