DRAIN: a registration that is written late doesn't hide that its upstream drains

What callers saw: requests went to an upstream that had reported draining when the store executed an earlier write of its registration right after the report (a call without a response may be executed late).

Cause: the store's order of writes alone decided what was sent on. Nodes ignore a registration with a lower number only when they know the higher one, but of two events of an object in one response the feed took the last alone, and other nodes and those that start were told the last alone too.

Why the fix works: the feed takes all values in their order, and the replica keeps the known value at a position behind the late write's, as it does with values that a copy lacks, so that it reaches all nodes that hear of it, also those whose list shows the late write. Configurations and nodes' objects are taken as before. A list that alone shows the late write tells nobody otherwise; then it counts.

--- a/src/pos.c
+++ b/src/pos.c
@@ -77,6 +77,8 @@
 Pos
 pos_keep (Pos copy, Pos known)
 {
+  if (pos_era (copy) == 0)
+    return copy;
   uint64_t newest = written_at (known);
   uint64_t ahead = newest > pos_revision (copy) ? newest - pos_revision (copy) : 1;
 
--- a/src/pos.h
+++ b/src/pos.h
@@ -68,7 +68,8 @@
 
 /**
  * pos_keep() - the position of a value that is kept
- * @copy: position of the older value in the copy, or of the list that lacks the object
+ * @copy: position of the older value in the copy, or of the list that lacks the object; without an
+ *   era, the kept value takes it
  * @known: position of the kept value before
  *
  * Of values that nodes keep in place of the same one in the copy, the newest has the largest
--- a/src/rep.c
+++ b/src/rep.c
@@ -85,6 +85,15 @@
   kind->kept++;
 }
 
+/* Whether the store executed the write of a value after that of a later one. */
+static bool
+is_late_write (const RepKind *kind, const Obj *known, Pos position, bool deleted, const char *value)
+{
+  return kind->precedes != NULL && known != NULL && !known->deleted && !deleted
+         && position > known->revision && g_strcmp0 (known->value, value) != 0
+         && kind->precedes (known, value);
+}
+
 /* Whether it is the same write that was known from an earlier era or a list that may be stale. */
 static bool
 is_known_write (const Obj *known, Pos position, bool deleted, const char *value)
@@ -120,6 +129,8 @@
 {
   const Obj *known = find_object (kind, name);
   bool is_later_era = is_of_later_era (known, position);
+  bool is_kept = is_later_era && !deleted && kind->keeps != NULL
+                 && pos_may_be_copied (position, known->revision) && kind->keeps (known, value);
 
   if (is_kept_since_removal (known, position, deleted))
     {
@@ -127,8 +138,7 @@
       repeat_removal (kind, known, position);
       return;
     }
-  if (is_later_era && !deleted && kind->keeps != NULL
-      && pos_may_be_copied (position, known->revision) && kind->keeps (known, value))
+  if (is_kept || is_late_write (kind, known, position, deleted, value))
     {
       g_free (value);
       keep_object (kind, known, position);
--- a/src/rep.h
+++ b/src/rep.h
@@ -19,6 +19,8 @@
 /**
  * struct RepKind - objects of one kind
  * @keeps: NULL if the value in a later era always counts
+ * @precedes: whether a value was made before the known one, so that the store executed its write
+ *   late and the known one stays; NULL if the store's order always counts
  * @newest: position of the newest change known
  * @kept: number of objects that may have the position of a kept value; 0 for none
  * @pushed: position up to which changes were pushed to other nodes; 0 before the first push
@@ -33,6 +35,7 @@
   char name[NAME_MAX_BYTES];
   ObjTable table;
   RepKeepsFn keeps;
+  RepKeepsFn precedes;
   Pos newest;
   uint32_t kept;
   Pos pushed;
@@ -68,7 +71,8 @@
  * rep_apply() - applies a change unless the same or a newer position of that object is known
  *
  * A value of a later era may be one that the older copy had. If @keeps of the kind says so, the
- * known value or tombstone stays instead, at the position of a kept value.
+ * known value or tombstone stays instead, at the position of a kept value. So does a known value
+ * that a newer one @precedes, so that it reaches nodes that know the newer one alone.
  */
 void rep_apply (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted,
                 const char *value);
--- a/src/ups.c
+++ b/src/ups.c
@@ -173,8 +173,8 @@
   ucn_pool_init (&ups->pool, table->ucn, record->addr, UPS_IDLE_MAX_MS);
 }
 
-static bool
-is_older (const UpsRecord *a, const UpsRecord *b)
+bool
+ups_is_older (const UpsRecord *a, const UpsRecord *b)
 {
   if (a->born_ms != b->born_ms)
     return a->born_ms < b->born_ms;
@@ -191,7 +191,7 @@
     ups = ups_add (table, record);
   else
     {
-      if (is_older (record, &ups->record))
+      if (ups_is_older (record, &ups->record))
         return false;
       became_cold = record->cold_ms > 0 && !ups->record.draining && !ups_is_cold (ups, now_ms);
       if (record->born_ms != ups->record.born_ms || !is_same_addr (record->addr, ups->record.addr))
--- a/src/ups.h
+++ b/src/ups.h
@@ -140,6 +140,9 @@
 void ups_init (UpsTable *table, UcnCtx *ucn);
 void ups_clear (UpsTable *table);
 
+/** ups_is_older() - whether @a was made before @b: by their incarnations, then by their numbers. */
+bool ups_is_older (const UpsRecord *a, const UpsRecord *b);
+
 /**
  * ups_apply() - adds an upstream or updates it from its registration
  * @zone: index of the upstream's zone, or ZONE_NONE
--- a/tests/test_late_changes.cc
+++ b/tests/test_late_changes.cc
@@ -242,3 +242,22 @@
   std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
   EXPECT_EQ (Arrivals (0, 1), 0) << Logs ();
 }
+
+// Guards against a registration of before an upstream's report that it drains, whose write the
+// store executes right after that of the report: a watch tells of both together.
+TEST_F (LateChanges, LateWriteDoesNotHideThatAnUpstreamDrains)
+{
+  Register (0, "ready", 5);
+  Register (1, "draining", 5);
+  std::this_thread::sleep_for (1000ms);
+  MakeChange ();
+  std::this_thread::sleep_for (30ms);
+  Register (0, "draining", 6);
+  Register (0, "ready", 5);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
+  // Its list shows the late write alone.
+  ASSERT_TRUE (StartNode ("east-a").WaitReady (5000));
+  std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
+  EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
+}
--- a/tests/test_pkv.cc
+++ b/tests/test_pkv.cc
@@ -81,6 +81,20 @@
   EXPECT_FALSE (KeepsUpstream (Registration ("ready"), "{}"));
 }
 
+// The number stands within "born", as both are plain members of the registration.
+TEST (LateRegistration, IsTheOneWithTheLowerNumberOfAnIncarnation)
+{
+  std::string text = Registration ("draining", "1000,\"seq\":6");
+  Obj known = Known (text);
+  auto precedes = [&] (const std::string &born_and_number) {
+    return pkv_precedes_upstream (&known, Registration ("ready", born_and_number).c_str ());
+  };
+  EXPECT_TRUE (precedes ("1000,\"seq\":5"));
+  EXPECT_FALSE (precedes ("1000,\"seq\":7"));
+  EXPECT_FALSE (precedes ("2000,\"seq\":1"));
+  EXPECT_FALSE (pkv_precedes_upstream (&known, "{}"));
+}
+
 TEST (KeptEvacuation, StaysThatTheCopyLacksAndReturnsThatItHas)
 {
   Obj known = Known ("{}");
--- a/tests/test_pob.cc
+++ b/tests/test_pob.cc
@@ -110,6 +110,21 @@
   EXPECT_EQ (At (1)->revision, 8u);
 }
 
+// Followed by a late write, a value is known from the events alone; a deletion would hide that
+// write.
+TEST_F (Pob, ValuesThatLaterEventsReplaceAreSetAside)
+{
+  ASSERT_TRUE (ParseEvents ("{\"events\":[{\"object\":" + Object ("a", 3, "{}") + "},{\"object\":"
+                            + Object ("a", 4, "{}") + "},{\"object\":" + Object ("a", 4, "{}")
+                            + ",\"deleted\":true},{\"object\":" + Object ("a", 6, "{}")
+                            + "}],\"as-of\":8}"));
+  ASSERT_EQ (response_.objects->len, 1u);
+  EXPECT_EQ (At (0)->revision, 6u);
+  ASSERT_EQ (response_.superseded->len, 2u);
+  EXPECT_EQ (((PobObject *) g_ptr_array_index (response_.superseded, 0))->revision, 4u);
+  EXPECT_EQ (((PobObject *) g_ptr_array_index (response_.superseded, 1))->revision, 3u);
+}
+
 // A list that is cut must not pass as complete: what it lacks would count as deleted.
 TEST_F (Pob, ResponseThatCannotBeDividedIsRejected)
 {
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -5,6 +5,7 @@
 #include "rep.h"
 }
 
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -200,4 +201,23 @@
   Pos raised = kind_->newest;
   rep_raise_kept (kind_);
   EXPECT_EQ (kind_->newest, raised);
+// A write that the store executes late must not hide the newer value, with or without eras.
+TEST_F (RepTest, LateWriteOfAnEarlierValueIsNotTaken)
+{
+  kind_->precedes
+      = [] (const Obj *known, const char *value) { return strcmp (value, known->value) < 0; };
+  for (uint64_t era = 0; era < 2; era++)
+    {
+      rep_apply (&rep_, kind_, "a", pos_make (era, 4), false, "5");
+      rep_apply (&rep_, kind_, "a", pos_make (era, 5), false, "6");
+      changes.clear ();
+      rep_apply (&rep_, kind_, "a", pos_make (era, 6), false, "5");
+      EXPECT_EQ (changes, "");
+      EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "6");
+      EXPECT_GE (kind_->newest, pos_make (era, 6)); // so that peers take it over
+      rep_apply (&rep_, kind_, "a", pos_make (era, 7), false, "7");
+      EXPECT_STREQ (obj_get (&kind_->table, "a")->value, "7");
+      rep_apply (&rep_, kind_, "a", pos_make (era, 8), true, nullptr);
+      EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
+    }
 }
