DRAIN: a late write doesn't bring back an upstream that drained and left

What callers saw: requests went to an upstream that had reported draining and whose registration had been removed, after the store executed an earlier write of that registration.

Cause: what a node knew of the upstream, its number and that it drained, was dropped with the registration.

Why the fix works: an incarnation that drained and is removed stays marked as leaving, as one that said so in a response does already; another start of the upstream isn't. The mark is one of a ring of the latest departures.

--- a/src/ups.c
+++ b/src/ups.c
@@ -116,11 +116,13 @@
 static void
 save_feedback (UpsTable *table, const Ups *ups)
 {
-  if (ups->record.born_ms == 0 || (!ups->leaving && ups->paused_until_ms == 0))
+  bool leaves = ups->leaving || ups->record.draining;
+
+  if (ups->record.born_ms == 0 || (!leaves && ups->paused_until_ms == 0))
     return;
   table->departed[table->departed_next] = (UpsDeparted){ .hash = ups->hash,
                                                          .incarnation = ups_incarnation (ups),
-                                                         .leaving = ups->leaving,
+                                                         .leaving = leaves,
                                                          .paused_until_ms = ups->paused_until_ms };
   table->departed_next = (table->departed_next + 1) % UPS_DEPARTED_MAX;
 }
--- a/tests/test_late_changes.cc
+++ b/tests/test_late_changes.cc
@@ -261,3 +261,16 @@
   std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
   EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
 }
+
+// Guards against a late write that registers again an upstream that drained and left.
+TEST_F (LateChanges, LateWriteDoesNotBringBackAnUpstreamThatLeft)
+{
+  Register (0, "draining", 6);
+  Register (1, "draining", 6);
+  std::this_thread::sleep_for (1000ms);
+  store_.Delete ("servers", upstreams_[0]->id ());
+  std::this_thread::sleep_for (300ms);
+  Register (0, "ready", 5);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
+}
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -128,6 +128,20 @@
   EXPECT_EQ (ups_get (&table_, "a"), nullptr);
 }
 
+// A registration of before that is written late doesn't make it usable; another start does.
+TEST_F (UpsTest, UpstreamThatDrainedAndLeftIsLeavingUntilItStartsAnew)
+{
+  UpsRecord record = Record ("a", 100, 6);
+  record.draining = true;
+  Add (record);
+  ups_remove (&table_, "a");
+  EXPECT_TRUE (Add (Record ("a", 100, 5))->leaving);
+  ups_remove (&table_, "a");
+  EXPECT_FALSE (Add (Record ("a", 200, 1))->leaving);
+  ups_remove (&table_, "a");
+  EXPECT_FALSE (Add (Record ("a", 200, 2))->leaving);
+}
+
 TEST_F (UpsTest, NewIncarnationForgetsLearnedCapacity)
 {
   Ups *ups = Add (Record ("a"));
