DRAIN: of two registrations under one number, the one that says that its upstream drains counts

What callers saw: requests went to an upstream whose report that it drains was followed by a registration as ready under the same number, as two writes that were made beside each other may be.

Cause: of registrations with equal numbers the last written one counted.

Only where the registration states its start, as the number alone can't tell another start.

--- a/src/ups.c
+++ b/src/ups.c
@@ -180,7 +180,9 @@
 {
   if (a->born_ms != b->born_ms)
     return a->born_ms < b->born_ms;
-  return a->sequence < b->sequence;
+  if (a->sequence != b->sequence || a->born_ms == 0)
+    return a->sequence < b->sequence;
+  return b->draining && !a->draining;
 }
 
 bool
--- a/src/ups.h
+++ b/src/ups.h
@@ -140,7 +140,8 @@
 void ups_init (UpsTable *table, UcnCtx *ucn);
 void ups_clear (UpsTable *table);
 
-/** ups_is_older() - whether @a was made before @b: by their incarnations, then by their numbers. */
+/** ups_is_older() - whether @a was made before @b: by their incarnations, then by their numbers.
+ * Under one number, the one that drains is the later one where incarnations can be told apart. */
 bool ups_is_older (const UpsRecord *a, const UpsRecord *b);
 
 /**
--- a/tests/test_late_changes.cc
+++ b/tests/test_late_changes.cc
@@ -274,3 +274,15 @@
   std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
   EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
 }
+
+// Guards against two writes of an upstream under the same number, of which the one that says that
+// it drains is the first.
+TEST_F (LateChanges, ReadyUnderTheNumberOfTheReportDoesNotHideThatAnUpstreamDrains)
+{
+  Register (0, "draining", 6);
+  Register (1, "draining", 6);
+  std::this_thread::sleep_for (300ms);
+  Register (0, "ready", 6);
+  std::this_thread::sleep_for (std::chrono::milliseconds (kApplyMs));
+  EXPECT_EQ (Arrivals (0, 0), 0) << Logs ();
+}
--- a/tests/test_ups.cc
+++ b/tests/test_ups.cc
@@ -69,6 +69,21 @@
   EXPECT_FALSE (ups_apply (&table_, &old, 0, 1000));
 }
 
+// Of two registrations under one number, the one that says that it drains counts.
+TEST_F (UpsTest, DrainingCountsAmongRegistrationsOfTheSameNumber)
+{
+  UpsRecord draining = Record ("a", 100, 5);
+  draining.draining = true;
+  UpsRecord ready = Record ("a", 100, 5);
+  Ups *ups = Add (ready);
+  EXPECT_TRUE (ups_apply (&table_, &draining, 0, 1000));
+  EXPECT_FALSE (ups_apply (&table_, &ready, 0, 1000));
+  EXPECT_TRUE (ups->record.draining);
+  ready.sequence = 6;
+  EXPECT_TRUE (ups_apply (&table_, &ready, 0, 1000));
+  EXPECT_FALSE (ups->record.draining);
+}
+
 TEST_F (UpsTest, NewStartOrAddressIsAnotherIncarnation)
 {
   Ups *ups = Add (Record ("a", 100));
