DRAIN: a node that starts during the store's return keeps no object that the store lost

What callers saw: a node that started while the store returned from a copy could keep an upstream that only the earlier era had, until its restart; as no peer has a deletion of it, nothing took it away again.

Cause: a node that starts asks peers and the store at once. A peer that hadn't noticed the return answered with objects of the earlier era, and the answer arrived after the store's list of the later one.

Not seen with real processes, not tried there.

Why the fix works: a complete list tells all that an era has. Once a kind was listed in it, objects, updates and positions of earlier eras are ignored; what peers keep has a position in the later era.

A reply to a fetch without objects no longer passes a null pointer to memcpy().

--- a/src/rep.c
+++ b/src/rep.c
@@ -68,6 +68,12 @@
   return era;
 }
 
+bool
+rep_is_superseded (const RepKind *kind, Pos position)
+{
+  return pos_era (position) < pos_era (kind->listed);
+}
+
 static bool
 is_of_later_era (const Obj *known, Pos position)
 {
@@ -132,6 +138,11 @@
   bool is_kept = is_later_era && !deleted && kind->keeps != NULL
                  && pos_may_be_copied (position, known->revision) && kind->keeps (known, value);
 
+  if (rep_is_superseded (kind, position))
+    {
+      g_free (value);
+      return;
+    }
   if (is_kept_since_removal (known, position, deleted))
     {
       g_free (value);
@@ -216,4 +227,5 @@
         keep_object (kind, obj, position);
     }
   g_ptr_array_unref (unlisted);
+  kind->listed = MAX (kind->listed, position);
 }
--- a/src/rep.h
+++ b/src/rep.h
@@ -23,6 +23,7 @@
  *   late and the known one stays; NULL if the store's order always counts
  * @newest: position of the newest change known
  * @kept: number of objects that may have the position of a kept value; 0 for none
+ * @listed: position of the last complete list of the store; 0 for none
  * @pushed: position up to which changes were pushed to other nodes; 0 before the first push
  * @behind_since_ms: when a peer first reported a newer position; 0 when up to date
  * @fetch_started_at_ms: when the fetch in progress started; 0 when there is none
@@ -38,6 +39,7 @@
   RepKeepsFn precedes;
   Pos newest;
   uint32_t kept;
+  Pos listed;
   Pos pushed;
   uint64_t behind_since_ms;
   uint64_t fetch_started_at_ms;
@@ -64,11 +66,16 @@
 /** rep_find_kind() - the objects of a kind; NULL when there is none of that name. */
 RepKind *rep_find_kind (const Rep *rep, const char *name);
 
+/** rep_is_superseded() - whether the store was listed in a later era than that of @position: what
+ * was known then is known, listed, or gone. */
+bool rep_is_superseded (const RepKind *kind, Pos position);
+
 /** rep_era() - the newest era of the store of which a change is known; 0 for none. */
 uint64_t rep_era (const Rep *rep);
 
 /**
- * rep_apply() - applies a change unless the same or a newer position of that object is known
+ * rep_apply() - applies a change unless the same or a newer position of that object is known, or a
+ * list of a later era
  *
  * A value of a later era may be one that the older copy had. If @keeps of the kind says so, the
  * known value or tombstone stays instead, at the position of a kept value. So does a known value
--- a/src/upd.c
+++ b/src/upd.c
@@ -112,6 +112,12 @@
   return kind->fetch_started_at_ms != 0 && now_ms - kind->fetch_started_at_ms < UPD_FETCH_RETRY_MS;
 }
 
+static bool
+is_newer (const RepKind *kind, Pos position)
+{
+  return position > kind->newest && !rep_is_superseded (kind, position);
+}
+
 /* The delay leaves time for a pushed update to arrive, or for the node's own watch of the store to
  * report the change; only what is still missing after it is fetched. */
 void
@@ -124,7 +130,7 @@
   for (u_int i = 0; i < count; i++)
     {
       RepKind *kind = rep_find_kind (&per->rep, revisions[i].kind);
-      if (kind == NULL || revisions[i].revision <= kind->newest || is_fetching (kind, now_ms))
+      if (kind == NULL || !is_newer (kind, revisions[i].revision) || is_fetching (kind, now_ms))
         continue;
       if (kind->behind_since_ms == 0)
         kind->behind_since_ms = now_ms;
@@ -147,7 +153,8 @@
   reply->too_large = kind != NULL && kind->newest > args->since && reply->revision == args->since;
   reply->objects.objects_len = objects->len;
   reply->objects.objects_val = malloc (MAX (objects->len, 1) * sizeof (peer_object));
-  memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
+  if (objects->len > 0)
+    memcpy (reply->objects.objects_val, objects->data, objects->len * sizeof (peer_object));
   g_array_unref (objects);
 }
 
@@ -274,7 +281,7 @@
   RepKind *kind = rep_find_kind (&per->rep, update->kind);
 
   per_defer_removal (per, update->removal_defer_ms, now_ms);
-  if (kind == NULL || update->revision <= kind->newest)
+  if (kind == NULL || !is_newer (kind, update->revision))
     return;
   if (update->has_objects && update->since <= kind->newest)
     {
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -81,6 +81,7 @@
           sync.kind->keeps = kind.keeps;
           sync.listed = sync.watching = true;
           sync.revision = store_.revision ();
+          sync.kind->listed = pos_make (store_.era (), sync.revision);
           for (const auto &[name, object] : store_.objects (kind.name))
             Apply (node.get (), &sync, name, object);
           node->syncs.push_back (sync);
@@ -315,7 +316,8 @@
     {
       obj_clear (&sync.kind->table);
       obj_init (&sync.kind->table);
-      sync.kind->newest = sync.kind->pushed = 0;
+      sync.kind->newest = sync.kind->pushed = sync.kind->listed = 0;
+      sync.kind->kept = 0;
       sync.listed = sync.watching = false;
     }
 }
--- a/tests/test_era.cc
+++ b/tests/test_era.cc
@@ -401,6 +401,26 @@
   ExpectNothingComesBack (late, [&] { fleet.node (late).drops_incoming = false; });
 }
 
+// A node that starts asks peers and the store at once: what a peer sends that hasn't noticed the
+// return may arrive after the store's list.
+TEST_P (Era, NodeThatStartsDuringTheReturnIsRight)
+{
+  uint32_t attempts = GetParam () <= 30 ? 24 : 1;
+  for (uint32_t attempt = 0; attempt < attempts; attempt++)
+    {
+      era_ = std::make_unique<EraFleet> (GetParam (), kFirstEra, kSeed + attempt);
+      Fleet &fleet = era_->fleet;
+      uint32_t late = LateNode ();
+      fleet.node (late).alive = false;
+      Start ();
+      era_->WriteWhatGetsLost ();
+      fleet.StartNode (late);
+      fleet.Run (50 + attempt % 6 * 25);
+      era_->store ().Return ();
+      EXPECT_LE (era_->TimeUntilRight (), kCaughtUpMaxMs) << "attempt " << attempt;
+    }
+}
+
 TEST_P (Era, TwoReturnsInSeries)
 {
   Start ();
@@ -418,6 +438,32 @@
   EXPECT_LE (era_->TimeUntilRight (), kUpdateMaxMs);
 }
 
+// An upstream that drains would get requests again from a node that starts after the return.
+TEST_P (Era, KeptValueReachesANodeThatStartsLaterAndYieldsToTheNextWrite)
+{
+  Fleet &fleet = era_->fleet;
+  uint32_t late = LateNode ();
+  fleet.node (late).alive = false;
+  Start ();
+  era_->WriteWhatGetsLost ();
+  era_->store ().Return ();
+  EXPECT_LE (era_->TimeUntilRight (), kCaughtUpMaxMs);
+  fleet.Run (kCaughtUpMaxMs);
+  era_->store ().Write ("servers", "up-3", Server ("ready, after"));
+  fleet.Run (kCaughtUpMaxMs);
+  fleet.StartNode (late);
+  EXPECT_LE (era_->TimeUntilRight (), kCaughtUpMaxMs);
+
+  era_->kept.clear ();
+  era_->store ().Write ("servers", "up-1", Server ("ready"));
+  era_->store ().Write ("servers", "up-2", Server ("ready"));
+  era_->store ().Write ("configs", "config-0", Config (1));
+  era_->store ().Write ("evacuations", "zone-1", "{}");
+  EXPECT_LE (era_->TimeUntilRight (), kUpdateMaxMs);
+  era_->store ().Delete ("evacuations", "zone-1");
+  EXPECT_LE (era_->TimeUntilRight (), kUpdateMaxMs);
+}
+
 // Nodes of an earlier version report revisions without an era, larger ones than those after the
 // return.
 TEST_P (Era, NodesOfAnEarlierVersionAreNeitherNewerNorAnError)
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -140,6 +140,18 @@
   EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
 }
 
+// A peer that hasn't noticed the return would bring back an object that the store lost.
+TEST_F (RepTest, ObjectOfAnEarlierEraIsIgnoredAfterAList)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  rep_reconcile (&rep_, kind_, listed, pos_make (2, 40));
+  g_hash_table_unref (listed);
+  rep_apply (&rep_, kind_, "a", pos_make (1, 60), false, "lost");
+  EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
+  rep_apply (&rep_, kind_, "a", pos_make (2, 39), false, "listed");
+  EXPECT_NE (obj_get (&kind_->table, "a"), nullptr);
+}
+
 TEST_F (RepTest, ObjectThatALaterErasListLacksIsDeletedUnlessKept)
 {
   GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
@@ -201,6 +213,8 @@
   Pos raised = kind_->newest;
   rep_raise_kept (kind_);
   EXPECT_EQ (kind_->newest, raised);
+}
+
 // A write that the store executes late must not hide the newer value, with or without eras.
 TEST_F (RepTest, LateWriteOfAnEarlierValueIsNotTaken)
 {
