Soak: the store returns from an older copy, and the watches of one kind get no response

Both faults come in series beside the others (store outage, restarts, kills, freezes), on every third seed two returns in a row; up to 59 further revisions are lost and given out again, and the operator and the upstreams write again within 1 s, in a random order. Upstreams leave and start anew and a zone is evacuated, so that there are more changes to lose; each kind is absent from one seed of seven, seed 1 has all. Six upstreams instead of four, as some leave at any time. After the last fault 8 s follow in which the other events go on.

New checks, bounds from the requirements: a configuration and an upstream's leaving in force 2.5 s after the acknowledgement, an evacuation after 5 s, what a node couldn't hear of 4 s after it ran and reached the store again, and then through all later faults; a process never goes back behind a version that it served. Excused alone: a node that was restarted beside a fault of the store, until 4 s after both. A return counts as a fault of the store until all is written again; a silent watch excuses nothing. The earlier checks and bounds are unchanged.

--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -1,13 +1,16 @@
 // Several nodes under random faults: killed, suspended and terminated processes, a store and an
 // upstream behind fault proxies, lost responses, removed upstreams. Beside the faults, an API key
-// is removed and added again, an account exceeds its quota, and upstreams announce their shutdown
-// or ask for a pause; the seed decides which of these take place. CARDAMOM_SOAK_SEED sets the seed,
-// CARDAMOM_SOAK_S the duration in seconds.
+// is removed and added again, an account exceeds its quota, upstreams announce their shutdown, ask
+// for a pause, or leave and start anew, a zone is evacuated, the store returns from an older copy,
+// and the watches of one kind get no response; the seed decides which of these take place.
+// CARDAMOM_SOAK_SEED sets the seed, CARDAMOM_SOAK_S the duration in seconds; a failed run leaves
+// its nodes' logs and the times of the events in the folder CARDAMOM_SOAK_LOGS, if set.
 #include "fakes.h"
 
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <optional>
 #include <random>
@@ -71,12 +74,30 @@
 
 constexpr int kNodes = 3;
 constexpr int kStore = -1; // In Fault::node: all nodes are cut off from the store.
-constexpr int kUpstreamsMax = 8;
+constexpr int kUpstreams = 6;
+constexpr int kUpstreamsMax = 10;
 // A configuration is in force, and a shutdown notice takes effect, within this time.
 constexpr int kInForceMs = 3000;
+// Nodes that run and reach the store have a configuration or the leaving of an upstream in force
+// within kApplyMs of the store's acknowledgement, an evacuation within kEvacuateMs, and what they
+// couldn't hear of within kCatchUpMs of when they run and reach the store again. A version that a
+// node showed to be in force is so for requests sent kBackMs later.
+constexpr int kCatchUpMs = 4000;
+constexpr int kApplyMs = 2500;
+constexpr int kEvacuateMs = 5000;
+constexpr int kBackMs = 250;
+const char *const kEvacuatedZone = "west-a";
+constexpr int kAwayMs = 800; // before the store returns from a copy
+constexpr int kLostChangesMax = 60;
+constexpr int kRewriteMs = 1000; // what the copy lacks is written again within this
+// After the last fault of nodes and of the store, while other events go on.
+constexpr int kCalmMs = 8000;
+constexpr int kReturnsInSeriesMs = 300; // between two returns in series
 // Time for requests in transit when an upstream asks for a pause.
 constexpr int kTransitMs = 500;
 constexpr size_t kSendsDuringPauseMax = 2;
+constexpr int kFirstVersion = 12;
+constexpr int kVersionStep = 2;
 constexpr int kHotRate = 20;
 constexpr int kHotBurst = 20;
 constexpr int kHotFactor = 5;
@@ -97,7 +118,8 @@
   return upstream % 2 == 0 ? "east-a" : "west-a";
 }
 
-// A request of a caller. `notice`: number of the shutdown notice in its response, -1 for none.
+// A request of a caller. `notice`: number of the shutdown notice in its response, -1 for none;
+// `version`: of the configuration that alone has its route, 0 for a route of all versions.
 struct Call
 {
   int node;
@@ -106,6 +128,7 @@
   int status = 0;
   bool uses_rotated_key = false;
   int notice = -1;
+  int version = 0;
 };
 
 struct Arrival
@@ -140,12 +163,30 @@
   int acknowledged_ms;
 };
 
-// A restart or a freeze of a node, or an outage of the store.
+struct Version
+{
+  int number;
+  int put_ms;
+  int acknowledged_ms;
+};
+
+// The time in which an upstream drains or has left, or a zone is evacuated.
+struct Withdrawal
+{
+  int upstream; // -1 for the zone
+  int put_ms;
+  int acknowledged_ms;
+  int end_ms = INT32_MAX;
+};
+
+// A restart or a freeze of a node, or an outage of the store. The return of the store from a copy
+// lasts until all that the copy lacked has been written again.
 struct Fault
 {
   int node;
   int start_ms;
   int end_ms;
+  bool is_restart = false;
 };
 
 // What callers, upstreams and the injection of faults recorded.
@@ -158,6 +199,9 @@
   std::vector<Pause> pauses;
   std::vector<Notice> notices;
   std::vector<KeyChange> key_changes;
+  std::vector<Version> versions;
+  std::vector<Withdrawal> leaves;
+  std::vector<Withdrawal> evacuations;
   std::vector<Fault> faults;
 };
 
@@ -169,15 +213,79 @@
   });
 }
 
+// The node and those that may relay its requests to the upstream.
+std::vector<int>
+PathNodes (int node, int upstream)
+{
+  std::vector<int> nodes = { node };
+  for (int relay = 0; relay < kNodes; relay++)
+    if (ZoneOfNode (relay) == ZoneOfUpstream (upstream) && ZoneOfNode (node) != ZoneOfNode (relay))
+      nodes.push_back (relay);
+  return nodes;
+}
+
 // The node, or one that may relay its requests to the upstream, was restarted or frozen.
 bool
 IsPathAffected (const Records &records, int node, int upstream, int from_ms, int to_ms)
 {
-  bool affected = IsAffected (records, node, from_ms, to_ms);
-  for (int relay = 0; relay < kNodes; relay++)
-    if (ZoneOfNode (relay) == ZoneOfUpstream (upstream) && ZoneOfNode (node) != ZoneOfNode (relay))
-      affected = affected || IsAffected (records, relay, from_ms, to_ms);
-  return affected;
+  std::vector<int> path = PathNodes (node, upstream);
+  return std::any_of (path.begin (), path.end (),
+                      [&] (int on_path) { return IsAffected (records, on_path, from_ms, to_ms); });
+}
+
+bool
+WasRestarted (const Records &records, int node, int from_ms, int to_ms)
+{
+  return std::any_of (records.faults.begin (), records.faults.end (), [&] (const Fault &fault) {
+    return fault.node == node && fault.is_restart && fault.start_ms <= to_ms
+           && fault.end_ms >= from_ms;
+  });
+}
+
+// Whether the node was restarted while the store was away or had just returned, so that neither it
+// nor the store may have known by `at_ms` what was acknowledged before.
+bool
+StartedWithoutStore (const Records &records, int node, int at_ms)
+{
+  for (const Fault &restart : records.faults)
+    {
+      if (restart.node != node || !restart.is_restart || restart.start_ms > at_ms)
+        continue;
+      int until_ms = restart.end_ms + kCatchUpMs;
+      bool met_store = false;
+      // Faults of the store overlap, so that each may lengthen the time for one before it.
+      for (size_t pass = 0; pass < records.faults.size (); pass++)
+        for (const Fault &fault : records.faults)
+          if (fault.node == kStore && fault.start_ms <= until_ms
+              && fault.end_ms >= restart.start_ms)
+            {
+              met_store = true;
+              until_ms = std::max (until_ms, fault.end_ms + kCatchUpMs);
+            }
+      if (met_store && at_ms <= until_ms)
+        return true;
+    }
+  return false;
+}
+
+// When a change is in force on a node that ran and reached the store meanwhile, or has done so for
+// kCatchUpMs again. It stays in force through all later faults.
+int
+DueMs (const Records &records, int put_ms, int acknowledged_ms, int apply_ms, int node)
+{
+  int due_ms = acknowledged_ms + apply_ms;
+  for (bool is_longer = true; is_longer;)
+    {
+      is_longer = false;
+      for (const Fault &fault : records.faults)
+        if ((fault.node == node || fault.node == kStore) && fault.start_ms < due_ms
+            && fault.end_ms > put_ms && fault.end_ms + kCatchUpMs > due_ms)
+          {
+            due_ms = fault.end_ms + kCatchUpMs;
+            is_longer = true;
+          }
+    }
+  return due_ms;
 }
 
 // Until when a change of the configuration must be in force on a node. During a fault that the
@@ -244,6 +352,161 @@
   return violations;
 }
 
+// Index of the version among those that were written.
+size_t
+VersionIndex (const Records &records, int number)
+{
+  auto found = std::find_if (records.versions.begin (), records.versions.end (),
+                             [&] (const Version &version) { return version.number == number; });
+  return static_cast<size_t> (found - records.versions.begin ());
+}
+
+// When the next version was written: the route of this one may be gone from then on.
+int
+ReplacedMs (const Records &records, size_t version)
+{
+  return version + 1 < records.versions.size () ? records.versions[version + 1].put_ms : INT32_MAX;
+}
+
+// The version that a request should have found in force; null if it may find an older one.
+const Version *
+DueVersion (const Records &records, size_t version, const Call &call)
+{
+  if (version >= records.versions.size ())
+    return nullptr;
+  const Version &due = records.versions[version];
+  bool is_due
+      = call.sent_ms > DueMs (records, due.put_ms, due.acknowledged_ms, kApplyMs, call.node);
+  return is_due && !StartedWithoutStore (records, call.node, call.replied_ms) ? &due : nullptr;
+}
+
+// Requests that nodes handled as only an older version of the configuration allows.
+std::vector<std::string>
+LateVersionViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  for (const auto &[id, call] : records.calls)
+    {
+      if (call.version == 0)
+        continue;
+      size_t index = VersionIndex (records, call.version);
+      const Version *due = nullptr;
+      if (call.status == 404 && call.replied_ms < ReplacedMs (records, index))
+        due = DueVersion (records, index, call);
+      else if (call.status == 200)
+        due = DueVersion (records, index + 1, call);
+      if (due != nullptr)
+        violations.push_back (id + " got " + std::to_string (call.status) + " for the route of "
+                              + std::to_string (call.version) + " from node "
+                              + std::to_string (call.node) + ", sent at "
+                              + std::to_string (call.sent_ms) + ", " + std::to_string (due->number)
+                              + " was acknowledged at " + std::to_string (due->acknowledged_ms));
+    }
+  return violations;
+}
+
+// Whether `call` was handled as only a version before that of `served` allows.
+bool
+IsOlder (const Records &records, const Call &call, const Call &served)
+{
+  if (call.status == 200)
+    return call.version < served.version;
+  return call.version == served.version
+         && call.replied_ms < ReplacedMs (records, VersionIndex (records, call.version));
+}
+
+// Adds requests, in the order in which they were sent to one node, that a process handled as only
+// an older version allows than the one that it had in force.
+void
+AddRevertedVersions (const Records &records, const std::vector<const Call *> &calls,
+                     std::vector<std::string> *violations)
+{
+  const Call *newest = nullptr;
+  for (const Call *call : calls)
+    {
+      if (newest != nullptr
+          && WasRestarted (records, call->node, newest->sent_ms, call->replied_ms))
+        newest = nullptr;
+      if (call->status == 200 && (newest == nullptr || call->version > newest->version))
+        newest = call;
+      else if (newest != nullptr && call->sent_ms >= newest->replied_ms + kBackMs
+               && IsOlder (records, *call, *newest))
+        violations->push_back ("node " + std::to_string (call->node) + " went back from "
+                               + std::to_string (newest->version) + ": "
+                               + std::to_string (call->status) + " for the route of "
+                               + std::to_string (call->version) + ", sent at "
+                               + std::to_string (call->sent_ms));
+    }
+}
+
+std::vector<std::string>
+RevertedVersionViolations (const Records &records)
+{
+  std::array<std::vector<const Call *>, kNodes> calls;
+  for (const auto &[id, call] : records.calls)
+    if (call.version != 0 && (call.status == 200 || call.status == 404))
+      calls[call.node].push_back (&call);
+  std::vector<std::string> violations;
+  for (auto &of_node : calls)
+    {
+      std::sort (of_node.begin (), of_node.end (),
+                 [] (const Call *a, const Call *b) { return a->sent_ms < b->sent_ms; });
+      AddRevertedVersions (records, of_node, &violations);
+    }
+  return violations;
+}
+
+// Adds requests that reached an upstream after a change that ought to keep them away, by nodes at
+// which it was due.
+void
+AddLateArrivals (const Records &records, const std::function<bool (int upstream)> &is_meant,
+                 const Withdrawal &change, int apply_ms, std::vector<std::string> *violations)
+{
+  std::array<int, kNodes> due_ms;
+  for (int node = 0; node < kNodes; node++)
+    due_ms[node] = DueMs (records, change.put_ms, change.acknowledged_ms, apply_ms, node);
+  for (const Arrival &arrival : records.arrivals)
+    {
+      auto call = records.calls.find (arrival.id);
+      if (call == records.calls.end () || !is_meant (arrival.upstream)
+          || arrival.at_ms >= change.end_ms)
+        continue;
+      std::vector<int> path = PathNodes (call->second.node, arrival.upstream);
+      if (std::any_of (path.begin (), path.end (), [&] (int node) {
+            return arrival.at_ms <= due_ms[node]
+                   || StartedWithoutStore (records, node, arrival.at_ms);
+          }))
+        continue;
+      violations->push_back (arrival.id + " reached upstream " + std::to_string (arrival.upstream)
+                             + " by node " + std::to_string (call->second.node) + " at "
+                             + std::to_string (arrival.at_ms) + ", sent at "
+                             + std::to_string (call->second.sent_ms) + ", acknowledged at "
+                             + std::to_string (change.acknowledged_ms));
+    }
+}
+
+std::vector<std::string>
+LeaveViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  for (const Withdrawal &leave : records.leaves)
+    AddLateArrivals (
+        records, [&] (int upstream) { return upstream == leave.upstream; }, leave, kApplyMs,
+        &violations);
+  return violations;
+}
+
+std::vector<std::string>
+EvacuationViolations (const Records &records)
+{
+  std::vector<std::string> violations;
+  for (const Withdrawal &evacuation : records.evacuations)
+    AddLateArrivals (
+        records, [&] (int upstream) { return ZoneOfUpstream (upstream) == kEvacuatedZone; },
+        evacuation, kEvacuateMs, &violations);
+  return violations;
+}
+
 // When each node first passed a response with the notice on to a caller; INT32_MAX for never.
 std::array<int, kNodes>
 PassedOnMs (const Records &records, int notice)
@@ -442,19 +705,56 @@
     upstreams_.reserve (kUpstreamsMax);
     store_proxy_ = std::make_unique<FaultProxy> (store_.address ());
     Configure (true);
-    for (int i = 0; i < 4; i++)
+    for (int i = 0; i < kUpstreams; i++)
       AddUpstream ();
     upstream_proxy_ = std::make_unique<FaultProxy> (upstreams_[0]->address ());
-    Register (0, "ready");
+    Register (0);
     for (int i = 0; i < kNodes; i++)
       {
+        int start_ms = NowMs ();
         nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (i), ZoneOfNode (i),
                                                          store_proxy_->address (), i + 1));
         ASSERT_TRUE (nodes_[i]->WaitReady (5000));
+        records_.faults.push_back ({ i, start_ms, NowMs (), true });
       }
   }
 
-  // Each kind of event is absent from one seed of five; seed 1, which CI uses, has all kinds.
+  void
+  TearDown () override
+  {
+    if (HasFailure () && getenv ("CARDAMOM_SOAK_LOGS") != nullptr)
+      WriteLogs (std::string (getenv ("CARDAMOM_SOAK_LOGS")) + "/soak-" + std::to_string (seed_));
+  }
+
+  void
+  WriteLogs (const std::string &prefix)
+  {
+    for (size_t i = 0; i < nodes_.size (); i++)
+      std::ofstream (prefix + "-vm-" + std::to_string (i) + ".log") << nodes_[i]->Log ();
+    std::ofstream events (prefix + "-events.log");
+    for (const Fault &fault : records_.faults)
+      events << fault.start_ms << " fault node=" << fault.node << " end=" << fault.end_ms
+             << " restart=" << fault.is_restart << "\n";
+    for (const Version &version : records_.versions)
+      events << version.put_ms << " version " << version.number
+             << " acknowledged=" << version.acknowledged_ms << "\n";
+    for (const KeyChange &change : records_.key_changes)
+      events << change.put_ms << " key removed=" << change.removed
+             << " acknowledged=" << change.acknowledged_ms << "\n";
+    for (const Withdrawal &leave : records_.leaves)
+      events << leave.acknowledged_ms << " leave upstream=" << leave.upstream
+             << " end=" << leave.end_ms << "\n";
+    for (const Withdrawal &evacuation : records_.evacuations)
+      events << evacuation.acknowledged_ms << " evacuation end=" << evacuation.end_ms << "\n";
+    for (const Notice &notice : records_.notices)
+      events << notice.start_ms << " notice upstream=" << notice.upstream
+             << " end=" << notice.end_ms << "\n";
+    for (const auto &[at_ms, what] : store_events_)
+      events << at_ms << " store " << what << "\n";
+  }
+
+  // Each kind of event is absent from one seed of five or seven; seed 1, which CI uses, has all
+  // kinds.
   void
   ChooseEvents ()
   {
@@ -462,23 +762,65 @@
     has_hot_account_ = seed_ % 5 != 3;
     has_notices_ = seed_ % 5 != 4;
     has_pauses_ = seed_ % 5 != 0;
+    has_leaves_ = seed_ % 7 != 2;
+    has_evacuations_ = seed_ % 7 != 3;
+    has_returns_ = seed_ % 7 != 4;
+    has_silences_ = seed_ % 7 != 5;
+    returns_twice_ = seed_ % 3 == 1;
+  }
+
+  // The store acknowledges a write of the operator or an upstream; without `spec` it removes the
+  // object, which is written again first if the store lost it. Waits while the store is away.
+  // Returns the time of the acknowledgement.
+  int
+  Write (const std::string &kind, const std::string &name, const std::optional<std::string> &spec)
+  {
+    std::lock_guard<std::mutex> lock (writes_mutex_);
+    std::optional<std::string> &last = written_[{ kind, name }];
+    bool is_lost = last.has_value () && store_.Text (kind, name).empty ();
+    if (!spec.has_value () && is_lost)
+      store_.Put (kind, name, *last);
+    last = spec;
+    WriteLast (kind, name);
+    return NowMs ();
   }
 
-  // Writes a new version of the configuration, with or without the rotated key, or as before.
+  // Brings the store's object to what was written last. The caller holds writes_mutex_.
+  void
+  WriteLast (const std::string &kind, const std::string &name)
+  {
+    const std::optional<std::string> &spec = written_[{ kind, name }];
+    if (spec.has_value ())
+      store_.Put (kind, name, *spec);
+    else if (!store_.Text (kind, name).empty ())
+      store_.Delete (kind, name);
+  }
+
+  // Writes a new version of the configuration, with or without the rotated key, or as before. Each
+  // version has a route of its own.
   void
   Configure (std::optional<bool> has_rotated_key = std::nullopt)
   {
     std::lock_guard<std::mutex> lock (configuration_mutex_);
     has_rotated_key_ = has_rotated_key.value_or (has_rotated_key_);
-    version_ += 2;
+    version_ += kVersionStep;
+    int put_ms = NowMs ();
     std::string keys = has_rotated_key_ ? "\"key-kept\",\"key-rotated\"" : "\"key-kept\"";
     std::string limit = ",\"rate-per-s\":" + std::to_string (kHotRate)
                         + ",\"burst\":" + std::to_string (kHotBurst);
-    store_.Put ("config", "main",
-                "{\"tenants\":{\"usual\":{\"api-keys\":[\"key-usual\"]},"
-                "\"rotating\":{\"api-keys\":["
-                    + keys + "]},\"hot\":{\"api-keys\":[\"key-hot\"]" + limit + "}},"
-                    + Configuration (version_).substr (1));
+    std::string name = "v" + std::to_string (version_);
+    std::string own_route = ",\"" + name + "\":{\"host\":\"host.example\",\"path-prefix\":\"/"
+                            + name
+                            + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,"
+                              "\"priority\":2,\"service\":\"desk\",\"attempts\":2}";
+    int acknowledged_ms = Write ("config", "main",
+                                 "{\"tenants\":{\"usual\":{\"api-keys\":[\"key-usual\"]},"
+                                 "\"rotating\":{\"api-keys\":["
+                                     + keys + "]},\"hot\":{\"api-keys\":[\"key-hot\"]" + limit
+                                     + "}}," + Configuration (version_, own_route).substr (1));
+    std::lock_guard<std::mutex> records_lock (records_.mutex);
+    records_.versions.push_back ({ version_, put_ms, acknowledged_ms });
+    acknowledged_version_ = version_;
   }
 
   void
@@ -491,13 +833,16 @@
       Respond (upstream, index, fd, request);
     });
     if (index > 0)
-      Register (index, "ready");
+      Register (index);
     upstream_count_ = index + 1;
   }
 
-  void
-  Register (int index, const std::string &state)
+  // Returns the time of the store's acknowledgement.
+  int
+  Register (int index)
   {
+    std::lock_guard<std::mutex> lock (registration_mutex_);
+    std::string state = drained_[index] || leaving_[index] ? "draining" : "ready";
     std::string record
         = upstreams_[index]->Record ("desk", ZoneOfUpstream (index), state,
                                      ",\"born\":" + std::to_string (incarnations_[index]));
@@ -506,7 +851,7 @@
         std::string own = upstreams_[0]->address ();
         record.replace (record.find (own), own.size (), upstream_proxy_->address ());
       }
-    store_.Put ("servers", upstreams_[index]->id (), record);
+    return Write ("servers", upstreams_[index]->id (), record);
   }
 
   // The response to a request during a pause.
@@ -568,11 +913,12 @@
   }
 
   void
-  RecordCall (const std::string &id, int node, int sent_ms, bool uses_rotated_key)
+  RecordCall (const std::string &id, int node, int sent_ms, bool uses_rotated_key, int version = 0)
   {
     std::lock_guard<std::mutex> lock (records_.mutex);
     Call call{ node, sent_ms };
     call.uses_rotated_key = uses_rotated_key;
+    call.version = version;
     records_.calls.emplace (id, call);
   }
 
@@ -606,6 +952,27 @@
       }
   }
 
+  // Sends requests to the route of the newest configuration, and some to that of the one before.
+  void
+  CallVersions (int node)
+  {
+    for (int i = 0; !ending_; i++)
+      {
+        std::string id = "v" + std::to_string (node) + "-" + std::to_string (i);
+        int version = acknowledged_version_ - (i % 4 == 3 ? kVersionStep : 0);
+        if (version >= kFirstVersion)
+          {
+            RecordCall (id, node, NowMs (), false, version);
+            RecordReply (id, nodes_[node]->Call ("GET", "/v" + std::to_string (version) + "/a",
+                                                 { { "X-Request-Id", id },
+                                                   { "X-Deadline-Ms", "1000" },
+                                                   { "Authorization", "Bearer key-usual" } },
+                                                 "", 1000));
+          }
+        std::this_thread::sleep_for (30ms);
+      }
+  }
+
   // The callers of the hot account together send five times its limit, to all nodes in turn.
   void
   CallOverQuota (int caller)
@@ -678,9 +1045,9 @@
         incarnations_[index]++;
         {
           std::lock_guard<std::mutex> lock (records_.mutex);
-          records_.notices[number].end_ms = NowMs ();
+          records_.notices[number].end_ms = std::min (records_.notices[number].end_ms, NowMs ());
         }
-        Register (index, drained_[index] ? "draining" : "ready");
+        Register (index);
       }
   }
 
@@ -697,6 +1064,166 @@
       }
   }
 
+  // Upstreams report that they drain, some are removed then, and they start anew under their ids.
+  void
+  LeaveAndReturn (std::mt19937 random)
+  {
+    while (!ending_)
+      {
+        SleepUnlessEnding (500 + static_cast<int> (random () % 1500));
+        int index = RandomUpstream (&random);
+        leaving_[index] = true;
+        size_t number;
+        int put_ms = NowMs ();
+        int acknowledged_ms = Register (index);
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          number = records_.leaves.size ();
+          records_.leaves.push_back ({ index, put_ms, acknowledged_ms });
+        }
+        SleepUnlessEnding (kApplyMs + static_cast<int> (random () % 3000));
+        if (random () % 2 == 0)
+          Write ("servers", upstreams_[index]->id (), std::nullopt);
+        SleepUnlessEnding (1000 + static_cast<int> (random () % 2000));
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          records_.leaves[number].end_ms = NowMs ();
+          // The new incarnation has announced nothing.
+          int notice = notice_[index].exchange (-1);
+          if (notice >= 0)
+            records_.notices[notice].end_ms = NowMs ();
+        }
+        leaving_[index] = false;
+        incarnations_[index]++;
+        Register (index);
+      }
+  }
+
+  void
+  EvacuateZone (std::mt19937 random)
+  {
+    while (!ending_)
+      {
+        SleepUnlessEnding (500 + static_cast<int> (random () % 2500));
+        int put_ms = NowMs ();
+        int acknowledged_ms = Write ("evacuations", kEvacuatedZone, "{}");
+        size_t number;
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          number = records_.evacuations.size ();
+          records_.evacuations.push_back ({ -1, put_ms, acknowledged_ms });
+        }
+        SleepUnlessEnding (kEvacuateMs + 2000 + static_cast<int> (random () % 2000));
+        {
+          std::lock_guard<std::mutex> lock (records_.mutex);
+          records_.evacuations[number].end_ms = NowMs ();
+        }
+        Write ("evacuations", kEvacuatedZone, std::nullopt);
+      }
+  }
+
+  using Written = std::map<std::pair<std::string, std::string>, std::optional<std::string>>;
+
+  void
+  RecordStoreEvent (const std::string &what)
+  {
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    store_events_.push_back ({ NowMs (), what });
+  }
+
+  // Takes the copy that the store may return to. Returns what had been written then.
+  Written
+  TakeCopy ()
+  {
+    std::lock_guard<std::mutex> lock (writes_mutex_);
+    store_.TakeCopy ();
+    RecordStoreEvent ("copied");
+    return written_;
+  }
+
+  // The store is away for a moment and returns from the copy. The operator and the upstreams write
+  // again what they wrote since, in a random order.
+  void
+  ReturnFromCopy (const Written &copied, std::mt19937 *random)
+  {
+    int start_ms = NowMs ();
+    std::vector<std::pair<std::string, std::string>> lost;
+    {
+      std::lock_guard<std::mutex> lock (writes_mutex_);
+      store_.SetMode (FakeStore::Mode::kClose);
+      std::this_thread::sleep_for (std::chrono::milliseconds (kAwayMs));
+      store_.Restore ();
+      for (const auto &[object, spec] : written_)
+        if (copied.count (object) == 0 || copied.at (object) != spec)
+          lost.push_back (object);
+      store_.SetMode (FakeStore::Mode::kUp);
+    }
+    RecordStoreEvent ("returned, " + std::to_string (lost.size ()) + " objects lost");
+    std::shuffle (lost.begin (), lost.end (), *random);
+    for (const auto &[kind, name] : lost)
+      {
+        std::this_thread::sleep_for (
+            std::chrono::milliseconds ((*random) () % (kRewriteMs / lost.size ())));
+        WriteAgain (kind, name);
+      }
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    records_.faults.push_back ({ kStore, start_ms, NowMs () });
+  }
+
+  void
+  WriteAgain (const std::string &kind, const std::string &name)
+  {
+    std::lock_guard<std::mutex> lock (writes_mutex_);
+    WriteLast (kind, name);
+    RecordStoreEvent ("wrote again " + kind + " " + name);
+  }
+
+  // Changes that concern nobody. The store gives their revisions out again after its return.
+  void
+  MakeChanges (int count)
+  {
+    for (int i = 0; i < count; i++)
+      Write ("servers", "filler", "{\"service\":\"other\",\"change\":" + std::to_string (i) + "}");
+  }
+
+  // Returns from copies, some in series, until the calm.
+  void
+  ReturnFromCopies (std::mt19937 random)
+  {
+    auto sleep = [&] (int least_ms, int most_ms) {
+      int duration_ms = least_ms + static_cast<int> (random () % (most_ms - least_ms));
+      return !WaitUntil (duration_ms, [this] { return calm_.load (); });
+    };
+    while (sleep (0, 2000))
+      {
+        Written copied = TakeCopy ();
+        MakeChanges (static_cast<int> (random () % kLostChangesMax));
+        if (!sleep (1500, 5500))
+          return;
+        ReturnFromCopy (copied, &random);
+        if (returns_twice_)
+          {
+            std::this_thread::sleep_for (std::chrono::milliseconds (kReturnsInSeriesMs));
+            ReturnFromCopy (copied, &random);
+          }
+        if (!sleep (5000, 10000))
+          return;
+      }
+  }
+
+  void
+  SilenceWatches (std::mt19937 random)
+  {
+    const std::array<const char *, 4> kinds = { "config", "servers", "nodes", "evacuations" };
+    while (!ending_)
+      {
+        SleepUnlessEnding (500 + static_cast<int> (random () % 3000));
+        const char *kind = kinds[random () % kinds.size ()];
+        store_.SilenceWatches (kind);
+        RecordStoreEvent (std::string ("silenced ") + kind);
+      }
+  }
+
   // Starts the threads of the kinds of events that this seed has.
   std::vector<std::thread>
   StartEvents ()
@@ -706,12 +1233,20 @@
       threads.emplace_back ([this, node] { CallWithRotatedKey (node); });
     for (int caller = 0; has_hot_account_ && caller < kHotCallers; caller++)
       threads.emplace_back ([this, caller] { CallOverQuota (caller); });
+    for (int node = 0; node < kNodes; node++)
+      threads.emplace_back ([this, node] { CallVersions (node); });
     if (changes_keys_)
       threads.emplace_back ([this] { ChangeKeys (std::mt19937 (seed_ + 1)); });
     if (has_notices_)
       threads.emplace_back ([this] { AnnounceShutdowns (std::mt19937 (seed_ + 2)); });
     if (has_pauses_)
       threads.emplace_back ([this] { AskForPauses (std::mt19937 (seed_ + 3)); });
+    if (has_leaves_)
+      threads.emplace_back ([this] { LeaveAndReturn (std::mt19937 (seed_ + 4)); });
+    if (has_evacuations_)
+      threads.emplace_back ([this] { EvacuateZone (std::mt19937 (seed_ + 5)); });
+    if (has_silences_)
+      threads.emplace_back ([this] { SilenceWatches (std::mt19937 (seed_ + 7)); });
     return threads;
   }
 
@@ -735,6 +1270,10 @@
       { "keys", KeyViolations (records_) },
       { "notices", NoticeViolations (records_) },
       { "pauses", PauseViolations (records_) },
+      { "versions in time", LateVersionViolations (records_) },
+      { "versions that went back", RevertedVersionViolations (records_) },
+      { "leaves", LeaveViolations (records_) },
+      { "evacuations", EvacuationViolations (records_) },
     };
     for (const auto &[name, violations] : checks)
       {
@@ -754,6 +1293,25 @@
             "(%zu say not run), %d hot requests ran in a window of %d ms, %d are allowed\n",
             seed_, records_.key_changes.size (), unauthorized, records_.notices.size (),
             records_.pauses.size (), not_run, hot, kQuotaWindowMs, kQuotaMax);
+    PrintCoverage ();
+  }
+
+  // How many requests the checks of versions covered.
+  void
+  PrintCoverage ()
+  {
+    size_t of_versions = 0;
+    size_t due = 0;
+    for (const auto &[id, call] : records_.calls)
+      if (call.version != 0)
+        {
+          of_versions++;
+          due += DueVersion (records_, VersionIndex (records_, call.version), call) != nullptr;
+        }
+    printf ("soak: seed %u, %zu versions, %zu of %zu requests when their version was due, %zu "
+            "leaves, %zu evacuations, %zu events of the store\n",
+            seed_, records_.versions.size (), due, of_versions, records_.leaves.size (),
+            records_.evacuations.size (), store_events_.size ());
   }
 
   void
@@ -794,6 +1352,7 @@
     int start_ms = NowMs ();
     NodeProcess &node = *nodes_[index];
     std::optional<int> affected;
+    bool is_restart = false;
     switch (random_ () % 8)
       {
       case 0:
@@ -801,12 +1360,14 @@
         node.WaitExit (2000);
         node.Start ();
         affected = index;
+        is_restart = true;
         break;
       case 1:
         node.Signal (SIGTERM);
         EXPECT_EQ (node.WaitExit (6500), 0) << "seed " << seed_ << "\n" << StopEvents (node);
         node.Start ();
         affected = index;
+        is_restart = true;
         break;
       case 2:
         node.Signal (SIGSTOP);
@@ -834,7 +1395,7 @@
       }
     std::lock_guard<std::mutex> lock (records_.mutex);
     if (affected.has_value ())
-      records_.faults.push_back ({ *affected, start_ms, NowMs () });
+      records_.faults.push_back ({ *affected, start_ms, NowMs (), is_restart });
   }
 
   // The lines of the node's log that tell how its stop went.
@@ -866,7 +1427,10 @@
     AddUpstream ();
     int drained = static_cast<int> (upstreams_.size ()) - 3;
     drained_[drained] = true;
-    Register (drained, "draining");
+    int put_ms = NowMs ();
+    int acknowledged_ms = Register (drained);
+    std::lock_guard<std::mutex> lock (records_.mutex);
+    records_.leaves.push_back ({ drained, put_ms, acknowledged_ms });
   }
 
   double
@@ -885,8 +1449,10 @@
   }
 
   unsigned seed_ = 0;
-  int version_ = 10;
+  int version_ = kFirstVersion - kVersionStep;
+  std::atomic<int> acknowledged_version_{ 0 };
   std::mt19937 random_;
+  std::atomic<bool> calm_{ false }; // no further faults of nodes and of the store
   std::atomic<bool> ending_{ false };
   std::atomic<unsigned> request_count_{ 0 };
   RequestLog request_log_;
@@ -895,12 +1461,22 @@
   bool has_hot_account_ = false;
   bool has_notices_ = false;
   bool has_pauses_ = false;
+  bool has_leaves_ = false;
+  bool has_evacuations_ = false;
+  bool has_returns_ = false;
+  bool has_silences_ = false;
+  bool returns_twice_ = false;
+  std::vector<std::pair<int, std::string>> store_events_;
+  std::mutex writes_mutex_;
+  Written written_; // what the operator and the upstreams wrote last, by kind and name
+  std::mutex registration_mutex_;
   std::mutex configuration_mutex_;
   bool has_rotated_key_ = true;
   std::atomic<int> upstream_count_{ 0 };
   // By index of the upstream.
   std::array<std::atomic<int>, kUpstreamsMax> incarnations_{};
   std::array<std::atomic<bool>, kUpstreamsMax> drained_{};
+  std::array<std::atomic<bool>, kUpstreamsMax> leaving_{};
   std::array<std::atomic<int>, kUpstreamsMax> notice_{};
   std::array<std::atomic<int>, kUpstreamsMax> pauses_until_ms_{};
   std::array<std::atomic<int>, kUpstreamsMax> pause_ms_{};
@@ -920,11 +1496,19 @@
   for (int i = 0; i < 6; i++)
     callers.emplace_back ([this, i] { CallUntilEnd (i); });
   std::vector<std::thread> events = StartEvents ();
+  std::thread returns ([this] {
+    if (has_returns_)
+      ReturnFromCopies (std::mt19937 (seed_ + 6));
+  });
   while (NowMs () < end_ms)
     {
       InjectFault ();
       std::this_thread::sleep_for (300ms);
     }
+  calm_ = true;
+  returns.join ();
+  Configure ();
+  SleepUnlessEnding (kCalmMs);
   ending_ = true;
   for (std::thread &caller : callers)
     caller.join ();
