DRAIN, CONFIG: a stale list that contradicts what peers told is followed by a current one

What callers saw: with the positions of stale lists before all others of their era, a node that restarted while the store was away, and was taught by a peer that was behind, kept the older configuration 7 s after the store was back. That order alone can't tell a peer that is behind from a list of an earlier era.

Cause: the list's later write yielded to the peer's earlier one, and the watch went on behind the list.

Why the fix works: either order of the two shows the contradiction (in one era, the list that may be stale has the higher revision of an object); the kind is then listed again, current, which settles it both ways.

--- a/src/rep.c
+++ b/src/rep.c
@@ -130,6 +130,19 @@
   kind->newest = MAX (kind->newest, position);
 }
 
+/* Whether a list that may be stale has a later write of an object than another source of that era:
+ * either that source is behind, or the list is of an earlier era. */
+static bool
+is_contradiction (const Obj *known, Pos position)
+{
+  if (known == NULL || pos_era (known->revision) != pos_era (position)
+      || pos_is_stale (known->revision) == pos_is_stale (position))
+    return false;
+  Pos listed = pos_is_stale (position) ? position : known->revision;
+  Pos other = pos_is_stale (position) ? known->revision : position;
+  return pos_revision (listed) > pos_revision (other);
+}
+
 void
 rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value)
 {
@@ -138,6 +151,7 @@
   bool is_kept = is_later_era && !deleted && kind->keeps != NULL
                  && pos_may_be_copied (position, known->revision) && kind->keeps (known, value);
 
+  kind->is_doubtful = kind->is_doubtful || is_contradiction (known, position);
   if (rep_is_superseded (kind, position))
     {
       g_free (value);
--- a/src/rep.h
+++ b/src/rep.h
@@ -25,6 +25,8 @@
  * @kept: number of objects that may have the position of a kept value; 0 for none
  * @listed: position of the last complete list of the store; 0 for none
  * @pushed: position up to which changes were pushed to other nodes; 0 before the first push
+ * @is_doubtful: a list that may be stale and what was known otherwise contradict each other, so
+ * that the store has to be listed again
  * @behind_since_ms: when a peer first reported a newer position; 0 when up to date
  * @fetch_started_at_ms: when the fetch in progress started; 0 when there is none
  * @asked_at_ms: when the store was last asked for a large object; 0 for never
@@ -41,6 +43,7 @@
   uint32_t kept;
   Pos listed;
   Pos pushed;
+  bool is_doubtful;
   uint64_t behind_since_ms;
   uint64_t fetch_started_at_ms;
   uint64_t asked_at_ms;
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -235,3 +235,19 @@
       EXPECT_EQ (obj_get (&kind_->table, "a"), nullptr);
     }
 }
+
+// A list that may be stale is newer than a peer that is behind, or of an earlier era. Which of them
+// is right shows when the store is listed again.
+TEST_F (RepTest, StaleListThatIsLaterThanAPeerIsDoubtful)
+{
+  rep_apply (&rep_, kind_, "a", pos_make_stale (2, 30), false, "listed");
+  rep_apply (&rep_, kind_, "a", pos_make (2, 31), false, "later");
+  EXPECT_FALSE (kind_->is_doubtful);
+  rep_apply (&rep_, kind_, "b", pos_make_stale (2, 30), false, "listed");
+  rep_apply (&rep_, kind_, "b", pos_make (2, 20), false, "told");
+  EXPECT_TRUE (kind_->is_doubtful);
+  kind_->is_doubtful = false;
+  rep_apply (&rep_, kind_, "c", pos_make (2, 20), false, "told");
+  rep_apply (&rep_, kind_, "c", pos_make_stale (2, 30), false, "listed");
+  EXPECT_TRUE (kind_->is_doubtful);
+}
