--- a/src/pos.h
+++ b/src/pos.h
@@ -11,9 +11,8 @@
  * An era begins whenever the store returns from an older copy and gives revisions out again.
  * Positions compare as integers: by era, stale ones first, then by revision, then by distance. A
  * list that may be stale may show an earlier era than its response names, so that all that is known
- * otherwise of that era counts as newer. Without an era, as a
- * store that counts none and nodes of an earlier version report it, a position is the revision
- * itself, and less than any with an era.
+ * otherwise of that era counts as newer. Without an era, as a store that counts none and nodes of
+ * an earlier version report it, a position is the revision itself, and less than any with an era.
  *
  * A kept value is one of an earlier era that stays in force although the copy has an older one. Its
  * position lies behind that of the value in the copy and before that of any later change.
--- a/src/upd.c
+++ b/src/upd.c
@@ -244,9 +244,8 @@
 }
 
 /* The objects known when the node starts are not pushed, nor what it then fetches from others in
- * place of lists that may be stale. Changes that do not fit into
- * UPD_DATAGRAMS_MAX datagrams are announced by their revision alone, and the receivers fetch them.
- */
+ * place of lists that may be stale. Changes that do not fit into UPD_DATAGRAMS_MAX datagrams are
+ * announced by their position alone, and the receivers fetch them. */
 static void
 push_kind (Per *per, RepKind *kind, bool from_store, PerPeer *const *targets, uint32_t count)
 {
