DRAIN: what a stale list hides is found by nodes that watch, and by what peers know beside it

Cause: the others' knowledge came from stale lists, whose positions stand before all others of the era, so that the node that was behind, with older positions of the era proper, never asked for it; and an object that such a list lacks was taken over from the node behind, without a contradiction being noticed.

Why the fix works: a node that watches lists again, current, where its last list may be stale: others rely on what it knows. An object that the list lacks although it was written before counts as a contradiction too.

--- a/src/rep.c
+++ b/src/rep.c
@@ -130,12 +130,12 @@
   kind->newest = MAX (kind->newest, position);
 }
 
-/* Whether a list that may be stale has a later write of an object than another source of that era:
- * either that source is behind, or the list is of an earlier era. */
+/* Whether a list that may be stale had a later write of an object than another source of that era.
+ */
 static bool
-is_contradiction (const Obj *known, Pos position)
+is_listed_later (const Obj *known, Pos position)
 {
-  if (known == NULL || pos_era (known->revision) != pos_era (position)
+  if (pos_era (known->revision) != pos_era (position)
       || pos_is_stale (known->revision) == pos_is_stale (position))
     return false;
   Pos listed = pos_is_stale (position) ? position : known->revision;
@@ -143,6 +143,22 @@
   return pos_revision (listed) > pos_revision (other);
 }
 
+/* Whether a list that may be stale lacked an object that was written before it. */
+static bool
+is_unlisted (const RepKind *kind, Pos position, bool deleted)
+{
+  return !deleted && pos_is_stale (kind->listed) && !pos_is_stale (position)
+         && pos_era (position) == pos_era (kind->listed)
+         && pos_revision (position) <= pos_revision (kind->listed);
+}
+
+/* Either the other source is behind the list, or the list is of an earlier era. */
+static bool
+is_contradiction (const RepKind *kind, const Obj *known, Pos position, bool deleted)
+{
+  return known != NULL ? is_listed_later (known, position) : is_unlisted (kind, position, deleted);
+}
+
 void
 rep_take (Rep *rep, RepKind *kind, const char *name, Pos position, bool deleted, char *value)
 {
@@ -151,7 +167,7 @@
   bool is_kept = is_later_era && !deleted && kind->keeps != NULL
                  && pos_may_be_copied (position, known->revision) && kind->keeps (known, value);
 
-  kind->is_doubtful = kind->is_doubtful || is_contradiction (known, position);
+  kind->is_doubtful = kind->is_doubtful || is_contradiction (kind, known, position, deleted);
   if (rep_is_superseded (kind, position))
     {
       g_free (value);
--- a/tests/test_late_nodes.cc
+++ b/tests/test_late_nodes.cc
@@ -254,7 +254,7 @@
   ExpectInForce (int node, int from_ms, int back_from_ms = 0)
   {
     EXPECT_EQ (CountOld (node, from_ms), 0) << "vm-" << node + 1;
-    EXPECT_EQ (CountLeft (node, from_ms), 0) << "vm-" << node + 1;
+    EXPECT_EQ (CountLeft (node, from_ms), 0) << nodes_[node]->Log () << "vm-" << node + 1;
     EXPECT_EQ (CountRegressions (node, back_from_ms), 0) << "vm-" << node + 1;
     EXPECT_GT (CountServed (node, from_ms, "eight"), 0) << "vm-" << node + 1;
   }
--- a/tests/test_rep.cc
+++ b/tests/test_rep.cc
@@ -251,3 +251,22 @@
   rep_apply (&rep_, kind_, "c", pos_make_stale (2, 30), false, "listed");
   EXPECT_TRUE (kind_->is_doubtful);
 }
+
+// A peer that is behind has an upstream that was removed before the list.
+TEST_F (RepTest, ObjectThatAStaleListLacksIsDoubtful)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  rep_reconcile (&rep_, kind_, listed, pos_make_stale (2, 30));
+  rep_apply (&rep_, kind_, "a", pos_make (2, 31), false, "later");
+  EXPECT_FALSE (kind_->is_doubtful);
+  rep_apply (&rep_, kind_, "b", pos_make (2, 20), true, nullptr);
+  EXPECT_FALSE (kind_->is_doubtful);
+  rep_apply (&rep_, kind_, "c", pos_make (2, 20), false, "told");
+  EXPECT_TRUE (kind_->is_doubtful);
+  kind_->is_doubtful = false;
+  rep_reconcile (&rep_, kind_, listed, pos_make (2, 40));
+  EXPECT_EQ (obj_get (&kind_->table, "c"), nullptr);
+  rep_apply (&rep_, kind_, "d", pos_make (2, 39), false, "told");
+  EXPECT_FALSE (kind_->is_doubtful);
+  g_hash_table_unref (listed);
+}
