The test of the notice in a response's head counts what the node wrote, not what was read

Cause: a fault of the test. Eight requests start together. The stand-in of the upstream counts a request when one of its threads has read it, so a request that the node had written before it read the notice was counted after the test had seen the notice in the log.

The replacement waits until each of the eight requests has arrived at one of the two upstreams; no further one may reach the leaving one then. It also checks the node's own order: an upstream that got a request must have been chosen for it before the notice, and a withdrawn request mustn't have arrived.

SampledId moved from the tests of relays to the common stand-ins.

--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -95,6 +95,16 @@
   inet_pton (AF_INET, ip.c_str (), &addr.sin_addr);
   return addr;
 }
+
+// FNV-1a, by which nodes select the requests that they log.
+uint32_t
+Hash (const std::string &text)
+{
+  uint32_t hash = 2166136261u;
+  for (char c : text)
+    hash = (hash ^ static_cast<uint8_t> (c)) * 16777619u;
+  return hash;
+}
 }
 
 int
@@ -105,6 +115,14 @@
                                .count ());
 }
 
+std::string
+SampledId (const std::string &prefix)
+{
+  for (int i = 0;; i++)
+    if (Hash (prefix + std::to_string (i)) % 64 == 0)
+      return prefix + std::to_string (i);
+}
+
 bool
 WaitUntil (int timeout_ms, const std::function<bool ()> &condition)
 {
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -354,6 +354,9 @@
 // Polls the condition until it is true; false on timeout.
 bool WaitUntil (int timeout_ms, const std::function<bool ()> &condition);
 
+// An id that request sampling selects, so that its request is logged even without a failure.
+std::string SampledId (const std::string &prefix);
+
 // Configuration with one route of each kind (idempotent, non-idempotent, download) to service
 // "desk".
 std::string Configuration (int version, const std::string &more_routes = "",
--- a/tests/test_fbk.cc
+++ b/tests/test_fbk.cc
@@ -445,9 +445,13 @@
 INSTANTIATE_TEST_SUITE_P (Responses, Notice, ::testing::ValuesIn (kNotices),
                           [] (const auto &info) { return std::string (info.param.name); });
 
-// Guards against requests sent to a leaving upstream while a long body is still being received.
+// Guards against requests sent to a leaving upstream while a long body is still being received. A
+// request that the node wrote just before the notice may be read by the upstream after it, so all
+// of them are waited for, and the node's log tells which it chose the upstream for before.
 TEST_F (UpstreamFeedback, NoticeCountsFromTheHeadOfTheResponse)
 {
+  constexpr int kCallers = 8;
+  const std::string notice = "event=upstream_leaves upstream=up-1";
   Start ();
   first_.SetBehaviour ([this] (int fd, const Request &request) {
     std::string whole = first_.SignedResponse (request, "ok");
@@ -457,19 +461,33 @@
     WriteAll (fd, whole.substr (whole.size () - 1));
   });
   int before = first_.arrivals ();
+  int before_all = before + second_.arrivals ();
   std::atomic<int> complete{ 0 };
+  std::vector<std::string> ids;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 8; i++)
-    callers.emplace_back (
-        [&, i] { complete += Get (*nodes_[0], "slow" + std::to_string (i)).status == 200; });
-  EXPECT_TRUE (Logs (*nodes_[0], "event=upstream_leaves upstream=up-1", 800));
+  for (int i = 0; i < kCallers; i++)
+    ids.push_back (SampledId ("slow" + std::to_string (i) + "-"));
+  for (const std::string &id : ids)
+    callers.emplace_back ([&, id] { complete += Get (*nodes_[0], id).status == 200; });
+  EXPECT_TRUE (Logs (*nodes_[0], notice, 800));
+  EXPECT_TRUE (WaitUntil (
+      500, [&] { return first_.arrivals () + second_.arrivals () == before_all + kCallers; }));
   int at_notice = first_.arrivals ();
   EXPECT_GT (at_notice, before);
   Send (*nodes_[0], 20);
   EXPECT_EQ (first_.arrivals (), at_notice);
   for (std::thread &caller : callers)
     caller.join ();
-  EXPECT_EQ (complete, 8);
+  EXPECT_EQ (complete, kCallers);
+  std::string log = nodes_[0]->Log ();
+  for (const std::string &id : ids)
+    {
+      if (first_.runs (id) == 0)
+        continue;
+      EXPECT_LT (log.find ("event=request_sent id=" + id + " upstream=up-1 "), log.find (notice));
+      EXPECT_EQ (log.find ("event=request_withdrawn id=" + id + " upstream=up-1"),
+                 std::string::npos);
+    }
 }
 
 // Guards against a registration that lapses and comes back while the instance shuts down.
--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -18,24 +18,6 @@
   return { { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } };
 }
 
-uint32_t
-Hash (const std::string &text)
-{
-  uint32_t hash = 2166136261u;
-  for (char c : text)
-    hash = (hash ^ static_cast<uint8_t> (c)) * 16777619u;
-  return hash;
-}
-
-// An id that request sampling selects, so that its request is logged even without a failure.
-std::string
-SampledId (const std::string &prefix)
-{
-  for (int i = 0;; i++)
-    if (Hash (prefix + std::to_string (i)) % 64 == 0)
-      return prefix + std::to_string (i);
-}
-
 // Two nodes, in the regions east and west; the only upstream is in the west, so requests to the
 // eastern node go through the western one.
 class Relay : public ::testing::Test
