Tests: one fixture for nodes beside a store that changes

test_restore and test_late_changes had the same start, routes, requests and counts of arrivals in copies.

--- a/tests/test_late_changes.cc
+++ b/tests/test_late_changes.cc
@@ -1,9 +1,8 @@
 // Nodes in two regions while single calls to the platform's store lose their responses, or get them
 // late or from different moments.
-#include "fakes.h"
+#include "store_nodes.h"
 
 #include <csignal>
-#include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
 
@@ -14,27 +13,17 @@
 constexpr int kCatchUpMs = 4000; // a node that started is right after this
 constexpr int kRequests = 4;     // to each node
 
-std::string
-Route (const std::string &name)
-{
-  return ",\"" + name + "\":{\"host\":\"host.example\",\"path-prefix\":\"/" + name
-         + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
-           "\"service\":\"desk\",\"attempts\":2}";
-}
-
 // Three nodes, each with its own address of the store: two in region east, one in region west.
-class LateChanges : public testing::Test
+class LateChanges : public StoreNodes
 {
 protected:
   void
   SetUp () override
   {
     Configure (7);
+    StartUpstreams (kUpstreams);
     for (int i = 0; i < kUpstreams; i++)
-      {
-        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
-        Register (i);
-      }
+      Register (i);
     for (const char *zone : { "east-a", "east-b", "west-a" })
       StartNode (zone);
     for (const auto &node : nodes_)
@@ -46,17 +35,8 @@
   NodeProcess &
   StartNode (const std::string &zone)
   {
-    int number = (int) nodes_.size () + 1;
     addresses_.push_back (store_.AddAddress ());
-    nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (number), zone,
-                                                     addresses_.back (), number));
-    return *nodes_.back ();
-  }
-
-  void
-  Configure (int version, const std::string &more_routes = "")
-  {
-    store_.Put ("config", "main", Configuration (version, more_routes));
+    return StoreNodes::StartNode (zone, addresses_.back ());
   }
 
   void
@@ -69,27 +49,11 @@
                 record.substr (0, at) + "\"seq\":" + std::to_string (sequence) + "}");
   }
 
-  int
-  Status (NodeProcess &node, const std::string &path)
-  {
-    std::string id = "id-" + std::to_string (++requests_);
-    return node.Call ("GET", path, { { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } }).status;
-  }
-
   // Requests that upstreams `first` to `last` get of some that are sent to each node.
   int
   Arrivals (int first, int last)
   {
-    int before = 0;
-    int after = 0;
-    for (int i = first; i <= last; i++)
-      before += upstreams_[i]->arrivals ();
-    for (const auto &node : nodes_)
-      for (int i = 0; i < kRequests; i++)
-        Status (*node, "/read/" + std::to_string (i));
-    for (int i = first; i <= last; i++)
-      after += upstreams_[i]->arrivals ();
-    return after - before;
+    return StoreNodes::Arrivals (first, last, kRequests);
   }
 
   // A change that concerns nobody.
@@ -112,20 +76,7 @@
     EXPECT_EQ (Arrivals (0, 1), 0) << what << "\n" << Logs ();
   }
 
-  std::string
-  Logs () const
-  {
-    std::string text;
-    for (const auto &node : nodes_)
-      text += node->Log () + "\n";
-    return text;
-  }
-
-  FakeStore store_;
   std::vector<std::string> addresses_;
-  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
-  std::vector<std::unique_ptr<NodeProcess>> nodes_;
-  int requests_ = 0;
 };
 
 struct Silence
--- a/tests/test_restore.cc
+++ b/tests/test_restore.cc
@@ -1,9 +1,8 @@
 // Nodes while the platform's store returns from an older copy: its revisions go back and are given
 // out again.
-#include "fakes.h"
+#include "store_nodes.h"
 
 #include <csignal>
-#include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
 
@@ -13,28 +12,18 @@
 constexpr int kApplyMs = 2500;   // a change is in force after this
 constexpr int kCatchUpMs = 4000; // nodes are right again after this
 constexpr int kLostChanges = 30;
-
-std::string
-Route (const std::string &name)
-{
-  return ",\"" + name + "\":{\"host\":\"host.example\",\"path-prefix\":\"/" + name
-         + "/\",\"kind\":\"idempotent\",\"timeout-s\":2,\"goal-s\":0.5,\"priority\":2,"
-           "\"service\":\"desk\",\"attempts\":2}";
-}
+constexpr int kRequests = 40; // to each node
 
 // Two nodes, one a region, and upstreams in the region of the first.
-class Restore : public testing::Test
+class Restore : public StoreNodes
 {
 protected:
   void
   SetUp () override
   {
     Configure (7);
-    for (int i = 0; i < kUpstreams; i++)
-      {
-        upstreams_.push_back (std::make_unique<FakeUpstream> ("up-" + std::to_string (i)));
-        Register (i);
-      }
+    StartUpstreams (kUpstreams);
+    RegisterAll ();
     StartNode ("east-a");
     StartNode ("west-a");
     for (const auto &node : nodes_)
@@ -46,16 +35,7 @@
   NodeProcess &
   StartNode (const std::string &zone)
   {
-    int number = (int) nodes_.size () + 1;
-    nodes_.push_back (std::make_unique<NodeProcess> ("vm-" + std::to_string (number), zone,
-                                                     store_.address (), number));
-    return *nodes_.back ();
-  }
-
-  void
-  Configure (int version, const std::string &more_routes = "")
-  {
-    store_.Put ("config", "main", Configuration (version, more_routes));
+    return StoreNodes::StartNode (zone, store_.address ());
   }
 
   void
@@ -108,13 +88,6 @@
     std::this_thread::sleep_for (std::chrono::milliseconds (kCatchUpMs));
   }
 
-  int
-  Status (NodeProcess &node, const std::string &path)
-  {
-    std::string id = "id-" + std::to_string (++requests_);
-    return node.Call ("GET", path, { { "X-Request-Id", id }, { "X-Deadline-Ms", "4000" } }).status;
-  }
-
   bool
   Serves (NodeProcess &node, const std::string &path)
   {
@@ -137,31 +110,8 @@
   int
   Arrivals (int first, int last)
   {
-    int before = 0;
-    int after = 0;
-    for (int i = first; i <= last; i++)
-      before += upstreams_[i]->arrivals ();
-    for (const auto &node : nodes_)
-      for (int i = 0; i < 40; i++)
-        Status (*node, "/read/" + std::to_string (i));
-    for (int i = first; i <= last; i++)
-      after += upstreams_[i]->arrivals ();
-    return after - before;
+    return StoreNodes::Arrivals (first, last, kRequests);
   }
-
-  std::string
-  Logs () const
-  {
-    std::string text;
-    for (const auto &node : nodes_)
-      text += node->Log () + "\n";
-    return text;
-  }
-
-  FakeStore store_;
-  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
-  std::vector<std::unique_ptr<NodeProcess>> nodes_;
-  int requests_ = 0;
 };
 }
 
