--- a/tests/test_rls.cc
+++ b/tests/test_rls.cc
@@ -32,9 +32,10 @@
                                    + ",\"goal-s\":0.5,\"attempts\":2"));
     west_ = std::make_unique<NodeProcess> ("vm-west", "west-a", store_.address (), 2, limits_);
     east_ = std::make_unique<NodeProcess> ("vm-east", "east-a", store_.address (), 1, limits_);
-    ASSERT_TRUE (west_->WaitReady (5000));
-    ASSERT_TRUE (east_->WaitReady (5000));
-    ASSERT_TRUE (WaitUntil (5000, [&] { return HasReceivedFrom (*east_, "vm-west"); }));
+    ASSERT_TRUE (west_->WaitReady (5000)) << west_->Log ();
+    ASSERT_TRUE (east_->WaitReady (5000)) << east_->Log ();
+    ASSERT_TRUE (WaitUntil (5000, [&] { return HasReceivedFrom (*east_, "vm-west"); }))
+        << east_->Log () << west_->Log ();
     std::this_thread::sleep_for (1s); // longer than the period of the relay selection
     store_.Put ("servers", upstream_.id (), upstream_.Record ("desk", "west-a"));
     ASSERT_TRUE (WaitUntil (5000, [&] { return UsesRelay (); })) << east_->Log ();
