Tests that run at the same time no longer take each other's ports

Cause: a test process looked for ports from a place that its process id gave, 101 ports from that of the next id, modulo 20,000. Ids that differ by 198 gave places 2 ports apart. A port was tried on 127.0.0.1 alone, some time before a node bound it, often on 127.0.0.2.

Why this works: a process locks a range of ports for as long as it lives, and takes another one if it needs more. Nodes also use ports behind their last one, so the end of a range stays free. The tests of the entry and the steer, which had a scheme of their own (freeports, still used by the demo), take their ports from there too.

--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -1,6 +1,8 @@
 // Runs the real programs on loopback for integration tests.
 #include "cluster.h"
 
+#include "ports.h"
+
 #include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
@@ -23,7 +25,6 @@
 namespace
 {
 
-constexpr int kPortCount = 128;
 const char *const kZones[] = { "luz-a", "luz-b", "vis-a", "vis-b" };
 
 std::string
@@ -92,11 +93,6 @@
   char pattern[] = "/tmp/cardamom-test-XXXXXX";
   dir_ = mkdtemp (pattern);
   bin_ = PROGRAMS_DIR;
-  FILE *list = popen ((bin_ + "/freeports " + std::to_string (kPortCount)).c_str (), "r");
-  int port;
-  while (fscanf (list, "%d", &port) == 1)
-    ports_.push_back (port);
-  pclose (list);
   store_addr_ = NextAddr ();
   Start (
       "platform", "standin-platform",
@@ -133,7 +129,7 @@
 std::string
 Cluster::NextAddr ()
 {
-  return "127.0.0.1:" + std::to_string (ports_.at (next_port_++));
+  return "127.0.0.1:" + std::to_string (FreePort ());
 }
 
 void
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -111,8 +111,6 @@
   Options options_;
   std::string dir_;
   std::string bin_;
-  std::vector<int> ports_;
-  size_t next_port_ = 0;
   int runs_ = 0; // number of the last load; part of its keys, so that no two loads share a key
   std::string store_addr_;
   std::string store_for_vms_;
--- a/tests/fakes.cc
+++ b/tests/fakes.cc
@@ -136,27 +136,6 @@
   return condition ();
 }
 
-// Uses ports below the ephemeral range, so that outgoing connections don't take them. The first
-// port depends on the process ID, so that parallel test processes rarely try the same ports.
-// Processes that run at the same time look from places that are so far apart that none takes a port
-// which another has found and not bound yet.
-int
-FreePort ()
-{
-  constexpr int kPortsPerProcess = 101;
-  static std::atomic<int> next{ getpid () * kPortsPerProcess % 20000 };
-  while (true)
-    {
-      int port = 10000 + next++ % 20000;
-      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      sockaddr_in addr = Address ("127.0.0.1", port);
-      bool taken = bind (fd, reinterpret_cast<sockaddr *> (&addr), sizeof addr) != 0;
-      close (fd);
-      if (!taken)
-        return port;
-    }
-}
-
 // ---- Listener ----
 
 Listener::Listener (std::function<void (int)> serve) : serve_ (std::move (serve))
--- a/tests/fakes.h
+++ b/tests/fakes.h
@@ -1,6 +1,8 @@
 // Test doubles of the store, upstreams and callers, and a wrapper that runs real node processes.
 #pragma once
 
+#include "ports.h"
+
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -36,8 +38,6 @@
   int elapsed_ms = 0;
 };
 
-int FreePort ();
-
 // TCP server on 127.0.0.1 that runs a function on a new thread for each connection.
 class Listener
 {
