--- a/tests/test_silent_watch.cc
+++ b/tests/test_silent_watch.cc
@@ -3,6 +3,7 @@
 #include "fakes.h"
 
 #include <algorithm>
+#include <atomic>
 #include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
@@ -117,6 +118,37 @@
   EXPECT_EQ (node_->Metric ("cardamom_node_watches_silent_total"), 0);
 }
 
+// Guards against a check of a watch that is answered too late each time, after which nobody waits
+// for changes any more. Other registrations change meanwhile, so the watch seems to be behind.
+TEST_F (Watching, ReceivesChangesFromASlowStore)
+{
+  constexpr int kHoldMs = 1800; // longer than the timeout of a watch that doesn't wait
+  constexpr int kChangePeriodMs = 500;
+  ASSERT_TRUE (WaitUntil (4000, [&] { return Reports (*node_, "healthy"); })) << node_->Log ();
+  store_.SetHandler ([&] (const FakeStore::Read &) {
+    FakeStore::Handling handling;
+    handling.hold_ms = kHoldMs;
+    return handling;
+  });
+  std::atomic<bool> stopping{ false };
+  std::thread others ([&] {
+    for (int i = 0; !stopping; i++)
+      {
+        store_.Put ("servers", "other", "{\"change\":" + std::to_string (i) + "}");
+        std::this_thread::sleep_for (std::chrono::milliseconds (kChangePeriodMs));
+      }
+  });
+  std::this_thread::sleep_for (6000ms);
+  store_.Put ("config", "main",
+              Configuration (8, R"(,"eight":{"host":"host.example",)"
+                                R"("path-prefix":"/eight/","kind":"idempotent",)"
+                                R"("timeout-s":2,"goal-s":0.5,"priority":2,)"
+                                R"("service":"desk","attempts":2})"));
+  EXPECT_TRUE (WaitUntil (8000, [&] { return Status ("/eight/a") == 200; })) << node_->Log ();
+  stopping = true;
+  others.join ();
+}
+
 // Guards against failures of a long watch that count until the next one is answered, though it only
 // waits for changes: peers take the node for one that can't watch meanwhile.
 TEST_F (Watching, IsReportedSoonAfterAnOutage)
