--- a/review/lib-3/deployment.cc
+++ b/review/lib-3/deployment.cc
@@ -194,6 +194,15 @@
   return true;
 }
 
+// The connection is reset when it is closed.
+static void
+reset (int fd)
+{
+  linger option{ 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 void
 Listener::start (const std::string &ip, Handler handler)
 {
@@ -208,22 +217,46 @@
     }
   getsockname (listener, (sockaddr *) &sin, &size);
   address = ip + ":" + std::to_string (ntohs (sin.sin_port));
-  std::thread ([listener, handler] {
+  std::thread ([listener, handler, state = state] {
     for (;;)
       {
         int fd = accept4 (listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0)
           continue;
-        std::thread ([fd, handler] {
+        std::lock_guard<std::mutex> lock (state->mutex);
+        if (state->refusing)
+          {
+            reset (fd);
+            close (fd);
+            continue;
+          }
+        state->fds.insert (fd);
+        std::thread ([fd, handler, state] {
           int one = 1;
           setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
           Connection connection (fd);
           handler (connection);
+          std::lock_guard<std::mutex> lock (state->mutex);
+          state->fds.erase (fd);
         }).detach ();
       }
   }).detach ();
 }
 
+void
+Listener::set_refusing (bool refusing)
+{
+  std::lock_guard<std::mutex> lock (state->mutex);
+
+  state->refusing = refusing;
+  for (int fd : state->fds)
+    if (refusing)
+      {
+        reset (fd);
+        shutdown (fd, SHUT_RDWR);
+      }
+}
+
 std::string
 response (int status, const std::string &headers, const std::string &body)
 {
@@ -288,19 +321,45 @@
   revision++;
   Object object{ revision, known != kinds[kind].end () ? known->second.created : revision, spec };
   kinds[kind][name] = object;
-  events.push_back ({ revision, kind, name, object });
+  events.push_back ({ revision, kind, name, object, false });
   changed.notify_all ();
 }
 
 double
 Store::put (const std::string &kind, const std::string &name, const std::string &spec)
 {
-  std::lock_guard<std::mutex> lock (mutex);
+  std::unique_lock<std::mutex> lock (mutex);
 
+  changed.wait (lock, [this] { return !down; });
   put_locked (kind, name, spec);
   return now_s ();
 }
 
+double
+Store::remove (const std::string &kind, const std::string &name)
+{
+  std::unique_lock<std::mutex> lock (mutex);
+
+  changed.wait (lock, [this] { return !down; });
+  Object object = kinds[kind].at (name);
+  kinds[kind].erase (name);
+  events.push_back ({ ++revision, kind, name, object, true });
+  changed.notify_all ();
+  return now_s ();
+}
+
+void
+Store::set_down (bool is_down)
+{
+  {
+    std::lock_guard<std::mutex> lock (mutex);
+    down = is_down;
+    changed.notify_all ();
+  }
+  listener.set_refusing (is_down);
+  record ("store     %s", is_down ? "goes down: it resets all connections" : "is up again");
+}
+
 std::string
 Store::list (const std::string &kind, const std::string &after)
 {
@@ -325,8 +384,8 @@
       for (const Event &event : events)
         if (event.revision > since && event.kind == kind)
           found += (found.empty () ? "" : ",") + ("{\"object\":" + text (event.name, event.object))
-                   + ",\"deleted\":false}";
-      if (!found.empty () || changed.wait_until (lock, until) == std::cv_status::timeout)
+                   + ",\"deleted\":" + (event.deleted ? "true}" : "false}");
+      if (!found.empty () || down || changed.wait_until (lock, until) == std::cv_status::timeout)
         return "{\"events\":[" + found + "],\"as-of\":" + std::to_string (revision) + "}";
     }
 }
@@ -403,6 +462,17 @@
   return found;
 }
 
+std::vector<Run>
+Runs::all ()
+{
+  std::lock_guard<std::mutex> lock (mutex);
+  std::vector<Run> found;
+
+  for (const auto &[id, run] : by_id)
+    found.push_back (run);
+  return found;
+}
+
 size_t
 Runs::count ()
 {
@@ -413,7 +483,7 @@
 
 Backend::Backend (Store &store, Runs &runs, const std::string &id, const std::string &service,
                   const std::string &zone)
-    : store (store), runs (runs), id (id), service (service), zone (zone)
+    : id (id), store (store), runs (runs), service (service), zone (zone)
 {
 }
 
@@ -424,6 +494,10 @@
 void
 Backend::beat ()
 {
+  std::lock_guard<std::mutex> lock (mutex);
+
+  if (has_left)
+    return;
   store.put ("servers", id,
              "{\"service\":\"" + service + "\",\"address\":\"" + listener.address
                  + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":"
@@ -448,6 +522,17 @@
   }).detach ();
 }
 
+double
+Backend::leave ()
+{
+  std::lock_guard<std::mutex> lock (mutex);
+
+  has_left = true;
+  double acked_s = store.remove ("servers", id);
+  record ("store     entry of %s removed, acknowledged", id.c_str ());
+  return acked_s;
+}
+
 void
 Backend::serve (Connection &connection)
 {
@@ -638,7 +723,7 @@
 
 Answer
 send_request (const std::string &front, const std::string &path, const std::string &host,
-              const std::string &id, const std::string &key, double budget_s)
+              const std::string &id, const std::string &header, double budget_s)
 {
   Answer answer;
   Connection connection;
@@ -649,7 +734,7 @@
     return answer;
   answer.sent_s = now_s ();
   connection.write ("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
-                    + "\r\nAuthorization: Bearer " + key + "\r\nX-Deadline-Ms: "
+                    + "\r\n" + header + "\r\nX-Deadline-Ms: "
                     + std::to_string ((int) (budget_s * 1000)) + "\r\n\r\n");
   if (connection.read (message, answer.sent_s + budget_s))
     answer.status = message.status ();
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -62,7 +63,18 @@
 public:
   using Handler = std::function<void (Connection &)>;
   void start (const std::string &ip, Handler handler);
+  // While it refuses, it resets the connections that it has, and each new one at once.
+  void set_refusing (bool refusing);
   std::string address;
+
+private:
+  struct State
+  {
+    std::mutex mutex;
+    std::set<int> fds;
+    bool refusing = false;
+  };
+  std::shared_ptr<State> state = std::make_shared<State> ();
 };
 
 std::string response (int status, const std::string &headers, const std::string &body);
@@ -75,6 +87,9 @@
   void start ();
   // Writes as the operator or a backend does. Returns the time of the acknowledgement.
   double put (const std::string &kind, const std::string &name, const std::string &spec);
+  double remove (const std::string &kind, const std::string &name);
+  // While it is down, it resets all connections; writes of operator and backends wait.
+  void set_down (bool down);
   std::string address () const { return listener.address; }
 
 private:
@@ -90,6 +105,7 @@
     std::string kind;
     std::string name;
     Object object;
+    bool deleted;
   };
   static std::string text (const std::string &name, const Object &object);
   std::string handle (const Message &request);
@@ -102,6 +118,7 @@
   std::map<std::string, std::map<std::string, Object>> kinds;
   std::vector<Event> events;
   uint64_t revision = 100;
+  bool down = false;
 };
 
 // ---- Backends ----
@@ -120,6 +137,7 @@
 public:
   void add (const Run &run);
   std::vector<Run> of (const std::string &id);
+  std::vector<Run> all ();
   size_t count ();
 
 private:
@@ -133,17 +151,22 @@
   Backend (Store &store, Runs &runs, const std::string &id, const std::string &service,
            const std::string &zone);
   void start ();
+  // Leaves without a report: its entry is removed, and it goes on serving. Returns the time of the
+  // acknowledgement.
+  double leave ();
+  const std::string id;
 
 private:
   void serve (Connection &connection);
   void beat ();
   Store &store;
   Runs &runs;
-  const std::string id;
   const std::string service;
   const std::string zone;
   Listener listener;
   std::atomic<uint32_t> running{ 0 };
+  std::mutex mutex;
+  bool has_left = false;
   uint64_t sequence = 0;
   uint64_t born_ms = 0;
 };
@@ -189,9 +212,9 @@
   int status = 0; // 0: none
 };
 
-// Sends a request on a new connection, and reads the answer until the time budget is over.
+// Sends a request with one more header on a new connection, and reads the answer until the time budget is over.
 Answer send_request (const std::string &front, const std::string &path, const std::string &host,
-                     const std::string &id, const std::string &key, double budget_s);
+                     const std::string &id, const std::string &header, double budget_s);
 
 // Ends the nodes and the process: prints and records the verdict.
 [[noreturn]] void finish (int status, const std::string &verdict, Nodes &nodes);
