Review cases: run.sh writes record.txt itself, with each request as it is sent

Change: run.sh of 11 to 13 begins record.txt in its folder and hands it on; the stand-ins record each request and look-up when they send it.

--- a/review/lib-3/deployment.cc
+++ b/review/lib-3/deployment.cc
@@ -684,6 +684,7 @@
   Connection connection;
   Message answer;
 
+  record ("sent      look-up for %s to %s", region.c_str (), nodes[node].name.c_str ());
   if (connection.open (nodes[node].directory, 1)
       && connection.write ("GET /resolve?name=einsatz.example&region=" + region
                            + "&zone=stmk-graz HTTP/1.1\r\nHost: directory\r\n\r\n")
@@ -733,6 +734,8 @@
   if (!connection.open (front, 1))
     return answer;
   answer.sent_s = now_s ();
+  record ("sent      %s to %s: GET %s, %s", id.c_str (), front.c_str (), path.c_str (),
+          header.c_str ());
   connection.write ("GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + id
                     + "\r\n" + header + "\r\nX-Deadline-Ms: "
                     + std::to_string ((int) (budget_s * 1000)) + "\r\n\r\n");
--- a/review/lib-3/run-case.sh
+++ b/review/lib-3/run-case.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# run-case.sh NUMBER: runs the case of that number, which writes to the record.txt in its folder.
+# run-case.sh NUMBER RECORD: runs the case of that number, which appends to the file RECORD what was
+# sent, answered and run. Exits as the case does.
+RECORD=$2
 cd "$(dirname "$0")/../.." || exit 2
-RECORD="$PWD/review/$1/record.txt"
 WORK=$(mktemp -d) || exit 2
 export WORK RECORD
-: > "$RECORD"
 program="target/review-3/case-$1"
 if [ -x target/cardamom-node ] && [ -x "$program" ]; then
   trap 'kill "$child" 2>/dev/null' INT TERM
